Add the kernel, settings, wire protocol and package skeletons

The kernel loads plug-ins that register themselves, checks all settings before anything starts, and runs them on oklog/run. wire carries typed CBOR messages over QUIC with mutual TLS. The other packages hold their interfaces only.

--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,2 @@
+// Package admit decides whether a request can finish within its deadline.
+package admit
--- /dev/null
+++ b/cmd/rosemary-control/main.go
@@ -0,0 +1,11 @@
+// Command rosemary-control holds the replicated state on a VM with a disk.
+package main
+
+import (
+	"github.com/rosemaryproxy/rosemaryproxy/cli"
+	_ "github.com/rosemaryproxy/rosemaryproxy/control"
+)
+
+func main() {
+	cli.Execute(cli.Daemon("rosemary-control", "Hold the replicated state on a VM with a disk"))
+}
--- /dev/null
+++ b/cmd/rosemary-sidecar/main.go
@@ -0,0 +1,11 @@
+// Command rosemary-sidecar serves one endpoint from the slot on its VM.
+package main
+
+import (
+	"github.com/rosemaryproxy/rosemaryproxy/cli"
+	_ "github.com/rosemaryproxy/rosemaryproxy/sidecar"
+)
+
+func main() {
+	cli.Execute(cli.Daemon("rosemary-sidecar", "Serve one endpoint from the slot on its VM"))
+}
--- /dev/null
+++ b/config/change.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Change is one accepted change; exactly one field is set. A Drop field names
+// what goes away.
+type Change struct {
+	Zone         *Zone         `json:"zone,omitempty" cbor:"1,keyasint,omitempty"`
+	Model        *Model        `json:"model,omitempty" cbor:"2,keyasint,omitempty"`
+	Route        *Route        `json:"route,omitempty" cbor:"3,keyasint,omitempty"`
+	Account      *Account      `json:"account,omitempty" cbor:"4,keyasint,omitempty"`
+	Endpoint     *EndpointRule `json:"endpoint,omitempty" cbor:"5,keyasint,omitempty"`
+	DropModel    string        `json:"drop_model,omitempty" cbor:"6,keyasint,omitempty"`
+	DropRoute    string        `json:"drop_route,omitempty" cbor:"7,keyasint,omitempty"`
+	DropAccount  string        `json:"drop_account,omitempty" cbor:"8,keyasint,omitempty"`
+	DropEndpoint string        `json:"drop_endpoint,omitempty" cbor:"9,keyasint,omitempty"`
+}
+
+// EndpointRule takes one endpoint in or out, whatever its zone's state.
+type EndpointRule struct {
+	Name  string    `json:"name" cbor:"1,keyasint"`
+	State ZoneState `json:"state" cbor:"2,keyasint"`
+}
+
+// Revised is one or more changes that took effect together at Revision.
+type Revised struct {
+	Revision uint64   `json:"revision" cbor:"1,keyasint"`
+	Changes  []Change `json:"changes" cbor:"2,keyasint"`
+}
+
+// Apply makes the changes of r the document's next revision. It refuses a
+// revision that does not follow on the document's own, so that a copy cannot
+// miss a change or go back.
+func (d *Document) Apply(r Revised) error {
+	if r.Revision != d.Revision+1 {
+		return errors.Errorf("revision %d does not follow on %d", r.Revision, d.Revision)
+	}
+	for _, c := range r.Changes {
+		d.apply(c)
+	}
+	d.Revision = r.Revision
+	return nil
+}
+
+func (d *Document) apply(c Change) {
+	switch {
+	case c.Zone != nil:
+		d.Zones[c.Zone.Name] = *c.Zone
+	case c.Model != nil:
+		d.Models[c.Model.Name] = *c.Model
+	case c.Route != nil:
+		d.Routes[c.Route.Name] = *c.Route
+	case c.Account != nil:
+		d.Accounts[c.Account.Name] = *c.Account
+	case c.Endpoint != nil:
+		d.Endpoints[c.Endpoint.Name] = c.Endpoint.State
+	case c.DropModel != "":
+		delete(d.Models, c.DropModel)
+	case c.DropRoute != "":
+		delete(d.Routes, c.DropRoute)
+	case c.DropAccount != "":
+		delete(d.Accounts, c.DropAccount)
+	case c.DropEndpoint != "":
+		delete(d.Endpoints, c.DropEndpoint)
+	}
+}
+
+// EndpointState returns whether the endpoint in zone takes new work. An unknown
+// zone takes none.
+func (d *Document) EndpointState(endpoint, zone string) ZoneState {
+	z, ok := d.Zones[zone]
+	if !ok || z.State != In {
+		return Out
+	}
+	if d.Endpoints[endpoint] == Out {
+		return Out
+	}
+	return In
+}
+
+// RunsOnce reports whether a call below the route runs at most once.
+func (r Route) RunsOnce(method, path string) bool {
+	for _, c := range r.NonIdempotent {
+		if strings.EqualFold(c.Method, method) && strings.HasPrefix(path, c.Path) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,2 @@
+// Package control is the daemon that holds the replicated state.
+package control
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,2 @@
+// Package entry is the daemon that serves callers.
+package entry
--- /dev/null
+++ b/experiment/experiment.go
@@ -0,0 +1,2 @@
+// Package experiment generates load, records histograms and draws plots.
+package experiment
--- /dev/null
+++ b/fence/fence.go
@@ -0,0 +1,2 @@
+// Package fence refuses orders that carry a fencing number older than the newest one seen.
+package fence
--- /dev/null
+++ b/health/health.go
@@ -0,0 +1,2 @@
+// Package health detects endpoints that fail slowly.
+package health
--- /dev/null
+++ b/kernel/kernel_test.go
@@ -0,0 +1,58 @@
+package kernel
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+)
+
+type samplePlugin struct {
+	Size        int `json:"size" validate:"min=1"`
+	provisioned bool
+}
+
+var _ Provisioner = (*samplePlugin)(nil)
+
+func (s *samplePlugin) Provision(*Host) error {
+	s.provisioned = true
+	return nil
+}
+
+var lastSample *samplePlugin
+
+func init() {
+	Register(PluginInfo{ID: "test.sample", New: func() any {
+		lastSample = &samplePlugin{Size: 3}
+		return lastSample
+	}})
+}
+
+func TestLoadAllReportsEveryFaultAndProvisionsNothing(t *testing.T) {
+	is := is.New(t)
+	lastSample = nil
+	f := &settings.File{Plugins: map[string]json.RawMessage{
+		"test.sample":  json.RawMessage(`{"size":0}`),
+		"test.missing": json.RawMessage(`{}`),
+	}}
+	h := NewHost(f, hclog.NewNullLogger())
+	err := h.LoadAll(f)
+	faults, ok := err.(settings.Faults)
+	is.True(ok)
+	is.Equal(len(faults), 2)
+	is.Equal(faults[0].Path, "plugins.test.missing")
+	is.Equal(faults[1].Path, "plugins.test.sample.size")
+	is.True(!lastSample.provisioned)
+}
+
+func TestLoadAllKeepsDefaults(t *testing.T) {
+	is := is.New(t)
+	f := &settings.File{Plugins: map[string]json.RawMessage{"test.sample": json.RawMessage(`{}`)}}
+	h := NewHost(f, hclog.NewNullLogger())
+	is.NoErr(h.LoadAll(f))
+	is.Equal(lastSample.Size, 3)
+	is.True(lastSample.provisioned)
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,2 @@
+// Package operator is the query and command language of operators.
+package operator
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,2 @@
+// Package sidecar is the daemon beside each endpoint.
+package sidecar
--- /dev/null
+++ b/wire/authority.go
@@ -0,0 +1,155 @@
+package wire
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+)
+
+const (
+	authorityLife   = 10 * 365 * 24 * time.Hour
+	certificateLife = 365 * 24 * time.Hour
+	clockSkew       = time.Hour
+
+	keyFileMode = 0o600
+	pemFileMode = 0o644
+	dirMode     = 0o755
+
+	serialBits = 128
+)
+
+// Authority signs the certificates of a deployment.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  []byte
+}
+
+// NewAuthority makes a certificate authority and writes ca.pem and ca.key to dir.
+func NewAuthority(dir string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "make authority's key")
+	}
+	template, err := newTemplate("rosemary authority", "", authorityLife)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign authority")
+	}
+	if err := writeKey(filepath.Join(dir, "ca.key"), key); err != nil {
+		return nil, err
+	}
+	if err := writePEM(filepath.Join(dir, "ca.pem"), "CERTIFICATE", der, pemFileMode); err != nil {
+		return nil, err
+	}
+	return OpenAuthority(dir)
+}
+
+// OpenAuthority reads ca.pem and ca.key from dir.
+func OpenAuthority(dir string) (*Authority, error) {
+	certPEM, err := os.ReadFile(filepath.Join(dir, "ca.pem"))
+	if err != nil {
+		return nil, errors.Wrap(err, "read authority")
+	}
+	keyPEM, err := os.ReadFile(filepath.Join(dir, "ca.key"))
+	if err != nil {
+		return nil, errors.Wrap(err, "read authority's key")
+	}
+	certBlock, _ := pem.Decode(certPEM)
+	keyBlock, _ := pem.Decode(keyPEM)
+	if certBlock == nil || keyBlock == nil {
+		return nil, errors.Errorf("no PEM in ca.pem or ca.key of %s", dir)
+	}
+	cert, err := x509.ParseCertificate(certBlock.Bytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse authority")
+	}
+	key, err := x509.ParseECPrivateKey(keyBlock.Bytes)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse authority's key")
+	}
+	return &Authority{cert: cert, key: key, pem: certPEM}, nil
+}
+
+// Issue makes a key and certificate for a process and writes <name>.pem and
+// <name>.key to dir. The files replace older ones at once, key first.
+func (a *Authority) Issue(dir, name string, role Role) (settings.TLS, error) {
+	files := settings.TLS{
+		CA:   filepath.Join(dir, "ca.pem"),
+		Cert: filepath.Join(dir, name+".pem"),
+		Key:  filepath.Join(dir, name+".key"),
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return files, errors.Wrap(err, "make key")
+	}
+	template, err := newTemplate(name, role, certificateLife)
+	if err != nil {
+		return files, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return files, errors.Wrap(err, "sign certificate")
+	}
+	if err := writeKey(files.Key, key); err != nil {
+		return files, err
+	}
+	return files, writePEM(files.Cert, "CERTIFICATE", der, pemFileMode)
+}
+
+func newTemplate(name string, role Role, life time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, errors.Wrap(err, "make serial number")
+	}
+	subject := pkix.Name{CommonName: name}
+	if role != "" {
+		subject.OrganizationalUnit = []string{string(role)}
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      subject,
+		NotBefore:    now.Add(-clockSkew),
+		NotAfter:     now.Add(life),
+	}, nil
+}
+
+func writeKey(name string, key *ecdsa.PrivateKey) error {
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return errors.Wrap(err, "encode key")
+	}
+	return writePEM(name, "EC PRIVATE KEY", der, keyFileMode)
+}
+
+func writePEM(name, kind string, der []byte, mode os.FileMode) error {
+	if err := os.MkdirAll(filepath.Dir(name), dirMode); err != nil {
+		return errors.Wrap(err, "make folder for keys")
+	}
+	temporary := name + ".new"
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(temporary, data, mode); err != nil {
+		return errors.Wrap(err, "write PEM")
+	}
+	return errors.Wrap(os.Rename(temporary, name), "replace PEM")
+}
--- /dev/null
+++ b/wire/frame.go
@@ -0,0 +1,88 @@
+// Package wire is the protocol between the processes of rosemaryproxy: typed
+// messages in CBOR over QUIC streams with mutual TLS.
+//
+// A frame on a stream is a length of four bytes, big endian, that counts what
+// follows; one byte of Kind; and the message in CBOR.
+package wire
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// MaxFrameBytes bounds one frame; a longer one breaks the stream.
+	MaxFrameBytes = 4 << 20
+	// BodyChunkBytes is the most that a sender puts in one Body or Chunk.
+	BodyChunkBytes = 32 << 10
+
+	lengthBytes = 4
+	headerBytes = lengthBytes + 1
+)
+
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 16}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Marshal returns v in the protocol's codec.
+func Marshal(v any) ([]byte, error) {
+	b, err := cbor.Marshal(v)
+	return b, errors.Wrapf(err, "encode %T", v)
+}
+
+// Unmarshal decodes b into v, within bounds on size and nesting.
+func Unmarshal(b []byte, v any) error {
+	return errors.Wrapf(decoding.Unmarshal(b, v), "decode %T", v)
+}
+
+// WriteMessage writes m as one frame.
+func WriteMessage(w io.Writer, m Message) (int, error) {
+	body, err := Marshal(m)
+	if err != nil {
+		return 0, err
+	}
+	if len(body)+1 > MaxFrameBytes {
+		return 0, errors.Errorf("message of %d bytes is over the limit of %d", len(body), MaxFrameBytes)
+	}
+	frame := make([]byte, headerBytes, headerBytes+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(len(body)+1))
+	frame[lengthBytes] = byte(m.Kind())
+	return w.Write(append(frame, body...))
+}
+
+// ReadMessage reads one frame. It returns io.EOF when the stream ended cleanly
+// before the frame, and io.ErrUnexpectedEOF when it was cut within it.
+func ReadMessage(r io.Reader) (Message, int, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, 0, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size == 0 || size > MaxFrameBytes {
+		return nil, 0, errors.Errorf("frame of %d bytes", size)
+	}
+	m := newMessage(Kind(header[lengthBytes]))
+	if m == nil {
+		return nil, 0, errors.Errorf("unknown kind of message %d", header[lengthBytes])
+	}
+	body := make([]byte, size-1)
+	if _, err := io.ReadFull(r, body); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, 0, err
+	}
+	if err := Unmarshal(body, m); err != nil {
+		return nil, 0, err
+	}
+	return m, headerBytes + len(body), nil
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,92 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestStreamCarriesMessagesBothWays(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	ca, err := NewAuthority(dir)
+	is.NoErr(err)
+	serverFiles, err := ca.Issue(dir, "sidecar-1", RoleSidecar)
+	is.NoErr(err)
+	clientFiles, err := ca.Issue(dir, "entry-1", RoleEntry)
+	is.NoErr(err)
+	serverID, err := LoadIdentity(serverFiles)
+	is.NoErr(err)
+	clientID, err := LoadIdentity(clientFiles)
+	is.NoErr(err)
+
+	peers := make(chan Peer, 1)
+	srv, err := Listen("127.0.0.1:0", serverID, &Traffic{}, func(s Stream) {
+		peers <- s.Peer()
+		m, err := s.Recv()
+		if err != nil {
+			return
+		}
+		_ = s.Send(&Grant{Attempt: m.(*Dispatch).Attempt})
+	})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(ctx) }()
+
+	pool, err := NewPool(clientID, 0, &Traffic{})
+	is.NoErr(err)
+	open, stop := context.WithTimeout(ctx, 5*time.Second)
+	defer stop()
+	s, err := pool.Open(open, srv.Addr())
+	is.NoErr(err)
+	is.NoErr(s.Send(&Dispatch{Attempt: Attempt{Number: 7}}))
+	m, err := s.Recv()
+	is.NoErr(err)
+	is.Equal(m.(*Grant).Attempt.Number, uint32(7))
+	_, err = s.Recv()
+	is.Equal(err, io.EOF)
+	is.Equal(<-peers, Peer{Name: "entry-1", Role: RoleEntry})
+
+	pool.Close()
+	cancel()
+	is.NoErr(<-served)
+}
+
+func TestReadMessageRefusesDamagedFrames(t *testing.T) {
+	var whole bytes.Buffer
+	if _, err := WriteMessage(&whole, &End{Chunks: 3, Bytes: 9}); err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string][]byte{
+		"cut in the body":   whole.Bytes()[:whole.Len()-1],
+		"cut in the header": whole.Bytes()[:3],
+		"length of zero":    {0, 0, 0, 0, 1},
+		"length too large":  {0xff, 0xff, 0xff, 0xff, 1},
+		"unknown kind":      {0, 0, 0, 2, 0xee, 0xa0},
+		"body is not CBOR":  {0, 0, 0, 2, byte(KindEnd), 0xff},
+	}
+	for name, frame := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, _, err := ReadMessage(bytes.NewReader(frame))
+			is.True(err != nil)
+		})
+	}
+}
+
+func FuzzReadMessage(f *testing.F) {
+	var seed bytes.Buffer
+	_, _ = WriteMessage(&seed, &Dispatch{Route: "assistant-llm", Path: "/v1/completions"})
+	f.Add(seed.Bytes())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, _, err := ReadMessage(bytes.NewReader(data))
+		if err == nil && m == nil {
+			t.Fatal("no message and no error")
+		}
+	})
+}
