--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/stream"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+const (
+	// answerWindowBytes is what a sidecar may send ahead of a caller's reading.
+	answerWindowBytes = 32 << 10
+	// connectTimeout bounds the opening of a stream to a sidecar.
+	connectTimeout = 2 * time.Second
+	// eagerBodyBytes is the longest body that is sent before the grant.
+	eagerBodyBytes = 16 << 10
+	// answerGrace is how long after the deadline a refusal is still read.
+	answerGrace = 500 * time.Millisecond
+)
+
+// attempt carries out one try at the ticket's endpoint. It returns nil once the
+// caller has the whole answer.
+func (e *Entry) attempt(ctx context.Context, c *call, t *ticket, a *answer, claim *wire.Claim) error {
+	now := e.clock.Now()
+	d := e.dispatchOf(c, t, now)
+	d.Claim = claim
+	c.endpoint = t.endpoint.Name
+	e.log.Info("attempt routed", c.fields("attempt", d.Attempt.Number, "endpoint", t.endpoint.Name,
+		"zone", t.endpoint.Zone, "class", c.want.Class.String(), "prompt_tokens", c.want.PromptTokens,
+		"considered", t.choice.Considered, "reason", t.choice.Reason, "predicted", t.choice.Predicted)...)
+	x := &exchange{e: e, c: c, t: t, d: d, a: a, order: stream.NewAssembler(d.Attempt, 0)}
+	defer x.finish()
+	if err := x.open(ctx); err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, x.s.Abort)
+	defer stop()
+	err := x.run()
+	if err != nil && ctx.Err() != nil {
+		return e.interrupted(ctx, x)
+	}
+	return err
+}
+
+// interrupted says how an attempt ended whose deadline passed or whose caller went.
+func (e *Entry) interrupted(ctx context.Context, x *exchange) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Uncertain(verdict.ReasonDeadline, 0, "the deadline passed at endpoint %s", x.t.endpoint.Name)
+	}
+	return verdict.Uncertain(verdict.ReasonSlowReader, 0, "the caller has gone")
+}
+
+// exchange is the conversation with a sidecar about one attempt.
+type exchange struct {
+	e     *Entry
+	c     *call
+	t     *ticket
+	d     *wire.Dispatch
+	a     *answer
+	s     wire.Stream
+	order *stream.Assembler
+	// load is the newest load that the sidecar sent.
+	load *wire.Load
+}
+
+func (x *exchange) finish() {
+	if x.s != nil && !x.order.Whole() {
+		x.s.Abort()
+	}
+	x.e.fleet.finished(x.t, x.load)
+}
+
+// open opens the stream. A stream that never opened proves that nothing has run.
+func (x *exchange) open(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	s, err := x.e.pool.Open(ctx, x.t.endpoint.Addr)
+	if err != nil {
+		return verdict.Refuse(verdict.ReasonUnreachable, retryAfterLoss, "endpoint %s is not reachable", x.t.endpoint.Name)
+	}
+	if s.Peer().Role != wire.RoleSidecar {
+		s.Abort()
+		return verdict.Refuse(verdict.ReasonUnreachable, retryAfterLoss, "endpoint %s has no sidecar", x.t.endpoint.Name)
+	}
+	x.s = s
+	return nil
+}
+
+// retryAfterLoss is when a request that lost its endpoint is worth another try.
+const retryAfterLoss = time.Second
+
+// run sends the attempt and reads its answer.
+func (x *exchange) run() error {
+	_ = x.s.SetDeadline(x.c.deadline.Add(answerGrace))
+	if err := x.s.Send(x.d); err != nil {
+		return x.lost()
+	}
+	eager := len(x.c.body) <= eagerBodyBytes
+	if eager {
+		if err := x.sendBody(); err != nil {
+			return x.lostAfter(err)
+		}
+	}
+	granted, err := x.awaitGrant()
+	if err != nil {
+		return err
+	}
+	x.e.fleet.granted(x.t, granted.Load)
+	if !eager {
+		// The answer is read at the same time, because an endpoint may refuse a
+		// body before it has read all of it.
+		go func() { _ = x.sendBody() }()
+	}
+	return x.readAnswer()
+}
+
+func (x *exchange) sendBody() error {
+	body := x.c.body
+	for len(body) > wire.BodyChunkBytes {
+		if err := x.s.Send(&wire.Body{Data: body[:wire.BodyChunkBytes]}); err != nil {
+			return err
+		}
+		body = body[wire.BodyChunkBytes:]
+	}
+	return x.s.Send(&wire.Body{Data: body, Last: true})
+}
+
+// lost is the refusal of an attempt whose sidecar broke off without a word.
+func (x *exchange) lost() error {
+	return verdict.Uncertain(verdict.ReasonEndpointLost, retryAfterLoss, "endpoint %s broke off", x.t.endpoint.Name)
+}
+
+// lostAfter prefers the sidecar's own refusal to a failed send: a sidecar that
+// refuses stops reading the body.
+func (x *exchange) lostAfter(error) error {
+	if _, err := x.awaitGrant(); err != nil {
+		return err
+	}
+	return x.lost()
+}
+
+func (x *exchange) awaitGrant() (*wire.Grant, error) {
+	m, err := x.s.Recv()
+	if err != nil {
+		return nil, x.lost()
+	}
+	switch m := m.(type) {
+	case *wire.Grant:
+		if m.Attempt == x.d.Attempt {
+			return m, nil
+		}
+	case *wire.Refused:
+		return nil, x.refused(m)
+	}
+	return nil, x.unexpected(m)
+}
+
+func (x *exchange) refused(m *wire.Refused) error {
+	if m.Attempt != x.d.Attempt {
+		return x.unexpected(m)
+	}
+	x.load = &m.Load
+	return m.Refusal()
+}
+
+func (x *exchange) unexpected(m wire.Message) error {
+	return verdict.Uncertain(verdict.ReasonStreamBroken, 0, "message %T out of order", m)
+}
+
+// readAnswer passes the answer on until its end mark has come and matched.
+func (x *exchange) readAnswer() error {
+	for {
+		m, err := x.s.Recv()
+		if errors.Is(err, io.EOF) || err != nil {
+			return x.lost()
+		}
+		switch m := m.(type) {
+		case *wire.Head:
+			err = x.begin(m)
+		case *wire.Chunk:
+			err = x.pass(m)
+		case *wire.End:
+			return x.end(m)
+		case *wire.Refused:
+			return x.refused(m)
+		default:
+			return x.unexpected(m)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (x *exchange) begin(m *wire.Head) error {
+	if m.Attempt != x.d.Attempt || x.a.head != nil {
+		return x.unexpected(m)
+	}
+	x.a.begin(m)
+	return nil
+}
+
+func (x *exchange) pass(m *wire.Chunk) error {
+	if x.a.head == nil {
+		return x.unexpected(m)
+	}
+	data, err := x.order.Chunk(m)
+	if err != nil || len(data) == 0 {
+		return err
+	}
+	return x.a.write(data)
+}
+
+func (x *exchange) end(m *wire.End) error {
+	if x.a.head == nil {
+		return x.unexpected(m)
+	}
+	if err := x.order.End(m); err != nil {
+		return err
+	}
+	x.load = &m.Load
+	return x.a.end()
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+// Paths for callers.
+const (
+	// PathServices leads to plain services: "/services/{route}/...".
+	PathServices = "/services/"
+	// PathHealth answers 200 while the entry takes new requests, else 503.
+	PathHealth = "/healthz"
+)
+
+func (e *Entry) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engine.PathCompletions, e.serveModel)
+	mux.HandleFunc("POST "+engine.PathChat, e.serveModel)
+	mux.HandleFunc(PathServices+"{route}/{path...}", e.serveService)
+	mux.HandleFunc("GET "+PathHealth, e.serveHealth)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		e.answerRefusal(w, nil, verdict.Refuse(verdict.ReasonBadRequest, 0, "no such path %s", r.URL.Path))
+	})
+	return mux
+}
+
+// serveHealth turns before anything else on a planned stop, so that the
+// platform's balancer sends new requests elsewhere.
+func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if e.stopping.Load() {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// serveModel serves a prompt.
+func (e *Entry) serveModel(w http.ResponseWriter, r *http.Request) {
+	e.serve(w, r, func(c *call) error {
+		if err := e.readBody(w, r, c); err != nil {
+			return err
+		}
+		return e.parsePrompt(c)
+	})
+}
+
+// serveService serves a call to a plain service.
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
+	e.serve(w, r, func(c *call) error {
+		if err := e.readBody(w, r, c); err != nil {
+			return err
+		}
+		return e.parseService(c, r)
+	})
+}
+
+// serve takes one request from authentication to its final answer.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, parse func(*call) error) {
+	c := e.newCall(r)
+	defer e.finish(c)
+	account, err := e.keys.authenticate(e.control.Config(), r.Header.Get("Authorization"))
+	if err != nil {
+		e.answerRefusal(w, c, verdict.From(err))
+		return
+	}
+	c.account = account
+	c.held = e.budget.Account(account.Name)
+	if err := parse(c); err != nil {
+		e.answerRefusal(w, c, verdict.From(err))
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	answer := newAnswer(w, c, e.ReaderTimeout.Std(), e.clock)
+	err = e.perform(ctx, c, answer)
+	if err == nil {
+		e.metrics.answered(c)
+		e.log.Info("request answered", c.fields("bytes", answer.sent)...)
+		return
+	}
+	e.fail(c, answer, verdict.From(err))
+}
+
+// fail gives the caller its final answer at once.
+func (e *Entry) fail(c *call, a *answer, r *verdict.Refusal) {
+	if !a.committed {
+		e.answerRefusal(a.w, c, r)
+		return
+	}
+	e.metrics.refused(c, r)
+	e.log.Warn("answer broken", c.fields("verdict", r.Verdict.String(), "reason", string(r.Reason), "detail", r.Detail)...)
+	a.breakOff(r)
+}
+
+// authorize checks that the account may use the route.
+func authorize(doc *config.Document, c *call, name string) error {
+	route, ok := doc.Routes[name]
+	if !ok || !allows(route, c.account.Name) {
+		return verdict.Refuse(verdict.ReasonUnknownRoute, 0, "no route %q for account %q", name, c.account.Name)
+	}
+	c.route = route
+	return nil
+}
+
+func allows(r config.Route, account string) bool {
+	if len(r.Accounts) == 0 {
+		return true
+	}
+	for _, a := range r.Accounts {
+		if strings.EqualFold(a, account) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+func requestID(c *call) string { return hex.EncodeToString(c.id[:]) }
+
+// entryMetrics are the metrics of one entry.
+type entryMetrics struct {
+	set   *metrics.Set
+	first [route.Classes]*metrics.Histogram
+	done  [route.Classes]*metrics.Histogram
+}
+
+func newMetrics(set *metrics.Set, e *Entry) *entryMetrics {
+	m := &entryMetrics{set: set}
+	for class := range route.Classes {
+		m.first[class] = set.NewHistogram(fmt.Sprintf(`entry_time_to_first_token_seconds{class=%q}`, class))
+		m.done[class] = set.NewHistogram(fmt.Sprintf(`entry_request_seconds{class=%q}`, class))
+	}
+	set.NewGauge("entry_held_bytes", func() float64 {
+		held, _ := e.budget.Held()
+		return float64(held)
+	})
+	set.NewGauge("entry_held_peak_bytes", func() float64 {
+		_, peak := e.budget.Held()
+		return float64(peak)
+	})
+	set.NewGauge("entry_sent_bytes", func() float64 { return float64(e.traffic.Sent.Load()) })
+	set.NewGauge("entry_received_bytes", func() float64 { return float64(e.traffic.Received.Load()) })
+	set.NewGauge("entry_revision", func() float64 { return float64(e.control.Config().Revision) })
+	return m
+}
+
+// answered counts a request whose caller has the whole answer.
+func (m *entryMetrics) answered(c *call) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`entry_requests_total{verdict=%q}`, verdict.Ran)).Inc()
+	m.done[c.want.Class].UpdateDuration(c.started)
+	if !c.firstByte.IsZero() {
+		m.first[c.want.Class].Update(c.firstByte.Sub(c.started).Seconds())
+	}
+}
+
+// refused counts a request that ended in a refusal.
+func (m *entryMetrics) refused(_ *call, r *verdict.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`entry_requests_total{verdict=%q,reason=%q}`, r.Verdict, r.Reason)).Inc()
+}
+
+// retried counts an attempt that is followed by another.
+func (m *entryMetrics) retried(r *verdict.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`entry_retries_total{reason=%q}`, r.Reason)).Inc()
+}
--- /dev/null
+++ b/entry/parse.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+const (
+	// bytesPerToken is the usual length of a token of prompt text.
+	bytesPerToken = 4
+	// defaultOutputTokens bounds an output that neither request nor route bounds.
+	defaultOutputTokens = 1024
+)
+
+// span measures a JSON value without copying it: its length and the hash of its
+// first engine.PrefixBytes bytes.
+type span struct {
+	bytes  int
+	prefix uint64
+}
+
+// UnmarshalJSON measures b.
+func (s *span) UnmarshalJSON(b []byte) error {
+	text := b
+	if len(b) > 1 && b[0] == '"' {
+		text = b[1 : len(b)-1]
+	}
+	s.bytes = len(text)
+	s.prefix = xxhash.Sum64(text[:min(len(text), engine.PrefixBytes)])
+	return nil
+}
+
+// prompt is the part of a request's body that routing needs. The prompt itself
+// stays where it is in the body.
+type prompt struct {
+	Model     string `json:"model"`
+	Prompt    *span  `json:"prompt"`
+	Messages  *span  `json:"messages"`
+	MaxTokens *int   `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// parsePrompt reads what routing needs from a prompt's body.
+func (e *Entry) parsePrompt(c *call) error {
+	var p prompt
+	if err := json.Unmarshal(c.body, &p); err != nil {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "the body is not the JSON of a completion: %v", err)
+	}
+	text := p.Prompt
+	if text == nil {
+		text = p.Messages
+	}
+	switch {
+	case p.Model == "":
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "the body names no model")
+	case text == nil:
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "the body has neither prompt nor messages")
+	case p.MaxTokens != nil && *p.MaxTokens <= 0:
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "max_tokens has to be above 0")
+	}
+	if err := authorize(e.control.Config(), c, p.Model); err != nil {
+		return err
+	}
+	if c.route.Kind != config.ModelRoute {
+		return verdict.Refuse(verdict.ReasonUnknownRoute, 0, "route %q leads to a service", c.route.Name)
+	}
+	if err := c.setDeadline(); err != nil {
+		return err
+	}
+	c.want = route.Request{
+		Target:       c.route.Target,
+		PromptTokens: text.bytes/bytesPerToken + 1,
+		OutputTokens: outputBound(c.route, p.MaxTokens),
+		Prefix:       text.prefix,
+		Zone:         e.node.Zone,
+		Deadline:     c.deadline,
+	}
+	c.want.Class = route.ClassOf(c.want.PromptTokens)
+	return nil
+}
+
+func outputBound(r config.Route, asked *int) int {
+	bound := defaultOutputTokens
+	if r.MaxOutputTokens > 0 {
+		bound = r.MaxOutputTokens
+	}
+	if asked != nil {
+		bound = *asked
+	}
+	return bound
+}
+
+// parseService reads the route and path of a call to a plain service.
+func (e *Entry) parseService(c *call, r *http.Request) error {
+	if err := authorize(e.control.Config(), c, r.PathValue("route")); err != nil {
+		return err
+	}
+	if c.route.Kind != config.ServiceRoute {
+		return verdict.Refuse(verdict.ReasonUnknownRoute, 0, "route %q leads to a model", c.route.Name)
+	}
+	if err := c.setDeadline(); err != nil {
+		return err
+	}
+	path := "/" + r.PathValue("path")
+	c.path = path
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	c.once = c.route.RunsOnce(c.method, path)
+	if c.once && c.key == "" {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%s %s runs at most once and wants a header %s", c.method, path, HeaderIdempotencyKey)
+	}
+	c.digest = xxhash.Sum64String(strings.Join([]string{c.method, c.path, string(c.body)}, "\x00"))
+	c.want = route.Request{Target: c.route.Target, Zone: e.node.Zone, Deadline: c.deadline}
+	return nil
+}
--- /dev/null
+++ b/sidecar/metrics.go
@@ -0,0 +1,39 @@
+package sidecar
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+// sidecarMetrics are the metrics of one sidecar.
+type sidecarMetrics struct {
+	set  *metrics.Set
+	done *metrics.Counter
+	slow *metrics.Counter
+}
+
+func newMetrics(set *metrics.Set, s *Sidecar) *sidecarMetrics {
+	set.NewGauge("sidecar_held_bytes", func() float64 {
+		held, _ := s.budget.Held()
+		return float64(held)
+	})
+	set.NewGauge("sidecar_running", func() float64 { return float64(s.gate.load().Running) })
+	set.NewGauge("sidecar_free_tokens", func() float64 { return float64(s.gate.load().FreeTokens) })
+	set.NewGauge("sidecar_sent_bytes", func() float64 { return float64(s.traffic.Sent.Load()) })
+	set.NewGauge("sidecar_received_bytes", func() float64 { return float64(s.traffic.Received.Load()) })
+	return &sidecarMetrics{
+		set:  set,
+		done: set.NewCounter("sidecar_finished_total"),
+		slow: set.NewCounter("sidecar_slow_readers_total"),
+	}
+}
+
+func (m *sidecarMetrics) finished()   { m.done.Inc() }
+func (m *sidecarMetrics) slowReader() { m.slow.Inc() }
+
+func (m *sidecarMetrics) refused(r *verdict.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sidecar_refused_total{verdict=%q,reason=%q}`, r.Verdict, r.Reason)).Inc()
+}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -16,9 +16,9 @@
 	idleTimeout = 30 * time.Second
 	// handshakeTimeout bounds the opening of a connection.
 	handshakeTimeout = 3 * time.Second
-	// streamWindowBytes is the credit of one stream: the most that a receiver
-	// holds for a reader that does not read.
-	streamWindowBytes = 64 << 10
+	// StreamWindowBytes is the usual credit of one stream: the most that a
+	// receiver holds for a reader that does not read.
+	StreamWindowBytes = 256 << 10
 	// connWindowBytes is the credit of all streams of one connection.
 	connWindowBytes = 4 << 20
 	// maxStreams bounds the streams that a peer may have open on a connection.
@@ -30,13 +30,13 @@
 
 // quicConfig returns the transport settings. Windows are fixed rather than
 // grown, so that memory for slow readers is bounded by what is written here.
-func quicConfig(keepAlive time.Duration) *quic.Config {
+func quicConfig(o PoolOptions) *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 idleTimeout,
-		KeepAlivePeriod:                keepAlive,
-		InitialStreamReceiveWindow:     streamWindowBytes,
-		MaxStreamReceiveWindow:         streamWindowBytes,
+		KeepAlivePeriod:                o.KeepAlive,
+		InitialStreamReceiveWindow:     o.StreamWindow,
+		MaxStreamReceiveWindow:         o.StreamWindow,
 		InitialConnectionReceiveWindow: connWindowBytes,
 		MaxConnectionReceiveWindow:     connWindowBytes,
 		MaxIncomingStreams:             maxStreams,
@@ -54,6 +54,8 @@
 	Recv() (Message, error)
 	// SetDeadline bounds all later calls of Send and Recv.
 	SetDeadline(t time.Time) error
+	// SetSendDeadline bounds all later calls of Send.
+	SetSendDeadline(t time.Time) error
 	// CloseSend says that no more messages come from this side.
 	CloseSend() error
 	// Abort ends both directions at once and frees what they hold.
@@ -76,10 +78,11 @@
 
 var _ Stream = (*stream)(nil)
 
-func (s *stream) Peer() Peer                    { return s.peer }
-func (s *stream) SetDeadline(t time.Time) error { return s.q.SetDeadline(t) }
-func (s *stream) CloseSend() error              { return s.q.Close() }
-func (s *stream) Context() context.Context      { return s.q.Context() }
+func (s *stream) Peer() Peer                        { return s.peer }
+func (s *stream) SetDeadline(t time.Time) error     { return s.q.SetDeadline(t) }
+func (s *stream) SetSendDeadline(t time.Time) error { return s.q.SetWriteDeadline(t) }
+func (s *stream) CloseSend() error                  { return s.q.Close() }
+func (s *stream) Context() context.Context          { return s.q.Context() }
 
 func (s *stream) Send(m Message) error {
 	n, err := WriteMessage(s.q, m)
@@ -117,7 +120,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for processes")
 	}
-	listener, err := quic.Listen(packet, id.ServerConfig(), quicConfig(0))
+	listener, err := quic.Listen(packet, id.ServerConfig(), quicConfig(PoolOptions{StreamWindow: StreamWindowBytes}))
 	if err != nil {
 		_ = packet.Close()
 		return nil, errors.Wrap(err, "listen for processes")
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -15,12 +15,22 @@
 	Open(ctx context.Context, addr string) (Stream, error)
 }
 
+// PoolOptions set a Pool.
+type PoolOptions struct {
+	// KeepAlive is the interval of pings on open connections; zero lets idle ones
+	// close.
+	KeepAlive time.Duration
+	// StreamWindow is the credit in bytes that each stream gives its peer; zero is
+	// StreamWindowBytes.
+	StreamWindow uint64
+}
+
 // Pool keeps connections to other processes. Connections are opened when wanted
 // and close by themselves when idle, so that entries and sidecars do not hold a
 // full mesh.
 type Pool struct {
 	id        *Identity
-	keepAlive time.Duration
+	options   PoolOptions
 	traffic   *Traffic
 	transport *quic.Transport
 
@@ -37,16 +47,18 @@
 
 var _ Opener = (*Pool)(nil)
 
-// NewPool returns a pool that dials from one UDP socket. keepAlive of zero lets
-// idle connections close.
-func NewPool(id *Identity, keepAlive time.Duration, traffic *Traffic) (*Pool, error) {
+// NewPool returns a pool that dials from one UDP socket.
+func NewPool(id *Identity, o PoolOptions, traffic *Traffic) (*Pool, error) {
+	if o.StreamWindow == 0 {
+		o.StreamWindow = StreamWindowBytes
+	}
 	packet, err := net.ListenPacket("udp", ":0")
 	if err != nil {
 		return nil, errors.Wrap(err, "open socket for processes")
 	}
 	return &Pool{
 		id:        id,
-		keepAlive: keepAlive,
+		options:   o,
 		traffic:   traffic,
 		transport: &quic.Transport{Conn: packet},
 		conns:     map[string]*pooled{},
@@ -110,7 +122,7 @@
 		c.err = errors.Wrapf(err, "address %s", addr)
 		return
 	}
-	conn, err := p.transport.Dial(ctx, udp, p.id.ClientConfig(), quicConfig(p.keepAlive))
+	conn, err := p.transport.Dial(ctx, udp, p.id.ClientConfig(), quicConfig(p.options))
 	if err != nil {
 		c.err = errors.Wrapf(err, "connect to %s", addr)
 		return
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -38,7 +38,7 @@
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ctx) }()
 
-	pool, err := NewPool(clientID, 0, &Traffic{})
+	pool, err := NewPool(clientID, PoolOptions{}, &Traffic{})
 	is.NoErr(err)
 	open, stop := context.WithTimeout(ctx, 5*time.Second)
 	defer stop()
