--- /dev/null
+++ b/cmd/rosemary-standin/main.go
@@ -0,0 +1,12 @@
+// Command rosemary-standin serves stand-ins of engines, application workers and
+// the weight store, for trials on one machine.
+package main
+
+import (
+	"github.com/rosemaryproxy/rosemaryproxy/cli"
+	_ "github.com/rosemaryproxy/rosemaryproxy/standin"
+)
+
+func main() {
+	cli.Execute(cli.Daemon("rosemary-standin", "Serve stand-ins of engines, application workers and the weight store"))
+}
--- /dev/null
+++ b/standin/batch.go
@@ -0,0 +1,165 @@
+package standin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+)
+
+// run steps the engine while it knows any request.
+func (e *Engine) run() {
+	for {
+		wait := e.clock.After(e.cfg.Step.Std())
+		if e.idle() {
+			wait = nil
+		}
+		select {
+		case <-e.closed:
+			return
+		case <-e.wake:
+		case <-wait:
+		}
+		e.step(e.clock.Now())
+	}
+}
+
+func (e *Engine) idle() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests) == 0
+}
+
+// step advances every request by the time since the last step.
+func (e *Engine) step(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	passed := now.Sub(e.lastStep).Seconds()
+	e.lastStep = now
+	e.expire(now)
+	if passed <= 0 || len(e.requests) == 0 || e.faults.stopped() || now.Before(e.downTill) {
+		return
+	}
+	batch := e.batch()
+	if slices.ContainsFunc(batch, func(r *request) bool { return r.crashes }) {
+		e.fall(now)
+		return
+	}
+	rates := e.rates(now, batch)
+	e.prefill(now, batch, rates.prefill*passed)
+	e.decode(batch, rates.decode*passed)
+	e.sample(now)
+	e.checkMemory(now)
+}
+
+// expire forgets requests that their readers left too long ago.
+func (e *Engine) expire(now time.Time) {
+	keep := e.cfg.scaled(e.cfg.ResumeKeep)
+	for _, r := range e.requests {
+		if r.left && now.Sub(r.leftAt) >= keep {
+			e.end(r, broken)
+			e.forget(r)
+		}
+	}
+}
+
+// batch returns the running requests after filling free places from the
+// waiting ones, by priority and then by arrival.
+func (e *Engine) batch() []*request {
+	live := make([]*request, 0, len(e.requests))
+	for _, r := range e.requests {
+		if !r.ended() {
+			live = append(live, r)
+		}
+	}
+	slices.SortFunc(live, func(a, b *request) int {
+		return cmp.Or(
+			cmp.Compare(b.phase, a.phase),
+			cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.seq, b.seq),
+		)
+	})
+	live = live[:min(len(live), e.cfg.MaxBatch)]
+	for _, r := range live {
+		if r.phase == waiting {
+			e.start(r)
+		}
+	}
+	return live
+}
+
+// start begins to process a prompt, less what the prefix cache holds of it.
+func (e *Engine) start(r *request) {
+	r.phase = prefilling
+	r.prefillLeft -= e.cache.hit(r.blocks) * float64(r.promptTokens)
+}
+
+// rates are speeds in tokens a second of real time.
+type rates struct {
+	prefill float64
+	decode  float64
+}
+
+// rates returns the engine's whole prefill speed and each request's decode speed.
+func (e *Engine) rates(now time.Time, batch []*request) rates {
+	speed := e.cfg.TimeScale * e.warmth(now) / e.faults.slow
+	decode := e.cfg.DecodeRate / (1 + e.cfg.BatchSlowdown*float64(max(len(batch)-1, 0)))
+	if slices.ContainsFunc(batch, func(r *request) bool { return r.phase == prefilling }) {
+		decode *= 1 - e.cfg.PrefillInterference
+	}
+	return rates{prefill: speed * e.cfg.PrefillRate, decode: speed * decode}
+}
+
+// prefill shares a budget of tokens among the prompts of the lowest priority
+// number first, in equal parts within one priority.
+func (e *Engine) prefill(now time.Time, batch []*request, budget float64) {
+	var prompts []*request
+	for _, r := range batch {
+		if r.phase == prefilling {
+			prompts = append(prompts, r)
+		}
+	}
+	slices.SortFunc(prompts, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.prefillLeft, b.prefillLeft), cmp.Compare(a.seq, b.seq))
+	})
+	for i, r := range prompts {
+		same := 1
+		for i+same < len(prompts) && prompts[i+same].priority == r.priority {
+			same++
+		}
+		part := min(r.prefillLeft, budget/float64(same))
+		r.prefillLeft -= part
+		budget -= part
+		if r.prefillLeft <= 0 {
+			e.prefilled(now, r)
+		}
+	}
+}
+
+// prefilled moves a request on to decoding and caches its prompt.
+func (e *Engine) prefilled(now time.Time, r *request) {
+	r.phase = decoding
+	entry := &cached{prefix: r.blocks[0], blocks: r.blocks, tokens: r.promptTokens}
+	if entry.tokens > e.cfg.CacheTokens {
+		return
+	}
+	e.cache.put(entry)
+	e.events.add(now, e.faults.gap, engine.CacheEvent{Kind: "stored", Prefix: entry.prefix, Tokens: entry.tokens})
+}
+
+// decode gives each decoding request up to tokens more output.
+func (e *Engine) decode(batch []*request, tokens float64) {
+	for _, r := range batch {
+		if r.phase != decoding {
+			continue
+		}
+		before := r.held()
+		r.decoded = min(r.decoded+tokens, float64(r.answer.tokens))
+		e.held += r.held() - before
+		r.signal()
+		if r.generated() >= r.answer.tokens {
+			e.end(r, finished)
+		}
+	}
+}
--- /dev/null
+++ b/standin/completion.go
@@ -0,0 +1,120 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+)
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var c engine.Completion
+	if fail := readJSON(w, r, &c); fail != nil {
+		fail.write(w)
+		return
+	}
+	offset, fail := parseOffset(r.Header.Get(engine.HeaderOffset))
+	if fail != nil {
+		fail.write(w)
+		return
+	}
+	req := newRequest(&c, &e.cfg)
+	req.crashes = strings.Contains(PromptText(&c), CrashMarker)
+	req.id = r.Header.Get(engine.HeaderRequestID)
+	req.priority, _ = strconv.Atoi(r.Header.Get(engine.HeaderPriority))
+	req.resumeAt(offset)
+	if fail := e.admit(req); fail != nil {
+		fail.write(w)
+		return
+	}
+	e.deliver(w, r, req, offset)
+}
+
+// admit takes the request in, with its memory. The engine falls over when the
+// requests that it holds outgrow its memory.
+func (e *Engine) admit(req *request) *failure {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if fail := e.checkAdmission(req); fail != nil {
+		return fail
+	}
+	now := e.clock.Now()
+	if len(e.requests) == 0 {
+		e.lastStep = now
+	}
+	e.nextSeq++
+	req.seq = e.nextSeq
+	e.requests[req.seq] = req
+	if req.id != "" {
+		e.byID[req.id] = req
+	}
+	e.held += req.held()
+	e.checkMemory(now)
+	e.sample(now)
+	e.wakeLoop()
+	return nil
+}
+
+func (e *Engine) checkAdmission(req *request) *failure {
+	select {
+	case <-e.closed:
+		return &failure{http.StatusServiceUnavailable, "closed", "the engine is closed"}
+	default:
+	}
+	if e.weights.loading {
+		return &failure{http.StatusServiceUnavailable, "loading", "the engine is loading weights"}
+	}
+	model := req.answer.model
+	if model != "" && model != e.weights.model && !slices.Contains(e.weights.adapters, model) {
+		return &failure{http.StatusNotFound, "model_not_found", "the model is not loaded"}
+	}
+	if req.id != "" && e.byID[req.id] != nil {
+		return &failure{http.StatusConflict, "duplicate_request", "a request with this id is known"}
+	}
+	return nil
+}
+
+func (e *Engine) wakeLoop() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	offset, fail := parseOffset(r.URL.Query().Get("offset"))
+	if fail != nil {
+		fail.write(w)
+		return
+	}
+	e.mu.Lock()
+	req := e.byID[r.PathValue("id")]
+	e.mu.Unlock()
+	if req == nil {
+		unknownRequest().write(w)
+		return
+	}
+	e.deliver(w, r, req, offset)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	req := e.byID[r.PathValue("id")]
+	if req != nil {
+		e.end(req, broken)
+		e.forget(req)
+		e.sample(e.clock.Now())
+	}
+	e.mu.Unlock()
+	if req == nil {
+		unknownRequest().write(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func unknownRequest() *failure {
+	return &failure{http.StatusNotFound, "unknown_request", "no request with this id is held"}
+}
--- /dev/null
+++ b/standin/http.go
@@ -0,0 +1,131 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+)
+
+// maxBodyBytes bounds the body of a request.
+const maxBodyBytes = 256 << 20
+
+// failure is an HTTP error of the stand-ins.
+type failure struct {
+	status  int
+	kind    string
+	message string
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type    string `json:"type"`
+	Message string `json:"message"`
+}
+
+func (f *failure) write(w http.ResponseWriter) {
+	writeJSON(w, f.status, errorBody{Error: errorDetail{Type: f.kind, Message: f.message}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// readJSON decodes the body of r into v.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) *failure {
+	body := http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	if err := json.NewDecoder(body).Decode(v); err != nil {
+		return &failure{http.StatusBadRequest, "bad_request", err.Error()}
+	}
+	return nil
+}
+
+// Handler returns the engine's published HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engine.PathCompletions, e.serveCompletion)
+	mux.HandleFunc("POST "+engine.PathChat, e.serveCompletion)
+	mux.HandleFunc("GET "+engine.PathLoad, e.serveLoad)
+	mux.HandleFunc("GET "+engine.PathCacheEvents, e.serveCacheEvents)
+	mux.HandleFunc("POST "+engine.PathOrders, e.serveOrder)
+	mux.HandleFunc("DELETE "+engine.PathRequests+"{id}", e.serveCancel)
+	mux.HandleFunc("GET "+engine.PathRequests+"{id}", e.serveResume)
+	mux.HandleFunc("POST "+engine.PathKVExport, e.serveKVExport)
+	mux.HandleFunc("POST "+engine.PathKVImport, e.serveKVImport)
+	mux.HandleFunc("GET "+engine.PathKV, e.serveKVList)
+	mux.HandleFunc("GET "+engine.PathKV+"/{handle}", e.serveKVContent)
+	mux.HandleFunc("DELETE "+engine.PathKV+"/{handle}", e.serveKVDelete)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.awaitThaw(r)
+		e.abortIfDown()
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// awaitThaw waits while the engine is frozen.
+func (e *Engine) awaitThaw(r *http.Request) {
+	for {
+		e.mu.Lock()
+		frozen := e.faults.frozen
+		e.mu.Unlock()
+		if frozen == nil {
+			return
+		}
+		select {
+		case <-frozen:
+		case <-e.closed:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// abortIfDown breaks the connection while the engine restarts.
+func (e *Engine) abortIfDown() {
+	e.mu.Lock()
+	down := e.clock.Now().Before(e.downTill)
+	e.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	now := e.clock.Now()
+	e.sample(now)
+	load := e.reports.publish(now, e.faults.lag)
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, load)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := parseOffset(r.URL.Query().Get("after"))
+	if err != nil {
+		err.write(w)
+		return
+	}
+	e.mu.Lock()
+	page := e.events.after(e.clock.Now(), e.faults.eventLag, uint64(after))
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, page)
+}
+
+// parseOffset reads a count that may be absent.
+func parseOffset(s string) (int64, *failure) {
+	if s == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < 0 {
+		return 0, &failure{http.StatusBadRequest, "bad_request", "want a count, got " + strconv.Quote(s)}
+	}
+	return n, nil
+}
--- /dev/null
+++ b/standin/kv.go
@@ -0,0 +1,148 @@
+package standin
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+)
+
+// kvContent is an exported cache on its way between two stand-ins.
+type kvContent struct {
+	Prefix uint64   `json:"prefix"`
+	Blocks []uint64 `json:"blocks"`
+	Tokens int64    `json:"tokens"`
+}
+
+func (e *Engine) serveKVExport(w http.ResponseWriter, r *http.Request) {
+	var order engine.KVExport
+	if fail := readJSON(w, r, &order); fail != nil {
+		fail.write(w)
+		return
+	}
+	e.mu.Lock()
+	entry, ok := e.cache.get(order.Prefix)
+	e.mu.Unlock()
+	if !ok {
+		fail := failure{http.StatusNotFound, "unknown_prefix", "the prefix is not in the cache"}
+		fail.write(w)
+		return
+	}
+	e.answerHold(w, entry)
+}
+
+func (e *Engine) serveKVImport(w http.ResponseWriter, r *http.Request) {
+	var order engine.KVImport
+	if fail := readJSON(w, r, &order); fail != nil {
+		fail.write(w)
+		return
+	}
+	content, err := e.fetch(r, &order)
+	if err != nil {
+		fail := failure{http.StatusBadGateway, "source_failed", err.Error()}
+		fail.write(w)
+		return
+	}
+	e.answerHold(w, &cached{prefix: content.Prefix, blocks: content.Blocks, tokens: content.Tokens})
+}
+
+// fetch reads an exported cache from the engine that holds it.
+func (e *Engine) fetch(r *http.Request, order *engine.KVImport) (*kvContent, error) {
+	url := order.Source + engine.PathKV + "/" + order.Handle
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "ask the source")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("the source answered %s", resp.Status)
+	}
+	content := &kvContent{}
+	err = json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxBodyBytes)).Decode(content)
+	if err == nil && len(content.Blocks) == 0 {
+		err = errors.New("no blocks")
+	}
+	return content, errors.Wrap(err, "read the cache")
+}
+
+// answerHold holds a cache under a new handle and answers with it.
+func (e *Engine) answerHold(w http.ResponseWriter, entry *cached) {
+	handle, fail := e.hold(entry)
+	if fail != nil {
+		fail.write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, engine.KVHandle{Handle: handle, Tokens: entry.tokens})
+}
+
+// hold takes memory for a cache until its handle is deleted.
+func (e *Engine) hold(entry *cached) (string, *failure) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if entry.tokens > e.free() {
+		return "", &failure{http.StatusInsufficientStorage, "no_memory", "the cache does not fit into free memory"}
+	}
+	now := e.clock.Now()
+	e.nextSeq++
+	handle := fmt.Sprintf("kv-%x-%d", e.boot, e.nextSeq)
+	e.handles[handle] = entry
+	e.exported += entry.tokens
+	if entry.tokens <= e.cfg.CacheTokens {
+		e.cache.put(entry)
+	}
+	e.checkMemory(now)
+	e.sample(now)
+	return handle, nil
+}
+
+func (e *Engine) serveKVList(w http.ResponseWriter, _ *http.Request) {
+	list := engine.KVList{Held: []engine.KVHandle{}}
+	e.mu.Lock()
+	for handle, entry := range e.handles {
+		list.Held = append(list.Held, engine.KVHandle{Handle: handle, Tokens: entry.tokens})
+	}
+	e.mu.Unlock()
+	slices.SortFunc(list.Held, func(a, b engine.KVHandle) int { return cmp.Compare(a.Handle, b.Handle) })
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (e *Engine) serveKVContent(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	entry, ok := e.handles[r.PathValue("handle")]
+	e.mu.Unlock()
+	if !ok {
+		unknownHandle().write(w)
+		return
+	}
+	writeJSON(w, http.StatusOK, kvContent{Prefix: entry.prefix, Blocks: entry.blocks, Tokens: entry.tokens})
+}
+
+func (e *Engine) serveKVDelete(w http.ResponseWriter, r *http.Request) {
+	handle := r.PathValue("handle")
+	e.mu.Lock()
+	entry, ok := e.handles[handle]
+	if ok {
+		delete(e.handles, handle)
+		e.exported -= entry.tokens
+		e.sample(e.clock.Now())
+	}
+	e.mu.Unlock()
+	if !ok {
+		unknownHandle().write(w)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func unknownHandle() *failure {
+	return &failure{http.StatusNotFound, "unknown_handle", "no cache with this handle is held"}
+}
--- /dev/null
+++ b/standin/weight_store.go
@@ -0,0 +1,67 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+
+	"golang.org/x/time/rate"
+
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+)
+
+// PathWeights is the path under which the weight store serves models:
+// GET /weights/{model}?bytes=N.
+const PathWeights = "/weights/"
+
+// weightChunk is how much the weight store sends at a time, in bytes.
+const weightChunk = 64 << 10
+
+// WeightStoreConfig is the settings of a stand-in weight store.
+type WeightStoreConfig struct {
+	// Listen is the store's address when it runs as a plug-in.
+	Listen settings.Addr `json:"listen,omitempty"`
+	// BytesPerSecond is shared by all who load at the same time.
+	BytesPerSecond float64 `json:"bytes_per_second" validate:"gt=0"`
+}
+
+// DefaultWeightStoreConfig returns a store of 1 GB/s.
+func DefaultWeightStoreConfig() WeightStoreConfig {
+	return WeightStoreConfig{BytesPerSecond: 1e9}
+}
+
+// WeightStore is a stand-in of the platform's rate-limited weight store.
+type WeightStore struct {
+	limit *rate.Limiter
+}
+
+// NewWeightStore returns a weight store.
+func NewWeightStore(cfg WeightStoreConfig) *WeightStore {
+	return &WeightStore{limit: rate.NewLimiter(rate.Limit(cfg.BytesPerSecond), weightChunk)}
+}
+
+// Handler returns the weight store's HTTP interface.
+func (s *WeightStore) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathWeights+"{model}", s.serveWeights)
+	return mux
+}
+
+func (s *WeightStore) serveWeights(w http.ResponseWriter, r *http.Request) {
+	left, fail := parseOffset(r.URL.Query().Get("bytes"))
+	if fail != nil {
+		fail.write(w)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.FormatInt(left, 10))
+	chunk := make([]byte, weightChunk)
+	for left > 0 {
+		n := min(left, weightChunk)
+		if s.limit.WaitN(r.Context(), int(n)) != nil {
+			return
+		}
+		if _, err := w.Write(chunk[:n]); err != nil {
+			return
+		}
+		left -= n
+	}
+}
