--- /dev/null
+++ b/cli/check.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+)
+
+// load reads the settings file and checks it with the settings of every plug-in,
+// so that all faults are reported together.
+func load(file string) (*settings.File, error) {
+	f, err := settings.ReadFile(file)
+	var faults settings.Faults
+	if err != nil && !errors.As(err, &faults) {
+		return nil, err
+	}
+	var below settings.Faults
+	if err := kernel.Check(f); err != nil && !errors.As(err, &below) {
+		return nil, err
+	}
+	faults = append(faults, below...)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return f, nil
+}
+
+func check(file *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "check",
+		Short: "Check the settings file and list every fault with its JSON path",
+		Long: `Check the settings file and list every fault with its JSON path. Nothing is
+started. The exit code is 0 when the settings are good and 2 when they are not.`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if _, err := load(*file); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(c.OutOrStdout(), "settings are good")
+			return err
+		},
+	}
+}
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -36,7 +36,7 @@
 		SilenceErrors: true,
 		Args:          cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			f, err := settings.ReadFile(file)
+			f, err := load(file)
 			if err != nil {
 				return err
 			}
@@ -48,25 +48,6 @@
 	return root
 }
 
-func check(file *string) *cobra.Command {
-	return &cobra.Command{
-		Use:   "check",
-		Short: "Check the settings file and list every fault with its JSON path",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			f, err := settings.ReadFile(*file)
-			if err != nil {
-				return err
-			}
-			if err := kernel.Check(f); err != nil {
-				return err
-			}
-			_, err = fmt.Fprintln(c.OutOrStdout(), "settings are good")
-			return err
-		},
-	}
-}
-
 func plugins() *cobra.Command {
 	return &cobra.Command{
 		Use:   "plugins",
--- a/settings/check.go
+++ b/settings/check.go
@@ -3,85 +3,56 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
-	"fmt"
 	"os"
 	"reflect"
-	"strings"
 
-	"github.com/go-playground/validator/v10"
 	"github.com/pkg/errors"
 )
 
-// Fault is one thing wrong with a settings file.
-type Fault struct {
-	// Path is the JSON path, such as "plugins.entry.listen".
-	Path string
-	// Problem says what is wrong and what is expected.
-	Problem string
+// Checker is implemented by settings with checks that span several fields.
+type Checker interface {
+	// CheckSettings returns the faults found, with paths below the value.
+	CheckSettings() Faults
 }
 
-// Faults is the error that lists everything wrong with a settings file.
-type Faults []Fault
-
-// Error lists the faults, one a line.
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i, fault := range f {
-		lines[i] = fmt.Sprintf("%s: %s", fault.Path, fault.Problem)
-	}
-	return strings.Join(lines, "\n")
-}
-
-var validate = newValidator()
-
-func newValidator() *validator.Validate {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string {
-		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
-		return name
-	})
-	return v
-}
-
-// Decode decodes raw into dst, a pointer to a struct, and checks it. Faults are
-// reported below path.
+// Decode decodes raw into dst, a pointer to a struct, and checks it. All faults
+// are reported together as Faults, with paths below path. Fields of dst that raw
+// does not name keep their values, so that defaults are set beforehand. On
+// faults, dst holds what could be decoded.
 func Decode(path string, raw []byte, dst any) error {
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(dst); err != nil {
-		return Faults{{Path: path, Problem: err.Error()}}
+	w := &walker{present: map[string]bool{}}
+	if fault, ok := checkSyntax(path, raw); !ok {
+		return Faults{fault}
 	}
-	err := validate.Struct(dst)
-	var fields validator.ValidationErrors
-	if !errors.As(err, &fields) {
-		return err
+	w.value(path, raw, reflect.ValueOf(dst).Elem())
+	faults := w.faults
+	for _, f := range validateStruct(path, dst, w.present) {
+		if !faults.covers(f.Path) {
+			faults = append(faults, f)
+		}
 	}
-	faults := make(Faults, len(fields))
-	for i, f := range fields {
-		_, below, _ := strings.Cut(f.Namespace(), ".")
-		faults[i] = Fault{Path: join(path, below), Problem: fmt.Sprintf("fails the check %q %s", f.Tag(), f.Param())}
+	if c, ok := dst.(Checker); ok {
+		for _, f := range c.CheckSettings() {
+			f.Path = join(path, f.Path)
+			if !faults.covers(f.Path) {
+				faults = append(faults, f)
+			}
+		}
 	}
-	return faults
-}
-
-func join(path, below string) string {
-	if path == "" {
-		return below
+	if len(faults) > 0 {
+		return faults
 	}
-	return path + "." + below
+	return nil
 }
 
-// ReadFile reads and checks the settings file name.
+// ReadFile reads and checks the settings file name. When the error is Faults,
+// the file holds what could be decoded, so that the caller can check the
+// plug-ins' settings too and report everything at once.
 func ReadFile(name string) (*File, error) {
 	raw, err := os.ReadFile(name)
 	if err != nil {
 		return nil, errors.Wrap(err, "read settings")
 	}
 	f := &File{}
-	if err := Decode("", raw, f); err != nil {
-		return nil, err
-	}
-	return f, nil
+	return f, Decode("", raw, f)
 }
--- a/settings/types.go
+++ b/settings/types.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,7 +24,10 @@
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return errors.New(`want a duration such as "250ms"`)
+		return errors.Errorf(`want a duration such as "250ms", got %q`, s)
+	}
+	if v < 0 {
+		return errors.Errorf("want a duration of zero or more, got %q", s)
 	}
 	*d = Duration(v)
 	return nil
@@ -41,7 +46,7 @@
 		return errors.New(`want an address such as "127.0.0.1:7000"`)
 	}
 	if _, err := netip.ParseAddrPort(s); err != nil {
-		return errors.New(`want an IP address and port such as "127.0.0.1:7000"`)
+		return errors.Errorf(`want an IP address and port such as "127.0.0.1:7000", got %q`, s)
 	}
 	*a = Addr(s)
 	return nil
@@ -74,6 +79,14 @@
 	Level string `json:"level" validate:"omitempty,oneof=debug info warn error"`
 }
 
+// Zone is an availability zone that the deployment knows.
+type Zone struct {
+	// Region is the region that the zone is in.
+	Region string `json:"region" validate:"required"`
+	// Name is the zone's name.
+	Name string `json:"name" validate:"required"`
+}
+
 // File is the whole settings file of one process.
 type File struct {
 	// Node says who the process is.
@@ -84,6 +97,38 @@
 	TLS TLS `json:"tls"`
 	// Operator is the address of metrics, health and profiles. Empty turns it off.
 	Operator Addr `json:"operator,omitempty"`
+	// Zones lists the availability zones of the deployment. When it is set, the
+	// node's region and zone have to be in it.
+	Zones []Zone `json:"zones,omitempty" validate:"dive"`
 	// Plugins holds each plug-in's own settings under its identifier. All run.
 	Plugins map[string]json.RawMessage `json:"plugins" validate:"required,min=1"`
 }
+
+var _ Checker = (*File)(nil)
+
+// CheckSettings checks that the node's zone is known to the deployment.
+func (f *File) CheckSettings() Faults {
+	if len(f.Zones) == 0 || f.Node.Zone == "" {
+		return nil
+	}
+	names := make([]string, len(f.Zones))
+	for i, z := range f.Zones {
+		names[i] = z.Name
+		if z.Name == f.Node.Zone {
+			return f.checkRegion(z)
+		}
+	}
+	problem := fmt.Sprintf("no zone %q in this deployment; known: %s", f.Node.Zone, strings.Join(names, ", "))
+	if near := Nearest(f.Node.Zone, names); near != "" {
+		problem = fmt.Sprintf("no zone %q in this deployment; did you mean %q?", f.Node.Zone, near)
+	}
+	return Faults{{Path: "node.zone", Problem: problem}}
+}
+
+func (f *File) checkRegion(z Zone) Faults {
+	if f.Node.Region == z.Region {
+		return nil
+	}
+	problem := fmt.Sprintf("zone %q is in region %q, not in %q", z.Name, z.Region, f.Node.Region)
+	return Faults{{Path: "node.region", Problem: problem}}
+}
