--- /dev/null
+++ b/route/predicted.go
@@ -0,0 +1,253 @@
+package route
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+)
+
+func init() {
+	kernel.Register(kernel.PluginInfo{ID: "route.predicted", New: func() any { return NewPredicted(newSeed()) }})
+}
+
+// Defaults of Predicted.
+const (
+	// defaultSamples is the number of endpoints drawn in each zone.
+	defaultSamples = 16
+	// defaultSpill is by how much another zone has to be quicker to be chosen.
+	defaultSpill = 50 * time.Millisecond
+	// defaultHints is the number of prompt prefixes remembered.
+	defaultHints = 16_384
+	// runningCost is the wait that one more request in flight is taken to cause.
+	runningCost = 2 * time.Millisecond
+	// affinityTokens is what the endpoint that rendezvous hashing prefers for a
+	// repeated prefix is taken to save, in tokens, while no holder is known. It is
+	// small: a busy endpoint loses the prompt to another one.
+	affinityTokens = engine.PrefixBytes / 4
+)
+
+// Predicted takes the endpoint with the least predicted time to first token among
+// a draw of its own zone's, and of the others' when those are quicker by Spill.
+// Endpoints that probably hold the prompt's prefix are always weighed. Long
+// prompts use their lanes only.
+type Predicted struct {
+	// Samples is the number of endpoints drawn in each zone.
+	Samples int `json:"samples"`
+	// Spill is by how much another zone has to be quicker to be chosen.
+	Spill settings.Duration `json:"spill"`
+	// Hints says which endpoints probably hold a prompt's prefix.
+	Hints *CacheHints `json:"-"`
+
+	rand  source
+	lanes Lanes
+}
+
+// NewPredicted returns the chooser with its defaults; its draws follow from seed.
+func NewPredicted(seed uint64) *Predicted {
+	return &Predicted{
+		Samples: defaultSamples,
+		Spill:   settings.Duration(defaultSpill),
+		Hints:   NewCacheHints(defaultHints),
+		rand:    source{seed},
+		lanes:   NewLanes(),
+	}
+}
+
+// candidate is the best endpoint weighed so far.
+type candidate struct {
+	index      int
+	cost       float64
+	considered int
+	reason     string
+}
+
+// Choose implements Chooser.
+func (c *Predicted) Choose(now time.Time, req *Request, view []Endpoint) (Choice, error) {
+	if !req.counted {
+		c.lanes.Observe(now, req.Class, req.PromptTokens)
+		req.counted = true
+	}
+	best := candidate{index: -1}
+	width := c.width(req.Class, view)
+	lo, hi := zoneRange(view, req.Zone)
+	c.weighHolders(now, req, view, width, lo, hi, &best)
+	c.weighZone(now, req, view, width, lo, hi, &best)
+	if c.leavesZone(now, req, view, &best) {
+		c.weighOtherZones(now, req, view, width, lo, &best)
+	}
+	if best.index < 0 {
+		return chosen(now, req, view, -1, "")
+	}
+	return Choice{
+		Index:      best.index,
+		Predicted:  time.Duration(best.cost),
+		Considered: best.considered,
+		Reason:     best.reason,
+	}, nil
+}
+
+// leavesZone reports whether other zones are weighed too: for a long prompt, and
+// when the best of the own zone would make the prompt wait.
+func (c *Predicted) leavesZone(now time.Time, req *Request, view []Endpoint, best *candidate) bool {
+	if best.index < 0 || req.Class == Long {
+		return true
+	}
+	return c.waits(now, req, &view[best.index])
+}
+
+// width returns the number of lanes open to the class.
+func (c *Predicted) width(class Class, view []Endpoint) int {
+	if len(view) == 0 {
+		return 0
+	}
+	return c.lanes.Width(class, view[0].Ranked)
+}
+
+// waits reports whether a prompt at e would wait for others for longer than Spill.
+func (c *Predicted) waits(now time.Time, req *Request, e *Endpoint) bool {
+	alone := time.Duration(float64(req.PromptTokens) / e.prefillRate() * float64(time.Second))
+	return e.FirstTokenIn(now, req.PromptTokens)-alone > c.Spill.Std()
+}
+
+// weighOtherZones weighs every zone but the one that starts at own.
+func (c *Predicted) weighOtherZones(now time.Time, req *Request, view []Endpoint, width, own int, best *candidate) {
+	for lo := 0; lo < len(view); {
+		_, hi := zoneRange(view, view[lo].Zone)
+		if lo != own {
+			c.weighZone(now, req, view, width, lo, hi, best)
+		}
+		lo = hi
+	}
+}
+
+// weighZone weighs the zone view[lo:hi]: all of a small one, a draw of a large one.
+// The draw keeps entries whose reports have the same age from all choosing the
+// same endpoint.
+func (c *Predicted) weighZone(now time.Time, req *Request, view []Endpoint, width, lo, hi int, best *candidate) {
+	n := lanesOf(view, width, lo, hi)
+	if n <= 0 {
+		return
+	}
+	start := c.rand.below(n)
+	if n <= c.Samples {
+		c.weighAll(now, req, view, width, lo, n, start, best)
+		return
+	}
+	before := best.index
+	for range c.Samples {
+		c.weigh(now, req, view, width, lo+c.rand.below(n), 0, best)
+	}
+	if before < 0 && best.index < 0 {
+		c.weighAll(now, req, view, width, lo, n, start, best)
+	}
+}
+
+func (c *Predicted) weighAll(now time.Time, req *Request, view []Endpoint, width, lo, n, start int, best *candidate) {
+	for k := range n {
+		c.weigh(now, req, view, width, lo+(start+k)%n, 0, best)
+	}
+}
+
+// lanesOf returns how many endpoints of the zone view[lo:hi] are among the first
+// width in rank. Within a zone the ranks grow with the order of the view.
+func lanesOf(view []Endpoint, width, lo, hi int) int {
+	return sort.Search(hi-lo, func(i int) bool { return view[lo+i].Rank >= width })
+}
+
+// weighHolders weighs the endpoints that probably hold the prompt's prefix. They
+// compete with the others on predicted time, which bounds their load. A prefix that
+// repeats and has no known holder is drawn to one endpoint of the zone.
+func (c *Predicted) weighHolders(now time.Time, req *Request, view []Endpoint, width, lo, hi int, best *candidate) {
+	if c.Hints == nil || req.Prefix == 0 {
+		return
+	}
+	known := c.Hints.requested(now, req.Prefix)
+	for i := range known.holder[:known.held] {
+		held := &known.holder[i]
+		saved := min(c.Hints.worth(now, held), float64(req.PromptTokens))
+		at := indexOf(view, held.zone, held.name)
+		if saved > 0 && at >= 0 {
+			c.weigh(now, req, view, width, at, saved, best)
+		}
+	}
+	if best.index < 0 && known.requests >= repeated && hi > lo {
+		at := lo + preferred(view[lo:hi], req.Prefix)
+		c.weigh(now, req, view, width, at, affinityTokens, best)
+	}
+}
+
+// weigh makes endpoint i the best candidate when it fits and costs least.
+func (c *Predicted) weigh(now time.Time, req *Request, view []Endpoint, width, i int, saved float64, best *candidate) {
+	e := &view[i]
+	best.considered++
+	if e.Rank >= width || e.fitness(req) != fits {
+		return
+	}
+	cost := c.cost(now, req, e, saved)
+	if best.index >= 0 && cost >= best.cost {
+		return
+	}
+	best.index = i
+	best.cost = cost
+	best.reason = reasonFor(req, saved)
+}
+
+// cost is the predicted time to first token at e in nanoseconds, with small
+// charges for a busy endpoint and another zone.
+func (c *Predicted) cost(now time.Time, req *Request, e *Endpoint, saved float64) float64 {
+	seconds := (e.PendingAt(now) + float64(req.PromptTokens) - saved) / e.prefillRate()
+	cost := seconds * float64(time.Second)
+	cost += float64(e.requests()) * float64(runningCost)
+	if e.Zone != req.Zone {
+		cost += float64(c.Spill)
+	}
+	return cost
+}
+
+func reasonFor(req *Request, saved float64) string {
+	switch {
+	case saved > 0:
+		return "cached"
+	case req.Class == Long:
+		return "lane"
+	}
+	return "predicted"
+}
+
+// zoneRange returns the range of a zone's endpoints in a view sorted by zone.
+func zoneRange(view []Endpoint, zone string) (lo, hi int) {
+	lo = sort.Search(len(view), func(i int) bool { return view[i].Zone >= zone })
+	hi = lo + sort.Search(len(view)-lo, func(i int) bool { return view[lo+i].Zone > zone })
+	return lo, hi
+}
+
+// indexOf returns the place of an endpoint in a view sorted by zone and hash, or -1.
+func indexOf(view []Endpoint, zone, name string) int {
+	hash := xxhash.Sum64String(name)
+	i := sort.Search(len(view), func(i int) bool {
+		e := &view[i]
+		return e.Zone > zone || e.Zone == zone && e.hash >= hash
+	})
+	if i == len(view) || view[i].Name != name {
+		return -1
+	}
+	return i
+}
+
+// preferred returns the endpoint of the view that rendezvous hashing gives the
+// prefix, so that prompts with one prefix meet before any cache event has come.
+func preferred(view []Endpoint, prefix uint64) int {
+	best := 0
+	most := uint64(0)
+	for i := range view {
+		weight := mix(prefix ^ view[i].hash)
+		if weight > most {
+			best, most = i, weight
+		}
+	}
+	return best
+}
--- a/route/route.go
+++ b/route/route.go
@@ -33,6 +33,25 @@
 	return "long"
 }
 
+// Thresholds of the length classes, in prompt tokens.
+const (
+	// MediumFromTokens is the length from which a prompt is no longer short.
+	MediumFromTokens = 8_000
+	// LongFromTokens is the length from which a prompt is long.
+	LongFromTokens = 100_000
+)
+
+// ClassOf returns the length class of a prompt.
+func ClassOf(promptTokens int) Class {
+	switch {
+	case promptTokens >= LongFromTokens:
+		return Long
+	case promptTokens >= MediumFromTokens:
+		return Medium
+	}
+	return Short
+}
+
 // Request is what the choice depends on.
 type Request struct {
 	Target       string
@@ -47,6 +66,9 @@
 	Deadline time.Time
 	// Tried lists endpoints that earlier attempts of the request went to.
 	Tried []string
+
+	// counted is set once the request is part of the observed mix.
+	counted bool
 }
 
 // Endpoint is an entry's view of one endpoint. Load is aged: LoadAt is when it
@@ -61,8 +83,57 @@
 	Out bool
 	// Suspect is set while health takes the endpoint for failing.
 	Suspect bool
+	// Unseen counts this entry's own attempts that Load does not hold yet;
+	// UnseenPrompt is their prompt tokens and UnseenTokens their prompt and output.
+	Unseen       int
+	UnseenPrompt int64
+	UnseenTokens int64
+	// Rank is the endpoint's place in the order in which the target's endpoints
+	// become lanes for longer prompts; every entry has the same order. It
+	// means nothing for an endpoint that is out.
+	Rank int
+	// Ranked counts the target's endpoints that have a rank.
+	Ranked int
+
+	// hash is the hash of the name, for rendezvous hashing.
+	hash uint64
+}
+
+// Needs returns the engine memory that the request needs, in KV tokens.
+func (r *Request) Needs() int64 {
+	return int64(r.PromptTokens) + int64(r.OutputTokens)
 }
 
+// FreeAt returns the memory that this entry may still count on, in KV tokens.
+func (e *Endpoint) FreeAt() int64 {
+	return e.Load.FreeTokens - e.UnseenTokens
+}
+
+// PendingAt returns the prompt tokens that are expected to wait for prefill at now.
+// The reported backlog shrinks at the reported speed while the report ages.
+func (e *Endpoint) PendingAt(now time.Time) float64 {
+	done := e.Load.PrefillRate * now.Sub(e.LoadAt).Seconds()
+	reported := float64(e.Load.PendingPrefill) - max(done, 0)
+	return max(reported, 0) + float64(e.UnseenPrompt)
+}
+
+// FirstTokenIn predicts the time to first token of a prompt sent at now.
+func (e *Endpoint) FirstTokenIn(now time.Time, promptTokens int) time.Duration {
+	seconds := (e.PendingAt(now) + float64(promptTokens)) / e.prefillRate()
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// prefillRate returns the measured speed in tokens a second, or an assumed one.
+func (e *Endpoint) prefillRate() float64 {
+	if e.Load.PrefillRate > 0 {
+		return e.Load.PrefillRate
+	}
+	return assumedPrefillRate
+}
+
+// assumedPrefillRate is the speed assumed before the first measurement, in tokens a second.
+const assumedPrefillRate = 4_000
+
 // Choice is the endpoint chosen and why.
 type Choice struct {
 	// Index is the endpoint's place in the view.
