--- /dev/null
+++ b/entry/connect.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// coordinator is the Coordinator over a session with control.
+type coordinator struct {
+	client *session.Client
+}
+
+var _ Coordinator = (*coordinator)(nil)
+
+// Config returns the newest configuration known.
+func (c *coordinator) Config() *config.Document { return c.client.View().Load() }
+
+// Permission returns the proof that Config is current.
+func (c *coordinator) Permission(time.Time) wire.Permission { return c.client.Permission() }
+
+// Do sends a command to control's leader.
+func (c *coordinator) Do(ctx context.Context, name, id string, body, out any) error {
+	return c.client.Do(ctx, name, id, body, out)
+}
+
+// connect prepares the session with control.
+func (e *Entry) connect(h *kernel.Host, _ *wire.Identity) error {
+	client, err := session.New(session.Options{
+		Node:     h.Node,
+		Role:     wire.RoleEntry,
+		Replicas: addresses(e.Settings.Control),
+		Opener:   e.pool,
+		Clock:    h.Clock,
+		Log:      h.Log,
+		OnUpdate: e.update,
+	})
+	if err != nil {
+		return err
+	}
+	e.control = &coordinator{client: client}
+	e.session = client.Run
+	return nil
+}
+
+func addresses(in []settings.Addr) []string {
+	out := make([]string, len(in))
+	for i, a := range in {
+		out[i] = string(a)
+	}
+	return out
+}
+
+// update takes over what a session brought.
+func (e *Entry) update(u *wire.Update) {
+	doc := e.control.Config()
+	if u.Reset || len(u.Endpoints) > 0 || len(u.Gone) > 0 {
+		e.fleet.announce(doc, u.Endpoints, u.Gone, u.Reset)
+	}
+	if u.Snapshot != nil || len(u.Changes) > 0 {
+		e.fleet.configure(doc)
+		e.log.Info("configuration in force", "revision", doc.Revision)
+	}
+}
