Thin control: daemon, session client, replicated state, configuration view

The daemon serves sessions and commands of one replica behind replica.Node; the state machine in control/state holds configuration, audit, fencing numbers and standing orders. control/session is the client for entries, sidecars and operators: View, Permission, Fresh, Adopt, Announce, Run and Do.

lease.Permission.Adopt takes a peer's freshness when our revision is at least the peer's: the peer held every change accepted when its permission began, so only then do we. It counts from a moment before the peer's statement, such as the sending of the request that it answers.

--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,238 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+const keyHashBytes = 32
+
+// Fault is one thing wrong with a change.
+type Fault struct {
+	// Change is the index of the change, counted from 0.
+	Change int
+	// Problem says what is wrong and what is expected.
+	Problem string
+}
+
+// Faults is the error that lists everything wrong with a set of changes.
+type Faults []Fault
+
+// Error lists the faults on one line.
+func (f Faults) Error() string {
+	parts := make([]string, len(f))
+	for i, fault := range f {
+		parts[i] = fmt.Sprintf("change %d: %s", fault.Change+1, fault.Problem)
+	}
+	return strings.Join(parts, "; ")
+}
+
+// checker collects the faults of changes against the document they lead to.
+type checker struct {
+	before *Document
+	after  *Document
+	// owner is the client account that holds a key hash after the changes.
+	owner  map[string]string
+	index  int
+	faults Faults
+}
+
+// Check checks changes against d as a whole, before anything is accepted. Its
+// error is Faults and lists every fault. Changes that take effect together may
+// refer to one another.
+func (d *Document) Check(changes []Change) error {
+	if len(changes) == 0 {
+		return Faults{{Problem: "there is nothing to change"}}
+	}
+	after := d.Clone()
+	for _, c := range changes {
+		after.apply(c)
+	}
+	k := &checker{before: d, after: after, owner: after.keyOwners()}
+	for i, c := range changes {
+		k.index = i
+		k.check(c)
+	}
+	if len(k.faults) > 0 {
+		return k.faults
+	}
+	return nil
+}
+
+func (k *checker) fault(format string, args ...any) {
+	k.faults = append(k.faults, Fault{Change: k.index, Problem: fmt.Sprintf(format, args...)})
+}
+
+func (k *checker) check(c Change) {
+	if n := c.fields(); n != 1 {
+		k.fault("%d fields are set, want exactly one", n)
+		return
+	}
+	switch {
+	case c.Zone != nil:
+		k.zone(*c.Zone)
+	case c.Model != nil:
+		k.model(*c.Model)
+	case c.Route != nil:
+		k.route(*c.Route)
+	case c.Account != nil:
+		k.account(*c.Account)
+	case c.Endpoint != nil:
+		k.endpoint(*c.Endpoint)
+	case c.DropModel != "":
+		k.dropModel(c.DropModel)
+	case c.DropRoute != "":
+		known(k, k.before.Routes, "route", c.DropRoute)
+	case c.DropAccount != "":
+		k.dropAccount(c.DropAccount)
+	case c.DropEndpoint != "":
+		known(k, k.before.Endpoints, "rule for endpoint", c.DropEndpoint)
+	}
+}
+
+func (c Change) fields() int {
+	n := 0
+	for _, set := range []bool{
+		c.Zone != nil, c.Model != nil, c.Route != nil, c.Account != nil, c.Endpoint != nil,
+		c.DropModel != "", c.DropRoute != "", c.DropAccount != "", c.DropEndpoint != "",
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
+
+func known[V any](k *checker, m map[string]V, kind, name string) {
+	if _, ok := m[name]; !ok {
+		k.fault("unknown %s %q", kind, name)
+	}
+}
+
+func (k *checker) name(kind, name string) {
+	if name == "" || strings.ContainsAny(name, " \t\r\n/\"'") {
+		k.fault("bad name %q of a %s: want no space, quote or slash", name, kind)
+	}
+}
+
+func (k *checker) state(s ZoneState) {
+	if s != In && s != Out {
+		k.fault("bad state %q: want %q or %q", s, In, Out)
+	}
+}
+
+func (k *checker) zone(z Zone) {
+	k.name("zone", z.Name)
+	k.name("region", z.Region)
+	k.state(z.State)
+	// A region fixes which group of replicas decides on the zone.
+	if old, ok := k.before.Zones[z.Name]; ok && old.Region != z.Region {
+		k.fault("zone %q is in region %q and cannot move to %q", z.Name, old.Region, z.Region)
+	}
+}
+
+func (k *checker) model(m Model) {
+	k.name("model", m.Name)
+	if m.WeightBytes < 0 {
+		k.fault("model %q: weight_bytes is below zero", m.Name)
+	}
+	k.unique("version of model "+m.Name, m.Versions)
+	k.unique("adapter of model "+m.Name, m.Adapters)
+}
+
+func (k *checker) unique(kind string, items []string) {
+	seen := map[string]bool{}
+	for _, item := range items {
+		if item == "" {
+			k.fault("an empty %s", kind)
+		} else if seen[item] {
+			k.fault("duplicate %s: %q", kind, item)
+		}
+		seen[item] = true
+	}
+}
+
+func (k *checker) route(r Route) {
+	k.name("route", r.Name)
+	k.name("target", r.Target)
+	switch r.Kind {
+	case ModelRoute:
+		known(k, k.after.Models, "model", r.Target)
+	case ServiceRoute:
+	default:
+		k.fault("bad kind %q of route %q: want %q or %q", r.Kind, r.Name, ModelRoute, ServiceRoute)
+	}
+	for _, a := range r.Accounts {
+		known(k, k.after.Accounts, "client account", a)
+	}
+	for _, c := range r.NonIdempotent {
+		if c.Method == "" || !strings.HasPrefix(c.Path, "/") {
+			k.fault("bad call %q %q of route %q: want a method and a path that starts with /", c.Method, c.Path, r.Name)
+		}
+	}
+	if r.Deadline < 0 || r.MaxOutputTokens < 0 {
+		k.fault("route %q: deadline or max_output_tokens is below zero", r.Name)
+	}
+}
+
+func (k *checker) account(a Account) {
+	k.name("client account", a.Name)
+	l := a.Limits
+	if !(l.RequestsPerSecond >= 0) || !(l.TokensPerSecond >= 0) || l.Concurrent < 0 || l.HeldBytes < 0 {
+		k.fault("client account %q: a limit is below zero or no number", a.Name)
+	}
+	for _, h := range a.KeyHashes {
+		k.keyHash(a.Name, h)
+	}
+	k.unique("key hash of client account "+a.Name, a.KeyHashes)
+}
+
+// keyHash checks one hash. A key that two accounts share would leave open whose
+// request it is.
+func (k *checker) keyHash(account, hash string) {
+	if raw, err := hex.DecodeString(hash); err != nil || len(raw) != keyHashBytes || hash != strings.ToLower(hash) {
+		k.fault("client account %q: a key hash is no SHA-256 digest in lower-case hexadecimal", account)
+	}
+	if other := k.owner[hash]; other != account && other != "" {
+		k.fault("client account %q: a key hash is the same as one of client account %q", account, other)
+	}
+}
+
+// keyOwners returns the first account, by name, that holds each key hash.
+func (d *Document) keyOwners() map[string]string {
+	owners := map[string]string{}
+	for name, a := range d.Accounts {
+		for _, h := range a.KeyHashes {
+			if other, ok := owners[h]; !ok || name < other {
+				owners[h] = name
+			}
+		}
+	}
+	return owners
+}
+
+func (k *checker) endpoint(e EndpointRule) {
+	k.name("endpoint", e.Name)
+	k.state(e.State)
+}
+
+func (k *checker) dropModel(name string) {
+	known(k, k.before.Models, "model", name)
+	for _, r := range sortedKeys(k.after.Routes) {
+		if route := k.after.Routes[r]; route.Kind == ModelRoute && route.Target == name {
+			k.fault("model %q is the target of route %q", name, r)
+		}
+	}
+}
+
+func (k *checker) dropAccount(name string) {
+	known(k, k.before.Accounts, "client account", name)
+	for _, r := range sortedKeys(k.after.Routes) {
+		for _, a := range k.after.Routes[r].Accounts {
+			if a == name {
+				k.fault("client account %q may use route %q", name, r)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/control/commands.go
@@ -0,0 +1,203 @@
+package control
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/state"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+const (
+	// commandTimeout bounds the work on one command.
+	commandTimeout = 3 * time.Second
+	// electionRetry is when it makes sense to ask again while there is no leader.
+	electionRetry = time.Second
+)
+
+// access says who may send a command, and whether the state machine or the
+// leader's memory answers it.
+type access struct {
+	roles   []wire.Role
+	propose bool
+}
+
+var commands = map[string]access{
+	command.NameChange:  {roles: []wire.Role{wire.RoleOperator}, propose: true},
+	command.NameOrder:   {roles: []wire.Role{wire.RoleOperator}, propose: true},
+	command.NameFence:   {roles: []wire.Role{wire.RoleSidecar}, propose: true},
+	command.NameView:    {roles: []wire.Role{wire.RoleOperator}},
+	command.NameHistory: {roles: []wire.Role{wire.RoleOperator}},
+	command.NameInForce: {roles: []wire.Role{wire.RoleOperator}},
+}
+
+func (a access) allows(r wire.Role) bool {
+	for _, role := range a.roles {
+		if role == r {
+			return true
+		}
+	}
+	return false
+}
+
+// serveCommands answers the commands of one stream until its sender closes it.
+func (s *Server) serveCommands(ctx context.Context, stream wire.Stream, first *wire.Command) {
+	c := first
+	for {
+		if err := stream.Send(s.answer(ctx, stream.Peer(), c)); err != nil {
+			return
+		}
+		m, err := stream.Recv()
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				s.log.Debug("command stream broken", "peer", stream.Peer().Name, "error", err)
+			}
+			return
+		}
+		next, ok := m.(*wire.Command)
+		if !ok {
+			stream.Abort()
+			return
+		}
+		c = next
+	}
+}
+
+func (s *Server) answer(ctx context.Context, peer wire.Peer, c *wire.Command) *wire.Answer {
+	a, ok := commands[c.Name]
+	if !ok {
+		return refused(verdict.Refuse(verdict.ReasonBadRequest, 0, "unknown command %q", c.Name))
+	}
+	if !a.allows(peer.Role) {
+		return refused(verdict.Refuse(verdict.ReasonUnauthenticated, 0,
+			"a process with role %q may not send %q", peer.Role, c.Name))
+	}
+	if redirect := s.redirect(); redirect != nil {
+		return redirect
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	var answer *wire.Answer
+	if a.propose {
+		answer = s.propose(ctx, peer, c)
+	} else {
+		answer = s.readCommand(ctx, c)
+	}
+	s.logCommand(peer, c, answer)
+	return answer
+}
+
+// redirect returns the answer of a replica that does not lead, or nil on the leader.
+func (s *Server) redirect() *wire.Answer {
+	status := s.node.Status()
+	switch status.Leader {
+	case status.ID:
+		return nil
+	case 0:
+		return refused(noQuorum())
+	}
+	return &wire.Answer{Leader: s.addrOf(status.Leader)}
+}
+
+func noQuorum() *verdict.Refusal {
+	return verdict.Refuse(verdict.ReasonNoQuorum, electionRetry, "control has no leader now")
+}
+
+func (s *Server) propose(ctx context.Context, peer wire.Peer, c *wire.Command) *wire.Answer {
+	raw, err := wire.Marshal(&state.Entry{
+		ID: c.ID, Name: c.Name, Who: peer.Name, At: s.clock.Now().UnixNano(), Body: c.Body,
+	})
+	if err != nil {
+		return refused(verdict.From(err))
+	}
+	result, err := s.node.Propose(ctx, raw)
+	if err != nil {
+		return refused(proposeRefusal(err))
+	}
+	answer := &wire.Answer{}
+	if err := wire.Unmarshal(result, answer); err != nil {
+		return refused(verdict.From(err))
+	}
+	return answer
+}
+
+// proposeRefusal says of a failed proposal that it may still take effect: only a
+// resend with the same identifier can tell.
+func proposeRefusal(err error) *verdict.Refusal {
+	return verdict.Uncertain(verdict.ReasonNoQuorum, electionRetry, "the command may still take effect: %v", err)
+}
+
+// readCommand answers a linearizable read.
+func (s *Server) readCommand(ctx context.Context, c *wire.Command) *wire.Answer {
+	if err := s.node.Barrier(ctx); err != nil {
+		return refused(noQuorum())
+	}
+	switch c.Name {
+	case command.NameView:
+		return accepted(s.view())
+	case command.NameHistory:
+		return s.history(c)
+	}
+	return s.inForce(c)
+}
+
+func (s *Server) view() command.View {
+	return command.View{
+		Document:  s.store.document(),
+		Endpoints: s.table.endpoints(),
+		Processes: s.table.processes(s.clock.Now()),
+		Replicas:  s.replicaStatus(),
+	}
+}
+
+func (s *Server) history(c *wire.Command) *wire.Answer {
+	var h command.History
+	if err := wire.Unmarshal(c.Body, &h); err != nil {
+		return refused(verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err))
+	}
+	var audit command.Audit
+	s.store.read(func(m *state.Machine) { audit.Entries = m.Audit(h.From, h.Limit) })
+	return accepted(audit)
+}
+
+func (s *Server) inForce(c *wire.Command) *wire.Answer {
+	var f command.InForce
+	if err := wire.Unmarshal(c.Body, &f); err != nil {
+		return refused(verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err))
+	}
+	if revision := s.store.document().Revision; f.Revision > revision {
+		return refused(verdict.Refuse(verdict.ReasonBadRequest, 0,
+			"revision %d is not accepted yet; the newest is %d", f.Revision, revision))
+	}
+	return accepted(command.Lagging{Processes: s.table.lagging(s.clock.Now(), f.Revision, s.span)})
+}
+
+func accepted(body any) *wire.Answer {
+	raw, err := wire.Marshal(body)
+	if err != nil {
+		return refused(verdict.From(err))
+	}
+	return &wire.Answer{Body: raw}
+}
+
+func refused(r *verdict.Refusal) *wire.Answer {
+	return &wire.Answer{Refused: wire.NewRefused(wire.Attempt{}, r)}
+}
+
+// logCommand writes a line for each command that changes the state.
+func (s *Server) logCommand(peer wire.Peer, c *wire.Command, a *wire.Answer) {
+	if !commands[c.Name].propose {
+		return
+	}
+	if a.Refused == nil {
+		s.log.Info("command accepted", "name", c.Name, "id", c.ID, "who", peer.Name)
+		return
+	}
+	s.log.Warn("command refused", "name", c.Name, "id", c.ID, "who", peer.Name,
+		"verdict", a.Refused.Verdict, "reason", a.Refused.Reason, "detail", a.Refused.Detail)
+}
--- /dev/null
+++ b/control/server.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/state"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/replica"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// sweepInterval is how often silent endpoints and sessions are looked for.
+const sweepInterval = 250 * time.Millisecond
+
+// Server answers the sessions and commands of one replica.
+type Server struct {
+	node     replica.Node
+	store    *store
+	table    *table
+	barriers *barriers
+	clock    kernel.Clock
+	log      hclog.Logger
+	replicas map[replica.ID]string
+	// span is how long a heartbeat's echo permits a process to work.
+	span time.Duration
+	// bootstrap is the first configuration, or nil.
+	bootstrap *config.Document
+}
+
+// handle serves one stream by its first message.
+func (s *Server) handle(ctx context.Context, stream wire.Stream) {
+	defer context.AfterFunc(ctx, stream.Abort)()
+	m, err := stream.Recv()
+	if err != nil {
+		return
+	}
+	switch first := m.(type) {
+	case *wire.Hello:
+		s.serveSession(stream, first)
+	case *wire.Command:
+		s.serveCommands(ctx, stream, first)
+	default:
+		stream.Abort()
+	}
+}
+
+// runSweeps drops what fell silent until ctx ends.
+func (s *Server) runSweeps(ctx context.Context) {
+	for {
+		s.proposeBootstrap(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.clock.After(sweepInterval):
+		}
+		for _, name := range s.table.sweep(s.clock.Now()) {
+			s.log.Warn("endpoint gone", "endpoint", name, "reason", "silent")
+		}
+	}
+}
+
+// proposeBootstrap sets the first configuration when this replica leads a state
+// that has none. Replicas that do so twice are told that it is done.
+func (s *Server) proposeBootstrap(ctx context.Context) {
+	status := s.node.Status()
+	if s.bootstrap == nil || status.Leader != status.ID || s.store.document().Revision != 0 {
+		return
+	}
+	body, err := wire.Marshal(&command.Change{Changes: s.bootstrap.Bootstrap()})
+	if err != nil {
+		s.log.Error("bootstrap failed", "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	self := wire.Peer{Name: "bootstrap", Role: wire.RoleControl}
+	answer := s.propose(ctx, self, &wire.Command{Name: state.NameBootstrap, Body: body})
+	if answer.Refused != nil {
+		s.log.Error("bootstrap refused", "reason", answer.Refused.Reason, "detail", answer.Refused.Detail)
+		return
+	}
+	s.log.Info("configuration bootstrapped", "revision", s.store.document().Revision)
+}
+
+// leaderName returns the name of the leading replica, or nothing.
+func (s *Server) leaderName() string {
+	leader := s.node.Status().Leader
+	if leader == 0 {
+		return ""
+	}
+	return strconv.FormatUint(uint64(leader), 10)
+}
+
+func (s *Server) addrOf(id replica.ID) string { return s.replicas[id] }
+
+func (s *Server) replicaStatus() []command.ReplicaStatus {
+	status := s.node.Status()
+	var out []command.ReplicaStatus
+	for _, id := range slices.Sorted(maps.Keys(s.replicas)) {
+		out = append(out, command.ReplicaStatus{
+			ID: uint64(id), Addr: s.replicas[id], Leader: id == status.Leader, Voter: true,
+			Whole: id == status.ID && status.Whole,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/control/session/client.go
@@ -0,0 +1,185 @@
+// Package session is the side of entries, sidecars and operators in their
+// conversation with control: it keeps a session with any reachable replica, holds
+// the process's configuration and permission, and sends commands to the leader.
+package session
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/lease"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// Defaults of Options.
+const (
+	DefaultHeartbeat = time.Second
+	DefaultLease     = 3 * time.Second
+)
+
+const (
+	// marginParts is the part of the lease given up for clock drift: one in so many.
+	marginParts = 20
+	// openTimeout bounds the opening of a session with one replica.
+	openTimeout = 2 * time.Second
+	// minBackoff and maxBackoff bound the wait before the next replica is tried.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 2 * time.Second
+)
+
+// Options describe a Client.
+type Options struct {
+	// Node and Role say who the process is, as its certificate does.
+	Node settings.Node
+	Role wire.Role
+	// Replicas are the addresses of control.
+	Replicas []string
+	// Opener opens streams to them.
+	Opener wire.Opener
+	Clock  kernel.Clock
+	Log    hclog.Logger
+	// Heartbeat is the time between heartbeats and Lease the time for which one
+	// permits work. Lease must be control's own setting or less.
+	Heartbeat time.Duration
+	Lease     time.Duration
+	// Endpoint returns what a sidecar announces; nil for other roles. It is
+	// called for each heartbeat.
+	Endpoint func() *wire.Endpoint
+	// Demand returns the shares of client accounts' limits that an entry wants;
+	// it may be nil. It is called for each heartbeat.
+	Demand func() []wire.Share
+	// OnUpdate is called for each update, in order, after the view and the
+	// permission have taken it in; it may be nil. It must not block.
+	OnUpdate func(*wire.Update)
+}
+
+// Client keeps a session with control. All methods are safe for concurrent use.
+type Client struct {
+	options Options
+	view    *config.View
+	// announce has one place: it asks for a heartbeat at once.
+	announce chan struct{}
+
+	// mu is "session.Client" of kernel.LockOrder.
+	mu         sync.Mutex
+	permission *lease.Permission
+	seq        uint64
+	leader     string
+	// leaderAddr is the replica that last answered as leader.
+	leaderAddr string
+}
+
+// New returns a client that has not yet spoken with control.
+func New(o Options) (*Client, error) {
+	if len(o.Replicas) == 0 {
+		return nil, errors.New("no address of control is given")
+	}
+	if o.Role == wire.RoleSidecar && o.Endpoint == nil {
+		return nil, errors.New("a sidecar has to announce an endpoint")
+	}
+	if o.Heartbeat == 0 {
+		o.Heartbeat = DefaultHeartbeat
+	}
+	if o.Lease == 0 {
+		o.Lease = DefaultLease
+	}
+	if o.Lease <= o.Heartbeat {
+		return nil, errors.Errorf("lease of %v is not longer than the heartbeat of %v", o.Lease, o.Heartbeat)
+	}
+	if o.Clock == nil {
+		o.Clock = kernel.SystemClock{}
+	}
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	return &Client{
+		options:    o,
+		view:       config.NewView(),
+		announce:   make(chan struct{}, 1),
+		permission: lease.NewPermission(o.Lease, o.Lease/marginParts),
+	}, nil
+}
+
+// View is the process's configuration.
+func (c *Client) View() *config.View { return c.view }
+
+// Fresh reports whether the process may send and take new work.
+func (c *Client) Fresh() bool { return c.Permission().Left > 0 }
+
+// Permission returns the process's permission, to be sent to its peers.
+func (c *Client) Permission() wire.Permission {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := c.permission.Left(c.options.Clock.Now())
+	return wire.Permission{Revision: c.view.Revision(), Left: left}
+}
+
+// Adopt takes over the freshness that a peer stated in its answer to a message
+// that was sent at since. A peer with a higher revision cannot lend its
+// freshness; the client then asks control for the changes at once.
+func (c *Client) Adopt(since time.Time, p wire.Permission) bool {
+	ours := c.view.Revision()
+	if p.Revision > ours {
+		c.Announce()
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.permission.Adopt(since, ours, p.Revision, p.Left)
+}
+
+// Leader returns the name of control's leader as last heard, or nothing.
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+// Announce sends a heartbeat at once, because something about the endpoint or
+// the demand changed.
+func (c *Client) Announce() {
+	select {
+	case c.announce <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps a session until ctx ends. It starts at a replica chosen at random, so
+// that the processes spread, and goes on to the next when one fails.
+func (c *Client) Run(ctx context.Context) error {
+	next := rand.IntN(len(c.options.Replicas))
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		addr := c.options.Replicas[next]
+		next = (next + 1) % len(c.options.Replicas)
+		renewed, err := c.session(ctx, addr)
+		if ctx.Err() != nil {
+			return nil
+		}
+		c.options.Log.Warn("session with control ended", "replica", addr, "error", err)
+		if renewed {
+			backoff = minBackoff
+		}
+		c.wait(ctx, backoff)
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return nil
+}
+
+// wait waits for half to the whole of d, so that processes which lost the same
+// replica do not come back all at once.
+func (c *Client) wait(ctx context.Context, d time.Duration) {
+	jittered := d/2 + rand.N(d/2)
+	select {
+	case <-ctx.Done():
+	case <-c.options.Clock.After(jittered):
+	}
+}
--- /dev/null
+++ b/control/session/do.go
@@ -0,0 +1,167 @@
+package session
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+const (
+	// tryTimeout bounds one try of a command with one replica.
+	tryTimeout = 4 * time.Second
+	// retryAfter is when it makes sense to send a refused command again.
+	retryAfter = time.Second
+)
+
+// NewID returns a new identifier for a command.
+func NewID() string { return uuid.NewString() }
+
+// Do sends the command name with body to control's leader and decodes its answer
+// into out, which may be nil. The identifier makes a command that changes state
+// idempotent: after a lost answer Do sends it again, and the caller may too.
+//
+// The error is a *verdict.Refusal. NotRun means that the command has not taken
+// effect and that Do will not send it again. MayHaveRun means that ctx ended
+// before an answer came; only a resend with the same identifier can tell.
+func (c *Client) Do(ctx context.Context, name, id string, body, out any) error {
+	raw, err := wire.Marshal(body)
+	if err != nil {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err)
+	}
+	d := &doing{client: c, command: &wire.Command{ID: id, Name: name, Body: raw}}
+	answer, err := d.run(ctx)
+	if err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := wire.Unmarshal(answer.Body, out); err != nil {
+		return verdict.Uncertain(verdict.ReasonInternal, 0, "%v", err)
+	}
+	return nil
+}
+
+// doing is one command on its way.
+type doing struct {
+	client  *Client
+	command *wire.Command
+	// uncertain is set once a try ended without an answer after the command left.
+	uncertain bool
+	last      error
+}
+
+// run tries the replicas in rounds. A round without any leader ends a command
+// that has certainly not taken effect; one that may have is tried until ctx ends.
+func (d *doing) run(ctx context.Context) (*wire.Answer, error) {
+	backoff := minBackoff
+	for {
+		for _, addr := range d.client.order() {
+			answer := d.follow(ctx, addr)
+			if answer == nil {
+				continue
+			}
+			if answer.Refused != nil {
+				return nil, answer.Refused.Refusal()
+			}
+			return answer, nil
+		}
+		if ctx.Err() != nil || !d.uncertain {
+			return nil, d.refusal()
+		}
+		d.client.wait(ctx, backoff)
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (d *doing) refusal() *verdict.Refusal {
+	if d.uncertain {
+		return verdict.Uncertain(verdict.ReasonNoQuorum, retryAfter, "control gave no answer to the command: %v", d.last)
+	}
+	return verdict.Refuse(verdict.ReasonNoQuorum, retryAfter, "no leader of control can be reached: %v", d.last)
+}
+
+// follow tries the replica at addr and the leader that it names. It returns nil
+// when there is no final answer.
+func (d *doing) follow(ctx context.Context, addr string) *wire.Answer {
+	answer := d.try(ctx, addr)
+	if answer != nil && answer.Leader != "" && answer.Leader != addr {
+		addr = answer.Leader
+		answer = d.try(ctx, addr)
+	}
+	if answer == nil || answer.Leader != "" {
+		return nil
+	}
+	if r := answer.Refused; r != nil && r.Reason == verdict.ReasonNoQuorum {
+		d.uncertain = d.uncertain || r.Verdict != verdict.NotRun
+		d.last = r.Refusal()
+		return nil
+	}
+	d.client.setLeaderAddr(addr)
+	return answer
+}
+
+// try sends the command to one replica and returns its answer, or nil.
+func (d *doing) try(ctx context.Context, addr string) *wire.Answer {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	stream, err := d.client.options.Opener.Open(ctx, addr)
+	if err != nil {
+		d.last = err
+		return nil
+	}
+	defer stream.Abort()
+	defer context.AfterFunc(ctx, stream.Abort)()
+	answer, err := exchange(stream, d.command)
+	if err != nil {
+		d.uncertain = true
+		d.last = err
+	}
+	return answer
+}
+
+func exchange(stream wire.Stream, command *wire.Command) (*wire.Answer, error) {
+	if err := stream.Send(command); err != nil {
+		return nil, errors.Wrap(err, "send command")
+	}
+	if err := stream.CloseSend(); err != nil {
+		return nil, errors.Wrap(err, "close command")
+	}
+	m, err := stream.Recv()
+	if err != nil {
+		return nil, errors.Wrap(err, "wait for answer")
+	}
+	answer, ok := m.(*wire.Answer)
+	if !ok {
+		return nil, errors.Errorf("unexpected %T for an answer", m)
+	}
+	return answer, nil
+}
+
+// order lists the replicas to try, the one that last answered as leader first.
+func (c *Client) order() []string {
+	c.mu.Lock()
+	first := c.leaderAddr
+	c.mu.Unlock()
+	if first == "" {
+		return c.options.Replicas
+	}
+	out := []string{first}
+	for _, addr := range c.options.Replicas {
+		if addr != first {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+func (c *Client) setLeaderAddr(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaderAddr = addr
+}
--- /dev/null
+++ b/control/state/snapshot.go
@@ -0,0 +1,63 @@
+package state
+
+import (
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// image is the whole state as it is written to a snapshot.
+type image struct {
+	Now       int64                `cbor:"1,keyasint"`
+	Document  *config.Document     `cbor:"2,keyasint"`
+	Revised   []config.Revised     `cbor:"3,keyasint"`
+	Audit     []command.AuditEntry `cbor:"4,keyasint"`
+	AnswerIDs []string             `cbor:"5,keyasint"`
+	Answers   [][]byte             `cbor:"6,keyasint"`
+	LastFence uint64               `cbor:"7,keyasint"`
+	Endpoints map[string]standing  `cbor:"8,keyasint"`
+	Orders    uint64               `cbor:"9,keyasint"`
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	img := image{
+		Now:       m.now,
+		Document:  m.doc,
+		Revised:   m.revised,
+		Audit:     m.audit,
+		AnswerIDs: m.answers.order,
+		LastFence: m.orders.last,
+		Endpoints: m.orders.endpoints,
+		Orders:    m.orders.version,
+	}
+	for _, id := range m.answers.order {
+		img.Answers = append(img.Answers, m.answers.byID[id])
+	}
+	return wire.Marshal(&img)
+}
+
+// Restore replaces the whole state by a snapshot. On an error the state is as it was.
+func (m *Machine) Restore(snapshot []byte) error {
+	var img image
+	if err := wire.Unmarshal(snapshot, &img); err != nil {
+		return err
+	}
+	fresh := New()
+	fresh.now = img.Now
+	if img.Document != nil {
+		fresh.doc = img.Document.Clone()
+	}
+	fresh.revised = img.Revised
+	fresh.audit = img.Audit
+	for i, id := range img.AnswerIDs {
+		fresh.answers.put(id, img.Answers[i])
+	}
+	fresh.orders.last = img.LastFence
+	fresh.orders.version = img.Orders
+	if img.Endpoints != nil {
+		fresh.orders.endpoints = img.Endpoints
+	}
+	*m = *fresh
+	return nil
+}
