--- a/control/command/command.go
+++ b/control/command/command.go
@@ -149,6 +149,17 @@
 	Result *Result `cbor:"2,keyasint,omitempty"`
 	// Refused says why the call does not run, with a proven verdict.
 	Refused *wire.Refused `cbor:"3,keyasint,omitempty"`
+	// Standing is the claim that another entry holds, when the call is in
+	// progress. Its number passes once whoever brings it, so an entry may dispatch
+	// the call under it to find out or finish what another left behind.
+	Standing *Standing `cbor:"4,keyasint,omitempty"`
+}
+
+// Standing is a claim that was given out and not yet settled.
+type Standing struct {
+	Fence       uint64 `cbor:"1,keyasint"`
+	Endpoint    string `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint"`
 }
 
 // Result is the kept answer to a call that ran.
@@ -169,7 +180,9 @@
 	Result  *Result         `cbor:"5,keyasint,omitempty"`
 }
 
-// Fence asks for the newest fencing number and the claims of an endpoint.
+// Fence registers an incarnation of an endpoint and asks for the newest fencing
+// number. A sidecar sends it once at its start, before it passes orders or claims;
+// an older incarnation is refused and gets no more orders, claims or permission.
 type Fence struct {
 	Endpoint    string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
--- a/control/commands.go
+++ b/control/commands.go
@@ -25,12 +25,16 @@
 type access struct {
 	roles   []wire.Role
 	propose bool
+	// frequent commands belong to requests and are not logged at their normal outcome.
+	frequent bool
 }
 
 var commands = map[string]access{
 	command.NameChange:  {roles: []wire.Role{wire.RoleOperator}, propose: true},
 	command.NameOrder:   {roles: []wire.Role{wire.RoleOperator}, propose: true},
 	command.NameFence:   {roles: []wire.Role{wire.RoleSidecar}, propose: true},
+	command.NameClaim:   {roles: []wire.Role{wire.RoleEntry}, propose: true, frequent: true},
+	command.NameSettle:  {roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar}, propose: true, frequent: true},
 	command.NameView:    {roles: []wire.Role{wire.RoleOperator}},
 	command.NameHistory: {roles: []wire.Role{wire.RoleOperator}},
 	command.NameInForce: {roles: []wire.Role{wire.RoleOperator}},
@@ -194,6 +198,9 @@
 	if !commands[c.Name].propose {
 		return
 	}
+	if a.Refused == nil && commands[c.Name].frequent {
+		return
+	}
 	if a.Refused == nil {
 		s.log.Info("command accepted", "name", c.Name, "id", c.ID, "who", peer.Name)
 		return
--- a/control/session.go
+++ b/control/session.go
@@ -36,7 +36,9 @@
 	// revision is what the process says it has.
 	revision uint64
 	endpoint *wire.Endpoint
-	shares   []wire.Share
+	// demand came with the newest heartbeat; shares wait to be sent.
+	demand []wire.Share
+	shares []wire.Share
 }
 
 // told is what a session's sender has sent so far.
--- a/control/session/client.go
+++ b/control/session/client.go
@@ -53,9 +53,8 @@
 	// Endpoint returns what a sidecar announces; nil for other roles. It is
 	// called for each heartbeat.
 	Endpoint func() *wire.Endpoint
-	// Demand returns the shares of client accounts' limits that an entry wants;
-	// it may be nil. It is called for each heartbeat.
-	Demand func() []wire.Share
+	// Limits is an entry's part of the client accounts' limits; nil for others.
+	Limits *Limits
 	// OnUpdate is called for each update, in order, after the view and the
 	// permission have taken it in; it may be nil. It must not block.
 	OnUpdate func(*wire.Update)
@@ -71,8 +70,10 @@
 	// mu is "session.Client" of kernel.LockOrder.
 	mu         sync.Mutex
 	permission *lease.Permission
-	seq        uint64
-	leader     string
+	// seq numbers the heartbeats. It begins at the time, so that those of a process
+	// that was restarted come after those from before.
+	seq    uint64
+	leader string
 	// leaderAddr is the replica that last answered as leader.
 	leaderAddr string
 }
@@ -105,6 +106,7 @@
 		view:       config.NewView(),
 		announce:   make(chan struct{}, 1),
 		permission: lease.NewPermission(o.Lease, o.Lease/marginParts),
+		seq:        uint64(o.Clock.Now().UnixMilli()),
 	}, nil
 }
 
--- a/control/session/run.go
+++ b/control/session/run.go
@@ -134,8 +134,8 @@
 	if c.options.Endpoint != nil {
 		b.Endpoint = c.options.Endpoint()
 	}
-	if c.options.Demand != nil {
-		b.Demand = c.options.Demand()
+	if c.options.Limits != nil {
+		b.Demand = c.options.Limits.demand(c.options.Clock.Now(), b.Seq)
 	}
 	// A replica that reads nothing must not hold the process up.
 	if err := stream.SetDeadline(c.options.Clock.Now().Add(2 * c.options.Lease)); err != nil {
@@ -159,6 +159,9 @@
 		c.permission.Echoed(u.Echo)
 	}
 	c.mu.Unlock()
+	if c.options.Limits != nil {
+		c.options.Limits.grant(c.options.Clock.Now(), u.Shares)
+	}
 	if c.options.OnUpdate != nil {
 		c.options.OnUpdate(u)
 	}
--- a/control/state/change.go
+++ b/control/state/change.go
@@ -5,6 +5,7 @@
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/once"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
@@ -15,7 +16,12 @@
 	if m.doc.Revision != 0 {
 		return accept(command.Changed{Revision: m.doc.Revision})
 	}
-	return m.change(e)
+	answer := m.change(e)
+	if m.doc.Revision != 0 {
+		// What ran before this state began is unknown to it.
+		m.claims = once.NewLedger(once.DefaultLimits(), m.time())
+	}
+	return answer
 }
 
 func (m *Machine) change(e *Entry) *wire.Answer {
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -1,8 +1,11 @@
 package state
 
 import (
+	"github.com/pkg/errors"
+
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/once"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -17,6 +20,7 @@
 	LastFence uint64               `cbor:"7,keyasint"`
 	Endpoints map[string]standing  `cbor:"8,keyasint"`
 	Orders    uint64               `cbor:"9,keyasint"`
+	Claims    once.Image           `cbor:"10,keyasint"`
 }
 
 // Snapshot returns the whole state.
@@ -30,6 +34,7 @@
 		LastFence: m.orders.last,
 		Endpoints: m.orders.endpoints,
 		Orders:    m.orders.version,
+		Claims:    m.claims.Image(),
 	}
 	for _, id := range m.answers.order {
 		img.Answers = append(img.Answers, m.answers.byID[id])
@@ -43,7 +48,15 @@
 	if err := wire.Unmarshal(snapshot, &img); err != nil {
 		return err
 	}
+	claims, err := once.Restore(once.DefaultLimits(), img.Claims)
+	if err != nil {
+		return err
+	}
+	if len(img.Answers) != len(img.AnswerIDs) {
+		return errors.New("snapshot with damaged answers")
+	}
 	fresh := New()
+	fresh.claims = claims
 	fresh.now = img.Now
 	if img.Document != nil {
 		fresh.doc = img.Document.Clone()
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -8,10 +8,13 @@
 package state
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/once"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -50,13 +53,19 @@
 	audit   []command.AuditEntry
 	answers *answers
 	orders  *orders
+	claims  *once.Ledger
 	// now is the highest time of a command, in nanoseconds since 1970.
 	now int64
 }
 
 // New returns the empty state.
 func New() *Machine {
-	return &Machine{doc: config.NewDocument(), answers: newAnswers(maxAnswers), orders: newOrders()}
+	return &Machine{
+		doc:     config.NewDocument(),
+		answers: newAnswers(maxAnswers),
+		orders:  newOrders(),
+		claims:  once.NewLedger(once.DefaultLimits(), time.Time{}),
+	}
 }
 
 // Apply carries out one Entry in CBOR and returns a wire.Answer in CBOR. A
@@ -67,6 +76,11 @@
 		return encode(refuse(internal(err)))
 	}
 	m.now = max(m.now, e.At)
+	// Claims carry their identifier in their records, so that their number does
+	// not push out the answers to operators.
+	if e.Name == command.NameClaim || e.Name == command.NameSettle {
+		return encode(m.apply(&e))
+	}
 	if kept, ok := m.answers.get(e.ID); ok {
 		return kept
 	}
@@ -85,6 +99,10 @@
 		return m.order(e)
 	case command.NameFence:
 		return m.fence(e)
+	case command.NameClaim:
+		return m.claim(e)
+	case command.NameSettle:
+		return m.settle(e)
 	}
 	return refuse(internal(errors.Errorf("unknown command %q", e.Name)))
 }
--- a/control/table.go
+++ b/control/table.go
@@ -73,6 +73,7 @@
 	s.heard = now
 	s.seq = max(s.seq, b.Seq)
 	s.revision = max(s.revision, b.Revision)
+	s.demand = b.Demand
 	if s.endpoint == nil {
 		return true
 	}
@@ -96,6 +97,7 @@
 	session *session
 	seq     uint64
 	heard   time.Time
+	demand  []wire.Share
 }
 
 // pending returns the heartbeats that no barrier has covered yet.
@@ -105,7 +107,7 @@
 	var out []waiting
 	for _, s := range t.sessions {
 		if s.seq > s.echo {
-			out = append(out, waiting{session: s, seq: s.seq, heard: s.heard})
+			out = append(out, waiting{session: s, seq: s.seq, heard: s.heard, demand: s.demand})
 		}
 	}
 	return out
@@ -124,6 +126,14 @@
 	}
 }
 
+// lent leaves shares for the session's sender.
+func (t *table) lent(s *session, shares []wire.Share) {
+	t.mu.Lock()
+	s.shares = shares
+	t.mu.Unlock()
+	s.notify()
+}
+
 // take returns the session's echo and the shares that wait for it.
 func (t *table) take(s *session) (uint64, []wire.Share) {
 	t.mu.Lock()
--- a/quota/quota.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package quota shares the limits of client accounts out to entries as leases.
-package quota
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -220,6 +220,9 @@
 	HeldBytes  int64 `cbor:"5,keyasint,omitempty"`
 	// Valid is for how long the share is lent.
 	Valid time.Duration `cbor:"6,keyasint,omitempty"`
+	// Seq is, in a grant, the heartbeat whose demand it answers, and in a demand
+	// the newest grant that is in force at the entry.
+	Seq uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Update brings a session up to date.
