replica: add the consensus core, its files and the driver

A group from settings forms only once all founders have fixed the same list of disk identities, so a wiped disk never counts under its old ID: it takes a new one and waits to be added.

--- /dev/null
+++ b/replica/cluster_test.go
@@ -0,0 +1,319 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// listMachine is a state machine that keeps what it applied, in order.
+type listMachine struct {
+	Commands []string
+}
+
+func (m *listMachine) Apply(_ uint64, command []byte) []byte {
+	m.Commands = append(m.Commands, string(command))
+	return fmt.Appendf(nil, "%d", len(m.Commands))
+}
+
+func (m *listMachine) Snapshot() ([]byte, error) { return json.Marshal(m.Commands) }
+
+func (m *listMachine) Restore(b []byte) error {
+	m.Commands = nil
+	return json.Unmarshal(b, &m.Commands)
+}
+
+// node is one replica of a cluster, up or down.
+type node struct {
+	id     ID
+	disk   *memDisk
+	sm     *listMachine
+	r      *Replica
+	err    error // that stopped it
+	frozen bool
+}
+
+func (n *node) runs() bool { return n.r != nil && !n.frozen }
+
+type link struct{ from, to ID }
+
+type flight struct {
+	due     int
+	encoded []byte
+}
+
+// cluster runs replicas over an in-memory network, one step at a time, from a seed.
+type cluster struct {
+	t       testing.TB
+	rng     *rand.Rand
+	nodes   map[ID]*node
+	order   []ID
+	addrs   map[ID]string
+	cut     map[link]bool
+	flights map[ID][]flight
+	now     int
+	delay   int // messages take up to this many steps
+	lose    int // one message in so many is lost; zero for none
+	tune    func(*Options)
+	leaders map[uint64]ID // by term: at most one each
+	sent    map[MessageType]int
+	bytes   int
+}
+
+func newCluster(t testing.TB, seed uint64, size int, tune func(*Options)) *cluster {
+	c := &cluster{
+		t:       t,
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		nodes:   map[ID]*node{},
+		addrs:   map[ID]string{},
+		cut:     map[link]bool{},
+		flights: map[ID][]flight{},
+		leaders: map[uint64]ID{},
+		sent:    map[MessageType]int{},
+		tune:    tune,
+	}
+	for i := 1; i <= size; i++ {
+		c.addrs[ID(i)] = fmt.Sprintf("10.0.0.%d:1", i)
+	}
+	for i := 1; i <= size; i++ {
+		c.start(ID(i), newMemDisk())
+	}
+	return c
+}
+
+type memTransport struct {
+	c    *cluster
+	from ID
+}
+
+func (t memTransport) Send(to ID, m *Message) {
+	t.c.sent[m.Type]++
+	b, err := m.Marshal()
+	if err != nil {
+		t.c.t.Fatal(err)
+	}
+	t.c.bytes += len(b)
+	if t.c.cut[link{m.From, to}] || t.c.lose > 0 && t.c.rng.IntN(t.c.lose) == 0 {
+		return
+	}
+	due := t.c.now + 1
+	if t.c.delay > 0 {
+		due += t.c.rng.IntN(t.c.delay + 1)
+	}
+	t.c.flights[to] = append(t.c.flights[to], flight{due: due, encoded: b})
+}
+
+// open opens a replica on disk; id zero lets the disk choose.
+func (c *cluster) open(id ID, disk *memDisk) *node {
+	n := &node{id: id, disk: disk, sm: &listMachine{}}
+	o := Options{
+		ID:           id,
+		Bootstrap:    c.addrs,
+		Disk:         disk,
+		StateMachine: n.sm,
+		Transport:    memTransport{c: c, from: id},
+		ReserveBytes: 4096,
+		Rand:         rand.New(rand.NewPCG(c.rng.Uint64(), 2)),
+	}
+	if c.tune != nil {
+		c.tune(&o)
+	}
+	n.r, n.err = Open(o)
+	if n.err == nil {
+		n.id = n.r.Status().ID
+	}
+	return n
+}
+
+// start opens a replica and takes it into the cluster.
+func (c *cluster) start(id ID, disk *memDisk) *node {
+	n := c.open(id, disk)
+	if n.err != nil {
+		c.t.Fatalf("open %d: %v", id, n.err)
+	}
+	c.nodes[n.id] = n
+	if !slices.Contains(c.order, n.id) {
+		c.order = append(c.order, n.id)
+	}
+	return n
+}
+
+// kill ends a replica at once; its disk loses what is not synced.
+func (c *cluster) kill(id ID) {
+	n := c.nodes[id]
+	n.r = nil
+	n.disk.crash(c.rng)
+	c.flights[id] = nil
+}
+
+func (c *cluster) restart(id ID) *node { return c.start(id, c.nodes[id].disk) }
+
+// step lets one tick pass on every replica that runs.
+func (c *cluster) step() {
+	c.now++
+	for _, id := range c.order {
+		n := c.nodes[id]
+		if !n.runs() {
+			continue
+		}
+		c.deliver(n)
+		n.r.tick()
+		c.turn(n)
+	}
+}
+
+func (c *cluster) deliver(n *node) {
+	var later []flight
+	for _, f := range c.flights[n.id] {
+		if f.due > c.now {
+			later = append(later, f)
+			continue
+		}
+		m := &Message{}
+		if err := m.Unmarshal(f.encoded); err != nil {
+			c.t.Fatal(err)
+		}
+		n.r.Receive(m)
+	}
+	c.flights[n.id] = later
+}
+
+func (c *cluster) turn(n *node) {
+	if err := n.r.turn(); err != nil {
+		n.err = err
+		n.r.stop()
+		n.r = nil
+		return
+	}
+	if id := n.r.Status().ID; id != n.id { // a replaced disk took a new identity
+		delete(c.nodes, n.id)
+		c.order[slices.Index(c.order, n.id)] = id
+		n.id = id
+		c.nodes[id] = n
+	}
+	if core := n.r.core; core.role == roleLeader {
+		if other, ok := c.leaders[core.term]; ok && other != n.id {
+			c.t.Fatalf("term %d has leaders %d and %d", core.term, other, n.id)
+		}
+		c.leaders[core.term] = n.id
+	}
+}
+
+// until steps until done, which has to come within so many steps.
+func (c *cluster) until(what string, done func() bool) {
+	c.t.Helper()
+	for range 2000 {
+		if done() {
+			return
+		}
+		c.step()
+	}
+	c.t.Fatalf("not reached: %s", what)
+}
+
+func (c *cluster) steps(n int) {
+	for range n {
+		c.step()
+	}
+}
+
+// leader returns the leader with the highest term, nil for none.
+func (c *cluster) leader() *node {
+	var best *node
+	for _, id := range c.order {
+		n := c.nodes[id]
+		if n.runs() && n.r.core.role == roleLeader && (best == nil || n.r.core.term > best.r.core.term) {
+			best = n
+		}
+	}
+	return best
+}
+
+// elect steps until there is a leader that has committed in its term.
+func (c *cluster) elect() *node {
+	c.t.Helper()
+	c.until("a leader", func() bool {
+		n := c.leader()
+		return n != nil && n.r.core.committedInTerm()
+	})
+	return c.leader()
+}
+
+// propose hands a command to n without waiting.
+func (c *cluster) propose(n *node, command string) *proposal {
+	p := &proposal{call: newCall(context.Background()), command: []byte(command)}
+	n.r.inbox.put(func() { n.r.inbox.proposals = append(n.r.inbox.proposals, p) })
+	return p
+}
+
+// await steps until a call has its outcome.
+func (c *cluster) await(call *call) outcome {
+	c.t.Helper()
+	var o outcome
+	c.until("an outcome", func() bool {
+		select {
+		case o = <-call.done:
+			return true
+		default:
+			return false
+		}
+	})
+	return o
+}
+
+// commit commits a command through the current leader.
+func (c *cluster) commit(command string) {
+	c.t.Helper()
+	is.New(c.t).NoErr(c.await(&c.propose(c.elect(), command).call).err)
+}
+
+func (c *cluster) doOrder(n *node, o *order) error {
+	c.t.Helper()
+	o.call = newCall(context.Background())
+	n.r.inbox.put(func() { n.r.inbox.orders = append(n.r.inbox.orders, o) })
+	return c.await(&o.call).err
+}
+
+func (c *cluster) barrier(n *node) *barrier {
+	b := &barrier{call: newCall(context.Background())}
+	n.r.inbox.put(func() { n.r.inbox.barriers = append(n.r.inbox.barriers, b) })
+	return b
+}
+
+// isolate cuts a replica off in both directions.
+func (c *cluster) isolate(id ID, cut bool) {
+	for _, other := range c.order {
+		if other != id {
+			c.cut[link{id, other}] = cut
+			c.cut[link{other, id}] = cut
+		}
+	}
+}
+
+// level steps until all running replicas have applied the same commands.
+func (c *cluster) level() {
+	c.t.Helper()
+	c.until("the same state everywhere", func() bool {
+		lead := c.leader()
+		if lead == nil || !lead.r.core.committedInTerm() {
+			return false
+		}
+		for _, n := range c.nodes {
+			if n.runs() && n.r.core.log.applied < lead.r.core.log.last() {
+				return false
+			}
+		}
+		return true
+	})
+	lead := c.leader()
+	for _, n := range c.nodes {
+		if n.runs() && !slices.Equal(n.sm.Commands, lead.sm.Commands) {
+			c.t.Fatalf("replica %d applied %v, leader %v", n.id, n.sm.Commands, lead.sm.Commands)
+		}
+	}
+}
--- /dev/null
+++ b/replica/files.go
@@ -0,0 +1,304 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snapshot-"
+	temporaryName  = "temporary"
+	reserveName    = "reserve"
+
+	// segmentBytes is the size from which a segment is followed by a new one.
+	segmentBytes = 4 << 20
+	// defaultReserveBytes is kept free on the disk, so that votes and what is in
+	// flight can still be written once the rest is full.
+	defaultReserveBytes = 4 << 20
+)
+
+// segment is one file of the log.
+type segment struct {
+	name string
+	last uint64 // highest index in it that may still be needed
+}
+
+// store keeps a replica's log, hard state and snapshots on a Disk.
+//
+// Invariant: after an error other than ErrDiskFull nothing is written any more: what
+// a failed sync left on the disk is unknown, and a second sync could report success
+// without having written it.
+type store struct {
+	disk     Disk
+	sequence uint64 // of the next frame
+	segments []segment
+	file     File  // the last segment
+	size     int64 // of the last segment, whole frames only
+	reserve  int
+	failed   error
+	buf      []byte
+	payload  []byte
+}
+
+// openStore reads the files and cuts a torn tail.
+func openStore(disk Disk, reserve int) (*store, restored, error) {
+	s := &store{disk: disk, reserve: reserve, sequence: 1}
+	names, err := disk.List()
+	if err != nil {
+		return nil, restored{}, errors.Wrap(err, "replica: list files")
+	}
+	slices.Sort(names)
+	snap, err := s.loadSnapshotMeta(names)
+	if err != nil {
+		return nil, restored{}, err
+	}
+	p, err := s.loadSegments(names)
+	if err != nil {
+		return nil, restored{}, err
+	}
+	from, rebase, err := combine(snap, p)
+	if err != nil {
+		return nil, restored{}, err
+	}
+	if rebase {
+		err = s.writeFrame(appendPairRecord(nil, recordBase, from.base, from.baseTerm), from.hard, from.base)
+	}
+	return s, from, err
+}
+
+// combine joins the latest snapshot with the log. It reports whether the log does not
+// reach the snapshot, so that it has to start anew behind it.
+func combine(snap snapshotMeta, p *replay) (restored, bool, error) {
+	from := restored{hard: p.hard, snapshot: snap, base: p.base, baseTerm: p.baseTerm, entries: p.entries}
+	if p.base > snap.Index {
+		return from, false, errors.Wrapf(ErrDamaged, "log starts at %d, latest snapshot is at %d", p.base, snap.Index)
+	}
+	l := entryLog{base: p.base, baseTerm: p.baseTerm, entries: p.entries}
+	if snap.Index == 0 || l.matches(snap.Index, snap.Term) {
+		return from, false, nil
+	}
+	from.base, from.baseTerm, from.entries = snap.Index, snap.Term, nil
+	return from, true, nil
+}
+
+func segmentName(sequence uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, sequence) }
+
+func (s *store) loadSegments(names []string) (*replay, error) {
+	p := &replay{}
+	var found []string
+	for _, name := range names {
+		if strings.HasPrefix(name, segmentPrefix) {
+			found = append(found, name)
+		}
+	}
+	for i, name := range found {
+		if err := s.loadSegment(name, i, i == len(found)-1, p); err != nil {
+			return nil, errors.Wrapf(err, "replica: %s", name)
+		}
+	}
+	return p, nil
+}
+
+func (s *store) loadSegment(name string, i int, last bool, p *replay) error {
+	var first uint64
+	if _, err := fmt.Sscanf(name, segmentPrefix+"%016x", &first); err != nil {
+		return errors.Wrap(ErrDamaged, "name")
+	}
+	if i > 0 && first != s.sequence {
+		return errors.Wrapf(ErrDamaged, "frames %d to %d are missing", s.sequence, first-1)
+	}
+	b, err := s.disk.Read(name)
+	if err != nil {
+		return err
+	}
+	next, good, err := readFrames(b, first, last, p.frame)
+	if err != nil {
+		return err
+	}
+	if good < len(b) {
+		if err := s.disk.Truncate(name, int64(good)); err != nil {
+			return errors.Wrap(err, "cut torn tail")
+		}
+	}
+	s.sequence = next
+	s.segments = append(s.segments, segment{name: name, last: p.base + uint64(len(p.entries))})
+	s.size = int64(good)
+	if !last {
+		return nil
+	}
+	s.file, err = s.disk.Append(name)
+	return err
+}
+
+// save puts a batch on the disk with one sync. After ErrDiskFull nothing of it counts
+// and the same batch may be saved again later.
+func (s *store) save(rd *ready) error {
+	if rd.snapshot != nil {
+		if err := s.saveSnapshot(rd.snapshot.meta, rd.snapshot.data); err != nil {
+			return err
+		}
+	}
+	s.payload = s.payload[:0]
+	last := uint64(0)
+	if rd.snapshot != nil {
+		last = rd.snapshot.meta.Index
+		s.payload = appendPairRecord(s.payload, recordBase, last, rd.snapshot.meta.Term)
+	}
+	for i := range rd.entries {
+		s.payload = appendEntryRecord(s.payload, &rd.entries[i])
+		last = rd.entries[i].Index
+	}
+	if err := s.writeFrame(s.payload, rd.hardState, last); err != nil {
+		return err
+	}
+	if rd.snapshot != nil {
+		s.forgetBefore(len(s.segments) - 1)
+	}
+	return nil
+}
+
+// writeFrame appends one frame and syncs it. Each frame carries the hard state, so
+// that older segments can be removed at any time.
+func (s *store) writeFrame(records []byte, hard hardState, last uint64) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if s.file == nil || s.size >= segmentBytes {
+		if err := s.startSegment(); err != nil {
+			return err
+		}
+	}
+	records = appendPairRecord(records, recordHardState, hard.Term, uint64(hard.Vote))
+	s.payload = records
+	s.buf = appendFrame(s.buf[:0], s.sequence, records)
+	if _, err := s.file.Write(s.buf); err != nil {
+		return s.undoWrite(err)
+	}
+	if err := s.file.Sync(); err != nil {
+		return s.fail(err, "sync log")
+	}
+	s.sequence++
+	s.size += int64(len(s.buf))
+	at := &s.segments[len(s.segments)-1]
+	at.last = max(at.last, last)
+	return nil
+}
+
+// undoWrite cuts off what a write to a full disk left behind.
+func (s *store) undoWrite(err error) error {
+	if !isFull(err) {
+		return s.fail(err, "write log")
+	}
+	name := s.segments[len(s.segments)-1].name
+	if err := s.disk.Truncate(name, s.size); err != nil {
+		return s.fail(err, "undo write")
+	}
+	return ErrDiskFull
+}
+
+// fail stops the store for good.
+func (s *store) fail(err error, doing string) error {
+	s.failed = errors.Wrapf(err, "replica: %s", doing)
+	return s.failed
+}
+
+func (s *store) startSegment() error {
+	name := segmentName(s.sequence)
+	f, err := s.disk.Create(name)
+	if err == nil {
+		err = s.disk.SyncDir()
+	}
+	switch {
+	case err != nil && isFull(err):
+		return ErrDiskFull
+	case err != nil:
+		return s.fail(err, "new segment")
+	}
+	if s.file != nil {
+		s.file.Close()
+	}
+	s.file = f
+	s.size = 0
+	s.segments = append(s.segments, segment{name: name})
+	return nil
+}
+
+// forgetBefore marks the first n segments as not needed: the log was emptied after them.
+func (s *store) forgetBefore(n int) {
+	for i := range s.segments[:n] {
+		s.segments[i].last = 0
+	}
+}
+
+// compact removes the segments that hold nothing after index. Only a prefix goes: a
+// later segment may overwrite what an earlier one holds.
+func (s *store) compact(index uint64) error {
+	n := 0
+	for n < len(s.segments)-1 && s.segments[n].last <= index {
+		if err := s.disk.Remove(s.segments[n].name); err != nil {
+			return s.fail(err, "remove segment")
+		}
+		n++
+	}
+	s.segments = slices.Delete(s.segments, 0, n)
+	return nil
+}
+
+// release gives the reserve back to the file system.
+func (s *store) release() error {
+	err := s.disk.Remove(reserveName)
+	if err != nil {
+		return errors.Wrap(err, "replica: release reserve")
+	}
+	return errors.Wrap(s.disk.SyncDir(), "replica: release reserve")
+}
+
+// keepReserve takes room for the reserve; it reports whether the disk has it.
+func (s *store) keepReserve() bool {
+	if s.reserve == 0 {
+		return true
+	}
+	if b, err := s.disk.ReadAt(reserveName, make([]byte, 1), int64(s.reserve)-1); err == nil && b == 1 {
+		return true
+	}
+	if err := writeFile(s.disk, reserveName, make([]byte, s.reserve)); err != nil {
+		s.disk.Remove(reserveName)
+		return false
+	}
+	return true
+}
+
+// close releases the open segment.
+func (s *store) close() {
+	if s.file != nil {
+		s.file.Close()
+	}
+}
+
+// writeFile writes and syncs a whole file.
+func writeFile(disk Disk, name string, b []byte) error {
+	f, err := disk.Create(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if _, err := f.Write(b); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+// replaceFile gives name the content b, whole or not at all.
+func replaceFile(disk Disk, name string, b []byte) error {
+	if err := writeFile(disk, temporaryName, b); err != nil {
+		return err
+	}
+	if err := disk.Rename(temporaryName, name); err != nil {
+		return err
+	}
+	return disk.SyncDir()
+}
--- /dev/null
+++ b/replica/membership.go
@@ -0,0 +1,200 @@
+package replica
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Member is one replica of a group.
+type Member struct {
+	ID    ID     `cbor:"1,keyasint"`
+	Addr  string `cbor:"2,keyasint,omitempty"`
+	Voter bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// membership is the set of members from an index on, ordered by ID.
+//
+// Invariant: two memberships that follow one another differ by at most one voter,
+// so that any quorum of the one shares a replica with any quorum of the other.
+type membership struct {
+	index   uint64
+	members []Member
+}
+
+func newMembership(index uint64, members []Member) membership {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return membership{index: index, members: sorted}
+}
+
+func (s *membership) find(id ID) (Member, bool) {
+	for _, m := range s.members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (s *membership) isVoter(id ID) bool {
+	m, ok := s.find(id)
+	return ok && m.Voter
+}
+
+func (s *membership) voters() []ID {
+	var ids []ID
+	for _, m := range s.members {
+		if m.Voter {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+func encodeMembers(members []Member) []byte {
+	b, err := cbor.Marshal(members)
+	if err != nil {
+		panic(err) // a slice of plain fields always encodes
+	}
+	return b
+}
+
+func decodeMembers(b []byte) ([]Member, error) {
+	var members []Member
+	err := decoding.Unmarshal(b, &members)
+	return members, errors.Wrap(err, "replica: decode membership")
+}
+
+// current returns the latest membership in the log. It is in force as soon as it is
+// appended, committed or not: a leader may otherwise count a quorum by a set that a
+// later leader no longer knows.
+func (c *core) current() *membership {
+	return &c.memberships[len(c.memberships)-1]
+}
+
+// noteMemberships takes up the memberships in newly appended entries.
+func (c *core) noteMemberships(entries []Entry) {
+	changed := false
+	for i := range entries {
+		if entries[i].Kind != EntryMembership {
+			continue
+		}
+		members, err := decodeMembers(entries[i].Data)
+		if err != nil {
+			panic(err) // entries are checked by checksum and made by this package
+		}
+		c.memberships = append(c.memberships, newMembership(entries[i].Index, members))
+		changed = true
+	}
+	if changed {
+		c.membershipChanged()
+	}
+}
+
+// forgetMemberships drops memberships at or after index, whose entries were truncated.
+func (c *core) forgetMemberships(index uint64) {
+	n := len(c.memberships)
+	for n > 1 && c.memberships[n-1].index >= index {
+		n--
+	}
+	if n < len(c.memberships) {
+		c.memberships = c.memberships[:n]
+		c.membershipChanged()
+	}
+}
+
+// membershipAt returns the membership in force at index.
+func (c *core) membershipAt(index uint64) *membership {
+	n := len(c.memberships) - 1
+	for n > 0 && c.memberships[n].index > index {
+		n--
+	}
+	return &c.memberships[n]
+}
+
+// membershipChanged brings a leader's table of progress in line with the members.
+func (c *core) membershipChanged() {
+	if c.role != roleLeader {
+		return
+	}
+	now := c.current()
+	for id := range c.progress {
+		if _, ok := now.find(id); !ok && id != c.id {
+			delete(c.progress, id)
+		}
+	}
+	for _, m := range now.members {
+		if c.progress[m.ID] == nil {
+			c.progress[m.ID] = newProgress(c.log.last())
+		}
+	}
+}
+
+// change is one step of membership.
+type change struct {
+	op   changeOp
+	id   ID
+	addr string
+}
+
+type changeOp uint8
+
+const (
+	opAddLearner changeOp = iota + 1
+	opPromote
+	opRemove
+)
+
+// proposeChange appends a change of membership and returns its index.
+//
+// One change at a time: the one before has to be committed, and so has an entry of
+// this term, which shows that no older leader's change is still open.
+func (c *core) proposeChange(ch change) (uint64, error) {
+	if c.role != roleLeader {
+		return 0, c.notLeader()
+	}
+	if c.current().index > c.log.committed || !c.committedInTerm() {
+		return 0, ErrChangePending
+	}
+	members, err := c.apply(ch)
+	if err != nil {
+		return 0, err
+	}
+	return c.appendOwn(EntryMembership, encodeMembers(members)), nil
+}
+
+// apply returns the members after ch.
+func (c *core) apply(ch change) ([]Member, error) {
+	members := slices.Clone(c.current().members)
+	at := slices.IndexFunc(members, func(m Member) bool { return m.ID == ch.id })
+	switch {
+	case ch.op == opAddLearner && at >= 0:
+		return nil, ErrMemberExists
+	case ch.op == opAddLearner:
+		return append(members, Member{ID: ch.id, Addr: ch.addr}), nil
+	case at < 0:
+		return nil, ErrNotMember
+	case ch.op == opRemove:
+		return c.without(members, at)
+	}
+	// A learner that lags would make the quorum larger without making the group safer.
+	if p := c.progress[ch.id]; p == nil || !c.isWhole(ch.id) {
+		return nil, ErrNotWhole
+	}
+	members[at].Voter = true
+	return members, nil
+}
+
+func (c *core) without(members []Member, at int) ([]Member, error) {
+	if members[at].Voter && len(c.current().voters()) == 1 {
+		return nil, ErrLastVoter
+	}
+	return slices.Delete(members, at, at+1), nil
+}
--- /dev/null
+++ b/replica/quorum.go
@@ -0,0 +1,62 @@
+package replica
+
+import "slices"
+
+// quorumOf returns how many of n voters make a majority.
+func quorumOf(n int) int { return n/2 + 1 }
+
+// hasQuorum says whether has holds for a majority of the current voters.
+func (c *core) hasQuorum(has func(ID) bool) bool {
+	voters := c.current().voters()
+	n := 0
+	for _, id := range voters {
+		if has(id) {
+			n++
+		}
+	}
+	return n >= quorumOf(len(voters))
+}
+
+// quorumMatch returns the highest index that a majority of the voters holds on disk.
+func (c *core) quorumMatch() uint64 {
+	voters := c.current().voters()
+	match := make([]uint64, 0, len(voters))
+	for _, id := range voters {
+		if p := c.progress[id]; p != nil {
+			match = append(match, p.match)
+		} else {
+			match = append(match, 0)
+		}
+	}
+	slices.Sort(match)
+	return match[len(match)-quorumOf(len(match))]
+}
+
+// survivesLoss says whether the group would lose neither data nor its quorum with
+// any one more voter: the replicas heard from lately that hold all that is committed
+// have to be a quorum without one of them, and no change may be open.
+func (c *core) survivesLoss() bool {
+	if c.role != roleLeader || !c.committedInTerm() || c.current().index > c.log.committed {
+		return false
+	}
+	voters := c.current().voters()
+	whole := 0
+	for _, id := range voters {
+		if c.isWhole(id) {
+			whole++
+		}
+	}
+	return whole-1 >= quorumOf(len(voters))
+}
+
+// isWhole says whether a member was heard from lately and holds on disk all that is committed.
+func (c *core) isWhole(id ID) bool {
+	p := c.progress[id]
+	return p != nil && c.isActive(id) && c.committedInTerm() && p.match >= c.log.committed
+}
+
+// isActive says whether a leader heard from a member within an election timeout.
+func (c *core) isActive(id ID) bool {
+	p := c.progress[id]
+	return id == c.id || p != nil && p.silence < c.opts.electionTicks
+}
--- /dev/null
+++ b/replica/record.go
@@ -0,0 +1,137 @@
+package replica
+
+import (
+	"encoding/binary"
+
+	"github.com/pkg/errors"
+)
+
+// The kinds of records in a frame of the log.
+const (
+	recordEntry byte = iota + 1
+	recordHardState
+	// recordBase empties the log behind a snapshot: entries follow after its index.
+	recordBase
+)
+
+var errRecord = errors.New("replica: malformed record")
+
+func appendEntryRecord(b []byte, e *Entry) []byte {
+	b = append(b, recordEntry, byte(e.Kind))
+	b = binary.AppendUvarint(b, e.Index)
+	b = binary.AppendUvarint(b, e.Term)
+	b = binary.AppendUvarint(b, uint64(len(e.Data)))
+	return append(b, e.Data...)
+}
+
+func appendPairRecord(b []byte, kind byte, first, second uint64) []byte {
+	b = append(b, kind)
+	b = binary.AppendUvarint(b, first)
+	return binary.AppendUvarint(b, second)
+}
+
+// recordReader reads the records of one frame; err is set on the first fault.
+type recordReader struct {
+	rest []byte
+	err  error
+}
+
+func (r *recordReader) byte() byte {
+	if len(r.rest) == 0 {
+		r.err = errRecord
+		return 0
+	}
+	b := r.rest[0]
+	r.rest = r.rest[1:]
+	return b
+}
+
+func (r *recordReader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.rest)
+	if n <= 0 {
+		r.err = errRecord
+		return 0
+	}
+	r.rest = r.rest[n:]
+	return v
+}
+
+func (r *recordReader) bytes() []byte {
+	n := r.uvarint()
+	if n > uint64(len(r.rest)) {
+		r.err = errRecord
+		return nil
+	}
+	b := r.rest[:n:n]
+	r.rest = r.rest[n:]
+	return b
+}
+
+// replay rebuilds a replica's log from the records of its segments.
+type replay struct {
+	hard     hardState
+	base     uint64
+	baseTerm uint64
+	based    bool // the log starts at a base or a first entry
+	entries  []Entry
+}
+
+// frame takes in the records of one frame.
+func (p *replay) frame(payload []byte) error {
+	r := recordReader{rest: payload}
+	for len(r.rest) > 0 && r.err == nil {
+		if err := p.record(&r); err != nil {
+			return err
+		}
+	}
+	return r.err
+}
+
+func (p *replay) record(r *recordReader) error {
+	switch kind := r.byte(); kind {
+	case recordEntry:
+		e := Entry{Kind: EntryKind(r.byte()), Index: r.uvarint(), Term: r.uvarint(), Data: r.bytes()}
+		if r.err != nil {
+			return r.err
+		}
+		return p.entry(e)
+	case recordHardState:
+		p.hard = hardState{Term: r.uvarint(), Vote: ID(r.uvarint())}
+	case recordBase:
+		p.base, p.baseTerm = r.uvarint(), r.uvarint()
+		p.based = true
+		p.entries = nil
+	default:
+		return errors.Wrapf(errRecord, "kind %d", kind)
+	}
+	return r.err
+}
+
+// entry adds an entry; one at an index that is there already replaces it and all after.
+func (p *replay) entry(e Entry) error {
+	if e.Kind == EntryMembership {
+		if _, err := decodeMembers(e.Data); err != nil {
+			return err
+		}
+	}
+	if !p.based {
+		// The first entry kept after older segments were removed: its predecessor's
+		// term is unknown, so it serves as the base itself unless it is the very first.
+		p.based = true
+		if e.Index > 1 {
+			p.base, p.baseTerm = e.Index, e.Term
+			return nil
+		}
+	}
+	last := p.base + uint64(len(p.entries))
+	if e.Index > last+1 {
+		return errors.Wrapf(errRecord, "entry %d after %d", e.Index, last)
+	}
+	if e.Index <= p.base {
+		p.base, p.baseTerm = e.Index, e.Term
+		p.entries = nil
+		return nil
+	}
+	p.entries = append(p.entries[:e.Index-p.base-1], e)
+	return nil
+}
--- /dev/null
+++ b/replica/replication.go
@@ -0,0 +1,265 @@
+package replica
+
+const (
+	// maxAppendBytes bounds the entries of one append.
+	maxAppendBytes = 256 << 10
+	// snapshotChunkBytes is the size of one chunk of a streamed snapshot.
+	snapshotChunkBytes = 256 << 10
+	// maxSnapshotBytes bounds a snapshot that a follower takes in.
+	maxSnapshotBytes = 2 << 30
+	// maxUncommittedBytes bounds what a leader holds that no quorum has yet.
+	maxUncommittedBytes = 32 << 20
+	// MaxCommandBytes bounds one command.
+	MaxCommandBytes = 1 << 20
+	// chunkResendHeartbeats is after how many heartbeats an unanswered chunk goes again.
+	chunkResendHeartbeats = 3
+)
+
+// propose appends a command to a leader's log and returns its index.
+func (c *core) propose(command []byte) (uint64, error) {
+	switch {
+	case c.role != roleLeader:
+		return 0, c.notLeader()
+	case c.transferee != 0:
+		return 0, ErrNoQuorum
+	case c.uncommitted+len(command) > maxUncommittedBytes:
+		return 0, ErrBusy
+	}
+	return c.appendOwn(EntryCommand, command), nil
+}
+
+// notLeader returns the error that names the leader, if there is one.
+func (c *core) notLeader() error {
+	if c.leader == 0 {
+		return ErrNoQuorum
+	}
+	m, _ := c.current().find(c.leader)
+	return ErrNotLeader{Leader: c.leader, Addr: m.Addr}
+}
+
+// appendOwn appends an entry of the leader's own term. The host broadcasts it with
+// flush, so that what was proposed together travels together.
+func (c *core) appendOwn(kind EntryKind, data []byte) uint64 {
+	e := Entry{Index: c.log.last() + 1, Term: c.term, Kind: kind, Data: data}
+	c.log.append(e)
+	c.uncommitted += e.size()
+	c.noteMemberships([]Entry{e})
+	c.unsent = true
+	return e.Index
+}
+
+// flush sends a leader's new entries.
+func (c *core) flush() {
+	if c.role == roleLeader && c.unsent {
+		c.broadcastAppend()
+	}
+	c.unsent = false
+}
+
+func (c *core) broadcastAppend() {
+	for _, m := range c.current().members {
+		if m.ID != c.id {
+			c.sendAppend(m.ID)
+		}
+	}
+}
+
+// sendAppend sends what the follower lacks, as far as its window allows.
+func (c *core) sendAppend(to ID) {
+	p := c.progress[to]
+	for p != nil && !p.paused() {
+		prevTerm, ok := c.log.term(p.next - 1)
+		if !ok {
+			c.startSnapshot(to, p)
+			return
+		}
+		var entries []Entry
+		if c.isActive(to) { // one that is silent gets no more than a probe
+			entries = c.log.slice(p.next, maxAppendBytes)
+		}
+		c.send(Message{
+			Type:    MsgAppend,
+			To:      to,
+			Index:   p.next - 1,
+			LogTerm: prevTerm,
+			Entries: entries,
+			Commit:  c.log.committed,
+		})
+		p.sent(p.next-1+uint64(len(entries)), len(entries))
+		if len(entries) == 0 || p.next > c.log.last() {
+			return
+		}
+	}
+}
+
+// heardLeader takes in a sign of life from the leader of the current term.
+func (c *core) heardLeader(from ID) {
+	if c.role != roleFollower {
+		c.becomeFollower(c.term, from)
+	}
+	c.leader = from
+	c.electionElapsed = 0
+}
+
+func (c *core) handleAppend(m *Message) {
+	c.heardLeader(m.From)
+	reply := Message{Type: MsgAppendReply, To: m.From, Index: m.Index}
+	switch {
+	case m.Index < c.log.committed:
+		reply.Index = c.log.committed
+	case c.log.matches(m.Index, m.LogTerm):
+		reply.Index = c.acceptEntries(m)
+	default:
+		reply.Reject = true
+		reply.Hint, reply.HintTerm = c.log.hint(m.Index, m.LogTerm)
+	}
+	c.send(reply)
+}
+
+// acceptEntries merges entries that follow a matching one, and returns the last
+// index up to which the log is now known to agree with the leader's.
+func (c *core) acceptEntries(m *Message) uint64 {
+	if changed := c.log.merge(m.Entries); changed != 0 {
+		c.forgetMemberships(changed)
+		c.noteMemberships(m.Entries[changed-m.Index-1:])
+	}
+	agreed := m.Index + uint64(len(m.Entries))
+	c.log.commitTo(min(m.Commit, agreed))
+	return agreed
+}
+
+func (c *core) handleAppendReply(m *Message) {
+	p := c.progress[m.From]
+	if c.role != roleLeader || p == nil {
+		return
+	}
+	p.silence = 0
+	if m.Reject {
+		c.handleRejection(m, p)
+		return
+	}
+	moved := p.acked(m.Index)
+	switch {
+	case p.state == stateProbe && m.Index >= p.match:
+		p.become(stateReplicate)
+		p.next = p.match + 1
+	case p.state == stateSnapshot && p.match >= p.snapshot:
+		p.become(stateReplicate)
+		p.next = p.match + 1
+	}
+	if moved && c.maybeCommit() {
+		c.broadcastAppend()
+	} else if p.next <= c.log.last() {
+		c.sendAppend(m.From)
+	}
+	if m.From == c.transferee && c.role == roleLeader {
+		c.finishTransfer()
+	}
+}
+
+func (c *core) handleRejection(m *Message, p *progress) {
+	if p.state == stateSnapshot {
+		return
+	}
+	agree := m.Hint
+	if agree >= c.log.base {
+		agree, _ = c.log.hint(m.Hint, m.HintTerm)
+	}
+	if p.rejected(m.Index, agree) {
+		c.sendAppend(m.From)
+	}
+}
+
+// ackOwn counts what is on the leader's own disk.
+func (c *core) ackOwn() {
+	if c.progress[c.id].acked(c.log.stable) && c.maybeCommit() {
+		c.broadcastAppend()
+	}
+}
+
+// maybeCommit commits what a quorum holds. Only an entry of the leader's own term is
+// counted: one of an older term can be held by a quorum and still be overwritten.
+func (c *core) maybeCommit() bool {
+	index := c.quorumMatch()
+	if !c.log.matches(index, c.term) {
+		return false
+	}
+	before := c.log.committed
+	if !c.log.commitTo(index) {
+		return false
+	}
+	for _, e := range c.log.entries[before-c.log.base : index-c.log.base] {
+		c.uncommitted -= e.size()
+	}
+	c.uncommitted = max(c.uncommitted, 0)
+	c.reads.admitEarly()
+	c.startReadRound()
+	c.leaveIfRemoved()
+	return c.role == roleLeader
+}
+
+// committedInTerm says whether an entry of the leader's own term is committed; until
+// then it does not know how far the log of its predecessors was.
+func (c *core) committedInTerm() bool {
+	t, ok := c.log.term(c.log.committed)
+	return ok && t == c.term
+}
+
+// leaveIfRemoved makes a leader step down once its own removal is committed.
+func (c *core) leaveIfRemoved() {
+	now := c.current()
+	if now.isVoter(c.id) || now.index > c.log.committed {
+		return
+	}
+	c.broadcastAppend()
+	if to := c.bestFollower(); to != 0 {
+		c.send(Message{Type: MsgTimeoutNow, To: to})
+	}
+	c.becomeFollower(c.term, 0)
+}
+
+func (c *core) broadcastHeartbeat() {
+	for _, m := range c.current().members {
+		if m.ID == c.id {
+			continue
+		}
+		p := c.progress[m.ID]
+		// A follower may only commit what is known to agree with the leader's log.
+		c.send(Message{
+			Type:   MsgHeartbeat,
+			To:     m.ID,
+			Commit: min(p.match, c.log.committed),
+			Read:   c.reads.round,
+		})
+	}
+}
+
+func (c *core) handleHeartbeat(m *Message) {
+	c.heardLeader(m.From)
+	c.log.commitTo(m.Commit)
+	c.send(Message{Type: MsgHeartbeatReply, To: m.From, Read: m.Read})
+}
+
+func (c *core) handleHeartbeatReply(m *Message) {
+	p := c.progress[m.From]
+	if c.role != roleLeader || p == nil {
+		return
+	}
+	p.silence = 0
+	if p.next <= c.log.last() {
+		c.sendAppend(m.From)
+	}
+	p.readSeq = max(p.readSeq, m.Read)
+	c.finishReadRound()
+}
+
+// probeLost finds out appends that were lost: a follower that leaves them unanswered
+// is asked again from what it is known to hold.
+func (c *core) probeLost(to ID, p *progress) {
+	if p.state == stateSnapshot || !p.stalled() {
+		return
+	}
+	p.become(stateProbe)
+	p.next = p.match + 1
+	c.sendAppend(to)
+}
