--- a/engine/engine.go
+++ b/engine/engine.go
@@ -9,6 +9,7 @@
 //	GET    /v1/requests/{id}?offset=N              resumes a stream from an exact byte offset
 //	POST   /v1/kv/export                           KVExport; the exported cache stays in memory
 //	POST   /v1/kv/import                           KVImport
+//	GET    /v1/kv/{handle}                         the cache's content, for the engine that imports it
 //	DELETE /v1/kv/{handle}                         frees an exported or imported cache
 //	GET    /v1/kv                                  KVList, all that is held
 package engine
@@ -33,7 +34,8 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderPriority is an integer; lower runs first.
 	HeaderPriority = "X-Priority"
-	// HeaderOffset is the byte offset at which a resumed stream starts.
+	// HeaderOffset is the byte offset at which a resumed stream starts. On a new
+	// request it continues an answer that another engine began.
 	HeaderOffset = "X-Offset"
 )
 
--- /dev/null
+++ b/standin/engine_test.go
@@ -0,0 +1,255 @@
+package standin
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+)
+
+func itoa(n int) string    { return strconv.Itoa(n) }
+func utoa(n uint64) string { return strconv.FormatUint(n, 10) }
+
+// manualClock stands still until a test moves it. Its timers never fire: tests
+// call step themselves.
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time                       { return c.now }
+func (c *manualClock) After(time.Duration) <-chan time.Time { return nil }
+
+// stepped is an engine whose steps the test makes.
+type stepped struct {
+	*Engine
+	clock *manualClock
+}
+
+func stepEngine(t interface{ Cleanup(func()) }, change func(*EngineConfig)) *stepped {
+	cfg := DefaultEngineConfig()
+	cfg.KVTokens = 1000
+	cfg.CacheTokens = 300
+	cfg.PrefillRate = 100
+	cfg.DecodeRate = 10
+	cfg.BatchSlowdown = 0
+	cfg.PrefillInterference = 0
+	cfg.TokensPerByte = 1
+	if change != nil {
+		change(&cfg)
+	}
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	s := &stepped{Engine: NewEngine(cfg, clock), clock: clock}
+	s.Close() // ends the loop, so that only the test steps
+	s.closed = make(chan struct{})
+	t.Cleanup(s.client.CloseIdleConnections)
+	return s
+}
+
+func (s *stepped) advance(d time.Duration) {
+	s.clock.now = s.clock.now.Add(d)
+	s.step(s.clock.now)
+}
+
+// add takes in a prompt of some bytes that no other prompt shares a prefix with.
+func (s *stepped) add(bytes, output, priority int) *request {
+	prompt := strings.Repeat(string(rune('a'+s.nextSeq%26)), bytes)
+	r := newRequest(&engine.Completion{Prompt: prompt, MaxTokens: output, Stream: true}, &s.cfg)
+	r.priority = priority
+	r.id = utoa(s.nextSeq)
+	s.admit(r)
+	return r
+}
+
+func TestPromptsShareTheBatchByPriority(t *testing.T) {
+	is := is.New(t)
+	e := stepEngine(t, nil)
+	long, short, urgent := e.add(400, 1, 1), e.add(20, 1, 1), e.add(40, 1, 0)
+	e.advance(time.Second) // 100 tokens: 40 for the urgent one, 20 and 40 for the others
+	is.Equal(urgent.phase, finished)
+	is.Equal(short.phase, finished)
+	is.Equal(long.prefillLeft, 360.0)
+}
+
+func TestWaitingRequestsStartByPriority(t *testing.T) {
+	is := is.New(t)
+	e := stepEngine(t, func(c *EngineConfig) { c.MaxBatch = 1 })
+	first := e.add(150, 1, 5)
+	e.advance(time.Millisecond)
+	late, urgent := e.add(10, 1, 5), e.add(10, 1, 0)
+	e.advance(time.Second)
+	is.Equal(first.phase, prefilling) // a running request keeps its place
+	e.advance(time.Second)
+	e.advance(time.Second)
+	is.Equal(urgent.phase, finished)
+	is.Equal(late.phase, waiting)
+}
+
+func TestCachedPrefixIsNotProcessedAgain(t *testing.T) {
+	is := is.New(t)
+	e := stepEngine(t, nil)
+	prompt := strings.Repeat("z", 200)
+	for i, want := range []phase{prefilling, finished} {
+		r := newRequest(&engine.Completion{Prompt: prompt, MaxTokens: 1}, &e.cfg)
+		e.admit(r)
+		e.advance(time.Second)
+		is.Equal(r.phase, want) // the second of the two hits the cache
+		e.advance(2 * time.Second)
+		is.Equal(int(e.cache.tokens), 200)
+		is.Equal(len(e.events.log), i+1)
+	}
+}
+
+func TestEngineFallsOver(t *testing.T) {
+	cold := func(c *EngineConfig) {
+		c.ColdStart = ColdStart{Duration: settings.Duration(10 * time.Second), Capacity: 0.1}
+	}
+	cases := []struct {
+		name   string
+		change func(*EngineConfig)
+		act    func(*stepped)
+		falls  bool
+	}{
+		{"full memory", nil, func(e *stepped) { e.add(1000, 1, 0) }, false},
+		{"prompts outgrow memory", nil, func(e *stepped) { e.add(600, 1, 0); e.add(401, 1, 0) }, true},
+		{"output outgrows memory", nil, func(e *stepped) {
+			e.add(100, 950, 0)
+			for range 95 {
+				e.advance(time.Second)
+			}
+		}, true},
+		{"memory shrinks below what is held", nil, func(e *stepped) { e.add(500, 1, 0); e.Shrink(499) }, true},
+		{"memory shrinks to what is held", nil, func(e *stepped) { e.add(500, 1, 0); e.Shrink(500) }, false},
+		{"cold, little work", cold, func(e *stepped) { e.add(100, 1, 0) }, false},
+		{"cold, full load", cold, func(e *stepped) { e.add(900, 1, 0) }, true},
+		{"warmed up, full load", cold, func(e *stepped) { e.advance(10 * time.Second); e.add(900, 1, 0) }, false},
+		{"cold again under load", cold, func(e *stepped) { e.advance(10 * time.Second); e.add(900, 1, 0); e.TurnCold() }, true},
+		{"crash", nil, func(e *stepped) { e.Crash() }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := stepEngine(t, c.change)
+			boot := e.Boot()
+			c.act(e)
+			is.Equal(e.Boot() > boot, c.falls)
+			is.Equal(len(e.requests) == 0, c.falls) // a fall breaks all requests, and nothing else does
+		})
+	}
+}
+
+func TestFaultsOfSpeed(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(*stepped)
+		left  float64
+	}{
+		{"none", func(*stepped) {}, 300},
+		{"slow", func(e *stepped) { e.Slow(4) }, 375},
+		{"stall", func(e *stepped) { e.Stall(true) }, 400},
+		{"stall ended", func(e *stepped) { e.Stall(true); e.Stall(false) }, 300},
+		{"freeze", func(e *stepped) { e.Freeze() }, 400},
+		{"thaw", func(e *stepped) { e.Freeze(); e.Thaw() }, 300},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := stepEngine(t, nil)
+			r := e.add(400, 1, 0)
+			c.fault(e)
+			e.advance(time.Second)
+			is.New(t).Equal(r.prefillLeft, c.left)
+		})
+	}
+}
+
+func TestReportsAndEventsAreLate(t *testing.T) {
+	is := is.New(t)
+	e := stepEngine(t, nil)
+	e.LagReports(2 * time.Second)
+	e.add(50, 20, 0)
+	for range 2 {
+		is.Equal(e.reports.publish(e.clock.now, e.faults.lag).FreeTokens, int64(1000))
+		is.Equal(len(e.events.after(e.clock.now, e.faults.eventLag, 0).Events), 0)
+		e.advance(time.Second)
+	}
+	e.advance(time.Second)
+	is.True(e.reports.publish(e.clock.now, e.faults.lag).FreeTokens < 1000)
+	is.Equal(len(e.events.after(e.clock.now, e.faults.eventLag, 0).Events), 1)
+}
+
+func TestEventGaps(t *testing.T) {
+	is := is.New(t)
+	var l events
+	for range 1000 {
+		l.add(time.Time{}, 0.25, engine.CacheEvent{})
+	}
+	is.True(len(l.log) > 700 && len(l.log) < 800)
+	is.Equal(l.next, uint64(1000)) // the numbers show the gaps
+}
+
+func TestStreamThatItsReaderLeftIsReleased(t *testing.T) {
+	is := is.New(t)
+	e := stepEngine(t, func(c *EngineConfig) { c.DecodeRate = 0.1 })
+	r := e.add(50, 20, 0)
+	d := &delivery{engine: e.Engine, req: r}
+	e.attach(d)
+	e.detach(d)
+	e.advance(4 * time.Second)
+	is.True(e.FreeTokens() < 1000) // kept, so that it can be resumed
+	e.advance(time.Second)
+	is.Equal(e.FreeTokens(), int64(1000))
+	is.Equal(len(e.requests), 0)
+}
+
+// TestMemoryReturns makes random engines busy and checks that all memory is
+// free once nothing runs.
+func TestMemoryReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := stepEngine(t, nil)
+		actions := map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				e.add(rapid.IntRange(1, 300).Draw(t, "bytes"), rapid.IntRange(1, 50).Draw(t, "output"), 0)
+			},
+			"step": func(t *rapid.T) {
+				e.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"cancel": func(*rapid.T) {
+				for _, r := range e.requests {
+					e.end(r, broken)
+					e.forget(r)
+					return
+				}
+			},
+			"export": func(*rapid.T) {
+				for _, el := range e.cache.byHash {
+					_, _ = e.hold(el.Value.(*cached))
+					return
+				}
+			},
+			"crash": func(*rapid.T) { e.Crash() },
+			"": func(t *rapid.T) {
+				var held int64
+				for _, r := range e.requests {
+					held += r.held()
+				}
+				if held != e.held || e.held+e.exported > e.total {
+					t.Fatalf("held %d, counted %d, exported %d of %d", held, e.held, e.exported, e.total)
+				}
+			},
+		}
+		t.Repeat(actions)
+		for range 200 {
+			e.advance(time.Second)
+		}
+		for handle, entry := range e.handles {
+			delete(e.handles, handle)
+			e.exported -= entry.tokens
+		}
+		if e.FreeTokens() != e.cfg.KVTokens {
+			t.Fatalf("free %d of %d", e.FreeTokens(), e.cfg.KVTokens)
+		}
+	})
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,235 @@
+package standin
+
+import (
+	"cmp"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+)
+
+const (
+	// PathExecutions lists what a worker has executed.
+	PathExecutions = "/executions"
+	// HeaderIdempotencyKey names a call that may run only once.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// resultTokens is the length of a call's result, in words.
+	resultTokens = 8
+)
+
+// WorkerConfig is the settings of a stand-in application worker.
+type WorkerConfig struct {
+	// Listen is the worker's address when it runs as a plug-in.
+	Listen settings.Addr `json:"listen,omitempty"`
+	// Name tells workers apart in logs and answers.
+	Name string `json:"name,omitempty"`
+	// Duration is how long a call takes.
+	Duration settings.Duration `json:"duration"`
+	// RestartDelay is for how long a fallen worker answers nothing.
+	RestartDelay settings.Duration `json:"restart_delay"`
+}
+
+// DefaultWorkerConfig returns the settings of a quick worker.
+func DefaultWorkerConfig() WorkerConfig {
+	return WorkerConfig{
+		Duration:     settings.Duration(5 * time.Millisecond),
+		RestartDelay: settings.Duration(100 * time.Millisecond),
+	}
+}
+
+// Execution counts how often a worker ran the call with one key.
+type Execution struct {
+	Key   string `json:"key"`
+	Count int    `json:"count"`
+}
+
+// Executions is the body of PathExecutions.
+type Executions struct {
+	Executions []Execution `json:"executions"`
+}
+
+// Result is the body of a call's answer.
+type Result struct {
+	Worker string `json:"worker"`
+	Key    string `json:"key,omitempty"`
+	// Execution is 1 for the first run of the key on this worker.
+	Execution int `json:"execution,omitempty"`
+	// Result is ExpectedResult of the call.
+	Result string `json:"result"`
+}
+
+// WorkerFault is what goes wrong with a worker's calls.
+type WorkerFault int
+
+// The faults of a worker.
+const (
+	// CrashBefore makes the worker fall before it executes a call.
+	CrashBefore WorkerFault = iota + 1
+	// CrashAfter makes the worker fall after it executed a call, with no answer.
+	CrashAfter
+	// LoseAnswer executes a call and never answers.
+	LoseAnswer
+)
+
+// Worker is a stand-in of an application worker, a plain HTTP service. Calls
+// with HeaderIdempotencyKey are executed on each arrival and counted by key; all
+// other calls are lookups.
+type Worker struct {
+	cfg    WorkerConfig
+	clock  kernel.Clock
+	closed chan struct{}
+	once   sync.Once
+
+	mu       sync.Mutex
+	runs     map[string]int
+	pending  []WorkerFault
+	slow     time.Duration
+	downTill time.Time
+}
+
+// NewWorker returns a worker that lives until Close.
+func NewWorker(cfg WorkerConfig, clock kernel.Clock) *Worker {
+	return &Worker{cfg: cfg, clock: clock, closed: make(chan struct{}), runs: map[string]int{}}
+}
+
+// Close ends calls that would never be answered.
+func (k *Worker) Close() { k.once.Do(func() { close(k.closed) }) }
+
+// Fail makes the next n calls with a key go wrong.
+func (k *Worker) Fail(fault WorkerFault, n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for range n {
+		k.pending = append(k.pending, fault)
+	}
+}
+
+// Slow adds extra to the time that each call takes.
+func (k *Worker) Slow(extra time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.slow = extra
+}
+
+// Executions returns how often each key was executed, sorted by key. The list
+// outlives crashes of the worker.
+func (k *Worker) Executions() []Execution {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := make([]Execution, 0, len(k.runs))
+	for key, n := range k.runs {
+		list = append(list, Execution{Key: key, Count: n})
+	}
+	slices.SortFunc(list, func(a, b Execution) int { return cmp.Compare(a.Key, b.Key) })
+	return list
+}
+
+// ExpectedResult returns the result of a call.
+func ExpectedResult(method, path, body string) string {
+	return ExpectedText(PromptDigest(method+" "+path+"\n"+body), resultTokens)
+}
+
+// Handler returns the worker's HTTP interface: any path is a call.
+func (k *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathExecutions, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, Executions{Executions: k.Executions()})
+	})
+	mux.HandleFunc("/", k.serveCall)
+	return mux
+}
+
+func (k *Worker) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		fail := failure{http.StatusBadRequest, "bad_request", err.Error()}
+		fail.write(w)
+		return
+	}
+	k.abortIfDown()
+	key := r.Header.Get(HeaderIdempotencyKey)
+	fault := k.nextFault(key)
+	if fault == CrashBefore {
+		k.fall()
+	}
+	if !k.work(r) {
+		return
+	}
+	result := Result{Worker: k.cfg.Name, Key: key, Result: ExpectedResult(r.Method, r.URL.Path, string(body))}
+	result.Execution = k.execute(key)
+	switch fault {
+	case CrashAfter:
+		k.fall()
+	case LoseAnswer:
+		k.hang(r)
+	}
+	writeJSON(w, http.StatusOK, result)
+}
+
+func (k *Worker) nextFault(key string) WorkerFault {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if key == "" || len(k.pending) == 0 {
+		return 0
+	}
+	fault := k.pending[0]
+	k.pending = k.pending[1:]
+	return fault
+}
+
+// work takes the time of a call. It reports false when the caller left.
+func (k *Worker) work(r *http.Request) bool {
+	k.mu.Lock()
+	d := k.cfg.Duration.Std() + k.slow
+	k.mu.Unlock()
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-k.clock.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// execute counts one run of key and returns the count. Lookups count nothing.
+func (k *Worker) execute(key string) int {
+	if key == "" {
+		return 0
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.runs[key]++
+	return k.runs[key]
+}
+
+// fall breaks the connection and refuses others until the worker is back.
+func (k *Worker) fall() {
+	k.mu.Lock()
+	k.downTill = k.clock.Now().Add(k.cfg.RestartDelay.Std())
+	k.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
+func (k *Worker) abortIfDown() {
+	k.mu.Lock()
+	down := k.clock.Now().Before(k.downTill)
+	k.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// hang keeps the caller waiting until it leaves.
+func (k *Worker) hang(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-k.closed:
+	}
+	panic(http.ErrAbortHandler)
+}
