--- a/control/control_test.go
+++ b/control/control_test.go
@@ -82,7 +82,7 @@
 	is.NoErr(err)
 	id, err := wire.LoadIdentity(files)
 	is.NoErr(err)
-	pool, err := wire.NewPool(id, 0, &wire.Traffic{})
+	pool, err := wire.NewPool(id, wire.PoolOptions{}, &wire.Traffic{})
 	is.NoErr(err)
 	d.t.Cleanup(pool.Close)
 	o := session.Options{
--- /dev/null
+++ b/dev/dev_test.go
@@ -0,0 +1,89 @@
+package dev
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// until asks again until ok holds or the test's patience ends.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			t.Fatalf("never: %s", what)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func ask(entry, path, body string, header map[string]string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+SmallKey)
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	return http.DefaultClient.Do(req)
+}
+
+func completion(entry string, stream bool) (*http.Response, error) {
+	body := fmt.Sprintf(`{"model":%q,"prompt":"Summarise the letter of 1911.","max_tokens":24,"stream":%v}`, SmallRoute, stream)
+	return ask(entry, "/v1/completions", body, nil)
+}
+
+func start(t *testing.T, p *Plan) *Deployment {
+	t.Helper()
+	p.LogLevel = "warn"
+	d, err := Start(p, hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: os.Stderr}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Stop)
+	for _, entry := range d.Files.Entries {
+		until(t, "entry serves", func() bool {
+			res, err := completion(entry, false)
+			if err != nil {
+				return false
+			}
+			defer func() { _ = res.Body.Close() }()
+			return res.StatusCode == http.StatusOK
+		})
+	}
+	return d
+}
+
+func TestWholePathStreamedAndWhole(t *testing.T) {
+	is := is.New(t)
+	p := Small(t.TempDir())
+	p.Replicas = 1
+	d := start(t, p)
+	for _, entry := range d.Files.Entries {
+		res, err := completion(entry, true)
+		is.NoErr(err)
+		is.Equal(res.StatusCode, http.StatusOK)
+		is.True(strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream"))
+		last := ""
+		for lines := bufio.NewScanner(res.Body); lines.Scan(); {
+			if lines.Text() != "" {
+				last = lines.Text()
+			}
+		}
+		is.Equal(last, "data: [DONE]")
+		is.NoErr(res.Body.Close())
+	}
+}
--- /dev/null
+++ b/dev/plan.go
@@ -0,0 +1,79 @@
+package dev
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+)
+
+// Names of the small deployment that Small describes.
+const (
+	// SmallModel is its model and SmallRoute the route that leads there.
+	SmallModel = "scribe-models"
+	SmallRoute = "scribe"
+	// SmallService is its plain service and SmallServiceRoute the route.
+	SmallService      = "capsule-desk"
+	SmallServiceRoute = "desk"
+	// SmallAccount is its client account and SmallKey the account's key, which is
+	// for demonstration only.
+	SmallAccount = "notaries"
+	SmallKey     = "demo-notaries"
+)
+
+// SmallZones are the availability zones of the small deployment.
+var SmallZones = []string{"kerlouan-hall", "lesneven-annex", "plouguerneau-vault"}
+
+// Small returns a small deployment in the likeness of Kerlouan's: one engine in
+// each availability zone, and one application worker.
+func Small(dir string) *Plan {
+	p := &Plan{
+		Dir:       dir,
+		Region:    "leon-coast",
+		Zones:     SmallZones,
+		Replicas:  3,
+		Entries:   2,
+		Bootstrap: smallDocument(),
+		LogLevel:  "info",
+	}
+	for i, zone := range p.Zones {
+		p.Endpoints = append(p.Endpoints, Endpoint{
+			Name:   fmt.Sprintf("scribe-%d", i+1),
+			Zone:   zone,
+			Target: SmallModel,
+			Engine: map[string]any{"model": SmallModel, "decode_tokens_per_second": 200, "kv_tokens": 1_200_000},
+		})
+	}
+	p.Endpoints = append(p.Endpoints, Endpoint{
+		Name:   "desk-1",
+		Zone:   p.Zones[0],
+		Target: SmallService,
+		Worker: map[string]any{},
+	})
+	return p
+}
+
+// HashKey returns the digest under which the configuration keeps a key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func smallDocument() *config.Document {
+	d := config.NewDocument()
+	for _, z := range SmallZones {
+		d.Zones[z] = config.Zone{Name: z, Region: "leon-coast", State: config.In}
+	}
+	d.Models[SmallModel] = config.Model{Name: SmallModel, Versions: []string{"1"}}
+	d.Routes[SmallRoute] = config.Route{
+		Name: SmallRoute, Kind: config.ModelRoute, Target: SmallModel, Deadline: time.Minute, MaxOutputTokens: 256,
+	}
+	d.Routes[SmallServiceRoute] = config.Route{
+		Name: SmallServiceRoute, Kind: config.ServiceRoute, Target: SmallService, Deadline: 10 * time.Second,
+		NonIdempotent: []config.Call{{Method: "POST", Path: "/seal"}, {Method: "POST", Path: "/release"}},
+	}
+	d.Accounts[SmallAccount] = config.Account{Name: SmallAccount, KeyHashes: []string{HashKey(SmallKey)}}
+	return d
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -29,6 +29,9 @@
 	HeaderRequestID = "X-Request-Id"
 )
 
+// modelRoomBytes is the room for a model's name that is longer than its route's.
+const modelRoomBytes = 128
+
 // call is one request on its way.
 type call struct {
 	id       [16]byte
@@ -116,7 +119,8 @@
 			return heldFull()
 		}
 		body.taken = r.ContentLength
-		body.data = make([]byte, 0, r.ContentLength)
+		// The room beyond the body is for a longer name of the model.
+		body.data = make([]byte, 0, r.ContentLength+modelRoomBytes)
 	}
 	_, err := io.Copy(body, r.Body)
 	var large *http.MaxBytesError
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,10 +40,38 @@
 	return nil
 }
 
+// place is a JSON string and where it stands in the body that it was decoded from.
+type place struct {
+	value string
+	raw   []byte
+}
+
+// UnmarshalJSON keeps b, which is a part of the body.
+func (p *place) UnmarshalJSON(b []byte) error {
+	p.raw = b
+	return json.Unmarshal(b, &p.value)
+}
+
+// replace returns body with the string replaced. encoding/json hands out parts of
+// the body itself, so that their capacities tell where they stand; where that
+// does not hold, body is left as it is and ok is false.
+func (p *place) replace(body []byte, value string) (replaced []byte, ok bool) {
+	at := cap(body) - cap(p.raw)
+	end := at + len(p.raw)
+	if at < 0 || end > len(body) || !bytes.Equal(body[at:end], p.raw) {
+		return body, false
+	}
+	quoted, err := json.Marshal(value)
+	if err != nil {
+		return body, false
+	}
+	return slices.Replace(body, at, end, quoted...), true
+}
+
 // prompt is the part of a request's body that routing needs. The prompt itself
 // stays where it is in the body.
 type prompt struct {
-	Model     string `json:"model"`
+	Model     *place `json:"model"`
 	Prompt    *span  `json:"prompt"`
 	Messages  *span  `json:"messages"`
 	MaxTokens *int   `json:"max_tokens"`
@@ -59,14 +89,14 @@
 		text = p.Messages
 	}
 	switch {
-	case p.Model == "":
+	case p.Model == nil || p.Model.value == "":
 		return verdict.Refuse(verdict.ReasonBadRequest, 0, "the body names no model")
 	case text == nil:
 		return verdict.Refuse(verdict.ReasonBadRequest, 0, "the body has neither prompt nor messages")
 	case p.MaxTokens != nil && *p.MaxTokens <= 0:
 		return verdict.Refuse(verdict.ReasonBadRequest, 0, "max_tokens has to be above 0")
 	}
-	if err := authorize(e.control.Config(), c, p.Model); err != nil {
+	if err := authorize(e.control.Config(), c, p.Model.value); err != nil {
 		return err
 	}
 	if c.route.Kind != config.ModelRoute {
@@ -75,6 +105,12 @@
 	if err := c.setDeadline(); err != nil {
 		return err
 	}
+	// Callers name a route; the engine wants the name of its model.
+	body, ok := p.Model.replace(c.body, c.route.Target)
+	if !ok {
+		return verdict.Refuse(verdict.ReasonInternal, 0, "the model's name could not be set")
+	}
+	c.body = body
 	c.want = route.Request{
 		Target:       c.route.Target,
 		PromptTokens: text.bytes/bytesPerToken + 1,
--- a/entry/perform.go
+++ b/entry/perform.go
@@ -71,7 +71,7 @@
 	case verdict.ReasonUnreachable, verdict.ReasonEndpointLost, verdict.ReasonEndpointMemory,
 		verdict.ReasonEndpointCold, verdict.ReasonEndpointLeaving, verdict.ReasonIncarnation,
 		verdict.ReasonZoneOut, verdict.ReasonStale, verdict.ReasonNoEndpoint,
-		verdict.ReasonStreamBroken, verdict.ReasonStopping:
+		verdict.ReasonStreamBroken, verdict.ReasonStopping, verdict.ReasonEngineError:
 		return true
 	}
 	return false
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -78,6 +78,9 @@
 		return s.callFailed(d, err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if !s.Service && res.StatusCode >= http.StatusInternalServerError {
+		return verdict.Uncertain(verdict.ReasonEngineError, retryElsewhere, "the engine of %s answered %d", s.node.Name, res.StatusCode)
+	}
 	if err := st.Send(head(d.Attempt, res)); err != nil {
 		s.abandon(d)
 		return verdict.Uncertain(verdict.ReasonStreamBroken, 0, "the entry is gone")
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	return s.connect()
+	return s.connect(h)
 }
 
 // newIncarnation returns a number that grows with each start.
