--- a/control/barrier.go
+++ b/control/barrier.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/state"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
 const (
@@ -52,6 +55,7 @@
 	if len(beats) == 0 {
 		return
 	}
+	before := s.node.Status()
 	bounded, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
 	if err := s.node.Barrier(bounded); err != nil {
@@ -59,5 +63,35 @@
 		s.barriers.notify()
 		return
 	}
+	beats = s.current(beats)
 	s.table.covered(beats)
+	// Only a leader lends, and the barrier has shown that nobody else led in this
+	// term's place when the demands came in.
+	if after := s.node.Status(); after.Leader == after.ID && after.Term == before.Term && before.Leader == before.ID {
+		s.lend(after.Term, beats)
+	}
+}
+
+// current leaves out the sidecars whose incarnation was replaced by one that has
+// read its fencing number: they get no permission after that.
+func (s *Server) current(beats []waiting) []waiting {
+	kept := beats[:0]
+	var replaced []*peerSession
+	s.store.read(func(m *state.Machine) {
+		for _, w := range beats {
+			if w.session != nil && w.session.replacedIn(m) {
+				replaced = append(replaced, w.session)
+				continue
+			}
+			kept = append(kept, w)
+		}
+	})
+	for _, ses := range replaced {
+		ses.stream.Abort()
+	}
+	return kept
+}
+
+func (s *peerSession) replacedIn(m *state.Machine) bool {
+	return s.role == wire.RoleSidecar && s.hello.Endpoint.Incarnation < m.Incarnation(s.hello.Endpoint.Name)
 }
--- a/control/commands.go
+++ b/control/commands.go
@@ -9,13 +9,14 @@
 
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/control/state"
+	"github.com/rosemaryproxy/rosemaryproxy/replica"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
 const (
 	// commandTimeout bounds the work on one command.
-	commandTimeout = 3 * time.Second
+	commandTimeout = 2 * time.Second
 	// electionRetry is when it makes sense to ask again while there is no leader.
 	electionRetry = time.Second
 )
@@ -130,10 +131,18 @@
 	return answer
 }
 
-// proposeRefusal says of a failed proposal that it may still take effect: only a
-// resend with the same identifier can tell.
+// proposeRefusal says whether a proposal that failed may still take effect: then
+// only a resend with the same identifier can tell.
 func proposeRefusal(err error) *verdict.Refusal {
-	return verdict.Uncertain(verdict.ReasonNoQuorum, electionRetry, "the command may still take effect: %v", err)
+	switch {
+	case errors.Is(err, replica.ErrUncertain):
+		return verdict.Uncertain(verdict.ReasonNoQuorum, electionRetry, "the command may still take effect: %v", err)
+	case errors.Is(err, replica.ErrTooLarge):
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err)
+	case errors.Is(err, replica.ErrBusy):
+		return verdict.Refuse(verdict.ReasonOverloaded, electionRetry, "%v", err)
+	}
+	return verdict.Refuse(verdict.ReasonNoQuorum, electionRetry, "%v", err)
 }
 
 // readCommand answers a linearizable read.
@@ -178,7 +187,13 @@
 		return refused(verdict.Refuse(verdict.ReasonBadRequest, 0,
 			"revision %d is not accepted yet; the newest is %d", f.Revision, revision))
 	}
-	return accepted(command.Lagging{Processes: s.table.lagging(s.clock.Now(), f.Revision, s.span)})
+	now := s.clock.Now()
+	// A heartbeat that came in after the acceptance was echoed together with the
+	// revision, and the permissions of earlier ones have lapsed after a span.
+	if s.store.acceptedFor(now, f.Revision) >= s.span {
+		return accepted(command.Lagging{})
+	}
+	return accepted(command.Lagging{Processes: s.table.lagging(now, f.Revision, s.span, s.otherReplicas())})
 }
 
 func accepted(body any) *wire.Answer {
--- a/control/control.go
+++ b/control/control.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"os"
 	"strconv"
 	"time"
@@ -13,20 +14,24 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/replica"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
-const (
-	defaultLease = 3 * time.Second
-	defaultGrace = 5 * time.Second
-)
+// defaultGrace leaves a sidecar the time to notice that its replica is lost and
+// to open a session with another.
+const defaultGrace = 8 * time.Second
 
 func init() {
 	kernel.Register(kernel.PluginInfo{ID: "control", New: func() any {
-		return &Plugin{Lease: settings.Duration(defaultLease), Grace: settings.Duration(defaultGrace)}
+		return &Plugin{
+			Lease: settings.Duration(session.DefaultLease),
+			Grace: settings.Duration(defaultGrace),
+			Tick:  settings.Duration(replica.DefaultTickInterval),
+		}
 	}})
 }
 
@@ -35,11 +40,14 @@
 	// Listen is the address for sessions, commands and the other replicas.
 	Listen settings.Addr `json:"listen" validate:"required"`
 	// Data is the folder of the replica's files.
-	Data string `json:"data"`
-	// ID is this replica's number in Replicas. A new disk gets a new number.
-	ID uint64 `json:"id" validate:"min=1"`
-	// Replicas are the addresses of all replicas by number.
-	Replicas map[string]settings.Addr `json:"replicas" validate:"required,min=1"`
+	Data string `json:"data" validate:"required"`
+	// ID is this replica's number in Replicas while the group forms. Zero is for a
+	// replica that joins later: its disk gets a number of its own, and an operator
+	// adds it.
+	ID uint64 `json:"id"`
+	// Replicas are the addresses of the replicas that the group starts with, by
+	// number. The group keeps later changes itself.
+	Replicas map[string]settings.Addr `json:"replicas" validate:"required_with=ID"`
 	// Bootstrap is a JSON file with the first configuration; it counts only while
 	// there is none.
 	Bootstrap string `json:"bootstrap,omitempty"`
@@ -47,8 +55,13 @@
 	Lease settings.Duration `json:"lease"`
 	// Grace is the silence after which an endpoint is dropped from the list.
 	Grace settings.Duration `json:"grace"`
+	// Tick is the unit of time of elections: a leader is missed after ten.
+	Tick settings.Duration `json:"tick"`
 
 	server   *Server
+	replica  *replica.Replica
+	disk     *replica.OSDisk
+	dialer   *session.Dialer
 	listener *wire.Server
 	cancel   context.CancelFunc
 }
@@ -72,22 +85,56 @@
 	if err != nil {
 		return err
 	}
+	p.server = p.newServer(h, id, bootstrap, maps.Clone(replicas))
+	if err := p.openReplica(h, replicas); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.listener, err = wire.Listen(string(p.Listen), id, &wire.Traffic{}, func(stream wire.Stream) { p.server.handle(ctx, stream) })
+	if err != nil {
+		_ = p.disk.Close()
+	}
+	return err
+}
+
+func (p *Plugin) newServer(h *kernel.Host, id *wire.Identity, bootstrap *config.Document, addrs map[replica.ID]string) *Server {
+	p.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
 	s := &Server{
 		barriers:  newBarriers(),
 		clock:     h.Clock,
 		log:       h.Log,
-		replicas:  replicas,
 		span:      p.Lease.Std(),
 		bootstrap: bootstrap,
 		table:     newTable(h.Clock.Now(), p.Grace.Std()),
+		lender:    &lender{valid: p.Lease.Std()},
+		transport: newTransport(p.dialer, h.Clock, h.Log, addrs),
 	}
-	s.store = newStore(s.table.notifyAll)
-	s.node = newSingleNode(replica.ID(p.ID), s.store)
-	p.server = s
-	ctx, cancel := context.WithCancel(context.Background())
-	p.cancel = cancel
-	p.listener, err = wire.Listen(string(p.Listen), id, &wire.Traffic{}, func(stream wire.Stream) { s.handle(ctx, stream) })
-	return err
+	s.store = newStore(h.Clock, s.table.notifyAll)
+	return s
+}
+
+func (p *Plugin) openReplica(h *kernel.Host, replicas map[replica.ID]string) error {
+	disk, err := replica.OpenOSDisk(p.Data)
+	if err != nil {
+		return err
+	}
+	p.disk = disk
+	p.replica, err = replica.Open(replica.Options{
+		ID:           replica.ID(p.ID),
+		Bootstrap:    replicas,
+		Disk:         disk,
+		StateMachine: p.server.store,
+		Transport:    p.server.transport,
+		TickInterval: p.Tick.Std(),
+		Log:          h.Log.Named("replica"),
+	})
+	if err != nil {
+		_ = disk.Close()
+		return err
+	}
+	p.server.node, p.server.members = p.replica, p.replica.Members
+	return nil
 }
 
 func (p *Plugin) replicaAddrs() (map[replica.ID]string, error) {
@@ -99,7 +146,7 @@
 		}
 		out[replica.ID(id)] = string(addr)
 	}
-	if _, ok := out[replica.ID(p.ID)]; !ok {
+	if _, ok := out[replica.ID(p.ID)]; !ok && p.ID != 0 {
 		return nil, errors.Errorf("replicas: the own number %d is missing", p.ID)
 	}
 	return out, nil
@@ -127,12 +174,36 @@
 // Addr is the address that the daemon listens on.
 func (p *Plugin) Addr() string { return p.listener.Addr() }
 
-// Run implements kernel.Runner.
+// Run implements kernel.Runner. A replica that stops on a fault of its disk ends
+// the process.
 func (p *Plugin) Run(ctx context.Context) error {
-	defer p.cancel()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer p.close()
 	// The streams have to end for Serve to return.
 	defer context.AfterFunc(ctx, p.cancel)()
-	go p.server.runBarriers(ctx)
-	go p.server.runSweeps(ctx)
-	return p.listener.Serve(ctx)
+	s := p.server
+	s.transport.open(ctx, p.replica.Status().ID)
+	fault := make(chan error, 1)
+	s.running.Go(func() {
+		defer stop()
+		fault <- p.replica.Run(ctx)
+	})
+	s.running.Go(func() { s.runBarriers(ctx) })
+	s.running.Go(func() { s.runSweeps(ctx) })
+	s.running.Go(func() { s.runReports(ctx) })
+	err := p.listener.Serve(ctx)
+	stop()
+	if replicaErr := <-fault; replicaErr != nil {
+		return replicaErr
+	}
+	return err
+}
+
+func (p *Plugin) close() {
+	p.cancel()
+	p.server.running.Wait()
+	p.server.transport.wait()
+	p.dialer.Close()
+	_ = p.disk.Close()
 }
--- /dev/null
+++ b/control/deploy_test.go
@@ -0,0 +1,224 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// patience bounds every wait of the tests; it is far above what they need.
+const patience = 30 * time.Second
+
+const bootstrapJSON = `{
+  "zones": {"hall": {"name": "hall", "region": "leon-coast", "state": "in"},
+            "annex": {"name": "annex", "region": "leon-coast", "state": "in"}},
+  "models": {"scribe": {"name": "scribe"}},
+  "routes": {"read": {"name": "read", "kind": "model", "target": "scribe"}},
+  "accounts": {"parish": {"name": "parish", "limits": {"concurrent": 4}}}
+}`
+
+// deployment is a group of replicas and the authority of its processes.
+type deployment struct {
+	t         testing.TB
+	ca        *wire.Authority
+	dir       string
+	bootstrap string
+	addrs     []string
+	stops     map[int]func()
+	// extra are further settings of every replica, as JSON fields.
+	extra string
+}
+
+// deploy starts a group of size replicas. extra are further JSON settings.
+func deploy(t testing.TB, size int, extra string) *deployment {
+	t.Helper()
+	is := is.New(t)
+	dir := t.TempDir()
+	ca, err := wire.NewAuthority(dir)
+	is.NoErr(err)
+	d := &deployment{
+		t: t, ca: ca, dir: dir, bootstrap: filepath.Join(dir, "bootstrap.json"),
+		stops: map[int]func(){}, extra: extra,
+	}
+	is.NoErr(os.WriteFile(d.bootstrap, []byte(bootstrapJSON), 0o600))
+	for range size {
+		d.addrs = append(d.addrs, freeAddr(t))
+	}
+	for i := range size {
+		d.start(i)
+	}
+	return d
+}
+
+// freeAddr returns a loopback address that was free a moment ago.
+func freeAddr(t testing.TB) string {
+	packet, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = packet.Close() }()
+	return packet.LocalAddr().String()
+}
+
+func (d *deployment) settings(i int) string {
+	replicas := map[string]string{}
+	for j, addr := range d.addrs {
+		replicas[strconv.Itoa(j+1)] = addr
+	}
+	list, err := json.Marshal(replicas)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return fmt.Sprintf(`{"listen":%q,"data":%q,"id":%d,"replicas":%s,"bootstrap":%q,"grace":"1s","tick":"10ms"%s}`,
+		d.addrs[i], filepath.Join(d.dir, "data", strconv.Itoa(i+1)), i+1, list, d.bootstrap, d.extra)
+}
+
+// start runs replica i, counted from 0, until stop or the end of the test.
+func (d *deployment) start(i int) {
+	d.t.Helper()
+	is := is.New(d.t)
+	files, err := d.ca.Issue(d.dir, fmt.Sprintf("control-%d", i+1), wire.RoleControl)
+	is.NoErr(err)
+	h := kernel.NewHost(&settings.File{TLS: files}, hclog.NewNullLogger())
+	loaded, err := h.Load("control", json.RawMessage(d.settings(i)))
+	is.NoErr(err)
+	d.stops[i] = d.background(loaded.(*control.Plugin).Run)
+}
+
+func (d *deployment) stop(i int) { d.stops[i]() }
+
+// background runs f until the returned function is called, or the test ends, and
+// waits for it then.
+func (d *deployment) background(f func(context.Context) error) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = f(ctx) })
+	stop := func() {
+		cancel()
+		wg.Wait()
+	}
+	d.t.Cleanup(stop)
+	return stop
+}
+
+func (d *deployment) client(name string, role wire.Role, adjust func(*session.Options)) *session.Client {
+	d.t.Helper()
+	is := is.New(d.t)
+	files, err := d.ca.Issue(d.dir, name, role)
+	is.NoErr(err)
+	id, err := wire.LoadIdentity(files)
+	is.NoErr(err)
+	dialer := session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
+	d.t.Cleanup(dialer.Close)
+	o := session.Options{
+		Node: settings.Node{Name: name, Region: "leon-coast", Zone: "hall"}, Role: role,
+		Replicas: d.addrs, Opener: dialer, Heartbeat: 50 * time.Millisecond, Lease: 2 * time.Second,
+	}
+	if adjust != nil {
+		adjust(&o)
+	}
+	c, err := session.New(o)
+	is.NoErr(err)
+	return c
+}
+
+// entry runs an entry that keeps a list of endpoints.
+func (d *deployment) entry(name string) (*session.Client, *endpointList) {
+	list := &endpointList{}
+	c := d.client(name, wire.RoleEntry, func(o *session.Options) { o.OnUpdate = list.update })
+	d.background(c.Run)
+	return c, list
+}
+
+// sidecar runs a sidecar that announces e.
+func (d *deployment) sidecar(e wire.Endpoint) (*session.Client, func()) {
+	c := d.client("sidecar-"+e.Name, wire.RoleSidecar, func(o *session.Options) {
+		o.Endpoint = func() *wire.Endpoint { return &e }
+	})
+	return c, d.background(c.Run)
+}
+
+// leader returns the index of the leading replica, once there is one.
+func (d *deployment) leader(operator *session.Client) int {
+	d.t.Helper()
+	found := -1
+	eventually(d.t, "a leader", func() bool {
+		var view command.View
+		if operator.Do(within(d.t), command.NameView, "", nil, &view) != nil || view.Document.Revision == 0 {
+			return false
+		}
+		for _, r := range view.Replicas {
+			if r.Leader {
+				found = int(r.ID) - 1
+			}
+		}
+		return found >= 0
+	})
+	return found
+}
+
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func within(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func zoneOut(expect uint64, zone string) command.Change {
+	z := config.Zone{Name: zone, Region: "leon-coast", State: config.Out}
+	return command.Change{Expect: expect, Changes: []config.Change{{Zone: &z}}}
+}
+
+// endpointList is an entry's copy of the endpoint list.
+type endpointList struct {
+	mu    sync.Mutex
+	known map[string]wire.Endpoint
+}
+
+func (l *endpointList) update(u *wire.Update) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if u.Reset || l.known == nil {
+		l.known = map[string]wire.Endpoint{}
+	}
+	for _, e := range u.Endpoints {
+		l.known[e.Name] = e
+	}
+	for _, name := range u.Gone {
+		delete(l.known, name)
+	}
+}
+
+func (l *endpointList) has(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.known[name]
+	return ok
+}
--- a/control/directory.go
+++ b/control/directory.go
@@ -13,6 +13,14 @@
 // further behind gets the whole list.
 const maxDirectoryLog = 4096
 
+const (
+	// endpointBytes is about what one endpoint takes in an update.
+	endpointBytes = 160
+	// loadBytesPerSecond is what a session may spend on the loads of endpoints.
+	loadBytesPerSecond = 2000
+	minLoadInterval    = time.Second
+)
+
 // directory lists the endpoints that announce themselves. Each change gets a
 // version, so that a session is told only what it has not yet been told. It does
 // no locking.
@@ -26,24 +34,64 @@
 type member struct {
 	endpoint wire.Endpoint
 	heard    time.Time
+	// told is when the sessions were last told.
+	told time.Time
 }
 
 // newDirectory returns an empty list at version 1, because version 0 stands for
 // a session that has seen nothing.
 func newDirectory() *directory { return &directory{version: 1, members: map[string]*member{}} }
 
-// announce notes what an endpoint says about itself. It refuses an older
-// incarnation, which comes from a sidecar that was replaced or frozen.
-func (d *directory) announce(now time.Time, e wire.Endpoint) bool {
+// announcement says what became of one.
+type announcement int
+
+const (
+	// outdated: it came from an incarnation that was replaced, or from a frozen
+	// sidecar.
+	outdated announcement = iota
+	// unchanged: there is nothing to tell anybody, or not yet.
+	unchanged
+	// published: the sessions are told.
+	published
+)
+
+// announce notes what an endpoint says about itself. Its load alone is told only
+// now and then: it changes all the time, and entries learn it from each answer.
+func (d *directory) announce(now time.Time, e wire.Endpoint) announcement {
 	old, ok := d.members[e.Name]
 	if ok && e.Incarnation < old.endpoint.Incarnation {
+		return outdated
+	}
+	if ok && reflect.DeepEqual(old.endpoint, e) {
+		old.heard = now
+		return unchanged
+	}
+	if ok && sameButLoad(old.endpoint, e) && now.Sub(old.told) < d.loadInterval() {
+		old.heard = now
+		return unchanged
+	}
+	d.members[e.Name] = &member{endpoint: e, heard: now, told: now}
+	d.changed(e.Name)
+	return published
+}
+
+// sameButLoad reports whether a and b differ only in figures of their load.
+func sameButLoad(a, b wire.Endpoint) bool {
+	if a.Load.Leaving != b.Load.Leaving || (a.Load.RampTokens < 0) != (b.Load.RampTokens < 0) {
 		return false
 	}
-	d.members[e.Name] = &member{endpoint: e, heard: now}
-	if !ok || !reflect.DeepEqual(old.endpoint, e) {
-		d.changed(e.Name)
+	if a.Load.CapacityTokens != b.Load.CapacityTokens {
+		return false
 	}
-	return true
+	a.Load, b.Load = wire.Load{}, wire.Load{}
+	return reflect.DeepEqual(a, b)
+}
+
+// loadInterval is the least time between two reports of one endpoint's load. It
+// grows with the list, so that a session spends no more than loadBytesPerSecond.
+func (d *directory) loadInterval() time.Duration {
+	bytes := time.Duration(len(d.members) * endpointBytes)
+	return max(minLoadInterval, bytes*time.Second/loadBytesPerSecond)
 }
 
 // heard notes a sign of life of the endpoint's incarnation.
--- /dev/null
+++ b/control/links.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/replica"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// receiver takes in messages of the consensus protocol.
+type receiver interface {
+	Receive(m *replica.Message)
+}
+
+// serveReplica takes in one stream from another replica: it first says which
+// start of which replica sends, then come messages of the consensus protocol or
+// reports on sessions.
+func (s *Server) serveReplica(stream wire.Stream, first *wire.Replica) {
+	var start startMessage
+	if stream.Peer().Role != wire.RoleControl || first.Group != groupStart || wire.Unmarshal(first.Data, &start) != nil {
+		s.log.Warn("replica refused", "peer", stream.Peer().Name, "role", stream.Peer().Role)
+		stream.Abort()
+		return
+	}
+	s.transport.started(start)
+	link := &inbound{server: s, stream: stream, from: start.ID}
+	defer link.close()
+	for {
+		m, err := link.next()
+		if err == nil {
+			err = link.take(m)
+		}
+		if err != nil {
+			s.log.Debug("stream of replica ended", "replica", start.ID, "error", err)
+			stream.Abort()
+			return
+		}
+	}
+}
+
+// inbound is a stream from another replica.
+type inbound struct {
+	server *Server
+	stream wire.Stream
+	from   replica.ID
+	// remote is set once the stream carries reports.
+	remote *remote
+}
+
+func (l *inbound) next() (*wire.Replica, error) {
+	m, err := l.stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	envelope, ok := m.(*wire.Replica)
+	if !ok {
+		return nil, errors.Errorf("unexpected %T from a replica", m)
+	}
+	return envelope, nil
+}
+
+func (l *inbound) take(m *wire.Replica) error {
+	s := l.server
+	switch m.Group {
+	case groupConsensus:
+		return l.takeConsensus(m.Data)
+	case groupReport:
+		var r report
+		if err := wire.Unmarshal(m.Data, &r); err != nil {
+			return err
+		}
+		if l.remote == nil {
+			l.remote = newRemote(l.from, l.stream)
+			s.table.link(l.remote)
+			s.running.Go(l.remote.send)
+		}
+		if err := l.stream.SetDeadline(s.clock.Now().Add(peerSilence)); err != nil {
+			return err
+		}
+		s.table.report(s.clock.Now(), l.remote, &r)
+		if len(r.Demands) > 0 {
+			s.barriers.notify()
+		}
+		return nil
+	}
+	return errors.Errorf("unknown group %q", m.Group)
+}
+
+func (l *inbound) takeConsensus(data []byte) error {
+	r, ok := l.server.node.(receiver)
+	if !ok {
+		return io.EOF
+	}
+	m := &replica.Message{}
+	if err := m.Unmarshal(data); err != nil {
+		return err
+	}
+	l.server.transport.hear(m.From)
+	r.Receive(m)
+	return nil
+}
+
+func (l *inbound) close() {
+	if l.remote != nil {
+		l.server.table.unlink(l.remote)
+	}
+}
--- /dev/null
+++ b/control/report.go
@@ -0,0 +1,313 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/replica"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+const (
+	// groupReport marks reports on sessions, and groupShares what the leader lends
+	// to entries that have their session with another replica.
+	groupReport = "report"
+	groupShares = "shares"
+	// reportInterval is the time between two reports. An empty one is a sign of life.
+	reportInterval = 200 * time.Millisecond
+)
+
+// report tells another replica about the sessions here, so that each replica
+// knows all endpoints and the leader all processes.
+type report struct {
+	// Full is set when Sessions lists all.
+	Full bool `cbor:"1,keyasint,omitempty"`
+	// Sessions are new or changed; Closed names those that ended.
+	Sessions []sessionReport `cbor:"2,keyasint,omitempty"`
+	Closed   []string        `cbor:"3,keyasint,omitempty"`
+	// Demands are for the leader.
+	Demands []demandReport `cbor:"4,keyasint,omitempty"`
+}
+
+type sessionReport struct {
+	Key      string         `cbor:"1,keyasint"`
+	Name     string         `cbor:"2,keyasint"`
+	Role     string         `cbor:"3,keyasint"`
+	Region   string         `cbor:"4,keyasint"`
+	Zone     string         `cbor:"5,keyasint"`
+	Revision uint64         `cbor:"6,keyasint"`
+	Endpoint *wire.Endpoint `cbor:"7,keyasint,omitempty"`
+}
+
+type demandReport struct {
+	Process string       `cbor:"1,keyasint"`
+	Seq     uint64       `cbor:"2,keyasint"`
+	Wanted  []wire.Share `cbor:"3,keyasint,omitempty"`
+}
+
+// sharesReport carries lent shares back to the replica with the entry's session.
+type sharesReport struct {
+	Process string       `cbor:"1,keyasint"`
+	Shares  []wire.Share `cbor:"2,keyasint"`
+}
+
+// remote is what another replica reported of its sessions.
+type remote struct {
+	from     replica.ID
+	stream   wire.Stream
+	heard    time.Time
+	sessions map[string]sessionReport
+	// demands wait for a barrier, by process; only the newest of each counts.
+	demands map[string]demandReport
+	// out holds shares on their way to the replica; what does not fit is dropped,
+	// and the entry asks again.
+	out chan sharesReport
+}
+
+func newRemote(from replica.ID, stream wire.Stream) *remote {
+	return &remote{
+		from: from, stream: stream, sessions: map[string]sessionReport{},
+		demands: map[string]demandReport{}, out: make(chan sharesReport, maxQueued),
+	}
+}
+
+// lend hands shares over for sending and never blocks.
+func (r *remote) lend(m sharesReport) {
+	select {
+	case r.out <- m:
+	default:
+	}
+}
+
+// send sends shares until the stream ends.
+func (r *remote) send() {
+	for {
+		select {
+		case <-r.stream.Context().Done():
+			return
+		case m := <-r.out:
+			data, err := wire.Marshal(&m)
+			if err == nil {
+				err = r.stream.Send(&wire.Replica{Group: groupShares, Data: data})
+			}
+			if err != nil {
+				r.stream.Abort()
+				return
+			}
+		}
+	}
+}
+
+func (r *sessionReport) process(silent time.Duration) command.Process {
+	return command.Process{
+		Name: r.Name, Role: r.Role, Region: r.Region, Zone: r.Zone, Revision: r.Revision, Silent: silent,
+	}
+}
+
+// link enters the reports of a replica in place of an earlier stream's.
+func (t *table) link(r *remote) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remotes[r.from] = r
+}
+
+// unlink drops the reports of a stream that ended. Their endpoints stay listed for
+// the grace time.
+func (t *table) unlink(r *remote) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.remotes[r.from] == r {
+		delete(t.remotes, r.from)
+	}
+}
+
+// report takes in one report.
+func (t *table) report(now time.Time, r *remote, m *report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.heard = now
+	if m.Full {
+		r.sessions = map[string]sessionReport{}
+	}
+	before := t.list.version
+	for _, s := range m.Sessions {
+		r.sessions[s.Key] = s
+		if s.Endpoint != nil {
+			t.list.announce(now, *s.Endpoint)
+		}
+	}
+	for _, key := range m.Closed {
+		delete(r.sessions, key)
+	}
+	for _, s := range r.sessions {
+		if s.Endpoint != nil {
+			t.list.heard(now, s.Endpoint.Name, s.Endpoint.Incarnation)
+		}
+	}
+	for _, d := range m.Demands {
+		r.demands[d.Process] = d
+	}
+	if t.list.version != before {
+		t.notifyLocked()
+	}
+}
+
+// lentRemote passes shares to the session of an entry, which the leader lent.
+func (t *table) lentRemote(m *sharesReport) {
+	t.mu.Lock()
+	s := t.sessions[processKey(m.Process)]
+	t.mu.Unlock()
+	if s != nil {
+		t.lent(s, m.Shares)
+	}
+}
+
+// reported is what one stream has told another replica so far.
+type reported struct {
+	sessions map[string]sessionReport
+	demands  map[string]uint64
+}
+
+// compose returns the news since the last report on the stream.
+func (t *table) compose(told *reported, toLeader bool) *report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := &report{Full: told.sessions == nil}
+	if m.Full {
+		told.sessions = map[string]sessionReport{}
+		told.demands = map[string]uint64{}
+	}
+	for key, s := range t.sessions {
+		r := s.report(key)
+		if old, ok := told.sessions[key]; !ok || !sameReport(&old, &r) {
+			m.Sessions = append(m.Sessions, r)
+			told.sessions[key] = r
+		}
+		if toLeader && s.role == wire.RoleEntry && s.seq > told.demands[key] {
+			m.Demands = append(m.Demands, demandReport{Process: s.hello.Name, Seq: s.seq, Wanted: s.demand})
+			told.demands[key] = s.seq
+		}
+	}
+	for key := range told.sessions {
+		if _, ok := t.sessions[key]; !ok {
+			m.Closed = append(m.Closed, key)
+			delete(told.sessions, key)
+			delete(told.demands, key)
+		}
+	}
+	return m
+}
+
+func (s *peerSession) report(key string) sessionReport {
+	return sessionReport{
+		Key: key, Name: s.hello.Name, Role: s.hello.Role, Region: s.hello.Region, Zone: s.hello.Zone,
+		Revision: s.revision, Endpoint: s.endpoint,
+	}
+}
+
+// sameReport compares endpoints by pointer: a heartbeat with an unchanged
+// endpoint keeps the session's earlier one.
+func sameReport(a, b *sessionReport) bool { return *a == *b }
+
+// runReports reports to every other replica until ctx ends.
+func (s *Server) runReports(ctx context.Context) {
+	running := map[replica.ID]context.CancelFunc{}
+	for {
+		s.transport.learn(s.members())
+		others := s.otherReplicas()
+		for _, id := range others {
+			if _, ok := running[id]; !ok {
+				bounded, cancel := context.WithCancel(ctx)
+				running[id] = cancel
+				s.running.Go(func() { s.runReporter(bounded, id) })
+			}
+		}
+		for id, cancel := range running {
+			if !slices.Contains(others, id) {
+				cancel()
+				delete(running, id)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.clock.After(time.Second):
+		}
+	}
+}
+
+func (s *Server) otherReplicas() []replica.ID {
+	var out []replica.ID
+	for _, m := range s.members() {
+		if m.ID != s.node.Status().ID {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// runReporter keeps a stream of reports to one replica.
+func (s *Server) runReporter(ctx context.Context, to replica.ID) {
+	for ctx.Err() == nil {
+		if err := s.reportTo(ctx, to); err != nil {
+			s.log.Debug("reports to replica ended", "replica", to, "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.clock.After(reportInterval):
+		}
+	}
+}
+
+func (s *Server) reportTo(ctx context.Context, to replica.ID) error {
+	bounded, cancel := context.WithTimeout(ctx, peerOpenTimeout)
+	stream, err := s.transport.dial(bounded, to)
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer stream.Abort()
+	defer context.AfterFunc(ctx, stream.Abort)()
+	s.running.Go(func() { s.receiveShares(stream) })
+	told := &reported{}
+	for {
+		data, err := wire.Marshal(s.table.compose(told, s.node.Status().Leader == to))
+		if err != nil {
+			return err
+		}
+		// The deadline bounds the receiving of shares too, which goes on as long as
+		// reports do.
+		if err := stream.SetDeadline(s.clock.Now().Add(peerSilence)); err != nil {
+			return err
+		}
+		if err := stream.Send(&wire.Replica{Group: groupReport, Data: data}); err != nil {
+			return err
+		}
+		select {
+		case <-stream.Context().Done():
+			return errors.New("stream was closed")
+		case <-s.clock.After(reportInterval):
+		}
+	}
+}
+
+// receiveShares takes in what the leader lends until the stream ends.
+func (s *Server) receiveShares(stream wire.Stream) {
+	defer stream.Abort()
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		var shares sharesReport
+		envelope, ok := m.(*wire.Replica)
+		if !ok || envelope.Group != groupShares || wire.Unmarshal(envelope.Data, &shares) != nil {
+			return
+		}
+		s.table.lentRemote(&shares)
+	}
+}
--- a/control/server.go
+++ b/control/server.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -22,13 +21,17 @@
 
 // Server answers the sessions and commands of one replica.
 type Server struct {
-	node     replica.Node
-	store    *store
-	table    *table
-	barriers *barriers
-	clock    kernel.Clock
-	log      hclog.Logger
-	replicas map[replica.ID]string
+	node      replica.Node
+	members   func() []replica.MemberStatus
+	transport *transport
+	store     *store
+	table     *table
+	barriers  *barriers
+	lender    *lender
+	clock     kernel.Clock
+	log       hclog.Logger
+	// running counts the goroutines of the server.
+	running sync.WaitGroup
 	// span is how long a heartbeat's echo permits a process to work.
 	span time.Duration
 	// bootstrap is the first configuration, or nil.
@@ -47,6 +50,8 @@
 		s.serveSession(stream, first)
 	case *wire.Command:
 		s.serveCommands(ctx, stream, first)
+	case *wire.Replica:
+		s.serveReplica(stream, first)
 	default:
 		stream.Abort()
 	}
@@ -99,15 +104,15 @@
 	return strconv.FormatUint(uint64(leader), 10)
 }
 
-func (s *Server) addrOf(id replica.ID) string { return s.replicas[id] }
+func (s *Server) addrOf(id replica.ID) string { return s.transport.addr(id) }
 
 func (s *Server) replicaStatus() []command.ReplicaStatus {
 	status := s.node.Status()
 	var out []command.ReplicaStatus
-	for _, id := range slices.Sorted(maps.Keys(s.replicas)) {
+	for _, m := range s.members() {
 		out = append(out, command.ReplicaStatus{
-			ID: uint64(id), Addr: s.replicas[id], Leader: id == status.Leader, Voter: true,
-			Whole: id == status.ID && status.Whole,
+			ID: uint64(m.ID), Addr: m.Addr, Leader: m.ID == status.Leader, Voter: m.Voter,
+			Match: m.Match, Whole: m.Whole && status.Survives,
 		})
 	}
 	return out
--- a/control/session.go
+++ b/control/session.go
@@ -15,8 +15,8 @@
 // burst of changes travels as one.
 const flushInterval = 20 * time.Millisecond
 
-// session is one process's stream to this replica.
-type session struct {
+// peerSession is one process's stream to this replica.
+type peerSession struct {
 	hello  wire.Hello
 	role   wire.Role
 	stream wire.Stream
@@ -52,8 +52,8 @@
 	any       bool
 }
 
-func newSession(h *wire.Hello, stream wire.Stream, now time.Time) *session {
-	return &session{
+func newSession(h *wire.Hello, stream wire.Stream, now time.Time) *peerSession {
+	return &peerSession{
 		hello:    *h,
 		role:     wire.Role(h.Role),
 		stream:   stream,
@@ -64,7 +64,7 @@
 	}
 }
 
-func (s *session) notify() {
+func (s *peerSession) notify() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -112,7 +112,7 @@
 	return errors.Errorf("role %q has no sessions", p.Role)
 }
 
-func (s *Server) receiveHeartbeats(ses *session) error {
+func (s *Server) receiveHeartbeats(ses *peerSession) error {
 	for {
 		m, err := ses.stream.Recv()
 		if errors.Is(err, io.EOF) {
@@ -132,7 +132,7 @@
 	}
 }
 
-func (s *Server) sendUpdates(ses *session) error {
+func (s *Server) sendUpdates(ses *peerSession) error {
 	t := told{revision: ses.hello.Revision}
 	for {
 		if u := s.compose(ses, &t); u != nil {
@@ -156,7 +156,7 @@
 // compose returns what the session has not been told yet, or nil. It reads the
 // echo before the configuration: the echo promises that the update holds every
 // change accepted before the heartbeat, so the configuration must be the later read.
-func (s *Server) compose(ses *session, t *told) *wire.Update {
+func (s *Server) compose(ses *peerSession, t *told) *wire.Update {
 	u := &wire.Update{Leader: s.leaderName()}
 	news := !t.any || u.Leader != t.leader
 	t.any, t.leader = true, u.Leader
@@ -217,7 +217,7 @@
 }
 
 // addOrders adds the standing orders of the session's own endpoint.
-func addOrders(u *wire.Update, m *state.Machine, ses *session, t *told) bool {
+func addOrders(u *wire.Update, m *state.Machine, ses *peerSession, t *told) bool {
 	if ses.role != wire.RoleSidecar || m.OrdersVersion() == t.orders {
 		return false
 	}
--- a/control/session/client.go
+++ b/control/session/client.go
@@ -167,6 +167,7 @@
 			return nil
 		}
 		c.options.Log.Warn("session with control ended", "replica", addr, "error", err)
+		c.drop(addr)
 		if renewed {
 			backoff = minBackoff
 		}
--- a/control/session/do.go
+++ b/control/session/do.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// tryTimeout bounds one try of a command with one replica.
-	tryTimeout = 4 * time.Second
+	// firstTryTimeout bounds a try with one replica in the first round, and
+	// maxTryTimeout in later ones, which wait longer for a slow leader. A resend
+	// does no harm.
+	firstTryTimeout = time.Second
+	maxTryTimeout   = 4 * time.Second
 	// retryAfter is when it makes sense to send a refused command again.
 	retryAfter = time.Second
 )
@@ -33,7 +36,7 @@
 	if err != nil {
 		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err)
 	}
-	d := &doing{client: c, command: &wire.Command{ID: id, Name: name, Body: raw}}
+	d := &doing{client: c, command: &wire.Command{ID: id, Name: name, Body: raw}, timeout: firstTryTimeout}
 	answer, err := d.run(ctx)
 	if err != nil {
 		return err
@@ -54,6 +57,8 @@
 	// uncertain is set once a try ended without an answer after the command left.
 	uncertain bool
 	last      error
+	// timeout bounds a try in this round.
+	timeout time.Duration
 }
 
 // run tries the replicas in rounds. A round without any leader ends a command
@@ -76,6 +81,7 @@
 		}
 		d.client.wait(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
+		d.timeout = min(2*d.timeout, maxTryTimeout)
 	}
 }
 
@@ -108,7 +114,7 @@
 
 // try sends the command to one replica and returns its answer, or nil.
 func (d *doing) try(ctx context.Context, addr string) *wire.Answer {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
 	stream, err := d.client.options.Opener.Open(ctx, addr)
 	if err != nil {
@@ -121,10 +127,19 @@
 	if err != nil {
 		d.uncertain = true
 		d.last = err
+		d.client.drop(addr)
 	}
 	return answer
 }
 
+// drop gives up a connection on which no answer came: the replica may have been
+// restarted, and would never know the connection.
+func (c *Client) drop(addr string) {
+	if d, ok := c.options.Opener.(Dropper); ok {
+		d.Drop(addr)
+	}
+}
+
 func exchange(stream wire.Stream, command *wire.Command) (*wire.Answer, error) {
 	if err := stream.Send(command); err != nil {
 		return nil, errors.Wrap(err, "send command")
--- a/control/state/order.go
+++ b/control/state/order.go
@@ -131,3 +131,8 @@
 	}
 	return s.Orders
 }
+
+// Incarnation returns the endpoint's registered incarnation, or zero.
+func (m *Machine) Incarnation(endpoint string) uint64 {
+	return m.orders.endpoints[endpoint].Incarnation
+}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -138,3 +138,6 @@
 	}
 	return found
 }
+
+// NewsVersion changes with everything that sessions are told.
+func (m *Machine) NewsVersion() uint64 { return m.doc.Revision + m.orders.version }
--- a/control/store.go
+++ b/control/store.go
@@ -2,9 +2,11 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/state"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/replica"
 )
 
@@ -13,25 +15,66 @@
 type store struct {
 	mu      sync.RWMutex
 	machine *state.Machine
-	// changed is called after each command, without the lock.
-	changed func()
+	// news is called without the lock after a change that sessions are told.
+	news func()
+	// accepted holds when the newest revisions were applied here, oldest first.
+	clock    kernel.Clock
+	accepted []acceptance
 }
 
+// acceptance is when a revision was applied here.
+type acceptance struct {
+	revision uint64
+	at       time.Time
+}
+
+// maxAcceptances bounds the revisions whose time is kept.
+const maxAcceptances = 1024
+
 var _ replica.StateMachine = (*store)(nil)
 
-func newStore(changed func()) *store {
-	return &store{machine: state.New(), changed: changed}
+func newStore(clock kernel.Clock, news func()) *store {
+	return &store{machine: state.New(), clock: clock, news: news}
 }
 
 // Apply implements replica.StateMachine.
 func (s *store) Apply(index uint64, command []byte) []byte {
 	s.mu.Lock()
+	before := s.machine.NewsVersion()
 	result := s.machine.Apply(index, command)
+	told := s.machine.NewsVersion() != before
+	s.noteAcceptance()
 	s.mu.Unlock()
-	s.changed()
+	if told {
+		s.news()
+	}
 	return result
 }
 
+// noteAcceptance keeps the time of a revision that is new here.
+func (s *store) noteAcceptance() {
+	revision := s.machine.Document().Revision
+	if n := len(s.accepted); n > 0 && s.accepted[n-1].revision >= revision {
+		return
+	}
+	if len(s.accepted) == maxAcceptances {
+		s.accepted = s.accepted[1:]
+	}
+	s.accepted = append(s.accepted, acceptance{revision: revision, at: s.clock.Now()})
+}
+
+// acceptedFor returns for how long the revision has been accepted, at least.
+func (s *store) acceptedFor(now time.Time, revision uint64) time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, a := range s.accepted {
+		if a.revision >= revision {
+			return now.Sub(a.at)
+		}
+	}
+	return 0
+}
+
 // Snapshot implements replica.StateMachine.
 func (s *store) Snapshot() ([]byte, error) {
 	s.mu.RLock()
@@ -43,8 +86,9 @@
 func (s *store) Restore(snapshot []byte) error {
 	s.mu.Lock()
 	err := s.machine.Restore(snapshot)
+	s.noteAcceptance()
 	s.mu.Unlock()
-	s.changed()
+	s.news()
 	return err
 }
 
--- a/control/table.go
+++ b/control/table.go
@@ -1,12 +1,14 @@
 package control
 
 import (
-	"maps"
+	"cmp"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/replica"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -16,30 +18,37 @@
 	mu       sync.Mutex
 	started  time.Time
 	grace    time.Duration
-	sessions map[string]*session
-	list     *directory
+	sessions map[string]*peerSession
+	// remotes holds what the other replicas report of their sessions.
+	remotes map[replica.ID]*remote
+	list    *directory
 }
 
 // newTable returns an empty table. An endpoint that is silent for grace is
 // dropped from the list.
 func newTable(now time.Time, grace time.Duration) *table {
-	return &table{started: now, grace: grace, sessions: map[string]*session{}, list: newDirectory()}
+	return &table{
+		started: now, grace: grace, sessions: map[string]*peerSession{},
+		remotes: map[replica.ID]*remote{}, list: newDirectory(),
+	}
 }
 
 // key tells the sessions apart: a sidecar's is its endpoint's, so that of two
 // sidecars for one endpoint only one has a session.
-func (s *session) key() string {
+func (s *peerSession) key() string {
 	if s.role == wire.RoleSidecar {
 		return "endpoint/" + s.hello.Endpoint.Name
 	}
-	return "process/" + s.hello.Name
+	return processKey(s.hello.Name)
 }
 
+func processKey(name string) string { return "process/" + name }
+
 // add enters a session in place of an older one of the same process. It refuses
 // an older incarnation of an endpoint.
-func (t *table) add(now time.Time, s *session) bool {
+func (t *table) add(now time.Time, s *peerSession) bool {
 	t.mu.Lock()
-	if s.endpoint != nil && !t.list.announce(now, *s.endpoint) {
+	if s.endpoint != nil && t.list.announce(now, *s.endpoint) == outdated {
 		t.mu.Unlock()
 		return false
 	}
@@ -55,7 +64,7 @@
 
 // remove drops the session. Its endpoint stays listed for the grace time, in
 // which the sidecar may open a session with another replica.
-func (t *table) remove(s *session) {
+func (t *table) remove(s *peerSession) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.sessions[s.key()] == s {
@@ -64,7 +73,7 @@
 }
 
 // beat enters a heartbeat. It reports false when the session was replaced.
-func (t *table) beat(now time.Time, s *session, b *wire.Heartbeat) bool {
+func (t *table) beat(now time.Time, s *peerSession, b *wire.Heartbeat) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.sessions[s.key()] != s {
@@ -81,34 +90,48 @@
 		t.list.heard(now, s.endpoint.Name, s.endpoint.Incarnation)
 		return true
 	}
-	before := t.list.version
-	if b.Endpoint.Name != s.endpoint.Name || !t.list.announce(now, *b.Endpoint) {
+	if b.Endpoint.Name != s.endpoint.Name {
 		return false
 	}
-	s.endpoint = b.Endpoint
-	if t.list.version != before {
+	switch t.list.announce(now, *b.Endpoint) {
+	case outdated:
+		return false
+	case published:
+		s.endpoint = b.Endpoint
 		t.notifyLocked()
 	}
 	return true
 }
 
-// waiting is a heartbeat that no barrier has covered yet.
+// waiting is a heartbeat that no barrier has covered yet, of a session here, or
+// only its demand, of a session with another replica.
 type waiting struct {
-	session *session
+	session *peerSession
+	remote  *remote
+	process string
 	seq     uint64
 	heard   time.Time
 	demand  []wire.Share
 }
 
-// pending returns the heartbeats that no barrier has covered yet.
+// pending returns the heartbeats that no barrier has covered yet, and takes the
+// demands that other replicas passed on.
 func (t *table) pending() []waiting {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []waiting
 	for _, s := range t.sessions {
 		if s.seq > s.echo {
-			out = append(out, waiting{session: s, seq: s.seq, heard: s.heard, demand: s.demand})
+			out = append(out, waiting{
+				session: s, process: s.hello.Name, seq: s.seq, heard: s.heard, demand: s.demand,
+			})
+		}
+	}
+	for _, r := range t.remotes {
+		for _, d := range r.demands {
+			out = append(out, waiting{remote: r, process: d.Process, seq: d.Seq, heard: r.heard, demand: d.Wanted})
 		}
+		clear(r.demands)
 	}
 	return out
 }
@@ -117,17 +140,21 @@
 func (t *table) covered(beats []waiting) {
 	t.mu.Lock()
 	for _, w := range beats {
-		w.session.echo = max(w.session.echo, w.seq)
-		w.session.granted = w.heard
+		if w.session != nil {
+			w.session.echo = max(w.session.echo, w.seq)
+			w.session.granted = w.heard
+		}
 	}
 	t.mu.Unlock()
 	for _, w := range beats {
-		w.session.notify()
+		if w.session != nil {
+			w.session.notify()
+		}
 	}
 }
 
 // lent leaves shares for the session's sender.
-func (t *table) lent(s *session, shares []wire.Share) {
+func (t *table) lent(s *peerSession, shares []wire.Share) {
 	t.mu.Lock()
 	s.shares = shares
 	t.mu.Unlock()
@@ -135,7 +162,7 @@
 }
 
 // take returns the session's echo and the shares that wait for it.
-func (t *table) take(s *session) (uint64, []wire.Share) {
+func (t *table) take(s *peerSession) (uint64, []wire.Share) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	shares := s.shares
@@ -163,7 +190,7 @@
 	t.mu.Lock()
 	deadline := now.Add(-t.grace)
 	gone := t.list.expire(deadline)
-	var silent []*session
+	var silent []*peerSession
 	for _, s := range t.sessions {
 		if s.heard.Before(deadline) {
 			silent = append(silent, s)
@@ -190,18 +217,32 @@
 	}
 }
 
-// processes lists the sessions by name.
+// processes lists the sessions of all replicas by name.
 func (t *table) processes(now time.Time) []command.Process {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []command.Process
-	for _, key := range slices.Sorted(maps.Keys(t.sessions)) {
-		out = append(out, t.sessions[key].process(now))
+	for _, s := range t.sessions {
+		out = append(out, s.process(now))
 	}
-	return out
+	for _, r := range t.remotes {
+		for _, s := range r.sessions {
+			out = append(out, s.process(now.Sub(r.heard)))
+		}
+	}
+	return sortProcesses(out)
 }
 
-func (s *session) process(now time.Time) command.Process {
+// sortProcesses sorts by name and keeps, of a process that changed its replica,
+// the session that was heard last.
+func sortProcesses(list []command.Process) []command.Process {
+	slices.SortFunc(list, func(a, b command.Process) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Silent, b.Silent))
+	})
+	return slices.CompactFunc(list, func(a, b command.Process) bool { return a.Name == b.Name })
+}
+
+func (s *peerSession) process(now time.Time) command.Process {
 	return command.Process{
 		Name: s.hello.Name, Role: s.hello.Role, Region: s.hello.Region, Zone: s.hello.Zone,
 		Revision: s.revision, Silent: now.Sub(s.heard),
@@ -209,19 +250,30 @@
 }
 
 // lagging lists the processes that may hold a permission for a revision lower
-// than revision: an echo was granted within the span and they have not said that
-// they have the revision.
-func (t *table) lagging(now time.Time, revision uint64, span time.Duration) []command.Process {
+// than revision: they have not said that they have it, and were heard within the
+// span. A replica that does not report may have any number of them.
+func (t *table) lagging(now time.Time, revision uint64, span time.Duration, others []replica.ID) []command.Process {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []command.Process
-	for _, key := range slices.Sorted(maps.Keys(t.sessions)) {
-		s := t.sessions[key]
+	for _, s := range t.sessions {
 		if s.revision < revision && now.Sub(s.granted) < span {
 			out = append(out, s.process(now))
 		}
 	}
-	return out
+	for _, id := range others {
+		r, ok := t.remotes[id]
+		if !ok {
+			out = append(out, command.Process{Name: "replica " + strconv.FormatUint(uint64(id), 10), Role: string(wire.RoleControl)})
+			continue
+		}
+		for _, s := range r.sessions {
+			if s.Revision < revision {
+				out = append(out, s.process(now.Sub(r.heard)))
+			}
+		}
+	}
+	return sortProcesses(out)
 }
 
 // endpoints lists all endpoints by name.
