--- a/control/command/command.go
+++ b/control/command/command.go
@@ -36,6 +36,8 @@
 	NameMember = "member"
 	// NameSuspect takes Suspect and answers nothing. Entries only.
 	NameSuspect = "suspect"
+	// NameStanding takes nothing and answers Standing, from any replica about itself.
+	NameStanding = "standing"
 )
 
 // AnyRevision in Change.Expect accepts the change at any revision.
@@ -149,14 +151,14 @@
 	Result *Result `cbor:"2,keyasint,omitempty"`
 	// Refused says why the call does not run, with a proven verdict.
 	Refused *wire.Refused `cbor:"3,keyasint,omitempty"`
-	// Standing is the claim that another entry holds, when the call is in
+	// Open is the claim that another entry holds, when the call is in
 	// progress. Its number passes once whoever brings it, so an entry may dispatch
 	// the call under it to find out or finish what another left behind.
-	Standing *Standing `cbor:"4,keyasint,omitempty"`
+	Open *OpenClaim `cbor:"4,keyasint,omitempty"`
 }
 
-// Standing is a claim that was given out and not yet settled.
-type Standing struct {
+// OpenClaim is a claim that was given out and not yet settled.
+type OpenClaim struct {
 	Fence       uint64 `cbor:"1,keyasint"`
 	Endpoint    string `cbor:"2,keyasint"`
 	Incarnation uint64 `cbor:"3,keyasint"`
@@ -207,3 +209,14 @@
 	Incarnation uint64   `cbor:"2,keyasint"`
 	Digests     []uint64 `cbor:"3,keyasint"`
 }
+
+// Standing says where one replica stands, for a process that polls a majority.
+type Standing struct {
+	ID     uint64   `cbor:"1,keyasint"`
+	Leader uint64   `cbor:"2,keyasint"`
+	Voters []uint64 `cbor:"3,keyasint"`
+	// Revision is the highest configuration revision that it holds. Settled is set
+	// when its log has nothing after that which may still become a change.
+	Revision uint64 `cbor:"4,keyasint"`
+	Settled  bool   `cbor:"5,keyasint"`
+}
--- a/control/commands.go
+++ b/control/commands.go
@@ -26,6 +26,8 @@
 type access struct {
 	roles   []wire.Role
 	propose bool
+	// local commands are answered by any replica about itself.
+	local bool
 	// frequent commands belong to requests and are not logged at their normal outcome.
 	frequent bool
 }
@@ -39,6 +41,9 @@
 	command.NameView:    {roles: []wire.Role{wire.RoleOperator}},
 	command.NameHistory: {roles: []wire.Role{wire.RoleOperator}},
 	command.NameInForce: {roles: []wire.Role{wire.RoleOperator}},
+	command.NameStanding: {
+		roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar, wire.RoleOperator}, local: true,
+	},
 }
 
 func (a access) allows(r wire.Role) bool {
@@ -82,6 +87,9 @@
 		return refused(verdict.Refuse(verdict.ReasonUnauthenticated, 0,
 			"a process with role %q may not send %q", peer.Role, c.Name))
 	}
+	if a.local {
+		return accepted(s.standing())
+	}
 	if redirect := s.redirect(); redirect != nil {
 		return redirect
 	}
@@ -223,3 +231,26 @@
 	s.log.Warn("command refused", "name", c.Name, "id", c.ID, "who", peer.Name,
 		"verdict", a.Refused.Verdict, "reason", a.Refused.Reason, "detail", a.Refused.Detail)
 }
+
+// lastIndexer is a replica that tells the last index of its log.
+type lastIndexer interface {
+	LastIndex() uint64
+}
+
+// standing says where this replica stands. The log is looked at before the
+// revision: what is appended later was accepted after the question.
+func (s *Server) standing() command.Standing {
+	status := s.node.Status()
+	out := command.Standing{ID: uint64(status.ID), Leader: uint64(status.Leader)}
+	if l, ok := s.node.(lastIndexer); ok {
+		last := l.LastIndex()
+		out.Settled = s.node.Status().Applied >= last
+	}
+	out.Revision = s.store.document().Revision
+	for _, m := range s.members() {
+		if m.Voter {
+			out.Voters = append(out.Voters, uint64(m.ID))
+		}
+	}
+	return out
+}
--- a/control/session/client.go
+++ b/control/session/client.go
@@ -50,6 +50,11 @@
 	// permits work. Lease must be control's own setting or less.
 	Heartbeat time.Duration
 	Lease     time.Duration
+	// ServeStale lets MayServe hold while the permission has lapsed and control
+	// cannot be reached: an availability zone that is taken out meanwhile may then
+	// get new work from this process. It is for deployments that weigh service over
+	// that while control's quorum is lost.
+	ServeStale bool
 	// Endpoint returns what a sidecar announces; nil for other roles. It is
 	// called for each heartbeat.
 	Endpoint func() *wire.Endpoint
@@ -70,6 +75,7 @@
 	// mu is "session.Client" of kernel.LockOrder.
 	mu         sync.Mutex
 	permission *lease.Permission
+	exchange   *lease.Exchange
 	// seq numbers the heartbeats. It begins at the time, so that those of a process
 	// that was restarted come after those from before.
 	seq    uint64
@@ -106,6 +112,7 @@
 		view:       config.NewView(),
 		announce:   make(chan struct{}, 1),
 		permission: lease.NewPermission(o.Lease, o.Lease/marginParts),
+		exchange:   lease.NewExchange(o.Clock.Now(), rand.Uint64()),
 		seq:        uint64(o.Clock.Now().UnixMilli()),
 	}, nil
 }
@@ -116,6 +123,11 @@
 // Fresh reports whether the process may send and take new work.
 func (c *Client) Fresh() bool { return c.Permission().Left > 0 }
 
+// MayServe reports whether the process may take idempotent work.
+func (c *Client) MayServe() bool {
+	return c.Fresh() || (c.options.ServeStale && c.view.Revision() > 0)
+}
+
 // Permission returns the process's permission, to be sent to its peers.
 func (c *Client) Permission() wire.Permission {
 	c.mu.Lock()
@@ -138,6 +150,29 @@
 	return c.permission.Adopt(since, ours, p.Revision, p.Left)
 }
 
+// Offer returns the process's permission as a statement to the peer, which can
+// then be dated by the peer's Learn.
+func (c *Client) Offer(peer string) wire.Permission {
+	p := c.Permission()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.Stamp = c.exchange.Stamp(c.options.Clock.Now())
+	p.Repeat = c.exchange.Repeat(peer)
+	return p
+}
+
+// Learn takes in a statement that the peer made with Offer, and adopts its
+// freshness where that is proven. It reports whether it did.
+func (c *Client) Learn(peer string, p wire.Permission) bool {
+	c.mu.Lock()
+	if p.Stamp != 0 {
+		c.exchange.Saw(peer, p.Stamp)
+	}
+	since, ok := c.exchange.Since(c.options.Clock.Now(), p.Repeat)
+	c.mu.Unlock()
+	return ok && c.Adopt(since, p)
+}
+
 // Leader returns the name of control's leader as last heard, or nothing.
 func (c *Client) Leader() string {
 	c.mu.Lock()
@@ -157,6 +192,9 @@
 // Run keeps a session until ctx ends. It starts at a replica chosen at random, so
 // that the processes spread, and goes on to the next when one fails.
 func (c *Client) Run(ctx context.Context) error {
+	var polling sync.WaitGroup
+	defer polling.Wait()
+	polling.Go(func() { c.runPolls(ctx) })
 	next := rand.IntN(len(c.options.Replicas))
 	backoff := minBackoff
 	for ctx.Err() == nil {
--- a/control/session/run.go
+++ b/control/session/run.go
@@ -138,7 +138,7 @@
 		b.Demand = c.options.Limits.demand(c.options.Clock.Now(), b.Seq)
 	}
 	// A replica that reads nothing must not hold the process up.
-	if err := stream.SetDeadline(c.options.Clock.Now().Add(2 * c.options.Lease)); err != nil {
+	if err := stream.SetSendDeadline(c.options.Clock.Now().Add(2 * c.options.Lease)); err != nil {
 		return errors.Wrap(err, "set deadline of session")
 	}
 	return errors.Wrap(stream.Send(b), "send heartbeat")
--- /dev/null
+++ b/control/session/session_test.go
@@ -0,0 +1,292 @@
+package session
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// answering returns a replica that answers commands with a.
+func answering(a *wire.Answer) func(*fakeStream) {
+	return func(s *fakeStream) {
+		if _, err := s.Recv(); err == nil {
+			_ = s.Send(a)
+		}
+	}
+}
+
+// breaking takes a command and breaks the stream.
+func breaking(s *fakeStream) {
+	_, _ = s.Recv()
+	s.Abort()
+}
+
+func refusal(r *verdict.Refusal) *wire.Answer {
+	return &wire.Answer{Refused: wire.NewRefused(wire.Attempt{}, r)}
+}
+
+func accepted(body any) *wire.Answer {
+	raw, err := wire.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return &wire.Answer{Body: raw}
+}
+
+func TestDo(t *testing.T) {
+	noLeader := answering(refusal(verdict.Refuse(verdict.ReasonNoQuorum, time.Second, "no leader")))
+	conflict := answering(refusal(verdict.Refuse(verdict.ReasonRevisionConflict, 0, "lost")))
+	done := answering(accepted(command.Changed{Revision: 7}))
+	tests := map[string]struct {
+		replicas map[string]func(*fakeStream)
+		verdict  verdict.Verdict
+		reason   verdict.Reason
+	}{
+		"first leads":              {map[string]func(*fakeStream){"a": done}, 0, ""},
+		"second leads":             {map[string]func(*fakeStream){"a": noLeader, "b": done}, 0, ""},
+		"named leader":             {map[string]func(*fakeStream){"a": answering(&wire.Answer{Leader: "b"}), "b": done}, 0, ""},
+		"first cannot be reached":  {map[string]func(*fakeStream){"b": done}, 0, ""},
+		"answer lost, then given":  {map[string]func(*fakeStream){"a": breaking, "b": done}, 0, ""},
+		"refused for good":         {map[string]func(*fakeStream){"a": conflict, "b": done}, verdict.NotRun, verdict.ReasonRevisionConflict},
+		"no leader":                {map[string]func(*fakeStream){"a": noLeader, "b": noLeader}, verdict.NotRun, verdict.ReasonNoQuorum},
+		"nobody reached":           {nil, verdict.NotRun, verdict.ReasonNoQuorum},
+		"answers lost to the end":  {map[string]func(*fakeStream){"a": breaking, "b": breaking}, verdict.MayHaveRun, verdict.ReasonNoQuorum},
+		"lost, then no leader":     {map[string]func(*fakeStream){"a": breaking, "b": noLeader}, verdict.MayHaveRun, verdict.ReasonNoQuorum},
+		"leader itself uncertain":  {map[string]func(*fakeStream){"a": answering(refusal(verdict.Uncertain(verdict.ReasonNoQuorum, 0, "?"))), "b": noLeader}, verdict.MayHaveRun, verdict.ReasonNoQuorum},
+		"leaders name one another": {map[string]func(*fakeStream){"a": answering(&wire.Answer{Leader: "b"}), "b": answering(&wire.Answer{Leader: "a"})}, verdict.NotRun, verdict.ReasonNoQuorum},
+		"nonsense for an answer":   {map[string]func(*fakeStream){"a": func(s *fakeStream) { _, _ = s.Recv(); _ = s.Send(&wire.End{}) }, "b": done}, 0, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newClient(t, &network{replicas: test.replicas}, "a", "b")
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			var changed command.Changed
+			err := c.Do(ctx, command.NameChange, "id", command.Change{}, &changed)
+			if test.verdict == 0 {
+				is.NoErr(err)
+				is.Equal(changed.Revision, uint64(7))
+				return
+			}
+			is.Equal(verdict.From(err).Verdict, test.verdict)
+			is.Equal(verdict.From(err).Reason, test.reason)
+		})
+	}
+}
+
+func TestLostAnswerIsAskedForUnderTheSameIdentifier(t *testing.T) {
+	is := is.New(t)
+	ids := make(chan string, 10)
+	var tries atomic.Int32
+	n := &network{replicas: map[string]func(*fakeStream){"a": func(s *fakeStream) {
+		m, err := s.Recv()
+		if err != nil {
+			return
+		}
+		ids <- m.(*wire.Command).ID
+		if tries.Add(1) < 3 {
+			s.Abort()
+			return
+		}
+		_ = s.Send(&wire.Answer{})
+	}}}
+	c := newClient(t, n, "a")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	is.NoErr(c.Do(ctx, command.NameOrder, "once", command.Order{}, nil))
+	for range 3 {
+		is.Equal(<-ids, "once")
+	}
+	is.Equal(n.dropped, []string{"a", "a"}) // a connection without an answer is given up
+}
+
+// script is a replica that answers the session's first heartbeat with updates
+// and then each further one with an echo alone.
+func script(hello chan<- *wire.Hello, updates ...*wire.Update) func(*fakeStream) {
+	return func(s *fakeStream) {
+		m, err := s.Recv()
+		if err != nil {
+			return
+		}
+		if _, isCommand := m.(*wire.Command); isCommand {
+			s.Abort()
+			return
+		}
+		hello <- m.(*wire.Hello)
+		rest := updates
+		for {
+			m, err := s.Recv()
+			if err != nil {
+				return
+			}
+			if len(rest) == 0 {
+				continue
+			}
+			u := *rest[0]
+			rest = rest[1:]
+			if u.Echo != 0 {
+				u.Echo = m.(*wire.Heartbeat).Seq
+			}
+			if s.Send(&u) != nil {
+				return
+			}
+		}
+	}
+}
+
+func document(revision uint64) *config.Document {
+	d := config.NewDocument()
+	d.Revision = revision
+	return d
+}
+
+// run runs the client until the test ends.
+func run(t *testing.T, c *Client) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func TestSessionBringsConfigurationAndPermission(t *testing.T) {
+	hellos := make(chan *wire.Hello, 100)
+	n := &network{replicas: map[string]func(*fakeStream){"a": script(hellos,
+		&wire.Update{Snapshot: document(3), Revision: 3},
+		&wire.Update{Changes: []config.Revised{{Revision: 4}}, Revision: 4, Echo: 1, Leader: "1"},
+	)}}
+	c := newClient(t, n, "a")
+	is.New(t).True(!c.Fresh())
+	run(t, c)
+	eventually(t, "fresh at revision 4", func() bool { return c.Fresh() && c.View().Revision() == 4 && c.Leader() == "1" })
+}
+
+func TestEchoForARevisionThatIsMissingPermitsNothing(t *testing.T) {
+	hellos := make(chan *wire.Hello, 100)
+	n := &network{replicas: map[string]func(*fakeStream){"a": script(hellos,
+		&wire.Update{Snapshot: document(3), Revision: 3, Leader: "1"},
+		&wire.Update{Revision: 5, Echo: 1, Leader: "2"},
+	)}}
+	c := newClient(t, n, "a")
+	run(t, c)
+	eventually(t, "the echo came in", func() bool { return c.Leader() == "2" })
+	is.New(t).True(!c.Fresh())
+}
+
+func TestGapEndsTheSessionAndTheNextAsksFromWhatIsThere(t *testing.T) {
+	is := is.New(t)
+	hellos := make(chan *wire.Hello, 100)
+	n := &network{replicas: map[string]func(*fakeStream){"a": script(hellos,
+		&wire.Update{Snapshot: document(3), Revision: 3},
+		&wire.Update{Changes: []config.Revised{{Revision: 6}}, Revision: 6},
+	)}}
+	c := newClient(t, n, "a")
+	run(t, c)
+	is.Equal((<-hellos).Revision, uint64(0))
+	is.Equal((<-hellos).Revision, uint64(3))
+}
+
+func TestReplicaThatLagsTakesNothingBack(t *testing.T) {
+	hellos := make(chan *wire.Hello, 100)
+	n := &network{replicas: map[string]func(*fakeStream){
+		"a": script(hellos, &wire.Update{Snapshot: document(9), Revision: 9}, &wire.Update{Changes: []config.Revised{{Revision: 99}}}),
+		"b": script(hellos, &wire.Update{Snapshot: document(4), Revision: 4, Leader: "b"}, &wire.Update{Changes: []config.Revised{{Revision: 99}}}),
+	}}
+	c := newClient(t, n, "a", "b")
+	run(t, c)
+	is := is.New(t)
+	for range 4 {
+		<-hellos
+	}
+	is.Equal(c.View().Revision(), uint64(9))
+}
+
+func TestClaimWithoutAnAnswerIsNotRun(t *testing.T) {
+	is := is.New(t)
+	hellos := make(chan *wire.Hello, 100)
+	n := &network{replicas: map[string]func(*fakeStream){"a": script(hellos,
+		&wire.Update{Snapshot: document(1), Revision: 1, Echo: 1, Leader: "1"})}}
+	c := newClient(t, n, "a")
+	_, err := c.Claim(context.Background(), "id", command.Claim{})
+	is.Equal(verdict.From(err).Reason, verdict.ReasonNoQuorum) // refused before anything is sent
+	is.Equal(len(n.opened), 0)
+
+	run(t, c)
+	eventually(t, "fresh", c.Fresh)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err = c.Claim(ctx, "id", command.Claim{})
+	is.Equal(verdict.From(err).Verdict, verdict.NotRun)
+}
+
+func TestPeersLendFreshnessOnlyInProvenOrder(t *testing.T) {
+	is := is.New(t)
+	hellos := make(chan *wire.Hello, 100)
+	fresh := newClient(t, &network{replicas: map[string]func(*fakeStream){"a": script(hellos,
+		&wire.Update{Snapshot: document(2), Revision: 2, Echo: 1, Leader: "1"})}}, "a")
+	run(t, fresh)
+	eventually(t, "fresh", fresh.Fresh)
+
+	stale := newClient(t, &network{}, "a")
+	is.True(!stale.Learn("fresh", fresh.Offer("stale"))) // it repeats no stamp of ours
+	fresh.Learn("stale", stale.Offer("fresh"))
+	is.True(!stale.Learn("fresh", fresh.Offer("stale"))) // its revision is higher than ours
+	stale.View().Replace(document(2))
+	is.True(stale.Learn("fresh", fresh.Offer("stale")))
+	is.True(stale.Fresh())
+}
+
+// standing answers a poll with s and ends sessions at once.
+func standing(s command.Standing) func(*fakeStream) {
+	return func(f *fakeStream) {
+		m, err := f.Recv()
+		if _, ok := m.(*wire.Command); err != nil || !ok {
+			f.Abort()
+			return
+		}
+		_ = f.Send(accepted(s))
+	}
+}
+
+func TestPollOfAMajorityRenewsThePermissionWithoutALeader(t *testing.T) {
+	voters := []uint64{1, 2, 3}
+	tests := map[string]struct {
+		answers []command.Standing
+		want    bool
+	}{
+		"two of three": {[]command.Standing{{ID: 1, Voters: voters, Revision: 2, Settled: true}, {ID: 2, Voters: voters, Revision: 1, Settled: true}}, true},
+		"one of three": {[]command.Standing{{ID: 1, Voters: voters, Revision: 2, Settled: true}}, false},
+		"undecided":    {[]command.Standing{{ID: 1, Voters: voters, Revision: 2, Settled: true}, {ID: 2, Voters: voters, Revision: 2}}, false},
+		"more known":   {[]command.Standing{{ID: 1, Voters: voters, Revision: 2, Settled: true}, {ID: 2, Voters: voters, Revision: 3, Settled: true}}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			replicas := map[string]func(*fakeStream){}
+			addrs := []string{"a", "b", "c"}
+			for i, a := range test.answers {
+				replicas[addrs[i]] = standing(a)
+			}
+			c := newClient(t, &network{replicas: replicas}, addrs...)
+			c.View().Replace(document(2))
+			c.poll(context.Background())
+			is.New(t).Equal(c.Fresh(), test.want)
+		})
+	}
+}
--- a/control/transport.go
+++ b/control/transport.go
@@ -262,7 +262,7 @@
 	if err != nil {
 		return err
 	}
-	if err := stream.SetDeadline(t.clock.Now().Add(sendTimeout)); err != nil {
+	if err := stream.SetSendDeadline(t.clock.Now().Add(sendTimeout)); err != nil {
 		return err
 	}
 	return stream.Send(&wire.Replica{Group: groupConsensus, Data: data})
--- a/lease/permission.go
+++ b/lease/permission.go
@@ -56,6 +56,10 @@
 	}
 }
 
+// Proven renews the permission from since, a moment at which a Poll has proven the
+// process to be current.
+func (p *Permission) Proven(since time.Time) { p.extend(since.Add(p.span - p.margin)) }
+
 // Reset forgets the heartbeats of a session that ended. The permission itself
 // holds on, because it was granted for a span and not for a session.
 func (p *Permission) Reset() { p.sent = p.sent[:0] }
@@ -80,7 +84,7 @@
 	if peer > ours || left <= p.margin {
 		return false
 	}
-	p.extend(since.Add(left - p.margin))
+	p.extend(since.Add(min(left, p.span) - p.margin))
 	return true
 }
 
--- /dev/null
+++ b/lease/poll.go
@@ -0,0 +1,71 @@
+package lease
+
+import "slices"
+
+// Standing is what one replica says about itself in answer to a poll.
+type Standing struct {
+	// Replica is its number and Voters those of all voters in its newest membership.
+	Replica uint64
+	Voters  []uint64
+	// Revision is the highest one that it holds. Settled is set when its log holds
+	// nothing after that which may still become a change.
+	Revision uint64
+	Settled  bool
+}
+
+// Poll is a process's own read from a quorum, for when no leader renews its
+// permission. The process asks all replicas itself, at one moment.
+//
+// A change that was accepted before that moment is in the logs of a majority of
+// the voters. So if a majority hold no change that the process lacks, not even one
+// that is not yet decided, the process was current at that moment. It does not
+// matter whether there is a leader: one that is elected later accepts a change at
+// the earliest after the moment, and the permission counts from there.
+//
+// Fewer answers prove nothing: the process cannot tell a lost quorum from its own
+// cut.
+type Poll struct {
+	answers map[uint64]Standing
+}
+
+// Add enters the answer of one replica.
+func (p *Poll) Add(s Standing) {
+	if p.answers == nil {
+		p.answers = map[uint64]Standing{}
+	}
+	p.answers[s.Replica] = s
+}
+
+// Proves reports whether a process with revision ours was current when the poll
+// began. Memberships that follow on one another share a replica in their
+// majorities, so the answers must be a majority of every membership that they name.
+func (p *Poll) Proves(ours uint64) bool {
+	if len(p.answers) == 0 {
+		return false
+	}
+	var counted []uint64
+	for id, s := range p.answers {
+		if s.Revision > ours {
+			return false
+		}
+		if s.Settled {
+			counted = append(counted, id)
+		}
+	}
+	for _, s := range p.answers {
+		if !majority(s.Voters, counted) {
+			return false
+		}
+	}
+	return true
+}
+
+func majority(voters, counted []uint64) bool {
+	n := 0
+	for _, v := range voters {
+		if slices.Contains(counted, v) {
+			n++
+		}
+	}
+	return 2*n > len(voters)
+}
