Run the whole path as separate processes

A test builds the programs, starts them from the settings that rosemary-dev writes, sends prompts streamed and whole, and stops them in good order. An identity is asked for only where a plug-in needs it, so that stand-ins run without keys; the settings test keeps the three missing files and the kernel test covers the plug-in that needs them.

--- a/control/control.go
+++ b/control/control.go
@@ -25,7 +25,7 @@
 )
 
 func init() {
-	kernel.Register(kernel.PluginInfo{ID: "control", New: func() any {
+	kernel.Register(kernel.PluginInfo{ID: "control", Identity: true, New: func() any {
 		return &Plugin{Lease: settings.Duration(defaultLease), Grace: settings.Duration(defaultGrace)}
 	}})
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -70,7 +70,7 @@
 	Entries []string
 	Control []string
 	// Operator is the identity of rosemaryctl.
-	Operator settings.TLS
+	Operator *settings.TLS
 	// Stands are the base URLs of the stand-ins by endpoint.
 	Stands map[string]string
 }
--- a/dev/plan.go
+++ b/dev/plan.go
@@ -33,7 +33,7 @@
 		Dir:       dir,
 		Region:    "leon-coast",
 		Zones:     SmallZones,
-		Replicas:  3,
+		Replicas:  1,
 		Entries:   2,
 		Bootstrap: smallDocument(),
 		LogLevel:  "info",
--- /dev/null
+++ b/e2e/e2e_test.go
@@ -0,0 +1,196 @@
+// Package e2e runs the built programs as separate processes.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/dev"
+)
+
+// programs maps a plug-in to the program that has it built in.
+var programs = map[string]string{
+	"control":        "rosemary-control",
+	"entry":          "rosemary-entry",
+	"sidecar":        "rosemary-sidecar",
+	"standin.engine": "rosemary-standin",
+	"standin.worker": "rosemary-standin",
+}
+
+// system is a deployment of separate processes.
+type system struct {
+	t     *testing.T
+	bin   string
+	dir   string
+	files *dev.Files
+	procs map[string]*exec.Cmd
+	logs  map[string]*bytes.Buffer
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", bin+"/", "../cmd/...").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return bin
+}
+
+func newSystem(t *testing.T, p *dev.Plan) *system {
+	t.Helper()
+	s := &system{t: t, bin: build(t), dir: t.TempDir(), procs: map[string]*exec.Cmd{}, logs: map[string]*bytes.Buffer{}}
+	p.Dir = s.dir
+	files, err := p.Settings()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := files.Write(s.dir); err != nil {
+		t.Fatal(err)
+	}
+	s.files = files
+	t.Cleanup(s.stopAll)
+	for name := range files.Settings {
+		s.start(name)
+	}
+	return s
+}
+
+func (s *system) program(name string) string {
+	for plugin := range s.files.Settings[name].Plugins {
+		return filepath.Join(s.bin, programs[plugin])
+	}
+	return ""
+}
+
+func (s *system) start(name string) {
+	s.t.Helper()
+	c := exec.Command(s.program(name), "--settings", filepath.Join(s.dir, name+".json"))
+	if s.logs[name] == nil {
+		s.logs[name] = &bytes.Buffer{}
+	}
+	c.Stderr = s.logs[name]
+	if err := c.Start(); err != nil {
+		s.t.Fatalf("start %s: %v", name, err)
+	}
+	s.procs[name] = c
+}
+
+// stop ends a process in good order and returns its exit error.
+func (s *system) stop(name string) error {
+	c := s.procs[name]
+	delete(s.procs, name)
+	_ = c.Process.Signal(syscall.SIGTERM)
+	return c.Wait()
+}
+
+// kill ends a process without warning.
+func (s *system) kill(name string) {
+	c := s.procs[name]
+	delete(s.procs, name)
+	_ = c.Process.Kill()
+	_ = c.Wait()
+}
+
+func (s *system) stopAll() {
+	for name := range s.procs {
+		s.kill(name)
+	}
+	if s.t.Failed() {
+		for name, log := range s.logs {
+			s.t.Logf("--- %s\n%s", name, tail(log.String(), 4000))
+		}
+	}
+}
+
+func tail(s string, n int) string { return s[max(0, len(s)-n):] }
+
+func (s *system) until(what string, ok func() bool) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
+	defer cancel()
+	for !ok() {
+		select {
+		case <-ctx.Done():
+			s.t.Fatalf("never: %s", what)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	err    error
+}
+
+func post(entry, path, body string, header map[string]string) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+dev.SmallKey)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	return answer{status: res.StatusCode, body: string(raw), err: err}
+}
+
+func prompt(entry, text string, stream bool) answer {
+	return post(entry, "/v1/completions", fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":16,"stream":%v}`, dev.SmallRoute, text, stream), nil)
+}
+
+func (a answer) whole(stream bool) bool {
+	if a.err != nil || a.status != http.StatusOK {
+		return false
+	}
+	return !stream || strings.HasSuffix(strings.TrimSpace(a.body), "data: [DONE]")
+}
+
+func TestSeparateProcessesServePromptsAndStopInGoodOrder(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, dev.Small(""))
+	for _, entry := range s.files.Entries {
+		s.until("entry serves", func() bool { return prompt(entry, "hello", false).whole(false) })
+	}
+	for i := range 20 {
+		entry := s.files.Entries[i%2]
+		is.True(prompt(entry, fmt.Sprintf("letter %d", i), i%3 == 0).whole(i%3 == 0))
+	}
+	for _, name := range []string{"entry-1", "entry-2", "scribe-1", "scribe-2", "scribe-3"} {
+		is.NoErr(s.stop(name))
+	}
+}
+
+func TestSettingsCheckListsFaultsAndExitsWithTwo(t *testing.T) {
+	is := is.New(t)
+	bin := build(t)
+	file := filepath.Join(t.TempDir(), "entry.json")
+	is.NoErr(os.WriteFile(file, []byte(`{"node":{"name":"e"},"plugins":{"entry":{"listen":"localhost:1","colour":2}}}`), 0o644))
+	c := exec.Command(filepath.Join(bin, "rosemary-entry"), "check", "--settings", file)
+	out, err := c.CombinedOutput()
+	is.True(err != nil)
+	is.Equal(c.ProcessState.ExitCode(), 2)
+	for _, path := range []string{"node.region", "node.zone"} {
+		is.True(strings.Contains(string(out), path))
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,7 +89,7 @@
 )
 
 func init() {
-	kernel.Register(kernel.PluginInfo{ID: "entry", New: func() any { return New(Settings{}) }})
+	kernel.Register(kernel.PluginInfo{ID: "entry", Identity: true, New: func() any { return New(Settings{}) }})
 }
 
 // New returns an entry with defaults for what s leaves empty.
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -21,7 +21,7 @@
 	// Node says who the process is.
 	Node settings.Node
 	// TLS names the files of the process's identity.
-	TLS settings.TLS
+	TLS *settings.TLS
 	// Log writes one key=value line an event.
 	Log hclog.Logger
 	// Clock is the process's time.
@@ -66,6 +66,9 @@
 func Check(f *settings.File) error {
 	var faults settings.Faults
 	for _, id := range sortedIDs(f) {
+		if info, err := Lookup(id); err == nil && info.Identity && f.TLS == nil {
+			faults = append(faults, settings.Fault{Path: "tls", Problem: "is missing; " + id + " needs it"})
+		}
 		_, err := decode(id, f.Plugins[id])
 		var found settings.Faults
 		if errors.As(err, &found) {
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -48,6 +48,17 @@
 	is.True(!lastSample.provisioned)
 }
 
+func TestCheckAsksForTheIdentityThatAPluginNeeds(t *testing.T) {
+	is := is.New(t)
+	Register(PluginInfo{ID: "test.identity", Identity: true, New: func() any { return &samplePlugin{Size: 1} }})
+	f := &settings.File{Plugins: map[string]json.RawMessage{"test.identity": json.RawMessage(`{}`)}}
+	faults, ok := Check(f).(settings.Faults)
+	is.True(ok)
+	is.Equal(faults[0].Path, "tls")
+	f.TLS = &settings.TLS{}
+	is.NoErr(Check(f))
+}
+
 func TestLoadAllKeepsDefaults(t *testing.T) {
 	is := is.New(t)
 	f := &settings.File{Plugins: map[string]json.RawMessage{"test.sample": json.RawMessage(`{}`)}}
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -102,7 +102,6 @@
 		{"whole", wholeFile + `}`, nil},
 		{"nothing set", `{}`, Faults{
 			{"node.name", "is missing"}, {"node.region", "is missing"}, {"node.zone", "is missing"},
-			{"tls.ca", "is missing"}, {"tls.cert", "is missing"}, {"tls.key", "is missing"},
 			{"plugins", "is missing"},
 		}},
 		{"known zone", wholeFile + `,"zones":[{"region":"r","name":"z"}]}`, nil},
@@ -115,6 +114,9 @@
 		{"zone without a region", wholeFile + `,"zones":[{"name":"z"}]}`, Faults{
 			{"zones[0].region", "is missing"}, {"node.region", `zone "z" is in region "", not in "r"`},
 		}},
+		{"identity without files", `{"node":{"name":"a","region":"r","zone":"z"},"tls":{},"plugins":{"x":{}}}`, Faults{
+			{"tls.ca", "is missing"}, {"tls.cert", "is missing"}, {"tls.key", "is missing"},
+		}},
 		{"no plug-ins", `{"node":{"name":"","region":"r","zone":"z"},"tls":{"ca":"c","cert":"d","key":"e"},"plugins":{}}`, Faults{
 			{"node.name", "must not be empty"}, {"plugins", "want at least 1 entries"},
 		}},
--- a/settings/types.go
+++ b/settings/types.go
@@ -93,8 +93,8 @@
 	Node Node `json:"node"`
 	// Log sets the log.
 	Log Log `json:"log"`
-	// TLS is the identity for connections between processes.
-	TLS TLS `json:"tls"`
+	// TLS is the identity for connections between processes. A stand-in needs none.
+	TLS *TLS `json:"tls,omitempty"`
 	// Operator is the address of metrics, health and profiles. Empty turns it off.
 	Operator Addr `json:"operator,omitempty"`
 	// Zones lists the availability zones of the deployment. When it is set, the
--- a/wire/authority.go
+++ b/wire/authority.go
@@ -90,8 +90,8 @@
 
 // Issue makes a key and certificate for a process and writes <name>.pem and
 // <name>.key to dir. The files replace older ones at once, key first.
-func (a *Authority) Issue(dir, name string, role Role) (settings.TLS, error) {
-	files := settings.TLS{
+func (a *Authority) Issue(dir, name string, role Role) (*settings.TLS, error) {
+	files := &settings.TLS{
 		CA:   filepath.Join(dir, "ca.pem"),
 		Cert: filepath.Join(dir, name+".pem"),
 		Key:  filepath.Join(dir, name+".key"),
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -40,7 +40,7 @@
 // Identity is a process's certificate and the authority it trusts. It reads its
 // files again when they change, so that keys rotate without a restart.
 type Identity struct {
-	files settings.TLS
+	files *settings.TLS
 
 	mu      sync.Mutex
 	checked time.Time
@@ -50,7 +50,10 @@
 }
 
 // LoadIdentity reads the identity's files.
-func LoadIdentity(files settings.TLS) (*Identity, error) {
+func LoadIdentity(files *settings.TLS) (*Identity, error) {
+	if files == nil {
+		return nil, errors.New("no files of an identity are set")
+	}
 	id := &Identity{files: files}
 	if err := id.reload(); err != nil {
 		return nil, err
