--- /dev/null
+++ b/ramp/ramp_test.go
@@ -0,0 +1,138 @@
+package ramp
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+func warmed(t *testing.T) *Ramp {
+	t.Helper()
+	r := New(DefaultSettings())
+	for range 1000 {
+		if err := r.Start(10_000); err != nil {
+			t.Fatal(err)
+		}
+		r.Finished(10_000, 10_000)
+	}
+	if r.Cold() {
+		t.Fatal("still cold after 10 million tokens")
+	}
+	return r
+}
+
+func TestColdEndpointTakesItsAllowanceOnly(t *testing.T) {
+	is := is.New(t)
+	r := New(DefaultSettings())
+	taken := int64(0)
+	for r.Start(2_000) == nil {
+		taken += 2_000
+	}
+	is.Equal(taken, DefaultSettings().FirstTokens)
+	refusal := verdict.From(r.Start(2_000))
+	is.Equal(refusal.Verdict, verdict.NotRun)
+	is.Equal(refusal.Reason, verdict.ReasonEndpointCold)
+	is.True(refusal.RetryAfter > 0)
+}
+
+func TestCountingRequestsWouldOverloadAColdEndpoint(t *testing.T) {
+	is := is.New(t)
+	r := New(DefaultSettings())
+	// A ramp of 8 requests would take 8 prompts of 400,000 tokens at once.
+	is.NoErr(r.Start(400_000)) // an idle endpoint takes any one request
+	is.True(r.Start(400_000) != nil)
+	is.True(r.Start(1) != nil)
+}
+
+func TestTurnsColdAgain(t *testing.T) {
+	cases := []struct {
+		name   string
+		happen func(r *Ramp)
+		cold   bool
+	}{
+		{"nothing", func(*Ramp) {}, false},
+		{"new incarnation", func(r *Ramp) { r.Restarted() }, true},
+		{"lasting fall in speed", func(r *Ramp) { measure(r, 10_000, 1_000, 1_000, 1_000) }, true},
+		{"one slow measurement", func(r *Ramp) { measure(r, 10_000, 1_000, 10_000, 1_000, 10_000) }, false},
+		{"small fall", func(r *Ramp) { measure(r, 10_000, 6_000, 6_000, 6_000, 6_000) }, false},
+		{"no measurement", func(r *Ramp) { measure(r, 10_000, 0, 0, 0, 0) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := warmed(t)
+			c.happen(r)
+			is.Equal(r.Cold(), c.cold)
+			is.Equal(r.Left() == Warm, !c.cold)
+		})
+	}
+}
+
+func measure(r *Ramp, rates ...float64) {
+	for _, rate := range rates {
+		r.Measured(rate)
+	}
+}
+
+func TestColdEndpointShedsAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := warmed(t)
+	for range 50 {
+		is.NoErr(r.Start(10_000))
+	}
+	measure(r, 10_000, 1_000, 1_000, 1_000)
+	is.Equal(r.Left(), int64(0))
+	is.True(r.Start(1_000) != nil) // 500,000 tokens are in flight still
+}
+
+func TestSlowEndpointWarmsAtItsNewSpeed(t *testing.T) {
+	is := is.New(t)
+	r := warmed(t)
+	measure(r, 10_000, 1_000, 1_000, 1_000)
+	is.True(r.Cold())
+	for range 200 {
+		r.Measured(1_000)
+		is.NoErr(r.Start(10_000))
+		r.Finished(10_000, 10_000)
+	}
+	is.True(!r.Cold())
+}
+
+func TestFailedWorkDoesNotWarm(t *testing.T) {
+	is := is.New(t)
+	r := New(DefaultSettings())
+	for range 1000 {
+		is.NoErr(r.Start(10_000))
+		r.Finished(10_000, 0)
+	}
+	is.True(r.Cold())
+}
+
+// TestColdFleetWarmsUp holds that whatever the sizes, an idle cold endpoint always
+// takes a request and becomes warm after a bounded amount of work.
+func TestColdFleetWarmsUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(DefaultSettings())
+		var running []int64
+		done := int64(0)
+		for r.Cold() {
+			size := rapid.Int64Range(1_000, 1_000_000).Draw(t, "size")
+			if r.Start(size) == nil {
+				running = append(running, size)
+			} else if len(running) == 0 {
+				t.Fatal("an idle endpoint refused")
+			}
+			if rapid.Bool().Draw(t, "finish") && len(running) > 0 {
+				r.Finished(running[0], running[0])
+				done += running[0]
+				running = running[1:]
+			}
+			if done > 2*DefaultSettings().WarmTokens+1_000_000 {
+				t.Fatal("cold after", done)
+			}
+		}
+	})
+}
