--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,160 @@
+package admit
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func TestDeadline(t *testing.T) {
+	cases := []struct {
+		name     string
+		forecast Forecast
+		left     float64
+		want     verdict.Reason
+		retry    bool
+	}{
+		{"ample", Forecast{Wait: seconds(1), Prefill: seconds(1), Output: seconds(2)}, 10, "", false},
+		{"too long a wait", Forecast{Wait: seconds(10), Prefill: seconds(1), Output: seconds(2)}, 10, verdict.ReasonOverloaded, true},
+		{"too long alone", Forecast{Prefill: seconds(20), Output: seconds(2)}, 10, verdict.ReasonDeadline, false},
+		{"already past", Forecast{Prefill: seconds(1)}, -1, verdict.ReasonDeadline, false},
+		{"no room for error", Forecast{Prefill: seconds(8), Output: seconds(1.9)}, 10, verdict.ReasonDeadline, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			err := NewDeadlines().Admit(start, route.Short, c.forecast, start.Add(seconds(c.left)))
+			if c.want == "" {
+				is.NoErr(err)
+				return
+			}
+			r := verdict.From(err)
+			is.Equal(r.Verdict, verdict.NotRun)
+			is.Equal(r.Reason, c.want)
+			is.Equal(r.RetryAfter > 0, c.retry)
+		})
+	}
+}
+
+func TestGiveUpLeavesTimeToRun(t *testing.T) {
+	is := is.New(t)
+	d := NewDeadlines()
+	f := Forecast{Wait: seconds(5), Prefill: seconds(2), Output: seconds(3)}
+	deadline := start.Add(seconds(60))
+	giveUp := d.GiveUp(route.Medium, f, deadline)
+	is.True(giveUp.Before(deadline.Add(-seconds(5))))
+	f.Wait = 0
+	is.NoErr(d.Admit(giveUp, route.Medium, f, deadline))
+	is.True(d.Admit(giveUp.Add(seconds(0.1)), route.Medium, f, deadline) != nil)
+}
+
+// TestFactorLearns feeds predictions that are short by up to 2x and checks that the
+// factor covers almost all of them, and that it does not without learning.
+func TestFactorLearns(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	d := NewDeadlines()
+	f := Forecast{Prefill: seconds(10)}
+	missed, missedBefore := 0, 0
+	for i := range 20_000 {
+		took := seconds(10 * (1 + rng.Float64()))
+		if i >= 10_000 && took > d.Needed(route.Short, f) {
+			missed++
+		}
+		if i >= 10_000 && took > NewDeadlines().Needed(route.Short, f) {
+			missedBefore++
+		}
+		d.Observe(route.Short, f, took)
+	}
+	is.True(missed < 200)         // 2 in 100 with learning
+	is.True(missedBefore > 5_000) // more than half without
+	is.Equal(d.Factor(route.Long), firstFactor)
+}
+
+// TestEstimateBound checks the stated bound on routes of different texts, and that
+// the expected length is near.
+func TestEstimateBound(t *testing.T) {
+	cases := []struct {
+		name   string
+		ratio  float64
+		spread float64
+	}{
+		{"english", 0.24, 0.08},
+		{"breton", 0.38, 0.15},
+		{"urdu in utf-8", 0.55, 0.12},
+		{"repetitive tables", 0.12, 0.25},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			rng := rand.New(rand.NewPCG(7, 7))
+			e := NewEstimator()
+			over, off := 0, 0.0
+			const learn, check = 3_000, 20_000
+			for i := range learn + check {
+				bytes := 4_000 + rng.IntN(400_000)
+				ratio := min(c.ratio*math.Exp(c.spread*rng.NormFloat64()), 1)
+				tokens := int(float64(bytes)*ratio) + templateTokens
+				got := e.Estimate(c.name, bytes)
+				if i >= learn {
+					off += math.Abs(float64(got.Tokens-tokens)) / float64(tokens) / check
+				}
+				if i >= learn && tokens > got.Bound {
+					over++
+				}
+				e.Observe(c.name, bytes, tokens)
+			}
+			t.Logf("%s: %.4f over the bound, mean error %.3f", c.name, float64(over)/check, off)
+			is.True(float64(over)/check < 1-boundQuantile)
+			is.True(off < c.spread+0.05)
+		})
+	}
+}
+
+func TestUnknownRouteIsBoundedFromAbove(t *testing.T) {
+	is := is.New(t)
+	got := NewEstimator().Estimate("new", 8_000)
+	is.True(got.Tokens >= 2_000 && got.Tokens < 2_300)
+	is.True(got.Bound >= 4_000)
+	is.True(got.Bound <= 8_000+templateTokens)
+}
+
+func TestTextChangesAreFollowed(t *testing.T) {
+	is := is.New(t)
+	e := NewEstimator()
+	for range 3_000 {
+		e.Observe("r", 10_000, 2_500)
+	}
+	before := e.Estimate("r", 10_000)
+	is.True(before.Bound < 3_000)
+	for range 20 { // a route turns to another language: the bound follows at once
+		e.Observe("r", 10_000, 6_000)
+	}
+	is.True(e.Estimate("r", 10_000).Bound > 6_000)
+}
+
+func TestConcurrency(t *testing.T) {
+	is := is.New(t)
+	c := NewConcurrency()
+	is.NoErr(c.Enter("a", 2))
+	is.NoErr(c.Enter("a", 2))
+	is.Equal(verdict.From(c.Enter("a", 2)).Reason, verdict.ReasonAccountLimit)
+	is.NoErr(c.Enter("b", 2)) // others are not affected
+	c.Leave("a")
+	is.NoErr(c.Enter("a", 2))
+	is.NoErr(c.Enter("a", 0)) // 0 is no limit
+	for range 3 {
+		c.Leave("a")
+	}
+	is.Equal(c.InFlight("a"), 0)
+}
