--- /dev/null
+++ b/route/model_engine_test.go
@@ -0,0 +1,276 @@
+package route_test
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/ramp"
+	"github.com/rosemaryproxy/rosemaryproxy/reserve"
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// Constants of the model's engines.
+const (
+	modelMemory  = 600_000 // KV tokens of an engine
+	modelRate    = 25_000  // prefill tokens a second within a step
+	modelChunk   = 1_024   // prefill tokens in a step
+	stepSeconds  = 0.008   // a step's fixed cost
+	decodeCost   = 0.0001  // a step's cost for each stream
+	coldSlowdown = 4       // how much slower a cold engine is
+	coldWork     = 300_000 // prefill tokens until it is warm
+	coldBears    = 150_000 // prefill tokens in flight that a cold engine survives, beside one request
+	linkSeconds  = 0.0005  // one way between entry and sidecar
+	reportEvery  = 1.0     // seconds between reports of load to the entries
+	reportDelay  = 0.1     // seconds that a report is under way, and half as much again at random
+)
+
+// event is something that happens in the model at a time in seconds.
+type event struct {
+	at  float64
+	seq int
+	do  func()
+}
+
+type events struct {
+	heap []event
+	seq  int
+	now  float64
+}
+
+func (q *events) Len() int { return len(q.heap) }
+func (q *events) Less(i, j int) bool {
+	if q.heap[i].at != q.heap[j].at {
+		return q.heap[i].at < q.heap[j].at
+	}
+	return q.heap[i].seq < q.heap[j].seq
+}
+func (q *events) Swap(i, j int) { q.heap[i], q.heap[j] = q.heap[j], q.heap[i] }
+func (q *events) Push(x any)    { q.heap = append(q.heap, x.(event)) }
+func (q *events) Pop() any {
+	last := q.heap[len(q.heap)-1]
+	q.heap = q.heap[:len(q.heap)-1]
+	return last
+}
+
+// after schedules do in some seconds.
+func (q *events) after(seconds float64, do func()) {
+	q.seq++
+	heap.Push(q, event{at: q.now + seconds, seq: q.seq, do: do})
+}
+
+// run works until no event is left before the end.
+func (q *events) run(end float64) {
+	for len(q.heap) > 0 && q.heap[0].at <= end {
+		ev := heap.Pop(q).(event)
+		q.now = ev.at
+		ev.do()
+	}
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// node is an endpoint: an engine with continuous batching and chunked prefill, and
+// its sidecar with the reservations and the ramp. Prefill is first come, first
+// served, as in an engine that has no priorities.
+type node struct {
+	q       *events
+	info    wire.Endpoint
+	book    *reserve.Book
+	ramp    *ramp.Ramp
+	prefill []*call
+	decode  []*call
+	busy    bool
+	warmth  float64 // prefill tokens done since the start
+	rate    float64 // measured prefill speed
+	crashes int
+	gate    bool // whether the sidecar reserves and ramps
+}
+
+// call is one attempt at an endpoint.
+type call struct {
+	req      *request
+	from     *entry
+	flight   route.Flight
+	id       string
+	left     int // prompt tokens to prefill
+	produced int
+	boot     uint64
+}
+
+func newNode(q *events, name, zone string, cold bool) *node {
+	n := &node{q: q, gate: true, rate: modelChunk / (stepSeconds + modelChunk/float64(modelRate))}
+	n.info = wire.Endpoint{Name: name, Zone: zone, Target: "m", Incarnation: 1}
+	n.book = reserve.NewBook(reserve.DefaultSettings())
+	n.ramp = ramp.New(ramp.DefaultSettings())
+	n.report()
+	if !cold {
+		n.warmth = coldWork
+		for n.ramp.Cold() {
+			_ = n.ramp.Start(100_000)
+			n.ramp.Finished(100_000, 100_000)
+		}
+	}
+	return n
+}
+
+func (n *node) used() int64 {
+	sum := int64(0)
+	for _, c := range n.prefill {
+		sum += int64(c.req.prompt)
+	}
+	for _, c := range n.decode {
+		sum += int64(c.req.prompt + c.produced)
+	}
+	return sum
+}
+
+// report hands the engine's report to the sidecar.
+func (n *node) report() {
+	load := engine.Load{Boot: n.info.Incarnation, TotalTokens: modelMemory, FreeTokens: modelMemory - n.used()}
+	n.book.Report(at(n.q.now), load)
+}
+
+func (n *node) pending() int64 {
+	sum := int64(0)
+	for _, c := range n.prefill {
+		sum += int64(c.left)
+	}
+	return sum
+}
+
+func (n *node) load() wire.Load {
+	l := wire.Load{
+		FreeTokens:     n.book.Free(at(n.q.now)),
+		CapacityTokens: modelMemory - n.book.Margin(at(n.q.now)),
+		PendingPrefill: n.pending(),
+		PrefillRate:    n.rate,
+		DecodeRate:     1 / (stepSeconds + modelChunk/float64(modelRate)),
+		RampTokens:     n.ramp.Left(),
+		Running:        len(n.prefill) + len(n.decode),
+	}
+	return l
+}
+
+// take is the sidecar's last word on a dispatch.
+func (n *node) take(c *call) *verdict.Refusal {
+	tokens := int64(c.req.prompt + c.req.output)
+	if n.gate {
+		if err := n.book.Reserve(at(n.q.now), c.id, c.from.name, tokens, at(n.q.now+600)); err != nil {
+			return verdict.From(err)
+		}
+		if err := n.ramp.Start(tokens); err != nil {
+			n.book.Release(at(n.q.now), c.id)
+			return verdict.From(err)
+		}
+	}
+	c.left = c.req.prompt
+	c.boot = n.info.Incarnation
+	n.prefill = append(n.prefill, c)
+	if n.overloaded() {
+		n.crash()
+		return nil
+	}
+	n.start()
+	return nil
+}
+
+// overloaded reports whether the engine falls over: its requests outgrow its memory,
+// or it is cold and has more than it bears.
+func (n *node) overloaded() bool {
+	if n.used() > modelMemory {
+		return true
+	}
+	cold := n.warmth < coldWork
+	return cold && len(n.prefill) > 1 && n.pending() > coldBears
+}
+
+// crash loses all work; the endpoint comes back cold.
+func (n *node) crash() {
+	n.crashes++
+	lost := append(slices.Clone(n.prefill), n.decode...)
+	n.prefill, n.decode, n.warmth, n.busy = nil, nil, 0, false
+	n.info.Incarnation++
+	n.ramp.Restarted()
+	n.report()
+	for _, c := range lost {
+		n.q.after(linkSeconds, func() { c.from.lost(c) })
+	}
+}
+
+// start begins a step when there is work.
+func (n *node) start() {
+	if n.busy || len(n.prefill)+len(n.decode) == 0 {
+		return
+	}
+	n.busy = true
+	budget := modelChunk
+	for _, c := range n.prefill {
+		budget -= min(budget, c.left)
+	}
+	tokens := modelChunk - budget
+	seconds := stepSeconds + float64(tokens)/modelRate + decodeCost*float64(len(n.decode))
+	if n.warmth < coldWork {
+		seconds *= coldSlowdown
+	}
+	boot := n.info.Incarnation
+	n.q.after(seconds, func() {
+		if n.info.Incarnation == boot {
+			n.finish(tokens, seconds)
+		}
+	})
+}
+
+// finish ends a step: streams get a token each, prompts advance.
+func (n *node) finish(tokens int, seconds float64) {
+	n.busy = false
+	n.warmth += float64(tokens)
+	if tokens > modelChunk/2 {
+		rate := float64(tokens) / seconds
+		n.rate += 0.05 * (rate - n.rate)
+		n.ramp.Measured(n.rate)
+	}
+	streams := n.decode
+	n.decode = n.decode[:0:len(n.decode)]
+	kept := make([]*call, 0, len(streams)+1)
+	for _, c := range streams {
+		c.produced++
+		if c.produced < c.req.output {
+			kept = append(kept, c)
+			continue
+		}
+		n.end(c)
+	}
+	for tokens > 0 {
+		c := n.prefill[0]
+		part := min(tokens, c.left)
+		c.left -= part
+		tokens -= part
+		if c.left == 0 {
+			n.prefill = slices.Delete(n.prefill, 0, 1)
+			kept = append(kept, c)
+			n.book.Progress(at(n.q.now), c.id, int64(c.req.prompt))
+			n.q.after(linkSeconds, func() { c.from.firstToken(c) })
+		}
+	}
+	n.decode = kept
+	n.start()
+}
+
+// end completes an attempt.
+func (n *node) end(c *call) {
+	total := int64(c.req.prompt + c.req.output)
+	if n.gate {
+		n.book.Release(at(n.q.now), c.id)
+		n.ramp.Finished(total, total)
+	}
+	load := n.load()
+	n.q.after(linkSeconds, func() { c.from.ended(c, load) })
+}
--- /dev/null
+++ b/route/model_entry_test.go
@@ -0,0 +1,259 @@
+package route_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/admit"
+	"github.com/rosemaryproxy/rosemaryproxy/queue"
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// request is a caller's request in the model. Times are in seconds.
+type request struct {
+	id       uint64
+	account  string
+	prompt   int
+	output   int
+	arrived  float64
+	deadline float64
+	class    route.Class
+
+	forecast admit.Forecast
+	tried    []string
+	want     route.Request
+	first    float64 // time of the first token
+	done     float64 // time of the end
+	answer   verdict.Reason
+	tries    int
+}
+
+// entry is an entry VM: it holds the request path's decisions.
+type entry struct {
+	w       *world
+	name    string
+	zone    string
+	table   *route.Table
+	chooser route.Chooser
+	waiting queue.Waiting
+	admit   *admit.Deadlines
+	budget  *route.RetryBudget
+	ready   bool
+	// choice is what fits found for the request that Pop returns.
+	choice route.Choice
+}
+
+// outputSeconds is the time of a token of output that admission reckons with.
+const outputSeconds = 0.055
+
+func (e *entry) now() time.Time { return at(e.w.q.now) }
+
+// arrive admits a request, and sends or queues it.
+func (e *entry) arrive(r *request) {
+	r.want = route.Request{
+		Target: "m", Class: r.class, PromptTokens: r.prompt, OutputTokens: r.output,
+		Prefix: r.id, Zone: e.zone, Deadline: at(r.deadline),
+	}
+	e.budget.Attempted(e.now())
+	choice, err := e.choose(r)
+	refusal := verdict.From(err)
+	if refusal != nil && refusal.RetryAfter == 0 {
+		e.answer(r, refusal)
+		return
+	}
+	e.forecast(r, choice, refusal)
+	if err := e.admit.Admit(e.now(), r.class, r.forecast, at(r.deadline)); err != nil {
+		e.answer(r, verdict.From(err))
+		return
+	}
+	if refusal == nil && e.waiting.Tokens(r.class) == 0 {
+		e.send(r, choice)
+		return
+	}
+	e.push(r)
+}
+
+func (e *entry) choose(r *request) (route.Choice, error) {
+	r.want.Tried = r.tried
+	return e.chooser.Choose(e.now(), &r.want, e.table.View("m"))
+}
+
+// forecast predicts what the request takes: the wait at the entry follows from the
+// work ahead of it and the speed of the endpoints that this entry has a share of.
+func (e *entry) forecast(r *request, choice route.Choice, refusal *verdict.Refusal) {
+	rate := 0.0
+	for _, ep := range e.table.View("m") {
+		rate += ep.Load.PrefillRate
+	}
+	alone := seconds(float64(r.prompt) / (rate / float64(len(e.table.View("m")))))
+	ahead := float64(e.waiting.Tokens(r.class)) / (rate / float64(len(e.w.entries)))
+	wait := seconds(ahead)
+	if refusal == nil {
+		wait += max(choice.Predicted-alone, 0)
+	} else {
+		wait += refusal.RetryAfter
+	}
+	r.forecast = admit.Forecast{Wait: wait, Prefill: alone, Output: seconds(outputSeconds * float64(r.output))}
+}
+
+func (e *entry) push(r *request) {
+	item := queue.Item{
+		ID: r.id, Account: r.account, Class: r.class, Tokens: r.prompt + r.output, Value: r,
+		GiveUp: e.admit.GiveUp(r.class, r.forecast, at(r.deadline)),
+	}
+	if err := e.waiting.Push(e.now(), item); err != nil {
+		e.answer(r, verdict.From(err))
+	}
+	e.wake()
+}
+
+// wake looks at the queue once more in a moment.
+func (e *entry) wake() {
+	if e.ready || e.waiting.Len() == 0 {
+		return
+	}
+	e.ready = true
+	e.w.q.after(0.02, func() {
+		e.ready = false
+		e.drain()
+		e.wake()
+	})
+}
+
+func (e *entry) drain() {
+	for _, d := range e.waiting.Expire(e.now(), nil) {
+		e.answer(d.Item.Value.(*request), d.Refusal)
+	}
+	for {
+		item, ok := e.waiting.Pop(e.now(), e.fits)
+		if !ok {
+			return
+		}
+		e.send(item.Value.(*request), e.choice)
+	}
+}
+
+func (e *entry) fits(item *queue.Item) bool {
+	choice, err := e.choose(item.Value.(*request))
+	e.choice = choice
+	return err == nil
+}
+
+func (e *entry) send(r *request, choice route.Choice) {
+	n := e.w.nodes[e.table.View("m")[choice.Index].Name]
+	c := &call{req: r, from: e, id: fmt.Sprint(r.id, "-", r.tries)}
+	r.tries++
+	c.flight = e.table.Started(e.now(), n.info.Name, r.prompt, r.output)
+	e.w.q.after(linkSeconds, func() {
+		refusal := n.take(c)
+		load, boot := n.load(), n.info.Incarnation
+		e.w.q.after(linkSeconds, func() {
+			if refusal != nil {
+				e.refused(c, refusal)
+			}
+			if c.flight.Incarnation == boot {
+				e.table.Granted(c.flight, load, e.now())
+			}
+		})
+	})
+}
+
+// refused sends a request that the sidecar refused elsewhere, or queues it.
+func (e *entry) refused(c *call, refusal *verdict.Refusal) {
+	e.table.Finished(c.flight)
+	r := c.req
+	r.tried = append(r.tried, c.flight.Name)
+	if refusal.RetryAfter == 0 {
+		e.answer(r, refusal)
+		return
+	}
+	if len(r.tried) < 3 && e.budget.Take(e.now()) {
+		if choice, err := e.choose(r); err == nil {
+			e.send(r, choice)
+			return
+		}
+	}
+	r.tried = nil
+	e.push(r)
+}
+
+// lost takes in that an endpoint fell with the request: the caller gets an error.
+func (e *entry) lost(c *call) {
+	e.table.Finished(c.flight)
+	e.answer(c.req, verdict.Uncertain(verdict.ReasonEndpointLost, 0, "lost"))
+}
+
+func (e *entry) firstToken(c *call) { c.req.first = e.w.q.now }
+
+func (e *entry) ended(c *call, load wire.Load) {
+	e.table.Granted(c.flight, load, e.now())
+	e.table.Finished(c.flight)
+	c.req.done = e.w.q.now
+	e.admit.Observe(c.req.class, c.req.forecast, seconds(c.req.done-c.req.arrived))
+	e.drain()
+}
+
+// answer ends a request with a refusal.
+func (e *entry) answer(r *request, refusal *verdict.Refusal) {
+	r.answer = refusal.Reason
+	r.done = e.w.q.now
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// mix draws the requests of a run. Long prompts are drawn apart from the others, so
+// that a run without them has the same other requests.
+type mix struct {
+	rate    float64 // requests a second
+	long    float64 // share of long prompts
+	end     float64
+	without bool // leave the long ones out
+}
+
+func (m mix) draw(seed uint64) []*request {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var all []*request
+	for now := 0.0; now < m.end; now += rng.ExpFloat64() / m.rate {
+		r := &request{id: uint64(len(all) + 1), arrived: now}
+		r.account = fmt.Sprint("account-", int(10*math.Pow(rng.Float64(), 2)))
+		r.output = 50 + rng.IntN(350)
+		kind, size := rng.Float64(), rng.Float64()
+		r.prompt = lengthOf(kind, size, m.long)
+		r.class = route.ClassOf(r.prompt)
+		r.deadline = now + 30 + float64(r.prompt)/2000
+		if m.without && r.class == route.Long {
+			continue
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
+func lengthOf(kind, size, long float64) int {
+	rng := func(least, most float64) int { return int(least * math.Pow(most/least, size)) }
+	switch {
+	case kind < long:
+		return rng(100_000, 1_000_000)
+	case kind < 0.2:
+		return rng(8_000, 100_000)
+	}
+	return rng(1_000, 8_000)
+}
+
+// meanPrompt is the mean of the prompts that an engine can hold, in tokens.
+func (m mix) meanPrompt() float64 {
+	sum, n := 0.0, 0
+	rng := rand.New(rand.NewPCG(9, 9))
+	for range 200_000 {
+		tokens := lengthOf(rng.Float64(), rng.Float64(), m.long)
+		n++
+		if tokens < modelMemory {
+			sum += float64(tokens)
+		}
+	}
+	return sum / float64(n)
+}
--- /dev/null
+++ b/route/model_test.go
@@ -0,0 +1,200 @@
+package route_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/rosemaryproxy/rosemaryproxy/admit"
+	"github.com/rosemaryproxy/rosemaryproxy/queue"
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+)
+
+var (
+	modelSeeds  = flag.Int("model.seeds", 1, "seeds of a run of the model")
+	modelReport = flag.Bool("model.report", false, "print the model's report")
+	modelPolicy = flag.String("model.policy", "", "only this policy, with the fair queue")
+)
+
+// world is one run of the model.
+type world struct {
+	q       *events
+	nodes   map[string]*node
+	order   []*node
+	entries []*entry
+	rng     *rand.Rand
+}
+
+// setup says what a run consists of.
+type setup struct {
+	endpoints int
+	entries   int
+	load      float64 // share of the endpoints' prefill capacity
+	policy    string
+	drr       bool
+	cold      bool
+	without   bool // without long prompts
+	seconds   float64
+	seed      uint64
+	noAdmit   bool
+}
+
+func newChooser(policy string, seed uint64) route.Chooser {
+	switch policy {
+	case "random":
+		return route.NewRandom(seed)
+	case "round_robin":
+		return &route.RoundRobin{}
+	case "least_requests":
+		return route.NewLeastRequests(seed)
+	case "two_choices":
+		return route.NewTwoChoices(seed)
+	}
+	return route.NewPredicted(seed)
+}
+
+func newWorld(s setup) *world {
+	w := &world{q: &events{}, nodes: map[string]*node{}, rng: rand.New(rand.NewPCG(s.seed, 1))}
+	for i := range s.endpoints {
+		n := newNode(w.q, fmt.Sprintf("endpoint-%03d", i), fmt.Sprint("zone-", i%3), s.cold)
+		w.nodes[n.info.Name] = n
+		w.order = append(w.order, n)
+	}
+	for i := range s.entries {
+		e := &entry{w: w, name: fmt.Sprint("entry-", i), zone: fmt.Sprint("zone-", i%3)}
+		e.table = route.NewTable()
+		e.chooser = newChooser(s.policy, s.seed*1000+uint64(i))
+		e.waiting = queue.NewFIFO(4096)
+		if s.drr {
+			e.waiting = queue.New(queue.DefaultSettings())
+		}
+		e.admit = admit.NewDeadlines()
+		e.budget = route.NewRetryBudget()
+		w.entries = append(w.entries, e)
+	}
+	for _, n := range w.order {
+		w.announce(n)
+	}
+	return w
+}
+
+// announce sends an endpoint's load to every entry, now and every second from then on.
+func (w *world) announce(n *node) {
+	n.report()
+	info := n.info
+	info.Load = n.load()
+	taken := at(w.q.now)
+	for _, e := range w.entries {
+		delay := reportDelay * (1 + w.rng.Float64()/2)
+		if taken == epoch {
+			delay = 0
+		}
+		w.q.after(delay, func() {
+			known, ok := e.table.Get(info.Name)
+			if !ok || info.Incarnation > known.Incarnation {
+				e.table.Upsert(taken, info)
+			}
+			e.table.SetLoad(info.Name, info.Load, taken)
+		})
+	}
+	w.q.after(reportEvery*(0.9+0.2*w.rng.Float64()), func() { w.announce(n) })
+}
+
+// run plays the setup and returns its requests.
+func run(s setup) result {
+	w := newWorld(s)
+	m := mix{long: 0.02, end: s.seconds, without: s.without}
+	m.rate = s.load * float64(s.endpoints) * w.order[0].rate / m.meanPrompt()
+	all := m.draw(s.seed)
+	for i, r := range all {
+		e := w.entries[(i*7+int(s.seed))%len(w.entries)]
+		w.q.after(r.arrived, func() { e.arrive(r) })
+	}
+	w.q.run(s.seconds)
+	res := newResult(s, all)
+	for _, n := range w.order {
+		res.crashes += n.crashes
+	}
+	return res
+}
+
+// result is what a run measured.
+type result struct {
+	setup          setup
+	first          [route.Classes][]float64 // times to first token, sorted
+	arrived        [route.Classes]int
+	refused        [route.Classes]int
+	good           [route.Classes]float64 // prompt tokens of requests finished in time, a second
+	missed         int
+	finished, late int
+	crashes        int
+}
+
+// warmup is the time at the start of a run that is not measured, in seconds.
+const warmup = 30
+
+func newResult(s setup, all []*request) result {
+	res := result{setup: s}
+	for _, r := range all {
+		if r.arrived < warmup {
+			continue
+		}
+		res.arrived[r.class]++
+		switch {
+		case r.answer != "":
+			res.refused[r.class]++
+			continue
+		case r.deadline < s.seconds && (r.done == 0 || r.done > r.deadline):
+			res.missed++
+		case r.done > 0:
+			res.good[r.class] += float64(r.prompt) / (s.seconds - warmup)
+		}
+		if r.first > 0 {
+			res.first[r.class] = append(res.first[r.class], r.first-r.arrived)
+		}
+	}
+	for c := range res.first {
+		slices.Sort(res.first[c])
+	}
+	return res
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+func (r result) goodput() float64 { return r.good[0] + r.good[1] + r.good[2] }
+
+var policies = []string{"random", "round_robin", "least_requests", "two_choices", "predicted"}
+
+// TestModelReport prints the comparison of all policies.
+func TestModelReport(t *testing.T) {
+	if !*modelReport {
+		return
+	}
+	for _, load := range []float64{0.7, 0.9} {
+		for seed := range *modelSeeds {
+			for _, drr := range []bool{false, true} {
+				for _, policy := range policies {
+					if *modelPolicy != "" && (policy != *modelPolicy || !drr) {
+						continue
+					}
+					s := setup{endpoints: 20, entries: 3, load: load, policy: policy, drr: drr, seconds: 600, seed: uint64(seed + 1)}
+					with := run(s)
+					s.without = true
+					base := run(s)
+					p99, base99 := quantile(with.first[route.Short], 0.99), quantile(base.first[route.Short], 0.99)
+					t.Logf("load %.1f seed %d drr %-5v %-14s short p50 %6.3f p99 %7.3f base p99 %6.3f slow %6.2f medium p99 %7.2f long p50 %6.1f p99 %6.1f good %6.0f %6.0f %6.0f refused %v of %v missed %d crashes %d",
+						load, seed, drr, policy, quantile(with.first[0], 0.5), p99, base99, p99/base99,
+						quantile(with.first[1], 0.99), quantile(with.first[2], 0.5), quantile(with.first[2], 0.99),
+						with.good[0], with.good[1], with.good[2], with.refused, with.arrived, with.missed, with.crashes)
+				}
+			}
+		}
+	}
+}
