route: charge short prompts for lanes where longer ones may have arrived unseen

Cause: with predicted, the short p99 of 2.99 s at load 0.7 came from prompts sent to endpoints that looked idle and had been given a medium prompt by another entry since the last report; the endpoints that only short prompts use stood half idle. Ruled out: too few of those endpoints (they were below half of their capacity), and long prompts (none was seen outside its lanes). Change: an endpoint open to longer classes costs 0.7 s for each second of its report's age.

--- a/route/predicted.go
+++ b/route/predicted.go
@@ -24,6 +24,9 @@
 	defaultHints = 16_384
 	// runningCost is the wait that one more request in flight is taken to cause.
 	runningCost = 2 * time.Millisecond
+	// exposure is the work in seconds that other entries are expected to send to an
+	// endpoint in a second. The report does not hold it yet.
+	exposure = 0.7
 	// affinityTokens is what the endpoint that rendezvous hashing prefers for a
 	// repeated prefix is taken to save, in tokens, while no holder is known. It is
 	// small: a busy endpoint loses the prompt to another one.
@@ -202,12 +205,27 @@
 	seconds := (e.PendingAt(now) + float64(req.PromptTokens) - saved) / e.prefillRate()
 	cost := seconds * float64(time.Second)
 	cost += float64(e.requests()) * float64(runningCost)
+	if e.Rank < c.exposed(req.Class, e.Ranked) {
+		cost += exposure * float64(max(now.Sub(e.LoadAt), 0))
+	}
 	if e.Zone != req.Zone {
 		cost += float64(c.Spill)
 	}
 	return cost
 }
 
+// exposed returns the number of lanes in which longer prompts than the class's may
+// have arrived since the last report.
+func (c *Predicted) exposed(class Class, n int) int {
+	switch class {
+	case Short:
+		return c.lanes.Width(Medium, n)
+	case Medium:
+		return c.lanes.Width(Long, n)
+	}
+	return 0
+}
+
 func reasonFor(req *Request, saved float64) string {
 	switch {
 	case saved > 0:
