route: bound what may wait at the endpoint, so that a stale view is refused in a round trip

Cause: the rest of the short p99 came from prompts that met a medium or another short prompt which a report had not shown yet. Ruled out: reporting more often, whose cost grows with entries times endpoints. Change: a Choice carries MaxPending, its predicted backlog and 100 ms of prefill; the sidecar refuses the dispatch when more waits, and the refusal brings a fresh load. The tolerance doubles with each miss, and after 4 there is no bound.

--- a/route/model_engine_test.go
+++ b/route/model_engine_test.go
@@ -103,6 +103,8 @@
 	left     int // prompt tokens to prefill
 	produced int
 	boot     uint64
+	// maxPending is the bound of the choice.
+	maxPending int64
 }
 
 func newNode(q *events, name, zone string, cold bool) *node {
@@ -162,6 +164,9 @@
 // take is the sidecar's last word on a dispatch.
 func (n *node) take(c *call) *verdict.Refusal {
 	tokens := int64(c.req.prompt + c.req.output)
+	if c.maxPending > 0 && n.pending() > c.maxPending {
+		return verdict.Refuse(verdict.ReasonOverloaded, time.Second, "more waits than the entry knew")
+	}
 	if n.gate {
 		if err := n.book.Reserve(at(n.q.now), c.id, c.from.name, tokens, at(n.q.now+600)); err != nil {
 			return verdict.From(err)
--- a/route/model_entry_test.go
+++ b/route/model_entry_test.go
@@ -145,19 +145,19 @@
 
 func (e *entry) send(r *request, choice route.Choice) {
 	n := e.w.nodes[e.table.View("m")[choice.Index].Name]
-	c := &call{req: r, from: e, id: fmt.Sprint(r.id, "-", r.tries)}
+	c := &call{req: r, from: e, id: fmt.Sprint(r.id, "-", r.tries), maxPending: choice.MaxPending}
 	r.tries++
 	c.flight = e.table.Started(e.now(), n.info.Name, r.prompt, r.output)
 	e.w.q.after(linkSeconds, func() {
 		refusal := n.take(c)
 		load, boot := n.load(), n.info.Incarnation
 		e.w.q.after(linkSeconds, func() {
-			if refusal != nil {
-				e.refused(c, refusal)
-			}
 			if c.flight.Incarnation == boot {
 				e.table.Granted(c.flight, load, e.now())
 			}
+			if refusal != nil {
+				e.refused(c, refusal)
+			}
 		})
 	})
 }
@@ -166,6 +166,16 @@
 func (e *entry) refused(c *call, refusal *verdict.Refusal) {
 	e.table.Finished(c.flight)
 	r := c.req
+	if refusal.Reason == verdict.ReasonOverloaded {
+		r.want.Misses++
+		e.w.misses++
+		if choice, err := e.choose(r); err == nil {
+			e.send(r, choice)
+			return
+		}
+		e.push(r)
+		return
+	}
 	r.tried = append(r.tried, c.flight.Name)
 	if refusal.RetryAfter == 0 {
 		e.answer(r, refusal)
--- a/route/model_test.go
+++ b/route/model_test.go
@@ -25,6 +25,7 @@
 	order   []*node
 	entries []*entry
 	rng     *rand.Rand
+	misses  int // dispatches refused because more waited than the entry knew
 }
 
 // setup says what a run consists of.
@@ -114,6 +115,7 @@
 	}
 	w.q.run(s.seconds)
 	res := newResult(s, all)
+	res.misses = w.misses
 	for _, n := range w.order {
 		res.crashes += n.crashes
 	}
@@ -130,6 +132,7 @@
 	missed         int
 	finished, late int
 	crashes        int
+	misses         int
 }
 
 // warmup is the time at the start of a run that is not measured, in seconds.
@@ -189,10 +192,10 @@
 					s.without = true
 					base := run(s)
 					p99, base99 := quantile(with.first[route.Short], 0.99), quantile(base.first[route.Short], 0.99)
-					t.Logf("load %.1f seed %d drr %-5v %-14s short p50 %6.3f p99 %7.3f base p99 %6.3f slow %6.2f medium p99 %7.2f long p50 %6.1f p99 %6.1f good %6.0f %6.0f %6.0f refused %v of %v missed %d crashes %d",
+					t.Logf("load %.1f seed %d drr %-5v %-14s short p50 %6.3f p99 %7.3f base p99 %6.3f slow %6.2f medium p99 %7.2f long p50 %6.1f p99 %6.1f good %6.0f %6.0f %6.0f refused %v of %v missed %d crashes %d misses %d",
 						load, seed, drr, policy, quantile(with.first[0], 0.5), p99, base99, p99/base99,
 						quantile(with.first[1], 0.99), quantile(with.first[2], 0.5), quantile(with.first[2], 0.99),
-						with.good[0], with.good[1], with.good[2], with.refused, with.arrived, with.missed, with.crashes)
+						with.good[0], with.good[1], with.good[2], with.refused, with.arrived, with.missed, with.crashes, with.misses)
 				}
 			}
 		}
--- a/route/predicted.go
+++ b/route/predicted.go
@@ -27,6 +27,11 @@
 	// exposure is the work in seconds that other entries are expected to send to an
 	// endpoint in a second. The report does not hold it yet.
 	exposure = 0.7
+	// tolerated is by how much the wait at an endpoint may be over its prediction
+	// before the sidecar turns the prompt away, in prefill time.
+	tolerated = 100 * time.Millisecond
+	// mostMisses is the number of such refusals after which there is no bound.
+	mostMisses = 4
 	// affinityTokens is what the endpoint that rendezvous hashing prefers for a
 	// repeated prefix is taken to save, in tokens, while no holder is known. It is
 	// small: a busy endpoint loses the prompt to another one.
@@ -89,6 +94,7 @@
 		Index:      best.index,
 		Predicted:  time.Duration(best.cost),
 		Considered: best.considered,
+		MaxPending: maxPending(now, req, &view[best.index]),
 		Reason:     best.reason,
 	}, nil
 }
@@ -214,6 +220,16 @@
 	return cost
 }
 
+// maxPending bounds what may wait at e: what the prediction holds and a tolerance
+// that doubles with each miss, so that the prompt is taken in the end.
+func maxPending(now time.Time, req *Request, e *Endpoint) int64 {
+	if req.Misses >= mostMisses {
+		return 0
+	}
+	tolerance := e.prefillRate() * tolerated.Seconds() * float64(int(1)<<req.Misses)
+	return int64(e.PendingAt(now)+tolerance) + 1
+}
+
 // exposed returns the number of lanes in which longer prompts than the class's may
 // have arrived since the last report.
 func (c *Predicted) exposed(class Class, n int) int {
--- a/route/route.go
+++ b/route/route.go
@@ -66,6 +66,8 @@
 	Deadline time.Time
 	// Tried lists endpoints that earlier attempts of the request went to.
 	Tried []string
+	// Misses counts the dispatches refused because more waited than Choice.MaxPending.
+	Misses int
 
 	// counted is set once the request is part of the observed mix.
 	counted bool
@@ -142,6 +144,10 @@
 	Predicted time.Duration
 	// Considered counts the endpoints that were weighed.
 	Considered int
+	// MaxPending is the prompt tokens that may wait for prefill at the endpoint; 0 is
+	// no bound. The sidecar refuses the dispatch when more wait: the entry's view was
+	// too old, and the refusal brings a fresh one.
+	MaxPending int64
 	// Reason says in a word what decided, for the log line.
 	Reason string
 }
