--- /dev/null
+++ b/cmd/rosemaryctl/example.go
@@ -0,0 +1,3 @@
+package main
+import "github.com/spf13/cobra"
+func newExample() *cobra.Command { return &cobra.Command{Use:"example"} }
--- /dev/null
+++ b/cmd/rosemaryctl/exit.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/operator"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+// Exit codes of rosemaryctl.
+const (
+	exitFailed      = 1
+	exitStatement   = 2
+	exitConflict    = 3
+	exitUnreachable = 4
+)
+
+const exitHelp = `Exit codes:
+  0  good
+  1  failed or refused
+  2  a fault in the statement, the arguments or the settings; nothing was sent
+  3  the configuration was at another revision; nothing was changed
+  4  control has no quorum or cannot be reached`
+
+// usageError is a fault in the arguments.
+type usageError struct{ err error }
+
+// Error returns the fault.
+func (e *usageError) Error() string { return e.err.Error() }
+
+// Unwrap returns the fault.
+func (e *usageError) Unwrap() error { return e.err }
+
+// unreachableError says that no replica of control answered.
+type unreachableError struct{ err error }
+
+// Error returns the last failure.
+func (e *unreachableError) Error() string { return "cannot reach control: " + e.err.Error() }
+
+// Unwrap returns the last failure.
+func (e *unreachableError) Unwrap() error { return e.err }
+
+// exitCode returns the exit code for a failure.
+func exitCode(err error) int {
+	var (
+		statement   *operator.StatementError
+		usage       *usageError
+		faults      settings.Faults
+		conflict    *operator.ConflictError
+		unreachable *unreachableError
+		refusal     *verdict.Refusal
+	)
+	switch {
+	case errors.As(err, &statement), errors.As(err, &usage), errors.As(err, &faults):
+		return exitStatement
+	case errors.As(err, &conflict):
+		return exitConflict
+	case errors.As(err, &unreachable):
+		return exitUnreachable
+	case errors.As(err, &refusal):
+		return refusalCode(refusal.Reason)
+	}
+	return exitFailed
+}
+
+func refusalCode(reason verdict.Reason) int {
+	switch reason {
+	case verdict.ReasonRevisionConflict:
+		return exitConflict
+	case verdict.ReasonNoQuorum, verdict.ReasonUnreachable:
+		return exitUnreachable
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/rosemaryctl/options.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+)
+
+const (
+	defaultFile    = "rosemaryctl.json"
+	defaultName    = "operator"
+	defaultTimeout = 10 * time.Second
+)
+
+// options are the flags that all statements share.
+type options struct {
+	file    string
+	control []string
+	folder  string
+	name    string
+	id      string
+	json    bool
+	timeout time.Duration
+}
+
+// access says how control is reached.
+type access struct {
+	// Control lists the addresses of the replicas of control.
+	Control []settings.Addr `json:"control" validate:"min=1"`
+	// TLS is the operator's identity.
+	TLS settings.TLS `json:"tls"`
+}
+
+func (o *options) addFlags(root *cobra.Command) {
+	f := root.PersistentFlags()
+	f.StringVarP(&o.file, "settings", "s", "", `the JSON file with control's addresses and the operator's identity (default "`+defaultFile+`" where it exists)`)
+	f.StringSliceVar(&o.control, "control", nil, "the addresses of control's replicas, such as 127.0.0.1:7000,127.0.0.1:7001")
+	f.StringVar(&o.folder, "tls", "", "the folder with ca.pem and the operator's .pem and .key")
+	f.StringVar(&o.name, "name", defaultName, "the name of the operator's files in the folder of --tls")
+	f.StringVar(&o.id, "id", "", "give an order again under the identifier of a sending whose answer was lost")
+	f.BoolVar(&o.json, "json", false, "print results as JSON, one value a line")
+	f.DurationVar(&o.timeout, "timeout", defaultTimeout, "the time for one statement; wait has its own")
+}
+
+// within bounds the time of a statement.
+func (o *options) within(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, o.timeout)
+}
+
+// access returns the addresses and identity from the settings file and the flags.
+func (o *options) access() (*access, error) {
+	a := &access{}
+	if raw, err := o.read(); err != nil {
+		return nil, err
+	} else if raw != nil {
+		if err := settings.Decode("", raw, a); err != nil {
+			return nil, err
+		}
+	}
+	if o.folder != "" {
+		a.TLS = settings.TLS{
+			CA:   filepath.Join(o.folder, "ca.pem"),
+			Cert: filepath.Join(o.folder, o.name+".pem"),
+			Key:  filepath.Join(o.folder, o.name+".key"),
+		}
+	}
+	if len(o.control) > 0 {
+		a.Control = nil
+	}
+	for _, addr := range o.control {
+		parsed, err := settings.ParseAddr(addr)
+		if err != nil {
+			return nil, &usageError{errors.Wrap(err, "--control")}
+		}
+		a.Control = append(a.Control, parsed)
+	}
+	return a, a.check()
+}
+
+// read returns the settings file, or nothing when none was named and there is none.
+func (o *options) read() ([]byte, error) {
+	name := o.file
+	if name == "" {
+		name = defaultFile
+	}
+	raw, err := os.ReadFile(name)
+	if os.IsNotExist(err) && o.file == "" {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, &usageError{errors.Wrap(err, "read settings")}
+	}
+	return raw, nil
+}
+
+func (a *access) check() error {
+	switch {
+	case len(a.Control) == 0:
+		return &usageError{errors.New("say where control is, with --control or in " + defaultFile)}
+	case a.TLS.Cert == "":
+		return &usageError{errors.New("say where the operator's identity is, with --tls or in " + defaultFile)}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/rosemaryctl/script.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/rosemaryproxy/rosemaryproxy/operator"
+)
+
+func newRun(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "run FILE",
+		Short: "Run the statements of a file, one a line",
+		Long: `Run the statements of a file, one a line; "-" reads standard input. Blank lines
+and everything from # on are skipped. The whole file is checked before its first
+statement runs. The run stops at the first failure and names its line.
+
+` + exitHelp,
+		Args: exactly(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			script, closeScript, err := openScript(c, args[0])
+			if err != nil {
+				return err
+			}
+			defer closeScript()
+			return o.runScript(c, script)
+		},
+	}
+}
+
+func openScript(c *cobra.Command, name string) (io.Reader, func(), error) {
+	if name == "-" {
+		return c.InOrStdin(), func() {}, nil
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, nil, &usageError{errors.Wrap(err, "open script")}
+	}
+	return f, func() { _ = f.Close() }, nil
+}
+
+func (o *options) runScript(c *cobra.Command, script io.Reader) error {
+	session, closeSession, err := o.session()
+	if err != nil {
+		return err
+	}
+	defer closeSession()
+	return session.RunScript(c.Context(), script, func(r operator.Result) error {
+		return operator.Write(c.OutOrStdout(), r, o.json)
+	})
+}
+
+func newPrompt(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "prompt",
+		Short: "Read statements from the terminal, with history and completion",
+		Long: `Read statements from the terminal until "exit". The arrow keys bring back earlier
+statements and Tab completes words and names. An order expects the revision that
+the prompt showed last: after another operator's change it is refused, and the
+refusal shows that change.`,
+		Args: exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			session, closeSession, err := o.session()
+			if err != nil {
+				return err
+			}
+			defer closeSession()
+			p := &operator.Prompt{Session: session, JSON: o.json, HistoryFile: historyFile(), Within: o.within}
+			return p.Run(c.Context())
+		},
+	}
+}
+
+// historyFile returns where the prompt keeps its history; empty keeps none.
+func historyFile() string {
+	folder, err := os.UserConfigDir()
+	if err != nil {
+		return ""
+	}
+	folder = filepath.Join(folder, "rosemaryctl")
+	if os.MkdirAll(folder, folderMode) != nil {
+		return ""
+	}
+	return filepath.Join(folder, "history")
+}
+
+func newStatements() *cobra.Command {
+	return &cobra.Command{
+		Use:   "statements",
+		Short: "List every form of statement of the operator language",
+		Args:  exactly(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return operator.WriteForms(c.OutOrStdout())
+		},
+	}
+}
+
+// exactly refuses another count of arguments as a fault in the arguments.
+func exactly(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if err := cobra.ExactArgs(n)(c, args); err != nil {
+			return &usageError{err}
+		}
+		return nil
+	}
+}
+
--- /dev/null
+++ b/operator/check.go
@@ -0,0 +1,183 @@
+package operator
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+)
+
+const (
+	defaultHistory = 20
+	defaultWait    = 15 * time.Second
+)
+
+// Task is a checked statement; exactly one of Query, History, Wait and Order is set.
+type Task struct {
+	Query   *Query
+	History *command.History
+	Wait    *WaitFor
+	Order   planner
+	// Explain asks only what Order would do.
+	Explain bool
+	// Expect is the revision that the order names; nil when it names none.
+	Expect *uint64
+}
+
+// Query asks for the rows of a table that meet all conditions.
+type Query struct {
+	table *table
+	where []condition
+}
+
+// WaitFor waits until Revision is in force; zero stands for the newest.
+type WaitFor struct {
+	Revision uint64
+	Timeout  time.Duration
+}
+
+// planner is a checked order. It works out what it changes against the
+// configuration in force.
+type planner interface {
+	plan(v *command.View) (*Plan, error)
+}
+
+// Check gives the words of the statement types. Its error is a *StatementError.
+func Check(source string, s *Statement) (*Task, error) {
+	t, err := check(s)
+	return t, inSource(err, source)
+}
+
+// inSource adds the statement's source to a fault that lacks it.
+func inSource(err error, source string) error {
+	var fault *StatementError
+	if errors.As(err, &fault) && fault.Source == "" {
+		fault.Source = source
+	}
+	return err
+}
+
+func check(s *Statement) (*Task, error) {
+	switch {
+	case s.Show != nil:
+		return checkShow(s.Show)
+	case s.History != nil:
+		return checkHistory(s.History)
+	case s.Wait != nil:
+		return checkWait(s.Wait)
+	case s.Explain != nil:
+		t, err := checkOrder(&s.Explain.Order)
+		if err != nil {
+			return nil, err
+		}
+		t.Explain = true
+		return t, nil
+	}
+	return checkOrder(s.Order)
+}
+
+func checkShow(s *Show) (*Task, error) {
+	q := &Query{table: tables[strings.ToLower(s.Table)]}
+	for _, c := range s.Where {
+		checked, err := checkCondition(q.table, c)
+		if err != nil {
+			return nil, err
+		}
+		q.where = append(q.where, checked)
+	}
+	return &Task{Query: q}, nil
+}
+
+func checkHistory(h *History) (*Task, error) {
+	task := &command.History{Limit: defaultHistory}
+	var err error
+	if h.From != nil {
+		if task.From, err = parseNumber(*h.From, "a revision"); err != nil {
+			return nil, err
+		}
+	}
+	if h.Limit != nil {
+		if task.Limit, err = parseCount(*h.Limit); err != nil {
+			return nil, err
+		}
+	}
+	return &Task{History: task}, nil
+}
+
+func checkWait(w *Wait) (*Task, error) {
+	task := &WaitFor{Timeout: defaultWait}
+	var err error
+	if w.Revision != nil {
+		if task.Revision, err = parseNumber(*w.Revision, "a revision"); err != nil {
+			return nil, err
+		}
+	}
+	if w.Timeout != nil {
+		if task.Timeout, err = parseSpan(*w.Timeout); err != nil {
+			return nil, err
+		}
+	}
+	return &Task{Wait: task}, nil
+}
+
+func checkOrder(o *Order) (*Task, error) {
+	planner, err := checkAction(o)
+	if err != nil {
+		return nil, err
+	}
+	t := &Task{Order: planner}
+	if o.Expected == nil {
+		return t, nil
+	}
+	if !takesRevision(planner) {
+		return nil, faultAt(o.Expected.Revision, "this order changes no configuration, so it takes no revision")
+	}
+	expect, err := parseNumber(o.Expected.Revision, "a revision")
+	t.Expect = &expect
+	return t, err
+}
+
+// takesRevision reports whether an order changes the configuration, rather than
+// an engine or the replicas of control.
+func takesRevision(p planner) bool {
+	switch p.(type) {
+	case *engineOrder, *replicaOrder:
+		return false
+	}
+	return true
+}
+
+func checkAction(o *Order) (planner, error) {
+	switch {
+	case o.Take != nil:
+		return checkService(o.Take.Kind, o.Take.Name, config.Out), nil
+	case o.Bring != nil:
+		return checkService(o.Bring.Kind, o.Bring.Name, config.In), nil
+	case o.Load != nil:
+		return checkEngine(o.Load.Kind, o.Load.Value, o.Load.Endpoint)
+	case o.Engine != nil:
+		return checkEngine(o.Engine.Kind, o.Engine.Value, o.Engine.Endpoint)
+	case o.Route != nil:
+		return checkRoute(o.Route)
+	case o.Model != nil:
+		return checkModel(o.Model)
+	case o.Limits != nil:
+		return checkLimits(o.Limits.Account, o.Limits.Limits, false)
+	case o.Mark != nil:
+		return checkMark(o.Mark)
+	case o.Key != nil:
+		return &addKey{account: o.Key.Account}, nil
+	case o.DropKey != nil:
+		return checkDropKey(o.DropKey)
+	case o.Zone != nil:
+		return checkAddZone(o.Zone)
+	case o.Account != nil:
+		return checkLimits(o.Account.Name, o.Account.Limits, true)
+	case o.Drop != nil:
+		return &dropOrder{kind: strings.ToLower(o.Drop.Kind), name: o.Drop.Name}, nil
+	}
+	return checkReplica(o.Replica)
+}
--- /dev/null
+++ b/operator/complete.go
@@ -0,0 +1,142 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+)
+
+// Names holds the known names for completion, by the word that they follow.
+type Names map[string][]string
+
+// namesOf collects the names of a view.
+func namesOf(v *command.View) Names {
+	n := Names{
+		"zone":    sortedKeys(v.Document.Zones),
+		"model":   sortedKeys(v.Document.Models),
+		"route":   sortedKeys(v.Document.Routes),
+		"account": sortedKeys(v.Document.Accounts),
+		"replica": replicaNumbers(v),
+	}
+	for _, m := range v.Document.Models {
+		n.add("version", m.Versions...)
+		n.add("adapter", m.Adapters...)
+	}
+	for _, z := range v.Document.Zones {
+		n.add("region", z.Region)
+	}
+	for _, e := range v.Endpoints {
+		n.add("endpoint", e.Name)
+		n.add("target", e.Target)
+		if e.Service {
+			n.add("service", e.Target)
+		}
+	}
+	n.add("state", "cold", "in", "leaving", "out", "warm")
+	n["on"] = n["endpoint"]
+	n["accounts"] = n["account"]
+	return n
+}
+
+func (n Names) add(word string, names ...string) {
+	for _, name := range names {
+		if name != "" && !slices.Contains(n[word], name) {
+			n[word] = append(n[word], name)
+		}
+	}
+	slices.Sort(n[word])
+}
+
+// LoadNames reads the names that are known now, for completion.
+func (s *Session) LoadNames(ctx context.Context) (Names, error) {
+	_, err := s.view(ctx)
+	return s.names, err
+}
+
+// Complete returns the words that may stand at the end of line in place of its
+// last, unfinished one, and that word.
+func Complete(line string, names Names) (words []string, partial string) {
+	before, fault := scan(line)
+	if fault != nil {
+		return nil, ""
+	}
+	if len(before) > 0 && !strings.HasSuffix(line, " ") && before[len(before)-1].Type == tokenTypes["Word"] {
+		partial = before[len(before)-1].Value
+		before = before[:len(before)-1]
+	}
+	for _, candidate := range candidates(before, names) {
+		if strings.HasPrefix(strings.ToLower(candidate), strings.ToLower(partial)) && !slices.Contains(words, candidate) {
+			words = append(words, candidate)
+		}
+	}
+	return words, partial
+}
+
+func candidates(before []lexer.Token, names Names) []string {
+	expected := grammar.next(before)
+	words := literals(expected)
+	if slices.ContainsFunc(expected, func(e expectation) bool { return strings.EqualFold(e.token, "Word") }) {
+		words = append(words, namesAfter(before, names)...)
+	}
+	return words
+}
+
+// namesAfter returns the names that fit after the words before.
+func namesAfter(before []lexer.Token, names Names) []string {
+	if len(before) == 0 {
+		return nil
+	}
+	last := len(before) - 1
+	switch before[last].Type {
+	case tokenTypes["Comma"]:
+		for last >= 2 && before[last].Type == tokenTypes["Comma"] {
+			last -= 2
+		}
+	case tokenTypes["Operator"]:
+		last--
+	}
+	word := strings.ToLower(before[last].Value)
+	if word == "where" || word == "and" {
+		return columnNames(before)
+	}
+	return quoted(names[word])
+}
+
+// columnNames returns the columns of the table that a show statement names.
+func columnNames(before []lexer.Token) []string {
+	if len(before) < 2 {
+		return nil
+	}
+	t, ok := tables[strings.ToLower(before[1].Value)]
+	if !ok {
+		return nil
+	}
+	names := make([]string, len(t.columns))
+	for i, c := range t.columns {
+		names[i] = c.name
+	}
+	return names
+}
+
+// quoted quotes the names that are no single word of the language.
+func quoted(names []string) []string {
+	list := make([]string, len(names))
+	for i, name := range names {
+		list[i] = Quote(name)
+	}
+	return list
+}
+
+// Quote returns name as it stands in a statement: quoted when it is no single word.
+func Quote(name string) string {
+	words, fault := scan(name)
+	if fault == nil && len(words) == 1 && words[0].Type == tokenTypes["Word"] && words[0].Value == name {
+		return name
+	}
+	return fmt.Sprintf("%q", name)
+}
--- /dev/null
+++ b/operator/plan.go
@@ -0,0 +1,176 @@
+package operator
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+)
+
+// Plan is what an order sends to control; one of Changes, Engine and Member is set.
+type Plan struct {
+	Changes []config.Change
+	Engine  *command.Order
+	Member  *command.Member
+	// Key is a new key of a client account. It is shown once and sent nowhere.
+	Key string
+	// Endpoints names the endpoints that the order reaches.
+	Endpoints []string
+}
+
+// unknown returns the fault of a name that is not among the known ones.
+func unknown(n Name, what string, known []string) *StatementError {
+	hint := suggestion(n.Text, known)
+	if hint == "" && len(known) > 0 && len(known) <= 10 {
+		hint = "; known: " + strings.Join(known, ", ")
+	}
+	return faultAt(n, "no %s %q%s", what, n.Text, hint)
+}
+
+func sortedKeys[T any](m map[string]T) []string { return slices.Sorted(maps.Keys(m)) }
+
+// find looks a name up among the parts of the configuration.
+func find[T any](n Name, what string, m map[string]T) (T, error) {
+	v, ok := m[n.Text]
+	if !ok {
+		return v, unknown(n, what, sortedKeys(m))
+	}
+	return v, nil
+}
+
+// zoneOrder takes a zone out or brings it in.
+type zoneOrder struct {
+	name  Name
+	state config.ZoneState
+}
+
+func (o *zoneOrder) plan(v *command.View) (*Plan, error) {
+	zone, err := find(o.name, "zone", v.Document.Zones)
+	if err != nil {
+		return nil, err
+	}
+	zone.State = o.state
+	p := &Plan{Changes: []config.Change{{Zone: &zone}}}
+	for _, e := range v.Endpoints {
+		if e.Zone == zone.Name {
+			p.Endpoints = append(p.Endpoints, e.Name)
+		}
+	}
+	return p, nil
+}
+
+// endpointOrder takes an endpoint out or brings it in.
+type endpointOrder struct {
+	name  Name
+	state config.ZoneState
+}
+
+func (o *endpointOrder) plan(v *command.View) (*Plan, error) {
+	// A rule may outlive its endpoint's session, and can then still be lifted.
+	if _, ruled := v.Document.Endpoints[o.name.Text]; !ruled {
+		if _, err := findEndpoint(v, o.name); err != nil {
+			return nil, err
+		}
+	}
+	rule := &config.EndpointRule{Name: o.name.Text, State: o.state}
+	return &Plan{Changes: []config.Change{{Endpoint: rule}}, Endpoints: []string{o.name.Text}}, nil
+}
+
+// addZone makes a zone known. It takes no work until it is brought in.
+type addZone struct {
+	name   Name
+	region string
+}
+
+func (o *addZone) plan(v *command.View) (*Plan, error) {
+	if _, ok := v.Document.Zones[o.name.Text]; ok {
+		return nil, faultAt(o.name, "there is a zone %q already", o.name.Text)
+	}
+	zone := &config.Zone{Name: o.name.Text, Region: o.region, State: config.Out}
+	return &Plan{Changes: []config.Change{{Zone: zone}}}, nil
+}
+
+// accountOrder makes a client account or changes its limits.
+type accountOrder struct {
+	name Name
+	add  bool
+	set  []func(*config.Limits)
+}
+
+func (o *accountOrder) plan(v *command.View) (*Plan, error) {
+	account, exists := v.Document.Accounts[o.name.Text]
+	switch {
+	case o.add && exists:
+		return nil, faultAt(o.name, "there is a client account %q already", o.name.Text)
+	case !o.add && !exists:
+		return nil, unknown(o.name, "client account", sortedKeys(v.Document.Accounts))
+	}
+	account.Name = o.name.Text
+	for _, set := range o.set {
+		set(&account.Limits)
+	}
+	return &Plan{Changes: []config.Change{{Account: &account}}}, nil
+}
+
+const (
+	keyBytes  = 32
+	keyPrefix = "rk-"
+)
+
+// NewKey returns a random key of a client account.
+func NewKey() (string, error) {
+	raw := make([]byte, keyBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return "", errors.Wrap(err, "make key")
+	}
+	return keyPrefix + hex.EncodeToString(raw), nil
+}
+
+// HashKey returns the digest under which the configuration holds a key.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// addKey makes a key for a client account.
+type addKey struct{ account Name }
+
+func (o *addKey) plan(v *command.View) (*Plan, error) {
+	account, err := find(o.account, "client account", v.Document.Accounts)
+	if err != nil {
+		return nil, err
+	}
+	key, err := NewKey()
+	if err != nil {
+		return nil, err
+	}
+	account.KeyHashes = append(slices.Clone(account.KeyHashes), HashKey(key))
+	return &Plan{Changes: []config.Change{{Account: &account}}, Key: key}, nil
+}
+
+// dropKey takes a key from a client account, named by the start of its digest.
+type dropKey struct{ hash, account Name }
+
+func (o *dropKey) plan(v *command.View) (*Plan, error) {
+	account, err := find(o.account, "client account", v.Document.Accounts)
+	if err != nil {
+		return nil, err
+	}
+	named := func(hash string) bool { return strings.HasPrefix(hash, o.hash.Text) }
+	rest := slices.DeleteFunc(slices.Clone(account.KeyHashes), named)
+	switch len(account.KeyHashes) - len(rest) {
+	case 0:
+		return nil, faultAt(o.hash, "client account %q has no key whose digest starts with %s", account.Name, o.hash.Text)
+	case 1:
+		account.KeyHashes = rest
+		return &Plan{Changes: []config.Change{{Account: &account}}}, nil
+	}
+	return nil, faultAt(o.hash, "more than one key's digest starts with %s; give more digits", o.hash.Text)
+}
--- /dev/null
+++ b/operator/plan_engine.go
@@ -0,0 +1,95 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// findEndpoint looks up an endpoint that has announced itself.
+func findEndpoint(v *command.View, n Name) (*wire.Endpoint, error) {
+	names := make([]string, len(v.Endpoints))
+	for i := range v.Endpoints {
+		names[i] = v.Endpoints[i].Name
+		if names[i] == n.Text {
+			return &v.Endpoints[i], nil
+		}
+	}
+	return nil, unknown(n, "endpoint", names)
+}
+
+// engineOrder tells an engine what to load or to be.
+type engineOrder struct {
+	action   string
+	value    Name
+	endpoint Name
+}
+
+func (o *engineOrder) plan(v *command.View) (*Plan, error) {
+	e, err := findEndpoint(v, o.endpoint)
+	if err != nil {
+		return nil, err
+	}
+	if e.Service {
+		return nil, faultAt(o.endpoint, "endpoint %q is a plain service and takes no engine orders", e.Name)
+	}
+	if err := o.checkValue(v.Document, e); err != nil {
+		return nil, err
+	}
+	order := &command.Order{Endpoint: e.Name, Action: o.action, Value: o.value.Text}
+	return &Plan{Engine: order, Endpoints: []string{e.Name}}, nil
+}
+
+// checkValue refuses a model, version or adapter that the configuration does not
+// list. A model that lists none takes any.
+func (o *engineOrder) checkValue(d *config.Document, e *wire.Endpoint) error {
+	switch o.action {
+	case "load":
+		_, err := find(o.value, "model", d.Models)
+		return err
+	case "version":
+		return listed(o.value, "version of "+e.Target, d.Models[e.Target].Versions)
+	case "adapter":
+		return listed(o.value, "adapter of "+e.Target, d.Models[e.Target].Adapters)
+	}
+	return nil
+}
+
+func listed(n Name, what string, known []string) error {
+	if len(known) == 0 || slices.Contains(known, n.Text) {
+		return nil
+	}
+	return unknown(n, what, known)
+}
+
+// replicaOrder changes the replicas of control.
+type replicaOrder struct {
+	action string
+	id     uint64
+	name   Name
+	addr   string
+}
+
+func (o *replicaOrder) plan(v *command.View) (*Plan, error) {
+	at := slices.IndexFunc(v.Replicas, func(r command.ReplicaStatus) bool { return r.ID == o.id })
+	switch {
+	case o.action == "add" && at >= 0:
+		return nil, faultAt(o.name, "replica %d is a member already; a new disk takes a new number", o.id)
+	case o.action != "add" && at < 0:
+		return nil, unknown(o.name, "replica", replicaNumbers(v))
+	case o.action == "promote" && v.Replicas[at].Voter:
+		return nil, faultAt(o.name, "replica %d is a voter already", o.id)
+	}
+	return &Plan{Member: &command.Member{Action: o.action, ID: o.id, Addr: o.addr}}, nil
+}
+
+func replicaNumbers(v *command.View) []string {
+	list := make([]string, len(v.Replicas))
+	for i, r := range v.Replicas {
+		list[i] = fmt.Sprint(r.ID)
+	}
+	return list
+}
--- /dev/null
+++ b/operator/plan_route.go
@@ -0,0 +1,188 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+)
+
+// routeOrder makes a route or changes it. Options that are not named keep their
+// value.
+type routeOrder struct {
+	name      string
+	kind      config.RouteKind
+	target    Name
+	deadline  *time.Duration
+	maxOutput *int
+	accounts  []Name
+}
+
+func (o *routeOrder) plan(v *command.View) (*Plan, error) {
+	if err := o.check(v.Document); err != nil {
+		return nil, err
+	}
+	route, existed := v.Document.Routes[o.name]
+	targets := []string{o.target.Text}
+	if existed {
+		targets = append(targets, route.Target)
+	}
+	route.Name, route.Kind, route.Target = o.name, o.kind, o.target.Text
+	if o.deadline != nil {
+		route.Deadline = *o.deadline
+	}
+	if o.maxOutput != nil {
+		route.MaxOutputTokens = *o.maxOutput
+	}
+	if o.accounts != nil {
+		route.Accounts = texts(o.accounts)
+	}
+	return &Plan{Changes: []config.Change{{Route: &route}}, Endpoints: serving(v, targets...)}, nil
+}
+
+// check refuses a target or an account that is not configured. Services are not
+// part of the configuration, so any name is taken.
+func (o *routeOrder) check(d *config.Document) error {
+	if o.kind == config.ModelRoute {
+		if _, err := find(o.target, "model", d.Models); err != nil {
+			return err
+		}
+	}
+	for _, a := range o.accounts {
+		if _, err := find(a, "client account", d.Accounts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func texts(names []Name) []string {
+	list := make([]string, len(names))
+	for i, n := range names {
+		list[i] = n.Text
+	}
+	return list
+}
+
+// serving names the endpoints that serve one of the targets.
+func serving(v *command.View, targets ...string) []string {
+	var names []string
+	for _, e := range v.Endpoints {
+		if slices.Contains(targets, e.Target) {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
+// markOrder says whether calls of a route run at most once.
+type markOrder struct {
+	route Name
+	call  config.Call
+	path  Name
+	mark  bool
+}
+
+func (o *markOrder) plan(v *command.View) (*Plan, error) {
+	route, err := find(o.route, "route", v.Document.Routes)
+	if err != nil {
+		return nil, err
+	}
+	calls := slices.Clone(route.NonIdempotent)
+	marked := slices.Contains(calls, o.call)
+	switch {
+	case o.mark && marked:
+		return nil, faultAt(o.path, "%s %s of route %q is marked already", o.call.Method, o.call.Path, route.Name)
+	case !o.mark && !marked:
+		return nil, faultAt(o.path, "%s %s of route %q is not marked", o.call.Method, o.call.Path, route.Name)
+	case o.mark:
+		calls = append(calls, o.call)
+	default:
+		calls = slices.DeleteFunc(calls, func(c config.Call) bool { return c == o.call })
+	}
+	route.NonIdempotent = calls
+	return &Plan{Changes: []config.Change{{Route: &route}}, Endpoints: serving(v, route.Target)}, nil
+}
+
+// modelOrder makes a model or replaces it.
+type modelOrder struct {
+	name     string
+	versions []string
+	adapters []string
+	weights  int64
+}
+
+func (o *modelOrder) plan(v *command.View) (*Plan, error) {
+	model := v.Document.Models[o.name]
+	model.Name = o.name
+	if o.versions != nil {
+		model.Versions = o.versions
+	}
+	if o.adapters != nil {
+		model.Adapters = o.adapters
+	}
+	if o.weights != 0 {
+		model.WeightBytes = o.weights
+	}
+	return &Plan{Changes: []config.Change{{Model: &model}}, Endpoints: serving(v, o.name)}, nil
+}
+
+// dropOrder removes a model, a route, an account or the rule for an endpoint.
+type dropOrder struct {
+	kind string
+	name Name
+}
+
+func (o *dropOrder) plan(v *command.View) (*Plan, error) {
+	d := v.Document
+	switch o.kind {
+	case "model":
+		if _, err := find(o.name, "model", d.Models); err != nil {
+			return nil, err
+		}
+		if routes := routesTo(d, o.name.Text); len(routes) > 0 {
+			return nil, faultAt(o.name, "route %q leads to model %q; set it to another model or drop it first", routes[0], o.name.Text)
+		}
+		return &Plan{Changes: []config.Change{{DropModel: o.name.Text}}, Endpoints: serving(v, o.name.Text)}, nil
+	case "route":
+		route, err := find(o.name, "route", d.Routes)
+		return &Plan{Changes: []config.Change{{DropRoute: o.name.Text}}, Endpoints: serving(v, route.Target)}, err
+	case "account":
+		return o.account(d)
+	}
+	_, err := find(o.name, "rule for endpoint", d.Endpoints)
+	return &Plan{Changes: []config.Change{{DropEndpoint: o.name.Text}}, Endpoints: []string{o.name.Text}}, err
+}
+
+// account drops a client account. A route open to that account alone is in the
+// way: without the account it would be open to all.
+func (o *dropOrder) account(d *config.Document) (*Plan, error) {
+	if _, err := find(o.name, "client account", d.Accounts); err != nil {
+		return nil, err
+	}
+	for _, name := range sortedKeys(d.Routes) {
+		if slices.Contains(d.Routes[name].Accounts, o.name.Text) {
+			return nil, faultAt(o.name, "route %q lists client account %q; set the route's accounts first", name, o.name.Text)
+		}
+	}
+	return &Plan{Changes: []config.Change{{DropAccount: o.name.Text}}}, nil
+}
+
+func routesTo(d *config.Document, model string) []string {
+	var names []string
+	for _, name := range sortedKeys(d.Routes) {
+		if r := d.Routes[name]; r.Kind == config.ModelRoute && r.Target == model {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func plural(n int, what string) string {
+	if n == 1 {
+		return fmt.Sprintf("%d %s", n, what)
+	}
+	return fmt.Sprintf("%d %ss", n, what)
+}
--- /dev/null
+++ b/operator/script.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ScriptError is the failure that stopped a script.
+type ScriptError struct {
+	// Line is the line of the statement that failed, from 1.
+	Line int
+	// Statement is the statement as written.
+	Statement string
+	// Err is the failure.
+	Err error
+}
+
+// Error names the line.
+func (e *ScriptError) Error() string {
+	return fmt.Sprintf("line %d: %s: %v", e.Line, e.Statement, e.Err)
+}
+
+// Unwrap returns the failure.
+func (e *ScriptError) Unwrap() error { return e.Err }
+
+// scriptLine is one statement of a script.
+type scriptLine struct {
+	number int
+	source string
+	task   *Task
+}
+
+// RunScript runs the statements of a script, one a line, and passes each result
+// to emit. Blank lines and comments from # on are skipped. The whole script is
+// checked before its first statement runs, and it stops at the first failure.
+func (s *Session) RunScript(ctx context.Context, script io.Reader, emit func(Result) error) error {
+	lines, err := compileScript(script)
+	if err != nil {
+		return err
+	}
+	for _, line := range lines {
+		result, err := s.run(ctx, line.task)
+		if err != nil {
+			return failedAt(line, inSource(err, line.source))
+		}
+		if err := emit(result); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func compileScript(script io.Reader) ([]scriptLine, error) {
+	var lines []scriptLine
+	scanner := bufio.NewScanner(script)
+	for number := 1; scanner.Scan(); number++ {
+		source := strings.TrimRight(scanner.Text(), "\r")
+		if blank(source) {
+			continue
+		}
+		task, err := Compile(source)
+		line := scriptLine{number: number, source: source, task: task}
+		if err != nil {
+			return nil, failedAt(line, err)
+		}
+		lines = append(lines, line)
+	}
+	return lines, errors.Wrap(scanner.Err(), "read script")
+}
+
+// blank reports whether a line holds no statement.
+func blank(source string) bool {
+	trimmed := strings.TrimSpace(source)
+	return trimmed == "" || trimmed[0] == '#'
+}
+
+// failedAt adds the line to a failure.
+func failedAt(line scriptLine, err error) error {
+	var fault *StatementError
+	if errors.As(err, &fault) {
+		fault.Line = line.number
+		return fault
+	}
+	return &ScriptError{Line: line.number, Statement: strings.TrimSpace(line.source), Err: err}
+}
--- /dev/null
+++ b/operator/session.go
@@ -0,0 +1,188 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+// Session runs statements one after another. It remembers the configuration
+// revision that its operator saw last, which orders then expect. A Session is
+// not safe for concurrent use.
+type Session struct {
+	control Control
+	clock   kernel.Clock
+	// fixedID is the identifier of every order; empty makes a new one for each.
+	fixedID string
+	// seen is the revision that the operator saw last; nil before the first.
+	seen *uint64
+	// accepted is the revision of the session's last accepted change.
+	accepted uint64
+	names    Names
+}
+
+// NewSession returns a session that has seen no revision yet.
+func NewSession(control Control, clock kernel.Clock) *Session {
+	return &Session{control: control, clock: clock}
+}
+
+// Resend makes the session send its order under the identifier id of an earlier
+// sending whose answer was lost.
+func (s *Session) Resend(id string) error {
+	if _, err := uuid.Parse(id); err != nil {
+		return &StatementError{Problem: "want the order's identifier as it was printed, such as " + uuid.Nil.String()}
+	}
+	s.fixedID = id
+	return nil
+}
+
+// Execute parses, checks, plans and runs one statement.
+func (s *Session) Execute(ctx context.Context, source string) (Result, error) {
+	task, err := Compile(source)
+	if err != nil {
+		return nil, err
+	}
+	result, err := s.run(ctx, task)
+	return result, inSource(err, source)
+}
+
+// Compile parses and checks a statement.
+func Compile(source string) (*Task, error) {
+	statement, err := Parse(source)
+	if err != nil {
+		return nil, err
+	}
+	return Check(source, statement)
+}
+
+func (s *Session) run(ctx context.Context, t *Task) (Result, error) {
+	switch {
+	case t.Query != nil:
+		v, err := s.look(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return t.Query.run(v), nil
+	case t.History != nil:
+		return s.history(ctx, *t.History)
+	case t.Wait != nil:
+		return s.wait(ctx, *t.Wait)
+	case t.Explain:
+		return s.explain(ctx, t)
+	}
+	return s.order(ctx, t)
+}
+
+// view reads what is running where.
+func (s *Session) view(ctx context.Context) (*command.View, error) {
+	v := &command.View{}
+	if err := s.control.Do(ctx, command.NameView, uuid.NewString(), nil, v); err != nil {
+		return nil, errors.Wrap(err, "read what is running")
+	}
+	if v.Document == nil {
+		return nil, errors.New("control answered without a configuration")
+	}
+	s.names = namesOf(v)
+	return v, nil
+}
+
+// look reads a view that the operator gets to see.
+func (s *Session) look(ctx context.Context) (*command.View, error) {
+	v, err := s.view(ctx)
+	if err == nil {
+		s.saw(v.Document.Revision)
+	}
+	return v, err
+}
+
+func (s *Session) saw(revision uint64) { s.seen = &revision }
+
+func (s *Session) explain(ctx context.Context, t *Task) (Result, error) {
+	v, err := s.look(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p, err := t.Order.plan(v)
+	if err != nil {
+		return nil, err
+	}
+	return explain(v, p), nil
+}
+
+func (s *Session) history(ctx context.Context, h command.History) (Result, error) {
+	entries, err := s.audit(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	return &Listing{Entries: entries}, nil
+}
+
+func (s *Session) audit(ctx context.Context, h command.History) ([]command.AuditEntry, error) {
+	var audit command.Audit
+	if err := s.control.Do(ctx, command.NameHistory, uuid.NewString(), h, &audit); err != nil {
+		return nil, errors.Wrap(err, "read the audit listing")
+	}
+	return audit.Entries, nil
+}
+
+const pollPause = 200 * time.Millisecond
+
+// wait asks until every process has reached a revision.
+func (s *Session) wait(ctx context.Context, w WaitFor) (Result, error) {
+	if w.Revision == 0 {
+		w.Revision = s.accepted
+	}
+	if w.Revision == 0 {
+		v, err := s.view(ctx)
+		if err != nil {
+			return nil, err
+		}
+		w.Revision = v.Document.Revision
+	}
+	deadline := s.clock.Now().Add(w.Timeout)
+	for {
+		lagging, err := s.lagging(ctx, w.Revision)
+		if err == nil && len(lagging) == 0 {
+			return &InForce{Revision: w.Revision}, nil
+		}
+		if err != nil && !transient(err) {
+			return nil, err
+		}
+		if !s.clock.Now().Before(deadline) {
+			return nil, &NotInForceError{Revision: w.Revision, Waited: w.Timeout, Lagging: lagging, Err: err}
+		}
+		if err := s.pause(ctx, pollPause); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (s *Session) lagging(ctx context.Context, revision uint64) ([]command.Process, error) {
+	var answer command.Lagging
+	err := s.control.Do(ctx, command.NameInForce, uuid.NewString(), command.InForce{Revision: revision}, &answer)
+	return answer.Processes, errors.Wrap(err, "ask what is in force")
+}
+
+// transient reports whether asking again later may succeed.
+func transient(err error) bool {
+	switch verdict.From(err).Reason {
+	case verdict.ReasonNoQuorum, verdict.ReasonUnreachable, verdict.ReasonStopping, verdict.ReasonStale:
+		return true
+	}
+	return false
+}
+
+func (s *Session) pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait")
+	case <-s.clock.After(d):
+		return nil
+	}
+}
--- a/settings/types.go
+++ b/settings/types.go
@@ -45,13 +45,22 @@
 	if err := json.Unmarshal(b, &s); err != nil {
 		return errors.New(`want an address such as "127.0.0.1:7000"`)
 	}
-	if _, err := netip.ParseAddrPort(s); err != nil {
-		return errors.Errorf(`want an IP address and port such as "127.0.0.1:7000", got %q`, s)
+	parsed, err := ParseAddr(s)
+	if err != nil {
+		return err
 	}
-	*a = Addr(s)
+	*a = parsed
 	return nil
 }
 
+// ParseAddr checks that s is an IP number and a port.
+func ParseAddr(s string) (Addr, error) {
+	if _, err := netip.ParseAddrPort(s); err != nil {
+		return "", errors.Errorf(`want an IP address and port such as "127.0.0.1:7000", got %q`, s)
+	}
+	return Addr(s), nil
+}
+
 // Node says who a process is and where it stands.
 type Node struct {
 	// Name is unique among the processes of a deployment.
