--- a/cmd/rosemaryctl/connect.go
+++ b/cmd/rosemaryctl/connect.go
@@ -1,15 +1,33 @@
 package main
 
 import (
-	"github.com/pkg/errors"
-
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/operator"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
-// connect returns a client of control and what closes it.
+// connect returns a client of control and what closes it. Connections are opened
+// with the first command.
 func (o *options) connect() (operator.Control, func(), error) {
-	if _, err := o.access(); err != nil {
+	a, err := o.access()
+	if err != nil {
+		return nil, nil, err
+	}
+	id, err := wire.LoadIdentity(a.TLS)
+	if err != nil {
+		return nil, nil, &usageError{err}
+	}
+	pool, err := wire.NewPool(id, wire.PoolOptions{}, &wire.Traffic{})
+	if err != nil {
+		return nil, nil, err
+	}
+	replicas := make([]string, len(a.Control))
+	for i, addr := range a.Control {
+		replicas[i] = string(addr)
+	}
+	client, err := session.New(session.Options{Role: wire.RoleOperator, Replicas: replicas, Opener: pool})
+	if err != nil {
 		return nil, nil, err
 	}
-	return nil, nil, &unreachableError{errors.New("no client of control is linked in")}
+	return client, pool.Close, nil
 }
--- a/cmd/rosemaryctl/example.go
+++ b/cmd/rosemaryctl/example.go
@@ -1,3 +1,5 @@
 package main
+
 import "github.com/spf13/cobra"
-func newExample() *cobra.Command { return &cobra.Command{Use:"example"} }
+
+func newExample() *cobra.Command { return &cobra.Command{Use: "example"} }
--- a/cmd/rosemaryctl/exit.go
+++ b/cmd/rosemaryctl/exit.go
@@ -32,32 +32,20 @@
 // Unwrap returns the fault.
 func (e *usageError) Unwrap() error { return e.err }
 
-// unreachableError says that no replica of control answered.
-type unreachableError struct{ err error }
-
-// Error returns the last failure.
-func (e *unreachableError) Error() string { return "cannot reach control: " + e.err.Error() }
-
-// Unwrap returns the last failure.
-func (e *unreachableError) Unwrap() error { return e.err }
-
 // exitCode returns the exit code for a failure.
 func exitCode(err error) int {
 	var (
-		statement   *operator.StatementError
-		usage       *usageError
-		faults      settings.Faults
-		conflict    *operator.ConflictError
-		unreachable *unreachableError
-		refusal     *verdict.Refusal
+		statement *operator.StatementError
+		usage     *usageError
+		faults    settings.Faults
+		conflict  *operator.ConflictError
+		refusal   *verdict.Refusal
 	)
 	switch {
 	case errors.As(err, &statement), errors.As(err, &usage), errors.As(err, &faults):
 		return exitStatement
 	case errors.As(err, &conflict):
 		return exitConflict
-	case errors.As(err, &unreachable):
-		return exitUnreachable
 	case errors.As(err, &refusal):
 		return refusalCode(refusal.Reason)
 	}
--- a/cmd/rosemaryctl/options.go
+++ b/cmd/rosemaryctl/options.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"os"
 	"path/filepath"
 	"time"
@@ -48,11 +47,6 @@
 	f.DurationVar(&o.timeout, "timeout", defaultTimeout, "the time for one statement; wait has its own")
 }
 
-// within bounds the time of a statement.
-func (o *options) within(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, o.timeout)
-}
-
 // access returns the addresses and identity from the settings file and the flags.
 func (o *options) access() (*access, error) {
 	a := &access{}
--- a/cmd/rosemaryctl/root.go
+++ b/cmd/rosemaryctl/root.go
@@ -91,9 +91,7 @@
 		return err
 	}
 	defer closeSession()
-	ctx, cancel := o.within(c.Context())
-	defer cancel()
-	result, err := session.Execute(ctx, source)
+	result, err := session.Execute(c.Context(), source)
 	if err != nil {
 		return err
 	}
@@ -107,6 +105,7 @@
 		return nil, nil, err
 	}
 	s := operator.NewSession(control, kernel.SystemClock{})
+	s.Timeout = o.timeout
 	if o.id == "" {
 		return s, closeControl, nil
 	}
--- a/cmd/rosemaryctl/script.go
+++ b/cmd/rosemaryctl/script.go
@@ -69,7 +69,7 @@
 				return err
 			}
 			defer closeSession()
-			p := &operator.Prompt{Session: session, JSON: o.json, HistoryFile: historyFile(), Within: o.within}
+			p := &operator.Prompt{Session: session, JSON: o.json, HistoryFile: historyFile()}
 			return p.Run(c.Context())
 		},
 	}
@@ -108,4 +108,3 @@
 		return nil
 	}
 }
-
--- a/operator/check.go
+++ b/operator/check.go
@@ -18,7 +18,7 @@
 // Task is a checked statement; exactly one of Query, History, Wait and Order is set.
 type Task struct {
 	Query   *Query
-	History *command.History
+	History *HistoryOf
 	Wait    *WaitFor
 	Order   planner
 	// Explain asks only what Order would do.
@@ -33,6 +33,13 @@
 	where []condition
 }
 
+// HistoryOf asks for up to Limit accepted orders, from a revision on, or the
+// newest when From is nil. Zero is no limit where From is set.
+type HistoryOf struct {
+	From  *uint64
+	Limit int
+}
+
 // WaitFor waits until Revision is in force; zero stands for the newest.
 type WaitFor struct {
 	Revision uint64
@@ -92,14 +99,16 @@
 }
 
 func checkHistory(h *History) (*Task, error) {
-	task := &command.History{Limit: defaultHistory}
-	var err error
+	task := &HistoryOf{Limit: defaultHistory}
 	if h.From != nil {
-		if task.From, err = parseNumber(*h.From, "a revision"); err != nil {
+		from, err := parseNumber(*h.From, "a revision")
+		if err != nil {
 			return nil, err
 		}
+		task.From = &from
 	}
 	if h.Limit != nil {
+		var err error
 		if task.Limit, err = parseCount(*h.Limit); err != nil {
 			return nil, err
 		}
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -41,7 +41,11 @@
 var _ Result = (*Explanation)(nil)
 
 // explain works out what the plan would do to the view.
-func explain(v *command.View, p *Plan) *Explanation {
+func explain(v *command.View, p *Plan) (*Explanation, error) {
+	after, err := applied(v.Document, p.Changes)
+	if err != nil {
+		return nil, err
+	}
 	e := &Explanation{
 		Revision:  v.Document.Revision,
 		Before:    []string{},
@@ -49,7 +53,6 @@
 		Endpoints: []AffectedEndpoint{},
 		Warnings:  []string{},
 	}
-	after := applied(v.Document, p.Changes)
 	for _, c := range p.Changes {
 		e.Before = append(e.Before, current(v.Document, c))
 		e.After = append(e.After, describeChange(c))
@@ -66,7 +69,7 @@
 		}
 	}
 	e.Warnings = append(e.Warnings, warnings(v, after)...)
-	return e
+	return e, nil
 }
 
 func (e *Explanation) add(endpoint *wire.Endpoint, before, after *config.Document) {
@@ -82,24 +85,10 @@
 }
 
 // applied returns a copy of d with the changes made.
-func applied(d *config.Document, changes []config.Change) *config.Document {
-	copied := config.NewDocument()
-	copied.Revision = d.Revision
-	copyInto(copied.Zones, d.Zones)
-	copyInto(copied.Models, d.Models)
-	copyInto(copied.Routes, d.Routes)
-	copyInto(copied.Accounts, d.Accounts)
-	copyInto(copied.Endpoints, d.Endpoints)
-	if err := copied.Apply(config.Revised{Revision: d.Revision + 1, Changes: changes}); err != nil {
-		panic("operator: the next revision does not follow: " + err.Error())
-	}
-	return copied
-}
-
-func copyInto[T any](to, from map[string]T) {
-	for k, v := range from {
-		to[k] = v
-	}
+func applied(d *config.Document, changes []config.Change) (*config.Document, error) {
+	after := d.Clone()
+	err := after.Apply(config.Revised{Revision: d.Revision + 1, Changes: changes})
+	return after, errors.Wrap(err, "work out the changes")
 }
 
 // current describes the part of the configuration that a change replaces.
--- a/operator/order.go
+++ b/operator/order.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := t.Order.plan(v)
+	p, err := planned(t.Order, v)
 	if err != nil {
 		return nil, err
 	}
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -25,6 +25,23 @@
 	Endpoints []string
 }
 
+// planned plans an order and checks its changes as control will.
+func planned(o planner, v *command.View) (*Plan, error) {
+	p, err := o.plan(v)
+	if err != nil || len(p.Changes) == 0 {
+		return p, err
+	}
+	var faults config.Faults
+	if err := v.Document.Check(p.Changes); errors.As(err, &faults) {
+		problems := make([]string, len(faults))
+		for i, f := range faults {
+			problems[i] = f.Problem
+		}
+		return nil, &StatementError{Problem: "control would refuse this: " + strings.Join(problems, "; ")}
+	}
+	return p, nil
+}
+
 // unknown returns the fault of a name that is not among the known ones.
 func unknown(n Name, what string, known []string) *StatementError {
 	hint := suggestion(n.Text, known)
--- a/operator/plan_route.go
+++ b/operator/plan_route.go
@@ -142,44 +142,18 @@
 		if _, err := find(o.name, "model", d.Models); err != nil {
 			return nil, err
 		}
-		if routes := routesTo(d, o.name.Text); len(routes) > 0 {
-			return nil, faultAt(o.name, "route %q leads to model %q; set it to another model or drop it first", routes[0], o.name.Text)
-		}
 		return &Plan{Changes: []config.Change{{DropModel: o.name.Text}}, Endpoints: serving(v, o.name.Text)}, nil
 	case "route":
 		route, err := find(o.name, "route", d.Routes)
 		return &Plan{Changes: []config.Change{{DropRoute: o.name.Text}}, Endpoints: serving(v, route.Target)}, err
 	case "account":
-		return o.account(d)
+		_, err := find(o.name, "client account", d.Accounts)
+		return &Plan{Changes: []config.Change{{DropAccount: o.name.Text}}}, err
 	}
 	_, err := find(o.name, "rule for endpoint", d.Endpoints)
 	return &Plan{Changes: []config.Change{{DropEndpoint: o.name.Text}}, Endpoints: []string{o.name.Text}}, err
 }
 
-// account drops a client account. A route open to that account alone is in the
-// way: without the account it would be open to all.
-func (o *dropOrder) account(d *config.Document) (*Plan, error) {
-	if _, err := find(o.name, "client account", d.Accounts); err != nil {
-		return nil, err
-	}
-	for _, name := range sortedKeys(d.Routes) {
-		if slices.Contains(d.Routes[name].Accounts, o.name.Text) {
-			return nil, faultAt(o.name, "route %q lists client account %q; set the route's accounts first", name, o.name.Text)
-		}
-	}
-	return &Plan{Changes: []config.Change{{DropAccount: o.name.Text}}}, nil
-}
-
-func routesTo(d *config.Document, model string) []string {
-	var names []string
-	for _, name := range sortedKeys(d.Routes) {
-		if r := d.Routes[name]; r.Kind == config.ModelRoute && r.Target == model {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 func plural(n int, what string) string {
 	if n == 1 {
 		return fmt.Sprintf("%d %s", n, what)
--- a/operator/prompt.go
+++ b/operator/prompt.go
@@ -21,8 +21,6 @@
 	// In, Out and Err are the terminal; nil stands for the process's own.
 	In       io.ReadCloser
 	Out, Err io.Writer
-	// Within bounds the time of one statement.
-	Within func(context.Context) (context.Context, context.CancelFunc)
 }
 
 // Run reads and runs statements. A failed statement is printed and does not end
@@ -60,8 +58,6 @@
 
 // greet loads the names for completion and says how to get help.
 func (p *Prompt) greet(ctx context.Context, w io.Writer) {
-	ctx, cancel := p.Within(ctx)
-	defer cancel()
 	if _, err := p.Session.LoadNames(ctx); err != nil {
 		_, _ = fmt.Fprintf(w, "warning: %v\n", err)
 	}
@@ -80,8 +76,6 @@
 	if blank(line) {
 		return false
 	}
-	ctx, cancel := p.Within(ctx)
-	defer cancel()
 	result, err := p.Session.Execute(ctx, line)
 	if err == nil {
 		err = Write(terminal.Stdout(), result, p.JSON)
--- a/operator/session.go
+++ b/operator/session.go
@@ -16,6 +16,10 @@
 // revision that its operator saw last, which orders then expect. A Session is
 // not safe for concurrent use.
 type Session struct {
+	// Timeout bounds the time of one statement, beside the time that a wait names
+	// itself; zero is no bound.
+	Timeout time.Duration
+
 	control Control
 	clock   kernel.Clock
 	// fixedID is the identifier of every order; empty makes a new one for each.
@@ -62,6 +66,8 @@
 }
 
 func (s *Session) run(ctx context.Context, t *Task) (Result, error) {
+	ctx, cancel := s.bounded(ctx, t)
+	defer cancel()
 	switch {
 	case t.Query != nil:
 		v, err := s.look(ctx)
@@ -70,7 +76,7 @@
 		}
 		return t.Query.run(v), nil
 	case t.History != nil:
-		return s.history(ctx, *t.History)
+		return s.history(ctx, t.History)
 	case t.Wait != nil:
 		return s.wait(ctx, *t.Wait)
 	case t.Explain:
@@ -79,6 +85,18 @@
 	return s.order(ctx, t)
 }
 
+// bounded returns the context of one statement.
+func (s *Session) bounded(ctx context.Context, t *Task) (context.Context, context.CancelFunc) {
+	if s.Timeout == 0 {
+		return context.WithCancel(ctx)
+	}
+	limit := s.Timeout
+	if t.Wait != nil {
+		limit += t.Wait.Timeout
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
 // view reads what is running where.
 func (s *Session) view(ctx context.Context) (*command.View, error) {
 	v := &command.View{}
@@ -108,27 +126,33 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := t.Order.plan(v)
+	p, err := planned(t.Order, v)
 	if err != nil {
 		return nil, err
 	}
-	return explain(v, p), nil
+	return explain(v, p)
 }
 
-func (s *Session) history(ctx context.Context, h command.History) (Result, error) {
-	entries, err := s.audit(ctx, h)
+// history lists accepted orders: those from a revision on, or the newest ones.
+func (s *Session) history(ctx context.Context, h *HistoryOf) (Result, error) {
+	if h.From != nil {
+		entries, err := s.audit(ctx, command.History{From: *h.From, Limit: h.Limit})
+		return &Listing{Entries: entries}, err
+	}
+	v, err := s.look(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return &Listing{Entries: entries}, nil
+	from := v.Document.Revision - min(v.Document.Revision, uint64(h.Limit))
+	entries, err := s.audit(ctx, command.History{From: from})
+	entries = entries[max(0, len(entries)-h.Limit):]
+	return &Listing{Entries: entries}, err
 }
 
 func (s *Session) audit(ctx context.Context, h command.History) ([]command.AuditEntry, error) {
 	var audit command.Audit
-	if err := s.control.Do(ctx, command.NameHistory, uuid.NewString(), h, &audit); err != nil {
-		return nil, errors.Wrap(err, "read the audit listing")
-	}
-	return audit.Entries, nil
+	err := s.control.Do(ctx, command.NameHistory, uuid.NewString(), h, &audit)
+	return audit.Entries, errors.Wrap(err, "read the audit listing")
 }
 
 const pollPause = 200 * time.Millisecond
