--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,102 @@
+// Package examples describes the two deployments of the brief and writes the
+// settings of their processes, on loopback addresses that stand for the VMs.
+package examples
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/operator"
+)
+
+// Deployment is one example deployment.
+type Deployment struct {
+	// Name is the deployment's name, as rosemaryctl takes it.
+	Name string
+	// Region is the region and Zones are its availability zones.
+	Region string
+	Zones  []string
+	// Replicas and Entries are the counts of control replicas and entries; they
+	// are spread over the zones in turn.
+	Replicas, Entries int
+	// Fleets are the groups of endpoints.
+	Fleets []Fleet
+	// Routes and Accounts go into the first configuration.
+	Routes   []config.Route
+	Accounts []config.Account
+
+	// network is the second number of the deployment's loopback addresses.
+	network int
+}
+
+// Fleet is a group of like endpoints, spread over the zones in turn.
+type Fleet struct {
+	// Prefix starts the names of the endpoints.
+	Prefix string
+	// Target is the model or service that they serve.
+	Target string
+	// Count is the count of endpoints.
+	Count int
+	// Service is set for plain services.
+	Service bool
+}
+
+const (
+	engineKVTokens  = 400_000
+	modelVersion    = "1"
+	weightBytes     = 14_000_000_000
+	chatDeadline    = time.Minute
+	fileDeadline    = 10 * time.Minute
+	serviceDeadline = 10 * time.Second
+	chatOutput      = 1024
+	fileOutput      = 4096
+)
+
+// All returns the example deployments by name.
+func All() map[string]*Deployment {
+	return map[string]*Deployment{"kerlouan": Kerlouan(), "karachi": Karachi()}
+}
+
+// DemoKey returns the key of a client account of the examples. It is for
+// demonstration only: everyone can read it.
+func DemoKey(account string) string { return "demo-" + account }
+
+// Document returns the first configuration.
+func (d *Deployment) Document() *config.Document {
+	doc := config.NewDocument()
+	for _, zone := range d.Zones {
+		doc.Zones[zone] = config.Zone{Name: zone, Region: d.Region, State: config.In}
+	}
+	for _, f := range d.Fleets {
+		if !f.Service {
+			doc.Models[f.Target] = config.Model{Name: f.Target, Versions: []string{modelVersion}, WeightBytes: weightBytes}
+		}
+	}
+	for _, r := range d.Routes {
+		doc.Routes[r.Name] = r
+	}
+	for _, a := range d.Accounts {
+		a.KeyHashes = []string{operator.HashKey(DemoKey(a.Name))}
+		doc.Accounts[a.Name] = a
+	}
+	return doc
+}
+
+// small and large return client accounts with the limits of their size.
+func small(name string) config.Account {
+	return config.Account{Name: name, Limits: config.Limits{
+		RequestsPerSecond: 10, TokensPerSecond: 20_000, Concurrent: 16, HeldBytes: 4_000_000,
+	}}
+}
+
+func large(name string) config.Account {
+	return config.Account{Name: name, Limits: config.Limits{
+		RequestsPerSecond: 100, TokensPerSecond: 2_000_000, Concurrent: 128, HeldBytes: 32_000_000,
+	}}
+}
+
+// address returns the loopback address of a host in a zone.
+func (d *Deployment) address(zone, host, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", d.network, zone+1, host, port)
+}
--- a/operator/describe.go
+++ b/operator/describe.go
@@ -65,10 +65,10 @@
 	l := a.Limits
 	parts := []string{a.Name}
 	if l.RequestsPerSecond > 0 {
-		parts = append(parts, fmt.Sprintf("requests %g/s", l.RequestsPerSecond))
+		parts = append(parts, "requests "+formatNumber(l.RequestsPerSecond)+"/s")
 	}
 	if l.TokensPerSecond > 0 {
-		parts = append(parts, fmt.Sprintf("tokens %g/s", l.TokensPerSecond))
+		parts = append(parts, "tokens "+formatNumber(l.TokensPerSecond)+"/s")
 	}
 	if l.Concurrent > 0 {
 		parts = append(parts, fmt.Sprintf("concurrent %d", l.Concurrent))
--- a/operator/result.go
+++ b/operator/result.go
@@ -87,18 +87,26 @@
 
 // WriteText writes one line for each order.
 func (l *Listing) WriteText(w io.Writer) error {
-	t := &Table{columns: []column{{"revision", number}, {"when", text}, {"who", text}, {"what", text}, {"order", text}}}
+	t := &Table{columns: []column{{"revision", number}, {"when", text}, {"who", text}, {"order", text}, {"what", text}}}
 	for i := range l.Entries {
 		e := &l.Entries[i]
 		when := e.When.UTC().Format(time.RFC3339)
-		t.rows = append(t.rows, []value{float64(e.Revision), when, e.Who, entryText(e), e.ID})
+		t.rows = append(t.rows, []value{float64(e.Revision), when, e.Who, e.ID, entryText(e)})
 	}
 	return t.WriteText(w)
 }
 
+// shownChanges bounds the changes of one order that a line lists.
+const shownChanges = 3
+
+// entryText says in one line what an order did.
 func entryText(e *command.AuditEntry) string {
 	var texts []string
-	for _, c := range e.Changes {
+	for i, c := range e.Changes {
+		if i == shownChanges {
+			texts = append(texts, fmt.Sprintf("and %s more", plural(len(e.Changes)-i, "change")))
+			break
+		}
 		texts = append(texts, describeChange(c))
 	}
 	if e.Order != nil {
--- a/operator/show.go
+++ b/operator/show.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
@@ -21,7 +22,7 @@
 			{"endpoint", text}, {"zone", text}, {"target", text}, {"state", text}, {"in_service", flag},
 			{"running", number}, {"free_tokens", number}, {"capacity_tokens", number},
 			{"version", text}, {"adapters", list}, {"role", text}, {"service", flag},
-			{"checks_fence", flag}, {"incarnation", number}, {"addr", text},
+			{"checks_fence", flag}, {"incarnation", text}, {"addr", text},
 		},
 		rows: endpointRows,
 	},
@@ -119,7 +120,7 @@
 			e.Name, e.Zone, e.Target, endpointState(e), inService,
 			float64(e.Load.Running), float64(e.Load.FreeTokens), float64(e.Load.CapacityTokens),
 			e.Version, e.Adapters, e.Role, e.Service,
-			e.ChecksFence, float64(e.Incarnation), e.Addr,
+			e.ChecksFence, strconv.FormatUint(e.Incarnation, 10), e.Addr,
 		})
 	}
 	return rows
--- a/operator/table.go
+++ b/operator/table.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -136,7 +137,7 @@
 		if k == size {
 			return formatBytes(v)
 		}
-		return strconv.FormatFloat(v, 'f', -1, 64)
+		return formatNumber(v)
 	case time.Duration:
 		return v.Round(time.Millisecond).String()
 	case bool:
@@ -158,8 +159,11 @@
 	}{{"TB", 1e12}, {"GB", 1e9}, {"MB", 1e6}, {"kB", 1e3}}
 	for _, u := range units {
 		if v >= u.bytes {
-			return strconv.FormatFloat(float64(int64(v/u.bytes*10))/10, 'f', -1, 64) + u.suffix
+			return formatNumber(math.Floor(v/u.bytes*10)/10) + u.suffix
 		}
 	}
-	return strconv.FormatFloat(v, 'f', -1, 64) + "B"
+	return formatNumber(v) + "B"
 }
+
+// formatNumber prints a number without an exponent.
+func formatNumber(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -102,8 +102,12 @@
 		{"whole", wholeFile + `}`, nil},
 		{"nothing set", `{}`, Faults{
 			{"node.name", "is missing"}, {"node.region", "is missing"}, {"node.zone", "is missing"},
-			{"tls.ca", "is missing"}, {"tls.cert", "is missing"}, {"tls.key", "is missing"},
 			{"plugins", "is missing"},
+			{"tls.ca", "is missing"}, {"tls.cert", "is missing"}, {"tls.key", "is missing"},
+		}},
+		{"stand-in without an identity", `{"node":{"name":"a","region":"r","zone":"z"},"plugins":{"standin.engine":{}}}`, nil},
+		{"stand-in beside a daemon", `{"node":{"name":"a","region":"r","zone":"z"},"tls":{"ca":"c","key":"k"},"plugins":{"standin.engine":{},"entry":{}}}`, Faults{
+			{"tls.cert", "is missing"},
 		}},
 		{"known zone", wholeFile + `,"zones":[{"region":"r","name":"z"}]}`, nil},
 		{"unknown zone", wholeFile + `,"zones":[{"region":"r","name":"hall"}]}`, Faults{
--- a/settings/types.go
+++ b/settings/types.go
@@ -102,8 +102,9 @@
 	Node Node `json:"node"`
 	// Log sets the log.
 	Log Log `json:"log"`
-	// TLS is the identity for connections between processes.
-	TLS TLS `json:"tls"`
+	// TLS is the identity for connections between processes. Only stand-ins have
+	// none.
+	TLS TLS `json:"tls,omitzero" validate:"-"`
 	// Operator is the address of metrics, health and profiles. Empty turns it off.
 	Operator Addr `json:"operator,omitempty"`
 	// Zones lists the availability zones of the deployment. When it is set, the
@@ -115,8 +116,39 @@
 
 var _ Checker = (*File)(nil)
 
-// CheckSettings checks that the node's zone is known to the deployment.
+// standInPrefix starts the identifiers of plug-ins that stand in for the
+// platform. They speak plain HTTP and need no identity.
+const standInPrefix = "standin."
+
+// CheckSettings checks that the process has an identity where it needs one, and
+// that its zone is known to the deployment.
 func (f *File) CheckSettings() Faults {
+	return append(f.checkIdentity(), f.checkZone()...)
+}
+
+func (f *File) checkIdentity() Faults {
+	if f.TLS == (TLS{}) && f.onlyStandIns() {
+		return nil
+	}
+	var faults Faults
+	for _, file := range []struct{ key, name string }{{"ca", f.TLS.CA}, {"cert", f.TLS.Cert}, {"key", f.TLS.Key}} {
+		if file.name == "" {
+			faults = append(faults, Fault{Path: "tls." + file.key, Problem: "is missing"})
+		}
+	}
+	return faults
+}
+
+func (f *File) onlyStandIns() bool {
+	for id := range f.Plugins {
+		if !strings.HasPrefix(id, standInPrefix) {
+			return false
+		}
+	}
+	return len(f.Plugins) > 0
+}
+
+func (f *File) checkZone() Faults {
 	if len(f.Zones) == 0 || f.Node.Zone == "" {
 		return nil
 	}
