--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -104,6 +104,10 @@
 			{"node.name", "is missing"}, {"node.region", "is missing"}, {"node.zone", "is missing"},
 			{"plugins", "is missing"},
 		}},
+		{"stand-in without an identity", `{"node":{"name":"a","region":"r","zone":"z"},"plugins":{"standin.engine":{}}}`, nil},
+		{"stand-in beside a daemon", `{"node":{"name":"a","region":"r","zone":"z"},"tls":{"ca":"c","key":"k"},"plugins":{"standin.engine":{},"entry":{}}}`, Faults{
+			{"tls.cert", "is missing"},
+		}},
 		{"known zone", wholeFile + `,"zones":[{"region":"r","name":"z"}]}`, nil},
 		{"unknown zone", wholeFile + `,"zones":[{"region":"r","name":"hall"}]}`, Faults{
 			{"node.zone", `no zone "z" in this deployment; known: hall`},
--- a/settings/types.go
+++ b/settings/types.go
@@ -45,13 +45,22 @@
 	if err := json.Unmarshal(b, &s); err != nil {
 		return errors.New(`want an address such as "127.0.0.1:7000"`)
 	}
-	if _, err := netip.ParseAddrPort(s); err != nil {
-		return errors.Errorf(`want an IP address and port such as "127.0.0.1:7000", got %q`, s)
+	parsed, err := ParseAddr(s)
+	if err != nil {
+		return err
 	}
-	*a = Addr(s)
+	*a = parsed
 	return nil
 }
 
+// ParseAddr checks that s is an IP number and a port.
+func ParseAddr(s string) (Addr, error) {
+	if _, err := netip.ParseAddrPort(s); err != nil {
+		return "", errors.Errorf(`want an IP address and port such as "127.0.0.1:7000", got %q`, s)
+	}
+	return Addr(s), nil
+}
+
 // Node says who a process is and where it stands.
 type Node struct {
 	// Name is unique among the processes of a deployment.
@@ -106,8 +115,12 @@
 
 var _ Checker = (*File)(nil)
 
-// CheckSettings checks that the node's zone is known to the deployment.
+// CheckSettings checks that the process's zone is known to the deployment.
 func (f *File) CheckSettings() Faults {
+	return f.checkZone()
+}
+
+func (f *File) checkZone() Faults {
 	if len(f.Zones) == 0 || f.Node.Zone == "" {
 		return nil
 	}
