--- a/cli/check.go
+++ b/cli/check.go
@@ -16,7 +16,7 @@
 	f, err := settings.ReadFile(file)
 	var faults settings.Faults
 	if err != nil && !errors.As(err, &faults) {
-		return nil, err
+		return nil, &UsageError{Err: err}
 	}
 	var below settings.Faults
 	if err := kernel.Check(f); err != nil && !errors.As(err, &below) {
--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -25,6 +25,18 @@
 	ExitSettings = 2
 )
 
+// UsageError is a fault in the arguments of a command.
+type UsageError struct {
+	// Err is the fault.
+	Err error
+}
+
+// Error returns the fault.
+func (e *UsageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the fault.
+func (e *UsageError) Unwrap() error { return e.Err }
+
 // Daemon returns the command of a daemon: run, check and plugins.
 func Daemon(name, short string) *cobra.Command {
 	var file string
@@ -43,6 +55,7 @@
 			return kernel.Main(name, f)
 		},
 	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
 	root.PersistentFlags().StringVarP(&file, "settings", "s", name+".json", "the JSON settings file")
 	root.AddCommand(check(&file), plugins())
 	return root
@@ -72,5 +85,9 @@
 		os.Exit(ExitSettings)
 	}
 	fmt.Fprintf(os.Stderr, "%s: %v\n", c.Name(), err)
+	var usage *UsageError
+	if errors.As(err, &usage) {
+		os.Exit(ExitSettings)
+	}
 	os.Exit(ExitFailure)
 }
--- a/cmd/rosemaryctl/connect.go
+++ b/cmd/rosemaryctl/connect.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"github.com/rosemaryproxy/rosemaryproxy/cli"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/operator"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -15,7 +16,7 @@
 	}
 	id, err := wire.LoadIdentity(a.TLS)
 	if err != nil {
-		return nil, nil, &usageError{err}
+		return nil, nil, &cli.UsageError{Err: err}
 	}
 	pool, err := wire.NewPool(id, wire.PoolOptions{}, &wire.Traffic{})
 	if err != nil {
--- a/cmd/rosemaryctl/example.go
+++ b/cmd/rosemaryctl/example.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/rosemaryproxy/rosemaryproxy/cli"
 	"github.com/rosemaryproxy/rosemaryproxy/examples"
 )
 
@@ -35,7 +36,7 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			d, ok := examples.All()[args[0]]
 			if !ok {
-				return &usageError{errors.Errorf("no example %q; there are %s", args[0], strings.Join(names, " and "))}
+				return &cli.UsageError{Err: errors.Errorf("no example %q; there are %s", args[0], strings.Join(names, " and "))}
 			}
 			if err := d.Write(args[1]); err != nil {
 				return err
--- a/cmd/rosemaryctl/exit.go
+++ b/cmd/rosemaryctl/exit.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"github.com/rosemaryproxy/rosemaryproxy/cli"
 	"github.com/rosemaryproxy/rosemaryproxy/operator"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
@@ -23,20 +24,11 @@
   3  the configuration was at another revision; nothing was changed
   4  control has no quorum or cannot be reached`
 
-// usageError is a fault in the arguments.
-type usageError struct{ err error }
-
-// Error returns the fault.
-func (e *usageError) Error() string { return e.err.Error() }
-
-// Unwrap returns the fault.
-func (e *usageError) Unwrap() error { return e.err }
-
 // exitCode returns the exit code for a failure.
 func exitCode(err error) int {
 	var (
 		statement *operator.StatementError
-		usage     *usageError
+		usage     *cli.UsageError
 		faults    settings.Faults
 		conflict  *operator.ConflictError
 		refusal   *verdict.Refusal
--- a/cmd/rosemaryctl/keys.go
+++ b/cmd/rosemaryctl/keys.go
@@ -69,7 +69,7 @@
 				return err
 			}
 			if !slices.Contains(roles, role) {
-				return &usageError{errors.Errorf("--role is one of %s", strings.Join(roles, ", "))}
+				return &cli.UsageError{Err: errors.Errorf("--role is one of %s", strings.Join(roles, ", "))}
 			}
 			if err := refuseExisting(args[0], args[1]+".pem", args[1]+".key"); err != nil {
 				return err
@@ -118,7 +118,7 @@
 // checkName refuses a name that would leave the folder or hit the authority.
 func checkName(name string) error {
 	if name == "" || name == "ca" || name != filepath.Base(name) || strings.HasPrefix(name, ".") {
-		return &usageError{errors.Errorf("%q cannot be the name of a process", name)}
+		return &cli.UsageError{Err: errors.Errorf("%q cannot be the name of a process", name)}
 	}
 	return nil
 }
@@ -179,7 +179,7 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			scanner := bufio.NewScanner(c.InOrStdin())
 			if !scanner.Scan() || scanner.Text() == "" {
-				return &usageError{errors.New("no key on standard input")}
+				return &cli.UsageError{Err: errors.New("no key on standard input")}
 			}
 			_, err := fmt.Fprintln(c.OutOrStdout(), operator.HashKey(scanner.Text()))
 			return err
--- a/cmd/rosemaryctl/options.go
+++ b/cmd/rosemaryctl/options.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/rosemaryproxy/rosemaryproxy/cli"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 )
 
@@ -70,7 +71,7 @@
 	for _, addr := range o.control {
 		parsed, err := settings.ParseAddr(addr)
 		if err != nil {
-			return nil, &usageError{errors.Wrap(err, "--control")}
+			return nil, &cli.UsageError{Err: errors.Wrap(err, "--control")}
 		}
 		a.Control = append(a.Control, parsed)
 	}
@@ -88,7 +89,7 @@
 		return nil, nil
 	}
 	if err != nil {
-		return nil, &usageError{errors.Wrap(err, "read settings")}
+		return nil, &cli.UsageError{Err: errors.Wrap(err, "read settings")}
 	}
 	return raw, nil
 }
@@ -96,9 +97,9 @@
 func (a *access) check() error {
 	switch {
 	case len(a.Control) == 0:
-		return &usageError{errors.New("say where control is, with --control or in " + defaultFile)}
+		return &cli.UsageError{Err: errors.New("say where control is, with --control or in " + defaultFile)}
 	case a.TLS.Cert == "":
-		return &usageError{errors.New("say where the operator's identity is, with --tls or in " + defaultFile)}
+		return &cli.UsageError{Err: errors.New("say where the operator's identity is, with --tls or in " + defaultFile)}
 	}
 	return nil
 }
--- a/cmd/rosemaryctl/root.go
+++ b/cmd/rosemaryctl/root.go
@@ -55,7 +55,7 @@
 		},
 		ValidArgsFunction: o.complete,
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &cli.UsageError{Err: err} })
 	o.addFlags(root)
 	root.AddCommand(
 		newRun(o), newPrompt(o), newStatements(), newKeys(), newKey(), newExample(),
--- a/cmd/rosemaryctl/script.go
+++ b/cmd/rosemaryctl/script.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/rosemaryproxy/rosemaryproxy/cli"
 	"github.com/rosemaryproxy/rosemaryproxy/operator"
 )
 
@@ -38,7 +39,7 @@
 	}
 	f, err := os.Open(name)
 	if err != nil {
-		return nil, nil, &usageError{errors.Wrap(err, "open script")}
+		return nil, nil, &cli.UsageError{Err: errors.Wrap(err, "open script")}
 	}
 	return f, func() { _ = f.Close() }, nil
 }
@@ -103,7 +104,7 @@
 func exactly(n int) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
 		if err := cobra.ExactArgs(n)(c, args); err != nil {
-			return &usageError{err}
+			return &cli.UsageError{Err: err}
 		}
 		return nil
 	}
--- a/settings/comments.go
+++ b/settings/comments.go
@@ -88,20 +88,27 @@
 	}
 }
 
+// fieldDocs returns the comments of a struct's fields. A comment that names
+// several fields counts for those below it too.
 func fieldDocs(expr ast.Expr) map[string]string {
 	fields := map[string]string{}
 	s, ok := expr.(*ast.StructType)
 	if !ok {
 		return fields
 	}
+	above := ""
 	for _, f := range s.Fields.List {
 		text := f.Doc.Text()
 		if text == "" {
 			text = f.Comment.Text()
 		}
 		for _, name := range f.Names {
+			if text == "" && strings.Contains(above, name.Name) {
+				text = above
+			}
 			fields[name.Name] = oneLine(text)
 		}
+		above = text
 	}
 	return fields
 }
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -145,7 +145,7 @@
 	for _, check := range strings.Split(tag, ",") {
 		name, param, _ := strings.Cut(check, "=")
 		switch name {
-		case "", "omitempty":
+		case "", "-", "omitempty":
 		case "dive":
 			return strings.Join(words, ", ")
 		case "required":
