--- /dev/null
+++ b/experiment/answer.go
@@ -0,0 +1,172 @@
+package experiment
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/rosemaryproxy/rosemaryproxy/standin"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+const (
+	maxRefusalBytes = 64 << 10
+	maxAnswerBytes  = 64 << 20
+	maxEventBytes   = 64 << 10
+)
+
+// refusalBody is the part of a refusal that the client reads.
+type refusalBody struct {
+	Error struct {
+		Verdict string `json:"verdict"`
+		Reason  string `json:"reason"`
+	} `json:"error"`
+}
+
+// refusal reads an answer that is no success.
+func refusal(ctx context.Context, resp *http.Response) try {
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	if err != nil {
+		return broken(ctx, "connection")
+	}
+	return asRefusal(raw, resp.Status)
+}
+
+// asRefusal reads a refusal's verdict. Without one, the request may have run.
+func asRefusal(raw []byte, status string) try {
+	var body refusalBody
+	t := try{outcome: Failed, reason: status}
+	if json.Unmarshal(raw, &body) != nil || body.Error.Verdict == "" {
+		return t
+	}
+	t.verdict, t.reason = body.Error.Verdict, body.Error.Reason
+	if t.verdict == verdict.NotRun.String() {
+		t.outcome = Refused
+	}
+	return t
+}
+
+// readCall checks the answer of a plain service.
+func (c *client) readCall(ctx context.Context, resp *http.Response, a *Arrival, res *Result) try {
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return broken(ctx, "connection")
+	}
+	t := try{outcome: Completed, verdict: verdict.Ran.String(), first: c.clock.Now()}
+	body := ""
+	if a.Item.Call.Method != http.MethodGet {
+		body = a.name
+	}
+	var got standin.Result
+	want := standin.ExpectedResult(a.Item.Call.Method, a.Item.Call.path(a), body)
+	if json.Unmarshal(raw, &got) != nil || got.Result != want || got.Key != res.key {
+		t.outcome, t.reason = Wrong, "the answer is not the call's own"
+	}
+	return t
+}
+
+// readPrompt checks the answer of a model.
+func (c *client) readPrompt(ctx context.Context, resp *http.Response, a *Arrival, digest uint64) try {
+	if a.Item.Prompt.Whole {
+		return c.readWhole(ctx, resp, a, digest)
+	}
+	s := streamReader{want: standin.ExpectedText(digest, a.OutputTokens), tokens: a.OutputTokens}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, maxEventBytes)
+	var t try
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !ok {
+			s.event(lines.Bytes())
+			continue
+		}
+		if t.first.IsZero() {
+			t.first = c.clock.Now()
+		}
+		if s.take(data) {
+			break
+		}
+	}
+	return s.conclude(ctx, t)
+}
+
+func (c *client) readWhole(ctx context.Context, resp *http.Response, a *Arrival, digest uint64) try {
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return broken(ctx, "connection")
+	}
+	t := try{outcome: Completed, verdict: verdict.Ran.String(), first: c.clock.Now()}
+	var got standin.Answer
+	if json.Unmarshal(raw, &got) != nil || got.Text() != standin.ExpectedText(digest, a.OutputTokens) {
+		t.outcome, t.reason = Wrong, "the answer is not the prompt's own"
+	}
+	return t
+}
+
+// streamReader checks a stream event by event.
+type streamReader struct {
+	want   string
+	tokens int
+	got    int
+	wrong  bool
+	done   bool
+	// refused is set by an error event in the stream.
+	refused *try
+	isError bool
+}
+
+// event takes a line that is not data.
+func (s *streamReader) event(line []byte) {
+	if bytes.Equal(line, []byte("event: error")) {
+		s.isError = true
+	}
+}
+
+// take takes the data of an event. It reports true at the stream's end.
+func (s *streamReader) take(data []byte) bool {
+	if bytes.Equal(data, []byte("[DONE]")) {
+		s.done = true
+		return true
+	}
+	if s.isError {
+		t := asRefusal(data, "error event")
+		t.outcome = Failed
+		s.refused = &t
+		return true
+	}
+	var a standin.Answer
+	if json.Unmarshal(data, &a) != nil {
+		s.wrong = true
+		return true
+	}
+	text := a.Text()
+	end := s.got + len(text)
+	if end > len(s.want) || s.want[s.got:end] != text {
+		s.wrong = true
+	}
+	s.got = end
+	if a.Usage != nil && a.Usage.CompletionTokens != int64(s.tokens) {
+		s.wrong = true
+	}
+	return false
+}
+
+// conclude says how the stream ended. One that has its end mark and not its own
+// whole text is wrong; one without the end mark is broken.
+func (s *streamReader) conclude(ctx context.Context, t try) try {
+	switch {
+	case s.wrong || s.done && s.got != len(s.want):
+		t.outcome, t.reason = Wrong, "the answer is not the prompt's own"
+	case s.done:
+		t.outcome, t.verdict = Completed, verdict.Ran.String()
+	case s.refused != nil:
+		t.outcome, t.verdict, t.reason = s.refused.outcome, s.refused.verdict, s.refused.reason
+	default:
+		end := broken(ctx, "cut stream")
+		t.outcome, t.reason = end.outcome, end.reason
+	}
+	return t
+}
--- /dev/null
+++ b/experiment/bench.go
@@ -0,0 +1,175 @@
+package experiment
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/standin"
+)
+
+// bench hosts the stand-ins of one run.
+type bench struct {
+	endpoints []Endpoint
+	engines   map[string]*standin.Engine
+	workers   map[string]*standin.Worker
+	stops     []func()
+	// port is the next port to listen on; zero takes free ones.
+	port int
+}
+
+// newBench starts all stand-ins of a scenario. With a first port, they listen on
+// loopback ports from there on, in the order of the scenario.
+func newBench(s *Scenario, firstPort int) (*bench, error) {
+	b := &bench{engines: map[string]*standin.Engine{}, workers: map[string]*standin.Worker{}, port: firstPort}
+	for _, g := range s.Engines {
+		for i := range g.Count {
+			e := Endpoint{Name: fmt.Sprintf("%s-%d", g.Name, i+1), Target: g.Engine.Model, ChecksFence: g.Engine.ChecksFence}
+			if err := b.addEngine(s, e, g.Engine); err != nil {
+				b.close()
+				return nil, err
+			}
+		}
+	}
+	for _, g := range s.Workers {
+		for i := range g.Count {
+			e := Endpoint{Name: fmt.Sprintf("%s-%d", g.Name, i+1), Target: g.Name, Service: true}
+			if err := b.addWorker(s, e, g.Worker); err != nil {
+				b.close()
+				return nil, err
+			}
+		}
+	}
+	return b, nil
+}
+
+func (b *bench) addEngine(s *Scenario, e Endpoint, cfg standin.EngineConfig) error {
+	cfg.Name = e.Name
+	engine := standin.NewEngine(cfg, kernel.SystemClock{})
+	b.engines[e.Name] = engine
+	b.stops = append(b.stops, engine.Close)
+	return b.serve(s, e, engine.Handler())
+}
+
+func (b *bench) addWorker(s *Scenario, e Endpoint, cfg standin.WorkerConfig) error {
+	cfg.Name = e.Name
+	cfg.Duration = settings.Duration(s.real(cfg.Duration.Std()))
+	cfg.RestartDelay = settings.Duration(s.real(cfg.RestartDelay.Std()))
+	worker := standin.NewWorker(cfg, kernel.SystemClock{})
+	b.workers[e.Name] = worker
+	b.stops = append(b.stops, worker.Close)
+	return b.serve(s, e, worker.Handler())
+}
+
+// serve gives an endpoint its zone and its address.
+func (b *bench) serve(s *Scenario, e Endpoint, h http.Handler) error {
+	e.Zone = s.Zones[len(b.endpoints)%len(s.Zones)]
+	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(b.port))
+	if b.port > 0 {
+		b.port++
+	}
+	url, stop, err := standin.ServeAt(addr, h)
+	if err != nil {
+		return errors.Wrap(err, e.Name)
+	}
+	e.URL = url
+	b.stops = append(b.stops, stop)
+	b.endpoints = append(b.endpoints, e)
+	return nil
+}
+
+func (b *bench) close() {
+	for _, stop := range b.stops {
+		stop()
+	}
+}
+
+// env describes the stand-ins to a variant.
+func (b *bench) env(s *Scenario, seed uint64, dir string) *Env {
+	env := &Env{
+		Seed:      seed,
+		Dir:       dir,
+		Region:    s.Region,
+		Zones:     s.Zones,
+		Endpoints: b.endpoints,
+		Accounts:  s.Accounts,
+		TimeScale: s.TimeScale,
+	}
+	for _, g := range s.Engines {
+		if !slices.Contains(env.Models, g.Engine.Model) {
+			env.Models = append(env.Models, g.Engine.Model)
+		}
+	}
+	for _, g := range s.Workers {
+		env.Services = append(env.Services, Service{Name: g.Name, Once: s.onceCalls(g.Name)})
+	}
+	return env
+}
+
+func (s *Scenario) onceCalls(service string) []OnceCall {
+	var calls []OnceCall
+	for _, i := range s.Mix {
+		if c := i.Call; c != nil && c.Once && c.Service == service {
+			calls = append(calls, OnceCall{Method: c.Method, Path: c.fixedPath()})
+		}
+	}
+	return calls
+}
+
+// lastTaken returns when any engine of a zone last took in a request.
+func (b *bench) lastTaken(zone string) time.Time {
+	var last time.Time
+	for _, e := range b.endpoints {
+		if e.Zone != zone || e.Service {
+			continue
+		}
+		if t := b.engines[e.Name].LastTaken(); t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
+
+// executions returns how often each key was executed, over all workers.
+func (b *bench) executions() map[string]int {
+	counts := map[string]int{}
+	for _, w := range b.workers {
+		for _, e := range w.Executions() {
+			counts[e.Key] += e.Count
+		}
+	}
+	return counts
+}
+
+// taken returns how often engines took in a prompt.
+func (b *bench) taken(digest uint64) int {
+	n := 0
+	for _, e := range b.engines {
+		n += e.Taken(digest)
+	}
+	return n
+}
+
+// asRan returns the bench as a witness, or nil when it hosts nothing.
+func (b *bench) asRan() ran {
+	if len(b.endpoints) == 0 {
+		return nil
+	}
+	return b
+}
+
+// lostTokens returns the memory that engines hold though nothing runs.
+func (b *bench) lostTokens() int64 {
+	var lost int64
+	for _, e := range b.engines {
+		lost += e.HeldTokens()
+	}
+	return lost
+}
--- /dev/null
+++ b/experiment/client.go
@@ -0,0 +1,202 @@
+package experiment
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/standin"
+)
+
+const (
+	// headerTimeout tells the system the time that is left for a request.
+	headerTimeout = "X-Request-Timeout"
+	// answerGrace is how long after its deadline a request's final answer may come.
+	answerGrace = 2 * time.Second
+	// resendDelay is the pause before a request is sent again.
+	resendDelay = 200 * time.Millisecond
+	// maxSends bounds how often one request is sent.
+	maxSends = 5
+	// triesInDeadline is how many sendings of a call fit into its deadline.
+	triesInDeadline = 3
+	// clientConns is the count of idle connections kept to each entry.
+	clientConns = 1024
+)
+
+// client sends requests like a careful caller and checks the answers.
+type client struct {
+	scenario *Scenario
+	entries  []string
+	clock    kernel.Clock
+	http     *http.Client
+	start    time.Time
+}
+
+func newClient(s *Scenario, entries []string, clock kernel.Clock) *client {
+	transport := &http.Transport{MaxIdleConnsPerHost: clientConns, DisableCompression: true}
+	return &client{scenario: s, entries: entries, clock: clock, http: &http.Client{Transport: transport}}
+}
+
+func (c *client) close() { c.http.CloseIdleConnections() }
+
+// due returns when an arrival is due on the clock.
+func (c *client) due(a *Arrival) time.Time { return c.start.Add(c.scenario.real(a.Due)) }
+
+// try is one sending of a request.
+type try struct {
+	outcome Outcome
+	verdict string
+	reason  string
+	first   time.Time
+}
+
+// send carries an arrival to its final answer. A call that must not run twice is
+// sent again with the same key while its caller cannot know whether it ran; a
+// prompt that crashes engines is sent again too.
+func (c *client) send(ctx context.Context, a *Arrival) Result {
+	deadline := c.due(a).Add(c.scenario.real(c.scenario.deadline(a.Item)))
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(answerGrace))
+	defer cancel()
+	res := Result{Arrival: a}
+	var t try
+	for {
+		res.Sends++
+		t = c.once(ctx, a, &res, deadline)
+		if res.Sends >= maxSends || !resends(a, &t) || !c.pause(ctx) {
+			break
+		}
+	}
+	c.finish(&res, &t)
+	return res
+}
+
+func resends(a *Arrival, t *try) bool {
+	if t.outcome != Failed {
+		return false
+	}
+	if a.Item.Prompt != nil {
+		return a.Item.Prompt.Crashes
+	}
+	return a.Item.Call.Once
+}
+
+// pause waits before a request is sent again. It reports false when time is up.
+func (c *client) pause(ctx context.Context) bool {
+	select {
+	case <-c.clock.After(resendDelay):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *client) finish(res *Result, t *try) {
+	now := c.clock.Now()
+	due := c.due(res.Arrival)
+	res.Outcome, res.Verdict, res.Reason = t.outcome, t.verdict, t.reason
+	res.Last = c.scenario.model(now.Sub(due))
+	res.First = res.Last
+	if !t.first.IsZero() {
+		res.First = c.scenario.model(t.first.Sub(due))
+	}
+	res.Ended = c.scenario.model(now.Sub(c.start))
+}
+
+// once sends the request once and reads the answer to its end. It gives a call
+// that can be sent again only a part of the time that is left.
+func (c *client) once(ctx context.Context, a *Arrival, res *Result, deadline time.Time) try {
+	tryCtx := ctx
+	if a.Item.Call != nil && a.Item.Call.Once {
+		var cancel context.CancelFunc
+		tryCtx, cancel = context.WithTimeout(ctx, c.scenario.real(c.scenario.deadline(a.Item))/triesInDeadline)
+		defer cancel()
+	}
+	req, err := c.request(tryCtx, a, res, deadline)
+	if err != nil {
+		return try{outcome: Failed, reason: err.Error()}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return broken(ctx, "connection")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(ctx, resp)
+	}
+	if a.Item.Call != nil {
+		return c.readCall(ctx, resp, a, res)
+	}
+	return c.readPrompt(ctx, resp, a, res.digest)
+}
+
+func broken(ctx context.Context, reason string) try {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return try{outcome: Late, reason: "no final answer in time"}
+	}
+	return try{outcome: Failed, reason: reason}
+}
+
+func (c *client) request(ctx context.Context, a *Arrival, res *Result, deadline time.Time) (*http.Request, error) {
+	base := c.entries[a.Entry%len(c.entries)]
+	method, path := http.MethodPost, engine.PathCompletions
+	var body io.Reader
+	var length int64
+	if call := a.Item.Call; call != nil {
+		method, path = call.Method, servicesPath+call.Service+call.path(a)
+		if method != http.MethodGet {
+			body, length = strings.NewReader(a.name), int64(len(a.name))
+		}
+	} else {
+		text := newPromptText(a)
+		res.digest = text.digest()
+		body, length = text.body(a)
+		if a.Item.Prompt.Chat {
+			path = engine.PathChat
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, base+path, onlyReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	req.ContentLength = length
+	c.setHeader(req, a, res, deadline)
+	return req, nil
+}
+
+// onlyReader hides a body's other methods, so that net/http cannot rewind it and
+// send the request a second time by itself.
+func onlyReader(r io.Reader) io.Reader {
+	if r == nil {
+		return nil
+	}
+	return struct{ io.Reader }{r}
+}
+
+func (c *client) setHeader(req *http.Request, a *Arrival, res *Result, deadline time.Time) {
+	req.Header.Set("Authorization", "Bearer "+a.Account.Key)
+	req.Header.Set(headerTimeout, max(deadline.Sub(c.clock.Now()), time.Millisecond).String())
+	if a.Item.Call == nil {
+		req.Header.Set("Content-Type", "application/json")
+	} else if a.Item.Call.Once {
+		res.key = a.Account.Name + " " + a.name
+		req.Header.Set(standin.HeaderIdempotencyKey, res.key)
+	}
+}
+
+// path returns the call's path for an arrival.
+func (k *Call) path(a *Arrival) string {
+	return strings.ReplaceAll(k.Path, "{n}", strconv.Itoa(a.Number))
+}
+
+// fixedPath returns the part of the path that all calls have in common.
+func (k *Call) fixedPath() string {
+	fixed, _, _ := strings.Cut(k.Path, "{n}")
+	return fixed
+}
--- /dev/null
+++ b/experiment/report.go
@@ -0,0 +1,288 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+)
+
+// Report is the outcome of an experiment. All durations but ZoneWork are in
+// model time; in JSON they are nanoseconds.
+type Report struct {
+	Scenario   string
+	Command    string
+	Seeds      []uint64
+	TimeScale  float64
+	TokenScale float64
+	// First is the time to first token by prompt length class.
+	First []FirstRow
+	// Slowdown is by how much long prompts slow short ones down.
+	Slowdown []SlowdownRow
+	// Service is how requests ended, over all and over time.
+	Service []ServiceRow
+	// Memory is what slow readers cost.
+	Memory []MemoryRow
+	Runs   []*Run
+
+	scenario *Scenario
+}
+
+// FirstRow is the time to first token of one class. The row "calls" holds whole
+// calls of plain services.
+type FirstRow struct {
+	Part    string
+	Variant string
+	Class   string
+	Count   int64
+	P50     time.Duration
+	P90     time.Duration
+	P99     time.Duration
+	Max     time.Duration
+	// P99Low and P99High are the least and the greatest p99 of any seed.
+	P99Low  time.Duration
+	P99High time.Duration
+}
+
+// SlowdownRow compares the p99 of short prompts in two parts.
+type SlowdownRow struct {
+	Part      string
+	CompareTo string
+	Variant   string
+	// With and Without are the p99 of the time to first token, with and without
+	// long prompts, and First their quotient.
+	With    time.Duration
+	Without time.Duration
+	First   float64
+	// FirstLow and FirstHigh are the least and the greatest First of any seed.
+	FirstLow  float64
+	FirstHigh float64
+	// Whole is the quotient of the p99 of the time to the whole answer.
+	Whole float64
+}
+
+// ServiceRow is how the requests of a part ended, summed over seeds.
+type ServiceRow struct {
+	Part      string
+	Variant   string
+	Rate      float64
+	Sent      int
+	Completed int
+	Refused   int
+	Failed    int
+	Wrong     int
+	Late      int
+	Checks    Checks
+	// LastWork is the longest time for which a zone that was out got new work.
+	LastWork time.Duration
+	// Reasons counts why requests did not complete.
+	Reasons map[string]int
+	// Items counts outcomes by item of the mix.
+	Items    map[string]map[string]int
+	Timeline []ServicePoint
+}
+
+// ServicePoint is one step of a timeline, in requests a second, the mean of all
+// seeds.
+type ServicePoint struct {
+	At        time.Duration
+	Completed float64
+	Refused   float64
+	Failed    float64
+}
+
+// MemoryRow is the memory of a part with slow readers, the worst of all seeds.
+type MemoryRow struct {
+	Part    string
+	Variant string
+	MemoryUse
+}
+
+// group is the runs of one part and variant.
+type group struct {
+	part    string
+	variant string
+	runs    []*Run
+}
+
+// summarize makes the rows from the runs.
+func (r *Report) summarize() {
+	groups := r.groups()
+	for _, g := range groups {
+		r.First = append(r.First, g.firstRows()...)
+		r.Service = append(r.Service, g.serviceRow())
+		if row, ok := g.memoryRow(); ok {
+			r.Memory = append(r.Memory, row)
+		}
+		p := r.scenario.part(g.part)
+		if p == nil || p.CompareTo == "" {
+			continue
+		}
+		if base := find(groups, p.CompareTo, g.variant); base != nil {
+			r.Slowdown = append(r.Slowdown, slowdownRow(g, base))
+		}
+	}
+}
+
+// groups returns the runs by part and variant, in the order of their first runs.
+func (r *Report) groups() []*group {
+	var list []*group
+	for _, run := range r.Runs {
+		g := find(list, run.Part, run.Variant)
+		if g == nil {
+			g = &group{part: run.Part, variant: run.Variant}
+			list = append(list, g)
+		}
+		g.runs = append(g.runs, run)
+	}
+	return list
+}
+
+func find(list []*group, part, variant string) *group {
+	i := slices.IndexFunc(list, func(g *group) bool { return g.part == part && g.variant == variant })
+	if i < 0 {
+		return nil
+	}
+	return list[i]
+}
+
+// merged returns one histogram of all runs.
+func (g *group) merged(of func(*recorder) latencies) latencies {
+	sum := newLatencies()
+	for _, run := range g.runs {
+		sum.merge(of(run.record))
+	}
+	return sum
+}
+
+func (g *group) firstRows() []FirstRow {
+	var rows []FirstRow
+	for i, c := range classes {
+		rows = g.addFirst(rows, c.Name, func(r *recorder) latencies { return r.first[i] })
+	}
+	return g.addFirst(rows, "calls", func(r *recorder) latencies { return r.calls })
+}
+
+// addFirst appends the row of a class that has any requests.
+func (g *group) addFirst(rows []FirstRow, class string, of func(*recorder) latencies) []FirstRow {
+	all := g.merged(of)
+	if all.count() == 0 {
+		return rows
+	}
+	row := FirstRow{
+		Part: g.part, Variant: g.variant, Class: class, Count: all.count(),
+		P50: all.at(50), P90: all.at(90), P99: all.at(99), Max: all.at(100),
+	}
+	for _, run := range g.runs {
+		h := of(run.record)
+		if h.count() == 0 {
+			continue
+		}
+		p99 := h.at(99)
+		if row.P99Low == 0 || p99 < row.P99Low {
+			row.P99Low = p99
+		}
+		row.P99High = max(row.P99High, p99)
+	}
+	return append(rows, row)
+}
+
+func slowdownRow(g, base *group) SlowdownRow {
+	short := func(r *recorder) latencies { return r.short }
+	whole := func(r *recorder) latencies { return r.whole }
+	row := SlowdownRow{Part: g.part, CompareTo: base.part, Variant: g.variant}
+	row.With, row.Without = g.merged(short).at(99), base.merged(short).at(99)
+	row.First = quotient(row.With, row.Without)
+	row.Whole = quotient(g.merged(whole).at(99), base.merged(whole).at(99))
+	for i := range min(len(g.runs), len(base.runs)) {
+		q := quotient(g.runs[i].record.short.at(99), base.runs[i].record.short.at(99))
+		if row.FirstLow == 0 || q < row.FirstLow {
+			row.FirstLow = q
+		}
+		row.FirstHigh = max(row.FirstHigh, q)
+	}
+	return row
+}
+
+func quotient(a, b time.Duration) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+func (g *group) serviceRow() ServiceRow {
+	row := ServiceRow{Part: g.part, Variant: g.variant, Reasons: map[string]int{}, Items: map[string]map[string]int{}}
+	for _, run := range g.runs {
+		row.Rate = run.Rate
+		row.add(run)
+	}
+	row.Timeline = g.timeline()
+	return row
+}
+
+func (row *ServiceRow) add(run *Run) {
+	total := &run.record.total
+	row.Sent += run.Sent
+	row.Completed += total[Completed]
+	row.Refused += total[Refused]
+	row.Failed += total[Failed]
+	row.Wrong += total[Wrong]
+	row.Late += total[Late]
+	row.Checks.add(&run.Checks)
+	for _, z := range run.LastWork {
+		row.LastWork = max(row.LastWork, z.After)
+	}
+	for reason, n := range run.record.reasons {
+		row.Reasons[reason] += n
+	}
+	for item, counts := range run.record.byItem {
+		if row.Items[item] == nil {
+			row.Items[item] = map[string]int{}
+		}
+		for _, o := range outcomes {
+			row.Items[item][o.String()] += counts[o]
+		}
+	}
+}
+
+func (c *Checks) add(from *Checks) {
+	c.Checked = from.Checked
+	c.Wrong += from.Wrong
+	c.NoFinalAnswer += from.NoFinalAnswer
+	c.DoubleRuns += from.DoubleRuns
+	c.FalseNotRun += from.FalseNotRun
+	c.FalseRan += from.FalseRan
+	c.LostTokens += from.LostTokens
+}
+
+// timeline returns the mean of the runs' timelines.
+func (g *group) timeline() []ServicePoint {
+	var points []ServicePoint
+	for _, run := range g.runs {
+		perStep := run.Step.Seconds() * float64(len(g.runs))
+		for i, s := range run.record.timeline {
+			if i == len(points) {
+				points = append(points, ServicePoint{At: time.Duration(i) * run.Step})
+			}
+			points[i].Completed += float64(s[Completed]) / perStep
+			points[i].Refused += float64(s[Refused]) / perStep
+			points[i].Failed += float64(s[Failed]+s[Wrong]+s[Late]) / perStep
+		}
+	}
+	return points
+}
+
+func (g *group) memoryRow() (MemoryRow, bool) {
+	row := MemoryRow{Part: g.part, Variant: g.variant}
+	found := false
+	for _, run := range g.runs {
+		if run.Use == nil {
+			continue
+		}
+		if !found || run.Use.Peak-run.Use.Before > row.Peak-row.Before {
+			row.Readers, row.Before, row.Peak = run.Use.Readers, run.Use.Before, run.Use.Peak
+		}
+		row.HeldPeak = max(row.HeldPeak, run.Use.HeldPeak)
+		found = true
+	}
+	return row, found
+}
--- /dev/null
+++ b/experiment/runner.go
@@ -0,0 +1,217 @@
+package experiment
+
+import (
+	"context"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+)
+
+const (
+	// settleTime is the wait for memory and calls to end after the last answer.
+	settleTime = 10 * time.Second
+	settlePoll = 50 * time.Millisecond
+	// timelineSteps is the count of steps in a part's timeline.
+	timelineSteps = 60
+)
+
+// Run is one part of an experiment with one variant and one seed.
+type Run struct {
+	Variant string
+	Part    string
+	Seed    uint64
+	// Rate is the arrival rate in requests a second, and Step the length of one
+	// step of the timeline.
+	Rate float64
+	Step time.Duration
+	// Sent counts requests; Total counts them by outcome.
+	Sent     int
+	Checks   Checks
+	Faults   []Happened     `json:",omitempty"`
+	Memory   []MemorySample `json:",omitempty"`
+	Use      *MemoryUse     `json:",omitempty"`
+	LastWork []ZoneWork     `json:",omitempty"`
+	record   *recorder
+}
+
+// ZoneWork says when the last new work came to a zone that was ordered out.
+type ZoneWork struct {
+	Zone string
+	// After is the real time from the order to the last request that an engine of
+	// the zone took in before the zone was ordered in again; 0 for none.
+	After time.Duration
+}
+
+// driver runs one part with one variant and one seed.
+type driver struct {
+	scenario *Scenario
+	part     *Part
+	seed     uint64
+	bench    *bench
+	system   *System
+	client   *client
+	clock    kernel.Clock
+	record   *recorder
+	run      *Run
+}
+
+// runPart starts stand-ins and the variant's system, drives the part's arrivals
+// and checks the outcome. The report's numbers come from what it returns.
+func (x *Experiment) runPart(ctx context.Context, v Variant, p *Part, seed uint64) (*Run, error) {
+	s := x.Scenario
+	b, err := newBench(s, x.FirstPort)
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	dir, err := os.MkdirTemp("", "rosemary-load-")
+	if err != nil {
+		return nil, errors.Wrap(err, "make a folder")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	sys, err := v.Start(ctx, b.env(s, seed, dir))
+	if err != nil {
+		return nil, errors.Wrapf(err, "start variant %s", v.Name)
+	}
+	defer sys.Stop()
+	d := newDriver(s, p, seed, sys, kernel.SystemClock{})
+	d.bench = b
+	d.run.Variant = v.Name
+	defer d.client.close()
+	stop := x.showProgress(d)
+	defer stop()
+	d.drive(ctx)
+	d.settle(ctx)
+	d.run.Checks = check(d.record, b.asRan())
+	return d.run, ctx.Err()
+}
+
+func newDriver(s *Scenario, p *Part, seed uint64, sys *System, clock kernel.Clock) *driver {
+	step := max(s.duration(p)/timelineSteps, time.Millisecond)
+	record := newRecorder(s, step)
+	return &driver{
+		scenario: s,
+		part:     p,
+		seed:     seed,
+		system:   sys,
+		client:   newClient(s, sys.Entries, clock),
+		clock:    clock,
+		record:   record,
+		run:      &Run{Part: p.Name, Seed: seed, Rate: s.rate(p), Step: step, record: record},
+	}
+}
+
+// drive sends every arrival when it is due, and waits for all answers. Sending
+// never waits for an answer.
+func (d *driver) drive(ctx context.Context) {
+	arrivals := d.scenario.Arrivals(d.part, d.seed)
+	d.client.start = d.clock.Now()
+	side, stop := context.WithCancel(ctx)
+	var beside sync.WaitGroup
+	d.startBeside(side, &beside)
+	var sends sync.WaitGroup
+	for i := range arrivals {
+		a := &arrivals[i]
+		if !d.sleepUntil(ctx, d.client.due(a)) {
+			break
+		}
+		d.record.started()
+		sends.Go(func() { d.record.add(d.client.send(ctx, a)) })
+	}
+	sends.Wait()
+	d.sleepUntil(ctx, d.client.start.Add(d.scenario.real(d.scenario.duration(d.part))))
+	stop()
+	beside.Wait()
+	d.run.Sent = d.record.progress().sent
+}
+
+// sleepUntil waits until t. It reports false when ctx ends before.
+func (d *driver) sleepUntil(ctx context.Context, t time.Time) bool {
+	wait := t.Sub(d.clock.Now())
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-d.clock.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// startBeside starts what goes on beside the arrivals: faults, slow readers and
+// the sampling of memory.
+func (d *driver) startBeside(ctx context.Context, group *sync.WaitGroup) {
+	if len(d.part.Faults) > 0 {
+		group.Go(func() { d.injectFaults(ctx) })
+	}
+	slow := d.part.SlowReaders
+	if slow == nil {
+		return
+	}
+	group.Go(func() {
+		d.run.Memory = sampleMemory(ctx, d.scenario, d.part, d.system, d.clock)
+	})
+	group.Go(func() {
+		readers := runSlowReaders(ctx, d.scenario, slow, d.client, d.clock)
+		d.run.Use = &MemoryUse{Readers: readers}
+	})
+}
+
+// injectFaults carries out the part's schedule.
+func (d *driver) injectFaults(ctx context.Context) {
+	out := map[string]time.Time{}
+	for _, step := range faultSteps(d.scenario, d.part, d.bench, d.system) {
+		if step.is != nil && step.is.Kind == zoneIn {
+			d.noteZoneWork(out, step.is.Target)
+		}
+		if !d.sleepUntil(ctx, d.client.start.Add(step.at)) {
+			break
+		}
+		err := step.act(ctx)
+		if step.is == nil {
+			continue
+		}
+		h := Happened{At: step.is.At.Std(), Kind: step.is.Kind, Target: step.is.Target}
+		if err != nil {
+			h.Error = err.Error()
+		}
+		d.run.Faults = append(d.run.Faults, h)
+		if step.is.Kind == zoneOut && err == nil {
+			out[step.is.Target] = d.clock.Now()
+		}
+	}
+	for zone := range out {
+		d.noteZoneWork(out, zone)
+	}
+}
+
+// noteZoneWork records when the last new work came to a zone that is out.
+func (d *driver) noteZoneWork(out map[string]time.Time, zone string) {
+	ordered, ok := out[zone]
+	if !ok {
+		return
+	}
+	delete(out, zone)
+	last := max(d.bench.lastTaken(zone).Sub(ordered), 0)
+	d.run.LastWork = append(d.run.LastWork, ZoneWork{Zone: zone, After: last})
+}
+
+// settle waits until the stand-ins hold nothing, but not for long.
+func (d *driver) settle(ctx context.Context) {
+	for range int(settleTime / settlePoll) {
+		if d.bench.lostTokens() == 0 || ctx.Err() != nil {
+			break
+		}
+		<-d.clock.After(settlePoll)
+	}
+	if d.run.Use != nil {
+		use := memoryUse(d.run.Memory, d.part.SlowReaders.At.Std())
+		use.Readers = d.run.Use.Readers
+		d.run.Use = &use
+	}
+}
--- a/standin/completion.go
+++ b/standin/completion.go
@@ -51,6 +51,7 @@
 		e.byID[req.id] = req
 	}
 	e.held += req.held()
+	e.record.add(req.answer.digest, now)
 	e.checkMemory(now)
 	e.sample(now)
 	e.wakeLoop()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -33,6 +33,7 @@
 	events   events
 	weights  weights
 	faults   faults
+	record   record
 	lastStep time.Time
 	coldFrom time.Time
 	downTill time.Time
@@ -100,6 +101,13 @@
 	return e.free()
 }
 
+// HeldTokens returns the memory that requests and exported caches hold.
+func (e *Engine) HeldTokens() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held + e.exported
+}
+
 // Config returns the engine's settings.
 func (e *Engine) Config() EngineConfig { return e.cfg }
 
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -27,6 +27,15 @@
 // Crash makes the engine fall: all requests break and it starts again, cold.
 func (e *Engine) Crash() { e.fault(e.fall) }
 
+// Down makes the engine fall and answer nothing for a time, as when its VM is lost.
+func (e *Engine) Down(d time.Duration) {
+	e.fault(func(now time.Time) {
+		e.fall(now)
+		e.downTill = now.Add(d)
+		e.coldFrom = e.downTill
+	})
+}
+
 // TurnCold makes the engine cold again without a new start.
 func (e *Engine) TurnCold() {
 	e.fault(func(now time.Time) {
--- a/standin/fleet.go
+++ b/standin/fleet.go
@@ -124,7 +124,12 @@
 // Serve serves h on a loopback port of its own until stop is called. It returns
 // the base URL.
 func Serve(h http.Handler) (url string, stop func(), err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return ServeAt("127.0.0.1:0", h)
+}
+
+// ServeAt serves h on an address until stop is called. It returns the base URL.
+func ServeAt(addr string, h http.Handler) (url string, stop func(), err error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return "", nil, errors.Wrap(err, "listen")
 	}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -115,6 +115,13 @@
 	k.slow = extra
 }
 
+// Down makes the worker answer nothing for a time.
+func (k *Worker) Down(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.downTill = k.clock.Now().Add(d)
+}
+
 // Executions returns how often each key was executed, sorted by key. The list
 // outlives crashes of the worker.
 func (k *Worker) Executions() []Execution {
