--- a/cmd/rosemaryctl/main_test.go
+++ b/cmd/rosemaryctl/main_test.go
@@ -48,7 +48,7 @@
 	keys := filepath.Join(dir, "keys")
 	f := &settings.File{
 		Node: settings.Node{Name: "control-1", Region: d.Region, Zone: d.Zones[0]},
-		TLS: settings.TLS{
+		TLS: &settings.TLS{
 			CA:   filepath.Join(keys, "ca.pem"),
 			Cert: filepath.Join(keys, "control-1.pem"),
 			Key:  filepath.Join(keys, "control-1.key"),
