--- a/wire/conn.go
+++ b/wire/conn.go
@@ -31,9 +31,13 @@
 // quicConfig returns the transport settings. Windows are fixed rather than
 // grown, so that memory for slow readers is bounded by what is written here.
 func quicConfig(o PoolOptions) *quic.Config {
+	idle := o.IdleTimeout
+	if idle == 0 {
+		idle = idleTimeout
+	}
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
-		MaxIdleTimeout:                 idleTimeout,
+		MaxIdleTimeout:                 idle,
 		KeepAlivePeriod:                o.KeepAlive,
 		InitialStreamReceiveWindow:     o.StreamWindow,
 		MaxStreamReceiveWindow:         o.StreamWindow,
