--- a/entry/answer.go
+++ b/entry/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -35,6 +36,9 @@
 	// committed is set once the caller has seen a status, which ends all retries.
 	committed bool
 	sent      int64
+	// whole is called with a whole answer before the caller sees any of it; it is
+	// set for a call that runs at most once.
+	whole func(*command.Result)
 }
 
 func newAnswer(w http.ResponseWriter, c *call, timeout time.Duration, clock kernel.Clock) *answer {
@@ -59,7 +63,10 @@
 	if a.c.firstByte.IsZero() {
 		a.c.firstByte = a.clock.Now()
 	}
-	if !a.events && !a.committed && len(a.pending)+len(data) <= wholeBytes {
+	if a.whole != nil && len(a.pending)+len(data) > wholeBytes {
+		return verdict.Uncertain(verdict.ReasonTooLarge, 0, "the result of a call that runs at most once is over %d bytes", wholeBytes)
+	}
+	if a.whole != nil || !a.events && !a.committed && len(a.pending)+len(data) <= wholeBytes {
 		a.pending = append(a.pending, data...)
 		return nil
 	}
@@ -67,7 +74,19 @@
 }
 
 // end passes on what was held back once the answer is whole.
-func (a *answer) end() error { return a.send(nil) }
+func (a *answer) end() error {
+	if a.whole != nil {
+		a.whole(&command.Result{Status: a.head.Status, Header: a.head.Header, Body: a.pending})
+	}
+	return a.send(nil)
+}
+
+// replay answers with the kept result of a call that ran before.
+func (a *answer) replay(r *command.Result) error {
+	a.whole = nil
+	a.begin(&wire.Head{Status: r.Status, Header: r.Header})
+	return a.send(r.Body)
+}
 
 func (a *answer) send(data []byte) error {
 	if !a.committed {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,60 +15,50 @@
 	// answerWindowBytes is what a sidecar may send ahead of a caller's reading.
 	answerWindowBytes = 32 << 10
 	// connectTimeout bounds the opening of a stream to a sidecar.
-	connectTimeout = 2 * time.Second
+	connectTimeout = time.Second
+	// grantTimeout bounds the wait for a sidecar's decision, which needs no engine.
+	grantTimeout = time.Second
 	// eagerBodyBytes is the longest body that is sent before the grant.
 	eagerBodyBytes = 16 << 10
 	// answerGrace is how long after the deadline a refusal is still read.
 	answerGrace = 500 * time.Millisecond
+	// retryAfterLoss is when a request that lost its endpoint is worth another try.
+	retryAfterLoss = time.Second
 )
 
 // attempt carries out one try at the ticket's endpoint. It returns nil once the
 // caller has the whole answer.
-func (e *Entry) attempt(ctx context.Context, c *call, t *ticket, a *answer, claim *wire.Claim) error {
-	now := e.clock.Now()
-	d := e.dispatchOf(c, t, now)
-	d.Claim = claim
-	c.endpoint = t.endpoint.Name
-	e.log.Info("attempt routed", c.fields("attempt", d.Attempt.Number, "endpoint", t.endpoint.Name,
-		"zone", t.endpoint.Zone, "class", c.want.Class.String(), "prompt_tokens", c.want.PromptTokens,
-		"considered", t.choice.Considered, "reason", t.choice.Reason, "predicted", t.choice.Predicted)...)
-	x := &exchange{e: e, c: c, t: t, d: d, a: a, order: stream.NewAssembler(d.Attempt, 0)}
+func (e *Entry) attempt(ctx context.Context, c *call, t *ticket, a *answer) error {
+	x := e.newExchange(c, t, a)
 	defer x.finish()
 	if err := x.open(ctx); err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, x.s.Abort)
-	defer stop()
-	err := x.run()
-	if err != nil && ctx.Err() != nil {
-		return e.interrupted(ctx, x)
-	}
-	return err
-}
-
-// interrupted says how an attempt ended whose deadline passed or whose caller went.
-func (e *Entry) interrupted(ctx context.Context, x *exchange) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return verdict.Uncertain(verdict.ReasonDeadline, 0, "the deadline passed at endpoint %s", x.t.endpoint.Name)
-	}
-	return verdict.Uncertain(verdict.ReasonSlowReader, 0, "the caller has gone")
+	return x.carry(ctx, nil)
 }
 
 // exchange is the conversation with a sidecar about one attempt.
 type exchange struct {
-	e     *Entry
-	c     *call
-	t     *ticket
-	d     *wire.Dispatch
-	a     *answer
-	s     wire.Stream
+	e *Entry
+	c *call
+	t *ticket
+	a *answer
+	s wire.Stream
+	d *wire.Dispatch
+	// sent is when the dispatch left.
+	sent  time.Time
 	order *stream.Assembler
 	// load is the newest load that the sidecar sent.
 	load *wire.Load
 }
 
+func (e *Entry) newExchange(c *call, t *ticket, a *answer) *exchange {
+	c.endpoint = t.endpoint.Name
+	return &exchange{e: e, c: c, t: t, a: a}
+}
+
 func (x *exchange) finish() {
-	if x.s != nil && !x.order.Whole() {
+	if x.s != nil && (x.order == nil || !x.order.Whole()) {
 		x.s.Abort()
 	}
 	x.e.fleet.finished(x.t, x.load)
@@ -91,29 +80,60 @@
 	return nil
 }
 
-// retryAfterLoss is when a request that lost its endpoint is worth another try.
-const retryAfterLoss = time.Second
+// carry sends the attempt over the open stream and passes its answer on.
+func (x *exchange) carry(ctx context.Context, claim *wire.Claim) error {
+	x.sent = x.e.clock.Now()
+	x.d = x.e.dispatchOf(x.c, x.t, x.sent)
+	x.d.Claim = claim
+	x.order = stream.NewAssembler(x.d.Attempt, 0)
+	x.log()
+	stop := context.AfterFunc(ctx, x.s.Abort)
+	defer stop()
+	err := x.run()
+	if err != nil && ctx.Err() != nil {
+		return x.interrupted(ctx)
+	}
+	return err
+}
+
+// log writes the line of the routing decision.
+func (x *exchange) log() {
+	choice := &x.t.choice
+	x.e.log.Info("attempt routed", x.c.fields("attempt", x.d.Attempt.Number, "endpoint", x.t.endpoint.Name,
+		"zone", x.t.endpoint.Zone, "class", x.c.want.Class.String(), "prompt_tokens", x.c.want.PromptTokens,
+		"considered", choice.Considered, "reason", choice.Reason, "predicted", choice.Predicted,
+		"waited", x.t.waited)...)
+}
+
+// interrupted says how an attempt ended whose deadline passed or whose caller went.
+func (x *exchange) interrupted(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Uncertain(verdict.ReasonDeadline, 0, "the deadline passed at endpoint %s", x.t.endpoint.Name)
+	}
+	return verdict.Uncertain(verdict.ReasonSlowReader, 0, "the caller has gone")
+}
 
 // run sends the attempt and reads its answer.
 func (x *exchange) run() error {
-	_ = x.s.SetDeadline(x.c.deadline.Add(answerGrace))
+	_ = x.s.SetDeadline(x.sent.Add(grantTimeout))
 	if err := x.s.Send(x.d); err != nil {
-		return x.lost()
+		return x.silent()
 	}
 	eager := len(x.c.body) <= eagerBodyBytes
 	if eager {
-		if err := x.sendBody(); err != nil {
-			return x.lostAfter(err)
-		}
+		// A sidecar that refuses stops reading the body, and its refusal counts.
+		_ = x.sendBody()
 	}
 	granted, err := x.awaitGrant()
 	if err != nil {
 		return err
 	}
 	x.e.fleet.granted(x.t, granted.Load)
+	x.e.control.Adopt(x.sent, granted.Permission)
+	_ = x.s.SetDeadline(x.c.deadline.Add(answerGrace))
 	if !eager {
-		// The answer is read at the same time, because an endpoint may refuse a
-		// body before it has read all of it.
+		// The answer is read at the same time, because an endpoint may answer before
+		// it has read the whole body.
 		go func() { _ = x.sendBody() }()
 	}
 	return x.readAnswer()
@@ -135,19 +155,17 @@
 	return verdict.Uncertain(verdict.ReasonEndpointLost, retryAfterLoss, "endpoint %s broke off", x.t.endpoint.Name)
 }
 
-// lostAfter prefers the sidecar's own refusal to a failed send: a sidecar that
-// refuses stops reading the body.
-func (x *exchange) lostAfter(error) error {
-	if _, err := x.awaitGrant(); err != nil {
-		return err
-	}
+// silent is the refusal of an attempt whose sidecar gave no decision. Its
+// connection is dropped, because the process behind it may be gone.
+func (x *exchange) silent() error {
+	x.e.pool.Drop(x.t.endpoint.Addr)
 	return x.lost()
 }
 
 func (x *exchange) awaitGrant() (*wire.Grant, error) {
 	m, err := x.s.Recv()
 	if err != nil {
-		return nil, x.lost()
+		return nil, x.silent()
 	}
 	switch m := m.(type) {
 	case *wire.Grant:
@@ -165,6 +183,7 @@
 		return x.unexpected(m)
 	}
 	x.load = &m.Load
+	x.e.control.Adopt(x.sent, m.Permission)
 	return m.Refusal()
 }
 
@@ -176,7 +195,7 @@
 func (x *exchange) readAnswer() error {
 	for {
 		m, err := x.s.Recv()
-		if errors.Is(err, io.EOF) || err != nil {
+		if err != nil {
 			return x.lost()
 		}
 		switch m := m.(type) {
@@ -224,5 +243,7 @@
 		return err
 	}
 	x.load = &m.Load
+	x.c.usage = usage{prompt: m.PromptTokens, output: m.OutputTokens}
+	x.e.fleet.completed(x.c)
 	return x.a.end()
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -11,7 +11,9 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/rosemaryproxy/rosemaryproxy/admit"
 	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/quota"
 	"github.com/rosemaryproxy/rosemaryproxy/route"
 	"github.com/rosemaryproxy/rosemaryproxy/stream"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
@@ -53,8 +55,15 @@
 	once bool
 	// what the choice of endpoint depends on
 	want route.Request
-	// mayHaveRun is set once an attempt ended without proof that it has not run.
-	mayHaveRun bool
+	// forecast is what admission predicted, and promptBytes the prompt's length.
+	forecast    admit.Forecast
+	promptBytes int
+	// runs counts the attempts that ended without proof that they have not run.
+	runs int
+	// booked is what the request takes of its account's limits while it runs.
+	booked quota.Cost
+	// usage is what the engine reported for the answer.
+	usage usage
 	// attempts counts the tries so far; endpoint names the latest one's.
 	attempts uint32
 	endpoint string
--- a/entry/connect.go
+++ b/entry/connect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
@@ -29,13 +30,23 @@
 	return c.client.Do(ctx, name, id, body, out)
 }
 
+// Adopt takes over a sidecar's freshness.
+func (c *coordinator) Adopt(since time.Time, p wire.Permission) { c.client.Adopt(since, p) }
+
+// Claim asks for the right to run a call once.
+func (c *coordinator) Claim(ctx context.Context, id string, claim command.Claim) (command.Claimed, error) {
+	return c.client.Claim(ctx, id, claim)
+}
+
 // connect prepares the session with control.
-func (e *Entry) connect(h *kernel.Host, _ *wire.Identity) error {
+func (e *Entry) connect(h *kernel.Host, id *wire.Identity) error {
+	dialer := session.NewDialer(id, wire.PoolOptions{}, e.traffic)
 	client, err := session.New(session.Options{
 		Node:     h.Node,
 		Role:     wire.RoleEntry,
 		Replicas: addresses(e.Settings.Control),
-		Opener:   e.pool,
+		Opener:   dialer,
+		Limits:   e.limits,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		OnUpdate: e.update,
@@ -44,7 +55,10 @@
 		return err
 	}
 	e.control = &coordinator{client: client}
-	e.session = client.Run
+	e.session = func(ctx context.Context) error {
+		defer dialer.Close()
+		return client.Run(ctx)
+	}
 	return nil
 }
 
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -9,24 +9,36 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/rosemaryproxy/rosemaryproxy/admit"
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/queue"
 	"github.com/rosemaryproxy/rosemaryproxy/route"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
-// dispatcher holds the table of endpoints and gives each waiting request an
+// drainEvery is how often the waiting requests are looked at when nothing has
+// happened: predictions change with time alone.
+const drainEvery = 20 * time.Millisecond
+
+// dispatcher admits calls, keeps them waiting in a fair order, and gives each an
 // endpoint. Its lock is "entry.table".
 type dispatcher struct {
 	log   hclog.Logger
 	clock kernel.Clock
 
-	mu      sync.Mutex
-	table   *route.Table
-	chooser route.Chooser
-	// changed is closed and replaced whenever room may have come up.
-	changed chan struct{}
+	mu        sync.Mutex
+	table     *route.Table
+	chooser   route.Chooser
+	waiting   queue.Waiting
+	deadlines *admit.Deadlines
+	estimates *admit.Estimator
+	retries   *route.RetryBudget
+	speeds    *speeds
+	nextID    uint64
+	// found is what fits chose for the call that Pop returns.
+	found route.Choice
 }
 
 // ticket is the right to one attempt at an endpoint.
@@ -34,6 +46,22 @@
 	endpoint wire.Endpoint
 	flight   route.Flight
 	choice   route.Choice
+	waited   time.Duration
+}
+
+// waiter is a call in the queue.
+type waiter struct {
+	id    uint64
+	c     *call
+	since time.Time
+	// result has one place and gets one outcome.
+	result chan outcome
+}
+
+// outcome ends a wait: a ticket or a refusal.
+type outcome struct {
+	ticket *ticket
+	err    error
 }
 
 func newDispatcher(h *kernel.Host, policy string) (*dispatcher, error) {
@@ -46,23 +74,30 @@
 		return nil, errors.Errorf("plug-in %s chooses no endpoints", policy)
 	}
 	return &dispatcher{
-		log:     h.Log,
-		clock:   h.Clock,
-		table:   route.NewTable(),
-		chooser: chooser,
-		changed: make(chan struct{}),
+		log:       h.Log,
+		clock:     h.Clock,
+		table:     route.NewTable(),
+		chooser:   chooser,
+		waiting:   queue.New(queue.DefaultSettings()),
+		deadlines: admit.NewDeadlines(),
+		estimates: admit.NewEstimator(),
+		retries:   route.NewRetryBudget(),
+		speeds:    newSpeeds(),
 	}, nil
 }
 
-// run keeps the dispatcher until ctx ends.
+// run looks at the waiting calls now and then until ctx ends.
 func (d *dispatcher) run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
-
-func (d *dispatcher) wake() {
-	close(d.changed)
-	d.changed = make(chan struct{})
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.clock.After(drainEvery):
+		}
+		d.mu.Lock()
+		d.drain(d.clock.Now())
+		d.mu.Unlock()
+	}
 }
 
 // configure takes over which endpoints are out.
@@ -74,7 +109,7 @@
 			d.table.SetOut(name, doc.EndpointState(name, e.Zone) != config.In)
 		}
 	}
-	d.wake()
+	d.drain(d.clock.Now())
 }
 
 // announce takes over new and changed endpoints. With reset they are all.
@@ -92,7 +127,7 @@
 		d.table.Upsert(now, e)
 		d.table.SetOut(e.Name, doc.EndpointState(e.Name, e.Zone) != config.In)
 	}
-	d.wake()
+	d.drain(now)
 }
 
 // keep removes the endpoints that are not listed.
@@ -108,44 +143,130 @@
 	}
 }
 
-// acquire waits until an endpoint has room for the call.
+// acquire waits until an endpoint has room for the call, and refuses at once what
+// cannot be served in time.
 func (d *dispatcher) acquire(ctx context.Context, c *call) (*ticket, error) {
-	for {
-		t, changed, err := d.try(c)
-		if err == nil || !worthWaiting(err) {
-			return t, err
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, verdict.Refuse(verdict.ReasonDeadline, time.Second, "no endpoint had room within the deadline")
+	w, t, err := d.enter(c)
+	if w == nil {
+		return t, err
+	}
+	select {
+	case out := <-w.result:
+		return out.ticket, out.err
+	case <-ctx.Done():
+		return nil, d.abandon(ctx, w)
+	}
+}
+
+// enter admits the call and gives it an endpoint, or a place in the queue.
+func (d *dispatcher) enter(c *call) (*waiter, *ticket, error) {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.attempts == 0 {
+		d.retries.Attempted(now)
+	}
+	view := d.table.View(c.want.Target)
+	choice, err := d.chooser.Choose(now, &c.want, view)
+	var refusal *verdict.Refusal
+	if err != nil {
+		refusal = verdict.From(err)
+		if refusal.RetryAfter == 0 || !worthWaiting(refusal.Reason) {
+			return nil, nil, refusal
 		}
 	}
+	c.forecast = d.forecast(c, view, choice, refusal)
+	if err := d.deadlines.Admit(now, c.want.Class, c.forecast, c.deadline); err != nil {
+		return nil, nil, err
+	}
+	if refusal == nil && d.waiting.Tokens(c.want.Class) == 0 {
+		return nil, d.start(now, c, choice), nil
+	}
+	return d.push(now, c)
 }
 
 // worthWaiting tells a lack of room from what waiting does not mend.
-func worthWaiting(err error) bool {
-	switch verdict.From(err).Reason {
-	case verdict.ReasonEndpointMemory, verdict.ReasonEndpointCold, verdict.ReasonOverloaded:
+func worthWaiting(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.ReasonEndpointMemory, verdict.ReasonEndpointCold, verdict.ReasonOverloaded,
+		verdict.ReasonNoEndpoint, verdict.ReasonEndpointLeaving:
 		return true
 	}
 	return false
 }
 
-// try chooses an endpoint now. On a refusal it returns the channel that closes
-// when another try makes sense.
-func (d *dispatcher) try(c *call) (*ticket, <-chan struct{}, error) {
-	now := d.clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	view := d.table.View(c.want.Target)
-	choice, err := d.chooser.Choose(now, &c.want, view)
+func (d *dispatcher) push(now time.Time, c *call) (*waiter, *ticket, error) {
+	d.nextID++
+	w := &waiter{id: d.nextID, c: c, since: now, result: make(chan outcome, 1)}
+	err := d.waiting.Push(now, queue.Item{
+		ID:      w.id,
+		Account: c.account.Name,
+		Class:   c.want.Class,
+		Tokens:  c.want.PromptTokens + c.want.OutputTokens,
+		GiveUp:  d.deadlines.GiveUp(c.want.Class, c.forecast, c.deadline),
+		Value:   w,
+	})
 	if err != nil {
-		return nil, d.changed, err
+		return nil, nil, err
+	}
+	d.drain(now)
+	return w, nil, nil
+}
+
+// drain gives endpoints to the waiting calls that fit and ends the hopeless ones.
+// The caller holds the lock.
+func (d *dispatcher) drain(now time.Time) {
+	for _, dropped := range d.waiting.Expire(now, nil) {
+		dropped.Item.Value.(*waiter).result <- outcome{err: dropped.Refusal}
+	}
+	for {
+		item, ok := d.waiting.Pop(now, func(i *queue.Item) bool { return d.fits(now, i) })
+		if !ok {
+			return
+		}
+		w := item.Value.(*waiter)
+		t := d.start(now, w.c, d.found)
+		t.waited = now.Sub(w.since)
+		w.result <- outcome{ticket: t}
 	}
-	t := &ticket{endpoint: view[choice.Index].Endpoint, choice: choice}
+}
+
+func (d *dispatcher) fits(now time.Time, item *queue.Item) bool {
+	c := item.Value.(*waiter).c
+	choice, err := d.chooser.Choose(now, &c.want, d.table.View(c.want.Target))
+	d.found = choice
+	return err == nil
+}
+
+func (d *dispatcher) start(now time.Time, c *call, choice route.Choice) *ticket {
+	t := &ticket{endpoint: d.table.View(c.want.Target)[choice.Index].Endpoint, choice: choice}
 	t.flight = d.table.Started(now, t.endpoint.Name, c.want.PromptTokens, c.want.OutputTokens)
-	return t, nil, nil
+	return t
+}
+
+// abandon takes a call whose time is over or whose caller went out of the queue.
+func (d *dispatcher) abandon(ctx context.Context, w *waiter) error {
+	d.mu.Lock()
+	d.waiting.Remove(w.id)
+	d.mu.Unlock()
+	select {
+	case out := <-w.result:
+		if out.ticket != nil {
+			d.finished(out.ticket, nil)
+		}
+	default:
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Refuse(verdict.ReasonDeadline, time.Second, "no endpoint had room within the deadline")
+	}
+	return verdict.Refuse(verdict.ReasonSlowReader, 0, "the caller has gone")
+}
+
+// mayRetry spends a retry of work that an endpoint may have done already.
+func (d *dispatcher) mayRetry() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.retries.Take(d.clock.Now())
 }
 
 // granted takes over the load that came with a grant.
@@ -157,11 +278,48 @@
 
 // finished takes back a ticket, with the endpoint's load when it sent one.
 func (d *dispatcher) finished(t *ticket, load *wire.Load) {
+	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table.Finished(t.flight)
 	if load != nil {
-		d.table.SetLoad(t.endpoint.Name, *load, d.clock.Now())
+		d.table.Granted(t.flight, *load, now)
+	}
+	d.table.Finished(t.flight)
+	d.drain(now)
+}
+
+// completed learns from a call whose answer is whole.
+func (d *dispatcher) completed(c *call) {
+	now := d.clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.usage.prompt > 0 {
+		d.estimates.Observe(c.route.Name, c.promptBytes, c.usage.prompt)
+	}
+	if c.usage.output > 0 && !c.firstByte.IsZero() {
+		d.speeds.observe(c.want.Target, now.Sub(c.firstByte), c.usage.output)
 	}
-	d.wake()
+	d.deadlines.Observe(c.want.Class, c.forecast, now.Sub(c.started))
+}
+
+// estimate returns the estimate for a prompt of the route.
+func (d *dispatcher) estimate(route string, bytes int) admit.Estimate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.estimates.Estimate(route, bytes)
+}
+
+// find returns the endpoint called name.
+func (d *dispatcher) find(name string) (wire.Endpoint, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.table.Get(name)
+	return e.Endpoint, ok
+}
+
+// queued returns the work that waits in a class, in tokens.
+func (d *dispatcher) queued(class route.Class) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.waiting.Tokens(class)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/stream"
@@ -27,6 +29,11 @@
 	maxHeaderBytes = 64 << 10
 	// callerSocketBytes bounds what the kernel holds for a caller that does not read.
 	callerSocketBytes = 64 << 10
+	// A connection to a sidecar is pinged while it is open, given up after a silence,
+	// and closed when no request has used it for a while.
+	sidecarPing    = time.Second
+	sidecarSilence = 4 * time.Second
+	sidecarUnused  = 15 * time.Second
 	// stopTimeout bounds a planned stop; a request has its own deadline before.
 	stopTimeout = 10 * time.Minute
 )
@@ -58,6 +65,11 @@
 	Config() *config.Document
 	// Permission returns the proof that Config is current.
 	Permission(now time.Time) wire.Permission
+	// Adopt takes over the freshness that a sidecar stated in its answer to a
+	// dispatch sent at since.
+	Adopt(since time.Time, p wire.Permission)
+	// Claim asks for the right to run a call once. Its error says NotRun.
+	Claim(ctx context.Context, id string, claim command.Claim) (command.Claimed, error)
 	// Do sends a command to control's leader and decodes the answer into out.
 	Do(ctx context.Context, name, id string, body, out any) error
 }
@@ -75,6 +87,7 @@
 	session func(ctx context.Context) error
 	fleet   *dispatcher
 	budget  *stream.Budget
+	limits  *session.Limits
 	keys    keyring
 	metrics *entryMetrics
 
@@ -125,7 +138,13 @@
 	if err != nil {
 		return err
 	}
-	e.pool, err = wire.NewPool(id, wire.PoolOptions{StreamWindow: answerWindowBytes}, e.traffic)
+	e.limits = session.NewLimits()
+	e.pool, err = wire.NewPool(id, wire.PoolOptions{
+		StreamWindow: answerWindowBytes,
+		KeepAlive:    sidecarPing,
+		IdleTimeout:  sidecarSilence,
+		CloseUnused:  sidecarUnused,
+	}, e.traffic)
 	if err != nil {
 		return err
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/quota"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -76,6 +77,11 @@
 		e.answerRefusal(w, c, verdict.From(err))
 		return
 	}
+	if err := e.limit(c); err != nil {
+		e.answerRefusal(w, c, verdict.From(err))
+		return
+	}
+	defer e.unlimit(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	answer := newAnswer(w, c, e.ReaderTimeout.Std(), e.clock)
@@ -99,6 +105,24 @@
 	a.breakOff(r)
 }
 
+// limit books the request on its account's limits.
+func (e *Entry) limit(c *call) error {
+	c.booked = quota.Cost{
+		Tokens:    int64(c.want.PromptTokens) + int64(c.want.OutputTokens),
+		HeldBytes: int64(len(c.body)),
+	}
+	return e.limits.Take(e.clock.Now(), &c.account, c.booked)
+}
+
+// unlimit ends the booking, with the tokens that the request really took.
+func (e *Entry) unlimit(c *call) {
+	spent := c.booked
+	if c.usage.prompt > 0 {
+		spent.Tokens = int64(c.usage.prompt) + int64(c.usage.output)
+	}
+	e.limits.Release(e.clock.Now(), c.account.Name, c.booked, spent)
+}
+
 // authorize checks that the account may use the route.
 func authorize(doc *config.Document, c *call, name string) error {
 	route, ok := doc.Routes[name]
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -25,6 +25,9 @@
 		m.first[class] = set.NewHistogram(fmt.Sprintf(`entry_time_to_first_token_seconds{class=%q}`, class))
 		m.done[class] = set.NewHistogram(fmt.Sprintf(`entry_request_seconds{class=%q}`, class))
 	}
+	for class := range route.Classes {
+		set.NewGauge(fmt.Sprintf(`entry_queued_tokens{class=%q}`, class), func() float64 { return float64(e.fleet.queued(class)) })
+	}
 	set.NewGauge("entry_held_bytes", func() float64 {
 		held, _ := e.budget.Held()
 		return float64(held)
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// bytesPerToken is the usual length of a token of prompt text.
-	bytesPerToken = 4
 	// defaultOutputTokens bounds an output that neither request nor route bounds.
 	defaultOutputTokens = 1024
 )
@@ -113,12 +111,13 @@
 	c.body = body
 	c.want = route.Request{
 		Target:       c.route.Target,
-		PromptTokens: text.bytes/bytesPerToken + 1,
+		PromptTokens: e.fleet.estimate(c.route.Name, text.bytes).Bound,
 		OutputTokens: outputBound(c.route, p.MaxTokens),
 		Prefix:       text.prefix,
 		Zone:         e.node.Zone,
 		Deadline:     c.deadline,
 	}
+	c.promptBytes = text.bytes
 	c.want.Class = route.ClassOf(c.want.PromptTokens)
 	return nil
 }
--- a/entry/perform.go
+++ b/entry/perform.go
@@ -10,8 +10,13 @@
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
-// maxAttempts bounds the tries of one request.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds the tries of one request, most of which cost an endpoint
+	// nothing but a refusal.
+	maxAttempts = 12
+	// maxRuns bounds the tries that an endpoint may have worked on.
+	maxRuns = 3
+)
 
 // perform brings a call to its end: a whole answer, or a refusal.
 func (e *Entry) perform(ctx context.Context, c *call, a *answer) error {
@@ -24,24 +29,24 @@
 	for {
 		t, err := e.fleet.acquire(ctx, c)
 		if err != nil {
-			return e.combine(c, err)
+			return c.combine(err)
 		}
-		err = e.attempt(ctx, c, t, a, nil)
+		err = e.attempt(ctx, c, t, a)
 		if err == nil {
 			return nil
 		}
 		if !e.retries(ctx, c, a, err) {
-			return err
+			return c.combine(err)
 		}
 		a.reset()
 	}
 }
 
-// combine keeps the verdict honest when a retry found no endpoint: an earlier
-// attempt of the same request may have run.
-func (e *Entry) combine(c *call, err error) error {
+// combine keeps the verdict honest after a retry: an earlier attempt of the same
+// request may have run.
+func (c *call) combine(err error) error {
 	r := verdict.From(err)
-	if !c.mayHaveRun || r.Verdict != verdict.NotRun {
+	if c.runs == 0 || r.Verdict != verdict.NotRun {
 		return r
 	}
 	return verdict.Uncertain(r.Reason, r.RetryAfter, "an earlier attempt may have run: %s", r.Detail)
@@ -52,25 +57,38 @@
 func (e *Entry) retries(ctx context.Context, c *call, a *answer, err error) bool {
 	r := verdict.From(err)
 	if r.Verdict != verdict.NotRun {
-		c.mayHaveRun = true
+		c.runs++
 	}
-	if a.committed || ctx.Err() != nil || c.attempts >= maxAttempts || errors.Is(err, errCaller) {
+	if a.committed || ctx.Err() != nil || errors.Is(err, errCaller) || !retryable(r.Reason) {
 		return false
 	}
-	if !retryable(r.Reason) {
+	if c.attempts >= maxAttempts || c.runs >= maxRuns {
 		return false
 	}
-	c.want.Tried = append(c.want.Tried, c.endpoint)
+	if r.Verdict != verdict.NotRun && !e.fleet.mayRetry() {
+		return false
+	}
+	c.tried(r)
 	e.metrics.retried(r)
 	return true
 }
 
+// tried notes where the latest attempt failed. An endpoint that only had too much
+// waiting may be chosen again, by a fresher view.
+func (c *call) tried(r *verdict.Refusal) {
+	if r.Reason == verdict.ReasonOverloaded {
+		c.want.Misses++
+		return
+	}
+	c.want.Tried = append(c.want.Tried, c.endpoint)
+}
+
 // retryable lists what another endpoint may do better.
 func retryable(reason verdict.Reason) bool {
 	switch reason {
 	case verdict.ReasonUnreachable, verdict.ReasonEndpointLost, verdict.ReasonEndpointMemory,
 		verdict.ReasonEndpointCold, verdict.ReasonEndpointLeaving, verdict.ReasonIncarnation,
-		verdict.ReasonZoneOut, verdict.ReasonStale, verdict.ReasonNoEndpoint,
+		verdict.ReasonZoneOut, verdict.ReasonStale, verdict.ReasonNoEndpoint, verdict.ReasonOverloaded,
 		verdict.ReasonStreamBroken, verdict.ReasonStopping, verdict.ReasonEngineError:
 		return true
 	}
@@ -95,5 +113,6 @@
 		Permission:   e.control.Permission(now),
 		BodyBytes:    int64(len(c.body)),
 		Incarnation:  t.endpoint.Incarnation,
+		MaxPending:   t.choice.MaxPending,
 	}
 }
--- a/sidecar/connect.go
+++ b/sidecar/connect.go
@@ -54,16 +54,14 @@
 
 // connect prepares the session with control.
 func (s *Sidecar) connect(h *kernel.Host) error {
-	pool, err := wire.NewPool(s.id, wire.PoolOptions{}, s.traffic)
-	if err != nil {
-		return err
-	}
+	dialer := session.NewDialer(s.id, wire.PoolOptions{}, s.traffic)
 	c := &coordinator{announced: s.announcement()}
+	var err error
 	c.client, err = session.New(session.Options{
 		Node:     h.Node,
 		Role:     wire.RoleSidecar,
 		Replicas: addresses(s.Settings.Control),
-		Opener:   pool,
+		Opener:   dialer,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Endpoint: c.endpoint,
@@ -74,7 +72,7 @@
 	}
 	s.control = c
 	s.session = func(ctx context.Context) error {
-		defer pool.Close()
+		defer dialer.Close()
 		return c.client.Run(ctx)
 	}
 	return nil
