replica: do not trust what an earlier process wrote without a sync

Cause: found by the random scenario (3 to 5 replicas, failing syncs, restarts of the process alone). A replica whose sync had failed was started again, read the unsynced frame from the operating system's cache, counted it as on its disk and acknowledged it; a crash of the machine then lost it, and the leader's match for that replica was too high for good.

Ruled out: the flow control (the leader's probe was right for what it had been told) and the torn tail cut (the frame was whole when it was read).

Now the last segment and the folder are synced on opening, a failed write marks the disk, and a marked disk is refused.

Also: tests for kills, lost unsynced writes, torn tails, damage, full disks, cuts in one direction, freezes, repair with a second loss, wiped disks; where a mechanism can be switched off the test first shows the failure.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 
 	"github.com/matryer/is"
 )
@@ -47,9 +46,18 @@
 	encoded []byte
 }
 
+// testT is what a cluster needs of a test, be it of testing or of rapid.
+type testT interface {
+	Helper()
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+	Fail()
+	FailNow()
+}
+
 // cluster runs replicas over an in-memory network, one step at a time, from a seed.
 type cluster struct {
-	t       testing.TB
+	t       testT
 	rng     *rand.Rand
 	nodes   map[ID]*node
 	order   []ID
@@ -65,7 +73,7 @@
 	bytes   int
 }
 
-func newCluster(t testing.TB, seed uint64, size int, tune func(*Options)) *cluster {
+func newCluster(t testT, seed uint64, size int, tune func(*Options)) *cluster {
 	c := &cluster{
 		t:       t,
 		rng:     rand.New(rand.NewPCG(seed, 1)),
@@ -153,6 +161,12 @@
 
 func (c *cluster) restart(id ID) *node { return c.start(id, c.nodes[id].disk) }
 
+// exit ends a replica's process; its machine goes on and keeps unsynced writes in memory.
+func (c *cluster) exit(id ID) {
+	c.nodes[id].r = nil
+	c.flights[id] = nil
+}
+
 // step lets one tick pass on every replica that runs.
 func (c *cluster) step() {
 	c.now++
@@ -295,7 +309,13 @@
 	}
 }
 
-// level steps until all running replicas have applied the same commands.
+// hasMember says whether other runs and is in n's membership.
+func (n *node) hasMember(other *node) bool {
+	_, ok := n.r.core.current().find(other.id)
+	return ok && other.runs()
+}
+
+// level steps until all running members have applied the same commands.
 func (c *cluster) level() {
 	c.t.Helper()
 	c.until("the same state everywhere", func() bool {
@@ -304,7 +324,7 @@
 			return false
 		}
 		for _, n := range c.nodes {
-			if n.runs() && n.r.core.log.applied < lead.r.core.log.last() {
+			if lead.hasMember(n) && n.r.core.log.applied < lead.r.core.log.last() {
 				return false
 			}
 		}
@@ -312,7 +332,7 @@
 	})
 	lead := c.leader()
 	for _, n := range c.nodes {
-		if n.runs() && !slices.Equal(n.sm.Commands, lead.sm.Commands) {
+		if lead.hasMember(n) && !slices.Equal(n.sm.Commands, lead.sm.Commands) {
 			c.t.Fatalf("replica %d applied %v, leader %v", n.id, n.sm.Commands, lead.sm.Commands)
 		}
 	}
--- a/replica/core.go
+++ b/replica/core.go
@@ -167,6 +167,7 @@
 // resendLost looks, once a heartbeat, for messages that found no answer.
 func (c *core) resendLost() {
 	for _, m := range c.current().members {
+		c.progress[m.ID].due = c.log.committed
 		if m.ID != c.id {
 			c.probeLost(m.ID, c.progress[m.ID])
 			c.resendChunk(m.ID, c.progress[m.ID])
--- a/replica/driver.go
+++ b/replica/driver.go
@@ -155,6 +155,10 @@
 		return err
 	}
 	r.store = st
+	if err := r.begin(); err != nil {
+		st.close()
+		return err
+	}
 	r.full = !st.keepReserve()
 	if from.snapshot.Index > 0 {
 		sn, err := st.loadSnapshot(from.snapshot.Index)
@@ -170,6 +174,24 @@
 	return nil
 }
 
+// begin makes the first file of the log on a new disk, and refuses a disk that lost it.
+func (r *Replica) begin() error {
+	empty := len(r.store.segments) == 0
+	if r.founding.Begun && empty {
+		return errors.Wrap(ErrDamaged, "replica: the log is missing")
+	}
+	if r.founding.Begun {
+		return nil
+	}
+	if empty {
+		if err := r.store.writeFrame(nil, hardState{}, 0); err != nil {
+			return err
+		}
+	}
+	r.founding.Begun = true
+	return saveIdentity(r.opts.Disk, r.founding.identity)
+}
+
 // startCore makes the core. Before the group has formed it has no members, so that it
 // neither campaigns nor votes.
 func (r *Replica) startCore(from restored) {
--- a/replica/errors.go
+++ b/replica/errors.go
@@ -22,6 +22,8 @@
 	ErrTooLarge = errors.New("replica: command too large")
 	// ErrDamaged means that a file holds something other than what was written to it.
 	ErrDamaged = errors.New("replica: file damaged")
+	// ErrDiskFailed means that a write to this disk failed before: it has to be replaced.
+	ErrDiskFailed = errors.New("replica: disk failed before, replace it")
 	// ErrChangePending means that the change of membership before is not committed yet.
 	ErrChangePending = errors.New("replica: a membership change is pending")
 	// ErrMemberExists means that the replica to add is a member already.
--- /dev/null
+++ b/replica/fault_test.go
@@ -0,0 +1,324 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// tuneCore sets options of the core for a whole cluster.
+func tuneCore(set func(*coreOptions)) func(*Options) {
+	return func(o *Options) { o.tune = set }
+}
+
+// followers returns the running replicas other than the leader, by ID.
+func (c *cluster) followers() []*node {
+	lead := c.elect()
+	var found []*node
+	for _, id := range c.order {
+		if n := c.nodes[id]; n != lead && n.runs() {
+			found = append(found, n)
+		}
+	}
+	return found
+}
+
+// Every replica dies at once after each command. Without syncs the first answer is lost
+// already; with them none is.
+func TestAnsweredCommandsSurviveLossOfUnsyncedWrites(t *testing.T) {
+	for _, syncs := range []bool{false, true} {
+		t.Run(fmt.Sprintf("syncs=%t", syncs), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 11, 3, nil)
+			c.elect()
+			rounds := 1
+			if syncs {
+				rounds = 20
+			}
+			for i := range rounds {
+				for _, n := range c.nodes {
+					n.disk.noSync = !syncs
+				}
+				c.commit(fmt.Sprint("c", i))
+				for _, id := range c.order {
+					c.kill(id)
+				}
+				for _, id := range c.order {
+					c.restart(id)
+				}
+			}
+			c.elect()
+			c.level()
+			is.Equal(len(c.leader().sm.Commands) == rounds, syncs)
+		})
+	}
+}
+
+// A follower that was cut off comes back with a long series of failed elections.
+func TestPreVoteKeepsAReturningReplicaFromDeposingTheLeader(t *testing.T) {
+	for _, off := range []bool{true, false} {
+		t.Run(fmt.Sprintf("off=%t", off), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 12, 3, tuneCore(func(o *coreOptions) { o.disablePreVote = off }))
+			lead := c.elect()
+			term := lead.r.core.term
+			away := c.followers()[0].id
+			c.isolate(away, true)
+			c.steps(200)
+			c.isolate(away, false)
+			c.steps(200)
+			is.Equal(lead.r.core.term == term, !off)
+			is.Equal(c.leaders[lead.r.core.term] == lead.id && lead.r.core.term == term, !off)
+		})
+	}
+}
+
+// The leader's own messages arrive and nothing reaches it: a cut in one direction.
+func TestCheckQuorumEndsALeaderThatHearsNobody(t *testing.T) {
+	for _, off := range []bool{true, false} {
+		t.Run(fmt.Sprintf("off=%t", off), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 13, 3, tuneCore(func(o *coreOptions) { o.disableCheckQuorum = off }))
+			c.commit("before")
+			deaf := c.leader()
+			for _, id := range c.order {
+				c.cut[link{id, deaf.id}] = true
+			}
+			p := c.propose(deaf, "at the cut")
+			c.steps(300)
+			served := false
+			for _, n := range c.nodes {
+				served = served || n != deaf && n.r.core.role == roleLeader
+			}
+			is.Equal(served, !off) // the others have a leader that can commit
+			if off {
+				return
+			}
+			is.True(errors.Is(c.await(&p.call).err, ErrUncertain))
+			c.commit("after")
+		})
+	}
+}
+
+// A leader that was cut off or frozen still believes that it leads.
+func TestReadRoundRefusesAStaleLeader(t *testing.T) {
+	for _, off := range []bool{true, false} {
+		t.Run(fmt.Sprintf("off=%t", off), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 14, 3, tuneCore(func(o *coreOptions) { o.disableReadRound = off }))
+			c.commit("old")
+			stale := c.leader()
+			stale.frozen = true
+			c.commit("new")
+			stale.frozen = false
+			b := c.barrier(stale)
+			c.flights[stale.id] = nil // it thaws before it hears anything
+			c.turn(stale)
+			select {
+			case o := <-b.done:
+				is.NoErr(o.err)
+				is.True(off) // answered, although it lacks the newer command
+				is.Equal(stale.sm.Commands, []string{"old"})
+			default:
+				is.True(!off)
+				is.NoErr(c.await(&b.call).err)
+				is.Equal(stale.sm.Commands, []string{"old", "new"})
+			}
+		})
+	}
+}
+
+func TestFrozenLeaderThawsWithoutCommittingTwice(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 15, 3, nil)
+	c.commit("a")
+	stale := c.leader()
+	stale.frozen = true
+	p := c.propose(stale, "held")
+	c.commit("b")
+	stale.frozen = false
+	o := c.await(&p.call)
+	is.True(o.err != nil)
+	c.commit("c")
+	c.level()
+	is.Equal(stale.sm.Commands, []string{"a", "b", "c"})
+}
+
+func TestLongPartitionOfAMinority(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 16, 5, func(o *Options) { o.SnapshotEvery = 30 })
+	c.commit("first")
+	minority := []ID{c.leader().id, c.followers()[0].id}
+	for _, id := range c.order {
+		for _, m := range minority {
+			if !slices.Contains(minority, id) {
+				c.cut[link{id, m}] = true
+				c.cut[link{m, id}] = true
+			}
+		}
+	}
+	p := c.propose(c.nodes[minority[0]], "in the minority")
+	b := c.barrier(c.nodes[minority[1]])
+	c.until("the minority's leader to step down", func() bool {
+		return c.nodes[minority[0]].r.core.role != roleLeader
+	})
+	is.True(errors.Is(c.await(&p.call).err, ErrUncertain))
+	for i := range 300 {
+		c.commit(fmt.Sprint("c", i))
+	}
+	is.Equal(len(b.done), 0) // no read is answered without a quorum
+	is.True(errors.Is(c.await(&c.propose(c.nodes[minority[0]], "x").call).err, ErrNoQuorum))
+	c.cut = map[link]bool{}
+	is.NoErr(c.await(&b.call).err)
+	c.level()
+	is.Equal(len(c.leader().sm.Commands), 301)
+}
+
+func TestFailedSyncStopsTheReplicaForGood(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 17, 3, nil)
+	c.commit("a")
+	bad := c.leader()
+	bad.disk.failSync = true
+	p := c.propose(bad, "b")
+	is.True(errors.Is(c.await(&p.call).err, ErrUncertain))
+	is.True(errors.Is(bad.err, errSyncFailed))
+	bad.disk.failSync = false
+	c.commit("c")
+	is.True(errors.Is(c.open(bad.id, bad.disk).err, ErrDiskFailed))
+}
+
+// After a failed sync the system shows what it could not write, and later syncs report
+// success. A process that starts again on such a disk would acknowledge what is not there.
+func TestNewProcessDoesNotTrustADiskWithAFailedSync(t *testing.T) {
+	for _, off := range []bool{true, false} {
+		t.Run(fmt.Sprintf("off=%t", off), func(t *testing.T) {
+			is := is.New(t)
+			disk, _ := writtenDisk(t)
+			s, _, err := openStore(disk, 0)
+			is.NoErr(err)
+			disk.failSync = true
+			rd := batchOf(16, 1)
+			is.True(s.save(&rd) != nil)
+			disk.failSync = false
+			if off {
+				is.NoErr(disk.Remove(failedName))
+			}
+			_, from, err := openStore(disk, 0)
+			is.Equal(errors.Is(err, ErrDiskFailed), !off)
+			is.NoErr(disk.SyncDir())
+			disk.crash(newCluster(t, 1, 1, nil).rng)
+			if off {
+				is.Equal(len(from.entries), 16)
+				_, from, err = openStore(disk, 0)
+				is.NoErr(err)
+				is.True(len(from.entries) < 16) // what was acknowledged is gone
+			}
+		})
+	}
+}
+
+// A process ends between write and sync, a new one finds the entry and acknowledges
+// it, and then the machine dies.
+func TestWhatADeadProcessWroteIsSyncedBeforeItCounts(t *testing.T) {
+	is := is.New(t)
+	disk, _ := writtenDisk(t)
+	name := disk.last(segmentPrefix)
+	rd := batchOf(16, 1)
+	records := appendEntryRecord(nil, &rd.entries[0])
+	disk.names[name].data = appendFrame(disk.names[name].data, 6, records)
+	_, from, err := openStore(disk, 0)
+	is.NoErr(err)
+	is.Equal(len(from.entries), 16)
+	is.NoErr(disk.SyncDir())
+	disk.crash(newCluster(t, 1, 1, nil).rng)
+	_, from, err = openStore(disk, 0)
+	is.NoErr(err)
+	is.Equal(len(from.entries), 16)
+}
+
+func TestStoreWritesNothingAfterAFailedSync(t *testing.T) {
+	is := is.New(t)
+	disk := newMemDisk()
+	s, _, err := openStore(disk, 0)
+	is.NoErr(err)
+	rd := ready{entries: []Entry{{Index: 1, Term: 1}}}
+	is.NoErr(s.save(&rd))
+	disk.failSync = true
+	is.True(errors.Is(s.save(&rd), errSyncFailed))
+	disk.failSync = false
+	written := disk.written
+	is.True(errors.Is(s.save(&rd), errSyncFailed))
+	is.True(errors.Is(s.saveSnapshot(snapshotMeta{Index: 1}, nil), errSyncFailed))
+	is.Equal(disk.written, written)
+}
+
+func TestFullDiskRefusesCommandsAndLosesNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 18, 1, nil)
+	n := c.nodes[1]
+	c.commit("kept")
+	n.disk.capacity = n.disk.used() + 100
+	accepted := []string{"kept"}
+	refused := false
+	for i := 0; !refused; i++ {
+		command := fmt.Sprint("command-", i)
+		err := c.await(&c.propose(n, command).call).err
+		refused = errors.Is(err, ErrDiskFull)
+		if !refused {
+			is.NoErr(err)
+			accepted = append(accepted, command)
+		}
+	}
+	is.NoErr(c.await(&c.barrier(n).call).err) // reads go on
+	is.Equal(n.sm.Commands, accepted)
+	c.kill(1)
+	n = c.restart(1)
+	is.NoErr(c.await(&c.barrier(n).call).err)
+	is.Equal(n.sm.Commands, accepted)
+	is.True(errors.Is(c.await(&c.propose(n, "still full").call).err, ErrDiskFull))
+	n.disk.capacity = 0
+	c.step()
+	is.NoErr(c.await(&c.propose(n, "room again").call).err)
+}
+
+func TestFullDiskOfTheLeaderHandsLeadershipOn(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 19, 3, nil)
+	c.commit("a")
+	full := c.leader()
+	full.disk.capacity = full.disk.used()
+	is.NoErr(c.await(&c.propose(full, "in flight").call).err)
+	c.until("another leader", func() bool { n := c.leader(); return n != nil && n != full })
+	c.commit("b")
+	is.NoErr(c.await(&c.barrier(c.leader()).call).err)
+	full.disk.capacity = 0
+	c.level()
+	is.Equal(full.sm.Commands, []string{"a", "in flight", "b"})
+}
+
+// With no room left even in the reserve nothing is acknowledged, and reads go on.
+func TestDiskFullBeyondTheReserve(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 20, 3, func(o *Options) { o.ReserveBytes = 1 })
+	c.commit("a")
+	for _, n := range c.nodes {
+		n.disk.capacity = n.disk.used()
+	}
+	lead := c.leader()
+	p := c.propose(lead, "held")
+	b := c.barrier(lead)
+	is.NoErr(c.await(&b.call).err)
+	c.steps(100)
+	is.Equal(len(p.done), 0)
+	is.True(errors.Is(c.await(&c.propose(lead, "more").call).err, ErrDiskFull))
+	for _, n := range c.nodes {
+		n.disk.capacity = 0
+	}
+	c.await(&p.call)
+	c.commit("b")
+	c.level()
+}
--- a/replica/files.go
+++ b/replica/files.go
@@ -13,6 +13,10 @@
 	snapshotPrefix = "snapshot-"
 	temporaryName  = "temporary"
 	reserveName    = "reserve"
+	// failedName marks a disk on which a write failed. The operating system may show
+	// what it could not write until the machine restarts, so a new process must not
+	// trust what it reads.
+	failedName = "failed"
 
 	// segmentBytes is the size from which a segment is followed by a new one.
 	segmentBytes = 4 << 20
@@ -52,6 +56,9 @@
 		return nil, restored{}, errors.Wrap(err, "replica: list files")
 	}
 	slices.Sort(names)
+	if slices.Contains(names, failedName) {
+		return nil, restored{}, ErrDiskFailed
+	}
 	snap, err := s.loadSnapshotMeta(names)
 	if err != nil {
 		return nil, restored{}, err
@@ -130,8 +137,25 @@
 	if !last {
 		return nil
 	}
-	s.file, err = s.disk.Append(name)
-	return err
+	return s.openLast(name)
+}
+
+// openLast opens the last segment for writing. It is synced first: the process before
+// may have ended between a write and its sync, and what was only written counts as
+// on the disk from here on.
+func (s *store) openLast(name string) error {
+	f, err := s.disk.Append(name)
+	if err != nil {
+		return err
+	}
+	s.file = f
+	if err := f.Sync(); err != nil {
+		return s.fail(err, "sync log")
+	}
+	if err := s.disk.SyncDir(); err != nil {
+		return s.fail(err, "sync folder")
+	}
+	return nil
 }
 
 // save puts a batch on the disk with one sync. After ErrDiskFull nothing of it counts
@@ -200,9 +224,12 @@
 	return ErrDiskFull
 }
 
-// fail stops the store for good.
+// fail stops the store for good, and as far as it can the disk too.
 func (s *store) fail(err error, doing string) error {
 	s.failed = errors.Wrapf(err, "replica: %s", doing)
+	if f, err := s.disk.Create(failedName); err == nil {
+		f.Close()
+	}
 	return s.failed
 }
 
--- /dev/null
+++ b/replica/files_test.go
@@ -0,0 +1,270 @@
+package replica
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// batchOf returns a batch of n entries from index on.
+func batchOf(index uint64, n int) ready {
+	rd := ready{hardState: hardState{Term: 3, Vote: 9}}
+	for i := range n {
+		at := index + uint64(i)
+		rd.entries = append(rd.entries, Entry{Index: at, Term: 3, Data: fmt.Appendf(nil, "entry %d", at)})
+	}
+	return rd
+}
+
+// writtenDisk returns a disk with five synced batches of three entries, and the size
+// of its only segment after each.
+func writtenDisk(t *testing.T) (*memDisk, []int) {
+	is := is.New(t)
+	disk := newMemDisk()
+	s, _, err := openStore(disk, 0)
+	is.NoErr(err)
+	var sizes []int
+	for i := range 5 {
+		rd := batchOf(uint64(1+3*i), 3)
+		is.NoErr(s.save(&rd))
+		sizes = append(sizes, int(s.size))
+	}
+	return disk, sizes
+}
+
+func TestTornTailIsCutAtEveryLength(t *testing.T) {
+	is := is.New(t)
+	disk, sizes := writtenDisk(t)
+	name := disk.last(segmentPrefix)
+	whole := bytes.Clone(disk.names[name].data)
+	for size := sizes[3]; size < sizes[4]; size++ {
+		disk.names[name] = &memFile{data: bytes.Clone(whole[:size])}
+		s, from, err := openStore(disk, 0)
+		is.NoErr(err)
+		is.Equal(len(from.entries), 12)
+		rd := batchOf(13, 1)
+		is.NoErr(s.save(&rd)) // the log goes on behind the cut
+		_, from, err = openStore(disk, 0)
+		is.NoErr(err)
+		is.Equal(len(from.entries), 13)
+	}
+}
+
+func TestTornTailOfAnyContentIsCut(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(5, 5))
+	disk, sizes := writtenDisk(t)
+	name := disk.last(segmentPrefix)
+	whole := bytes.Clone(disk.names[name].data)
+	for range 500 { // pages of the last frame reach the disk in any order
+		torn := bytes.Clone(whole)
+		for at := sizes[3]; at < len(torn); at += 8 {
+			if rng.IntN(2) == 0 {
+				clear(torn[at:min(at+8, len(torn))])
+			}
+		}
+		disk.names[name] = &memFile{data: torn}
+		_, from, err := openStore(disk, 0)
+		is.NoErr(err)
+		is.True(len(from.entries) == 12 || len(from.entries) == 15 && bytes.Equal(torn, whole))
+	}
+}
+
+func TestDamageBeforeTheTailStopsTheReplica(t *testing.T) {
+	disk, sizes := writtenDisk(t)
+	name := disk.last(segmentPrefix)
+	for at := range sizes[3] {
+		disk.flip(name, at)
+		if _, _, err := openStore(disk, 0); !errors.Is(err, ErrDamaged) {
+			t.Fatalf("byte %d: %v", at, err)
+		}
+		disk.flip(name, at)
+	}
+}
+
+func TestMissingSegmentStopsTheReplica(t *testing.T) {
+	is := is.New(t)
+	disk := newMemDisk()
+	s, _, err := openStore(disk, 0)
+	is.NoErr(err)
+	for i := range 3 {
+		rd := batchOf(uint64(1+i), 1)
+		is.NoErr(s.save(&rd))
+		s.size = segmentBytes // the next batch begins a segment
+	}
+	is.NoErr(disk.Remove(s.segments[1].name))
+	_, _, err = openStore(disk, 0)
+	is.True(errors.Is(err, ErrDamaged))
+}
+
+func TestDamagedSnapshotAndIdentityStopTheReplica(t *testing.T) {
+	for _, prefix := range []string{snapshotPrefix, identityName} {
+		is := is.New(t)
+		c := newCluster(t, 51, 1, func(o *Options) { o.SnapshotEvery = 10 })
+		c.commitAll(25)
+		c.kill(1)
+		disk := c.nodes[1].disk
+		name := disk.last(prefix)
+		for at := range disk.names[name].data {
+			disk.flip(name, at)
+			is.True(errors.Is(c.open(1, disk).err, ErrDamaged))
+			disk.flip(name, at)
+		}
+	}
+}
+
+func TestMissingIdentityOrLogStopsTheReplica(t *testing.T) {
+	for _, prefix := range []string{identityName, segmentPrefix} {
+		is := is.New(t)
+		c := newCluster(t, 52, 1, nil)
+		c.commit("a")
+		c.kill(1)
+		disk := c.nodes[1].disk
+		is.NoErr(disk.Remove(disk.last(prefix)))
+		is.True(errors.Is(c.open(1, disk).err, ErrDamaged))
+	}
+}
+
+func TestCrashBetweenSnapshotAndLogOfAnInstall(t *testing.T) {
+	is := is.New(t)
+	disk, _ := writtenDisk(t)
+	s, _, err := openStore(disk, 0)
+	is.NoErr(err)
+	meta := snapshotMeta{Index: 100, Term: 4, Size: 2, Checksum: checksum([]byte("ab"))}
+	is.NoErr(s.saveSnapshot(meta, []byte("ab")))
+	for range 2 {
+		_, from, err := openStore(disk, 0)
+		is.NoErr(err)
+		is.Equal(from.base, uint64(100))
+		is.Equal(len(from.entries), 0)
+		is.Equal(from.hard, hardState{Term: 3, Vote: 9}) // the vote outlives the log
+	}
+}
+
+func TestCompactionKeepsVoteAndLaterEntries(t *testing.T) {
+	is := is.New(t)
+	disk := newMemDisk()
+	s, _, err := openStore(disk, 0)
+	is.NoErr(err)
+	for i := range 10 {
+		rd := batchOf(uint64(1+10*i), 10)
+		is.NoErr(s.save(&rd))
+		s.size = segmentBytes
+	}
+	is.NoErr(s.saveSnapshot(snapshotMeta{Index: 60, Term: 3}, nil))
+	is.NoErr(s.compact(45))
+	is.Equal(len(s.segments), 6)
+	_, from, err := openStore(disk, 0)
+	is.NoErr(err)
+	is.Equal(from.hard, hardState{Term: 3, Vote: 9})
+	is.Equal(from.entries[len(from.entries)-1].Index, uint64(100))
+	is.NoErr(disk.Remove(snapshotName(60))) // the log alone does not begin at the start
+	_, _, err = openStore(disk, 0)
+	is.True(errors.Is(err, ErrDamaged))
+}
+
+func TestFullDiskUndoesAPartialWrite(t *testing.T) {
+	is := is.New(t)
+	disk, _ := writtenDisk(t)
+	s, _, err := openStore(disk, 0)
+	is.NoErr(err)
+	rd := batchOf(16, 3)
+	for room := range 60 {
+		disk.capacity = disk.used() + room
+		is.True(errors.Is(s.save(&rd), ErrDiskFull))
+	}
+	disk.capacity = 0
+	is.NoErr(s.save(&rd))
+	_, from, err := openStore(disk, 0)
+	is.NoErr(err)
+	is.Equal(len(from.entries), 18)
+}
+
+func TestSecondProcessIsKeptOut(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	disk, err := OpenOSDisk(dir)
+	is.NoErr(err)
+	_, err = OpenOSDisk(dir)
+	is.True(err != nil)
+	is.NoErr(disk.Close())
+	again, err := OpenOSDisk(dir)
+	is.NoErr(err)
+	is.NoErr(again.Close())
+}
+
+func FuzzLogFile(f *testing.F) {
+	payload := appendEntryRecord(nil, &Entry{Index: 1, Term: 1, Data: []byte("x")})
+	payload = appendPairRecord(payload, recordHardState, 1, 2)
+	f.Add(appendFrame(nil, 1, payload))
+	f.Add(appendFrame(appendFrame(nil, 1, payload), 2, appendPairRecord(nil, recordBase, 7, 1)))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		disk := newMemDisk()
+		disk.names[segmentName(1)] = &memFile{data: b}
+		s, from, err := openStore(disk, 0)
+		if err != nil {
+			return
+		}
+		for i, e := range from.entries { // what is accepted is a log without gaps
+			if e.Index != from.base+1+uint64(i) {
+				t.Fatalf("entry %d has index %d after base %d", i, e.Index, from.base)
+			}
+		}
+		rd := batchOf(from.base+uint64(len(from.entries))+1, 1)
+		if err := s.save(&rd); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := openStore(disk, 0); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// FuzzRecords feeds the records of a frame, whose checksum would stop most inputs.
+func FuzzRecords(f *testing.F) {
+	f.Add(appendEntryRecord(nil, &Entry{Index: 5, Term: 1, Data: []byte("x")}))
+	f.Add(appendPairRecord(nil, recordBase, 3, 1))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var p replay
+		if p.frame(b) != nil {
+			return
+		}
+		for i, e := range p.entries {
+			if e.Index != p.base+1+uint64(i) {
+				t.Fatalf("entry %d has index %d after base %d", i, e.Index, p.base)
+			}
+		}
+	})
+}
+
+func FuzzMessage(f *testing.F) {
+	m := Message{Type: MsgAppend, From: 1, To: 2, Term: 1, Entries: []Entry{{Index: 1, Term: 1}}}
+	b, err := m.Marshal()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Message
+		if m.Unmarshal(b) != nil || m.check() != nil {
+			return
+		}
+		again, err := m.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var second Message
+		if err := second.Unmarshal(again); err != nil {
+			t.Fatal(err)
+		}
+		if third, _ := second.Marshal(); !bytes.Equal(again, third) {
+			t.Fatal("message changes when it is encoded again")
+		}
+		opts := coreOptions{id: 2, electionTicks: 10, heartbeatTicks: 2, rand: rand.New(rand.NewPCG(1, 1))}
+		newCore(opts, restored{}).step(&second)
+	})
+}
--- a/replica/hello.go
+++ b/replica/hello.go
@@ -57,6 +57,7 @@
 func (r *Replica) becomeJoining() error {
 	old := r.founding.ID
 	r.founding = founding{identity: joiningIdentity(&r.opts), seen: map[ID]*Founding{}}
+	r.founding.Begun = true
 	r.log.Warn("disk was replaced, waiting to be added", "old", uint64(old), "id", uint64(r.founding.ID))
 	return r.saveFounding()
 }
--- a/replica/identity.go
+++ b/replica/identity.go
@@ -36,6 +36,9 @@
 	State    foundingState `cbor:"3,keyasint"`
 	Members  []Member      `cbor:"4,keyasint,omitempty"`
 	Founders []Founder     `cbor:"5,keyasint,omitempty"`
+	// Begun is set once the log has its first file: from then on a disk without a log
+	// has lost it.
+	Begun bool `cbor:"6,keyasint,omitempty"`
 }
 
 func saveIdentity(disk Disk, id identity) error {
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -7,6 +7,9 @@
 // maxLogBytes is the size of applied commands from which a snapshot is taken early.
 const maxLogBytes = 64 << 20
 
+// streamPatience is how many times longer than usual a snapshot waits for a stream.
+const streamPatience = 4
+
 // tick advances the time of the core by one tick.
 func (r *Replica) tick() {
 	r.ticks++
@@ -303,8 +306,7 @@
 // but for a part that lets a follower catch up without a snapshot.
 func (r *Replica) maybeSnapshot() error {
 	c := r.core
-	due := c.log.applied-c.snap.Index >= r.opts.SnapshotEvery || r.sinceSnap >= maxLogBytes
-	if !due || r.full || c.pendingSnap != nil || c.streaming() || c.log.applied > c.log.stable {
+	if !r.snapshotDue() || r.full || c.pendingSnap != nil || c.log.applied > c.log.stable {
 		return nil
 	}
 	data, err := r.opts.StateMachine.Snapshot()
@@ -335,6 +337,17 @@
 	return r.store.compact(keep)
 }
 
+// snapshotDue says whether enough was applied. While a snapshot is being streamed a new
+// one waits, but not for ever: a follower that cannot take it must not fill our disk.
+func (r *Replica) snapshotDue() bool {
+	applied := r.core.log.applied - r.core.snap.Index
+	every, bytes := r.opts.SnapshotEvery, maxLogBytes
+	if r.core.streaming() {
+		every, bytes = every*streamPatience, bytes*streamPatience
+	}
+	return applied >= every || r.sinceSnap >= bytes
+}
+
 // publish makes the state visible to other goroutines.
 func (r *Replica) publish() {
 	c := r.core
--- a/replica/memdisk_test.go
+++ b/replica/memdisk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -26,6 +27,9 @@
 type memFile struct {
 	data   []byte
 	synced []byte
+	// dropped is set by a failed sync: the operating system counts what it could not
+	// write as written, and later syncs succeed without it.
+	dropped bool
 }
 
 func newMemDisk() *memDisk {
@@ -60,10 +64,11 @@
 
 func (h memHandle) Sync() error {
 	if h.disk.failSync {
+		h.file.dropped = true
 		return errSyncFailed
 	}
 	h.disk.syncs++
-	if !h.disk.noSync {
+	if !h.disk.noSync && !h.file.dropped {
 		h.file.synced = slices.Clone(h.file.data)
 	}
 	return nil
@@ -163,9 +168,10 @@
 // crash loses what is not synced, but for a random part of each file's tail.
 func (d *memDisk) crash(rng *rand.Rand) {
 	d.names = map[string]*memFile{}
-	for name, f := range d.durable {
+	for _, name := range slices.Sorted(maps.Keys(d.durable)) {
+		f := d.durable[name]
 		kept := slices.Clone(f.synced)
-		if extra := len(f.data) - len(f.synced); extra > 0 && rng.IntN(2) == 0 {
+		if extra := len(f.data) - len(f.synced); extra > 0 && !d.noSync && rng.IntN(2) == 0 {
 			tail := slices.Clone(f.data[len(f.synced):][:rng.IntN(extra+1)])
 			if len(tail) > 0 && rng.IntN(2) == 0 {
 				tail[rng.IntN(len(tail))] ^= 0x40
--- a/replica/progress.go
+++ b/replica/progress.go
@@ -26,6 +26,7 @@
 	match     uint64 // highest index known to be on the follower's disk
 	next      uint64 // next index to send
 	probeSent bool
+	due       uint64   // what a whole follower holds: all committed a heartbeat ago
 	silence   int      // ticks since the follower was last heard from
 	inflight  []uint64 // last index of each unanswered append, ascending
 	oldest    uint64   // first of inflight at the last heartbeat
@@ -37,7 +38,7 @@
 }
 
 func newProgress(last uint64) *progress {
-	return &progress{next: last + 1}
+	return &progress{next: last + 1, due: last}
 }
 
 func (p *progress) paused() bool {
--- a/replica/quorum.go
+++ b/replica/quorum.go
@@ -33,8 +33,8 @@
 }
 
 // survivesLoss says whether the group would lose neither data nor its quorum with
-// any one more voter: the replicas heard from lately that hold all that is committed
-// have to be a quorum without one of them, and no change may be open.
+// any one more voter: the voters that are whole have to be a quorum without any one of
+// them, and no change may be open.
 func (c *core) survivesLoss() bool {
 	if c.role != roleLeader || !c.committedInTerm() || c.current().index > c.log.committed {
 		return false
@@ -49,10 +49,12 @@
 	return whole-1 >= quorumOf(len(voters))
 }
 
-// isWhole says whether a member was heard from lately and holds on disk all that is committed.
+// isWhole says whether a member was heard from lately and holds on its disk all that
+// was committed a heartbeat ago. What was committed since is on a quorum of the voters
+// in any case; a member under steady load never holds the very last entry.
 func (c *core) isWhole(id ID) bool {
 	p := c.progress[id]
-	return p != nil && c.isActive(id) && c.committedInTerm() && p.match >= c.log.committed
+	return p != nil && c.isActive(id) && c.committedInTerm() && p.match >= p.due
 }
 
 // isActive says whether a leader heard from a member within an election timeout.
--- /dev/null
+++ b/replica/random_test.go
@@ -0,0 +1,196 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// scenario drives a cluster at random and checks what must always hold.
+type scenario struct {
+	*cluster
+	next      int
+	pending   []*proposal
+	answered  []string          // commands whose callers were told that they committed
+	refused   []string          // commands whose callers were told that they never run
+	committed map[uint64]string // by index, as first seen committed on any replica
+}
+
+// act does one thing at random.
+func (s *scenario) act(t *rapid.T) {
+	n := s.nodes[rapid.SampledFrom(s.order).Draw(t, "replica")]
+	switch rapid.IntRange(0, 11).Draw(t, "act") {
+	case 0, 1, 2:
+		if n.runs() {
+			s.next++
+			s.pending = append(s.pending, s.propose(n, fmt.Sprint("c", s.next)))
+		}
+	case 3:
+		if n.r != nil && rapid.Bool().Draw(t, "machine") {
+			s.kill(n.id)
+		} else if n.r != nil {
+			s.exit(n.id)
+		}
+	case 4, 5:
+		if n.r == nil && n.disk.names[failedName] == nil && !n.disk.failSync {
+			s.restart(n.id)
+		}
+	case 6:
+		n.frozen = !n.frozen
+	case 7:
+		other := rapid.SampledFrom(s.order).Draw(t, "other")
+		l := link{n.id, other}
+		s.cut[l] = !s.cut[l]
+	case 8:
+		s.cut = map[link]bool{}
+	case 9:
+		n.disk.capacity = 0
+		if rapid.Bool().Draw(t, "full") {
+			n.disk.capacity = n.disk.used() + 200
+		}
+	case 10:
+		if n.runs() {
+			s.transferFrom(n)
+		}
+	case 11:
+		n.disk.failSync = n.runs() && rapid.Bool().Draw(t, "fail")
+	}
+	s.steps(rapid.IntRange(1, 25).Draw(t, "steps"))
+}
+
+func (s *scenario) transferFrom(n *node) {
+	o := &order{transfer: true}
+	o.call = newCall(context.Background())
+	n.r.inbox.put(func() { n.r.inbox.orders = append(n.r.inbox.orders, o) })
+}
+
+// collect notes the outcomes that came.
+func (s *scenario) collect() {
+	var rest []*proposal
+	for _, p := range s.pending {
+		select {
+		case o := <-p.done:
+			switch {
+			case o.err == nil:
+				s.answered = append(s.answered, string(p.command))
+			case o.err != ErrUncertain:
+				s.refused = append(s.refused, string(p.command))
+			}
+		default:
+			rest = append(rest, p)
+		}
+	}
+	s.pending = rest
+}
+
+// check compares the replicas with one another.
+func (s *scenario) check(t *rapid.T) {
+	for _, id := range s.order {
+		n := s.nodes[id]
+		if n.r == nil {
+			continue
+		}
+		s.checkCommitted(t, n)
+		for _, other := range s.order {
+			if m := s.nodes[other]; m.r != nil && other > id {
+				checkPrefix(t, n, m)
+				checkLogMatching(t, n, m)
+			}
+		}
+	}
+}
+
+// checkCommitted looks for an index at which two different entries were committed.
+func (s *scenario) checkCommitted(t *rapid.T, n *node) {
+	l := &n.r.core.log
+	for _, e := range l.entries {
+		if e.Index > l.committed {
+			return
+		}
+		entry := fmt.Sprint(e.Term, e.Kind, string(e.Data))
+		if first, ok := s.committed[e.Index]; ok && first != entry {
+			t.Fatalf("index %d: committed %q, replica %d has %q", e.Index, first, n.id, entry)
+		}
+		s.committed[e.Index] = entry
+	}
+}
+
+func checkPrefix(t *rapid.T, a, b *node) {
+	if a.r.core.pendingSnap != nil || b.r.core.pendingSnap != nil {
+		return
+	}
+	n := min(len(a.sm.Commands), len(b.sm.Commands))
+	if !slices.Equal(a.sm.Commands[:n], b.sm.Commands[:n]) {
+		t.Fatalf("replica %d applied %v, replica %d %v", a.id, a.sm.Commands, b.id, b.sm.Commands)
+	}
+}
+
+// checkLogMatching: two logs that have an entry of the same index and term are equal
+// up to there.
+func checkLogMatching(t *rapid.T, a, b *node) {
+	la, lb := &a.r.core.log, &b.r.core.log
+	agree := false
+	for i := min(la.last(), lb.last()); i > max(la.base, lb.base); i-- {
+		ea, eb := la.entries[i-la.base-1], lb.entries[i-lb.base-1]
+		same := ea.Term == eb.Term
+		if agree && !same || same && string(ea.Data) != string(eb.Data) {
+			t.Fatalf("replicas %d and %d differ at index %d below a match", a.id, b.id, i)
+		}
+		agree = agree || same
+	}
+}
+
+// heal ends all faults and waits for the group to agree.
+func (s *scenario) heal() {
+	s.cut = map[link]bool{}
+	s.lose = 0
+	for _, id := range s.order {
+		n := s.nodes[id]
+		n.frozen = false
+		n.disk.capacity = 0
+		n.disk.failSync = false
+		if n.r == nil {
+			s.kill(id)
+			s.restart(id)
+		}
+	}
+	// A leader that just thawed may accept the command and then learn that it is none.
+	s.until("a commit", func() bool { return s.await(&s.propose(s.elect(), "end").call).err == nil })
+	s.level()
+	s.collect()
+}
+
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 5}).Draw(rt, "size")
+		s := &scenario{committed: map[uint64]string{}}
+		s.cluster = newCluster(rt, rapid.Uint64().Draw(rt, "seed"), size, func(o *Options) {
+			o.SnapshotEvery = 12
+			o.ReserveBytes = 512
+		})
+		s.delay = rapid.IntRange(0, 6).Draw(rt, "delay")
+		s.lose = rapid.SampledFrom([]int{0, 4, 20}).Draw(rt, "lose")
+		s.elect()
+		for range rapid.IntRange(5, 60).Draw(rt, "acts") {
+			s.act(rt)
+			s.collect()
+			s.check(rt)
+		}
+		s.heal()
+		s.check(rt)
+		final := s.leader().sm.Commands
+		for _, command := range s.answered {
+			if !slices.Contains(final, command) {
+				rt.Fatalf("%s was answered and is lost; applied: %v", command, final)
+			}
+		}
+		for _, command := range s.refused {
+			if slices.Contains(final, command) {
+				rt.Fatalf("%s was refused as not run and has run", command)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/replica/repair_test.go
@@ -0,0 +1,260 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+func (c *cluster) addLearner(id ID) error {
+	return c.doOrder(c.elect(), &order{change: change{op: opAddLearner, id: id, addr: "10.0.1.1:1"}})
+}
+
+func (c *cluster) promote(id ID) error {
+	return c.doOrder(c.elect(), &order{change: change{op: opPromote, id: id}})
+}
+
+func (c *cluster) remove(id ID) error {
+	return c.doOrder(c.elect(), &order{change: change{op: opRemove, id: id}})
+}
+
+// replace puts a new disk in place of a dead replica's and brings it in whole.
+func (c *cluster) replace(dead ID) *node {
+	c.t.Helper()
+	is := is.New(c.t)
+	n := c.start(0, newMemDisk())
+	is.NoErr(c.addLearner(n.id))
+	c.until("a whole learner", func() bool { return c.isWhole(n.id) })
+	is.NoErr(c.remove(dead))
+	is.NoErr(c.promote(n.id))
+	c.until("the loss of one more to be survivable", func() bool {
+		lead := c.leader()
+		return lead != nil && lead.r.Status().Survives
+	})
+	return n
+}
+
+func (c *cluster) isWhole(id ID) bool {
+	lead := c.leader()
+	return lead != nil && slices.ContainsFunc(lead.r.Members(), func(m MemberStatus) bool {
+		return m.ID == id && m.Whole
+	})
+}
+
+// commitAll commits n commands and returns how many there are in all.
+func (c *cluster) commitAll(n int) {
+	c.t.Helper()
+	for i := range n {
+		c.commit(fmt.Sprint("c", i))
+	}
+}
+
+func TestSecondLossRightAfterARepair(t *testing.T) {
+	for _, lost := range []int{0, 1, 2} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 31, 3, func(o *Options) { o.SnapshotEvery = 30 })
+			c.commitAll(100)
+			dead := c.followers()[0].id
+			c.kill(dead)
+			c.order = slices.DeleteFunc(c.order, func(id ID) bool { return id == dead })
+			delete(c.nodes, dead)
+			c.replace(dead)
+			c.kill(c.order[lost])
+			c.commit("after the second loss")
+			is.Equal(len(c.leader().sm.Commands), 101)
+		})
+	}
+}
+
+func TestRepairIsNotSaidToBeDoneTooSoon(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 32, 3, nil)
+	c.commitAll(20)
+	c.until("a whole group", func() bool { return c.elect().r.Status().Survives })
+	dead := c.followers()[0].id
+	c.kill(dead)
+	c.until("the loss to be noticed", func() bool { return !c.elect().r.Status().Survives })
+	n := c.start(0, newMemDisk())
+	is.True(!n.r.Status().Whole)
+	c.isolate(n.id, true)
+	is.NoErr(c.addLearner(n.id))
+	c.steps(100)
+	is.True(errors.Is(c.promote(n.id), ErrNotWhole))
+	is.True(!c.elect().r.Status().Survives)
+	c.isolate(n.id, false)
+	c.until("a whole learner", func() bool { return c.isWhole(n.id) })
+	is.True(!c.elect().r.Status().Survives) // a learner does not vote
+	is.NoErr(c.remove(dead))
+	is.True(!c.elect().r.Status().Survives)
+	is.NoErr(c.promote(n.id))
+	c.until("the repair", func() bool { return c.elect().r.Status().Survives })
+	c.level()
+	is.True(n.r.Status().Whole)
+}
+
+// One replica lacks a committed command, another holds it and loses its disk. If the
+// new disk voted under the old ID, the two would elect a leader without the command.
+func TestWipedDiskDoesNotVoteUnderItsOldIdentity(t *testing.T) {
+	for _, off := range []bool{true, false} {
+		t.Run(fmt.Sprintf("off=%t", off), func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 33, 3, nil)
+			c.commit("first")
+			c.level()
+			away := c.followers()[0].id
+			wiped := c.followers()[1].id
+			holder := c.leader().id
+			c.isolate(away, true)
+			c.commit("second")
+			old := c.nodes[wiped].r.founding.identity
+			c.kill(wiped)
+			c.kill(holder)
+			c.isolate(away, false)
+			disk := newMemDisk()
+			if off { // the disk takes its old identity up again
+				old.Begun = false
+				is.NoErr(saveIdentity(disk, old))
+			}
+			c.start(wiped, disk)
+			c.steps(300)
+			if off {
+				is.Equal(c.elect().sm.Commands, []string{"first"}) // "second" is lost
+				return
+			}
+			is.Equal(c.leader(), nil)
+			c.restart(holder)
+			c.commit("third")
+			c.level()
+			is.Equal(c.leader().sm.Commands, []string{"first", "second", "third"})
+			is.True(c.nodes[wiped] == nil) // it goes by another ID now, and waits
+		})
+	}
+}
+
+func TestWipedFounderRejoinsAsALearner(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 34, 3, nil)
+	c.commitAll(10)
+	wiped := c.followers()[0].id
+	c.kill(wiped)
+	n := c.start(wiped, newMemDisk())
+	c.until("a new identity", func() bool { return n.id != wiped })
+	is.Equal(n.r.Status().Whole, false)
+	is.NoErr(c.addLearner(n.id))
+	c.until("a whole learner", func() bool { return c.isWhole(n.id) })
+	is.NoErr(c.remove(wiped))
+	is.NoErr(c.promote(n.id))
+	c.commit("last")
+	c.level()
+	is.Equal(len(n.sm.Commands), 11)
+}
+
+// A founder's disk is lost while the group forms; nothing may come of two lists.
+func TestFoundingWithAReplacedDiskNeverFormsTwoGroups(t *testing.T) {
+	for seed := range uint64(60) {
+		c := newCluster(t, 100+seed, 3, nil)
+		c.delay = 4
+		c.steps(c.rng.IntN(12))
+		victim := ID(c.rng.IntN(3) + 1)
+		formed := c.nodes[victim].r.founding.State == foundingDone
+		c.kill(victim)
+		c.start(victim, newMemDisk())
+		c.steps(200)
+		lists := map[string]bool{}
+		for _, n := range c.nodes {
+			if f := n.r.founding; f.State == foundingDone && len(f.Founders) > 0 {
+				lists[fmt.Sprint(f.Founders)] = true
+			}
+		}
+		if len(lists) > 1 || formed && c.nodes[victim] != nil {
+			t.Fatalf("seed %d: lists %v, victim formed %t", seed, lists, formed)
+		}
+	}
+}
+
+func TestMembershipChangesOneAtATime(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 35, 3, nil)
+	lead := c.elect()
+	c.level()
+	for _, n := range c.followers() {
+		c.isolate(n.id, true)
+	}
+	_, err := lead.r.core.proposeChange(change{op: opAddLearner, id: 77})
+	is.NoErr(err)
+	_, err = lead.r.core.proposeChange(change{op: opAddLearner, id: 78})
+	is.True(errors.Is(err, ErrChangePending))
+	c.cut = map[link]bool{}
+	c.elect()
+	c.level()
+	is.True(errors.Is(c.remove(99), ErrNotMember))
+	is.True(errors.Is(c.addLearner(1), ErrMemberExists))
+}
+
+func TestUncommittedMembershipIsDroppedWithItsEntry(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 36, 3, nil)
+	c.commit("a")
+	old := c.leader()
+	c.isolate(old.id, true)
+	_, err := old.r.core.proposeChange(change{op: opRemove, id: c.order[0]})
+	is.NoErr(err)
+	c.steps(100)
+	c.commit("b")
+	c.isolate(old.id, false)
+	c.level()
+	is.Equal(len(old.r.Members()), 3)
+}
+
+func TestLeaderRemovesItself(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 37, 3, nil)
+	c.commit("a")
+	old := c.leader()
+	is.NoErr(c.remove(old.id))
+	c.until("another leader", func() bool { n := c.leader(); return n != nil && n != old })
+	c.commit("b")
+	is.Equal(len(c.leader().r.Members()), 2)
+	is.True(!old.r.Status().Whole)
+}
+
+func TestLastVoterStays(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 38, 1, nil)
+	is.True(errors.Is(c.remove(1), ErrLastVoter))
+}
+
+func TestPlannedStopTransfersLeadership(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 39, 3, nil)
+	c.commit("a")
+	old := c.leader()
+	started := c.now
+	is.NoErr(c.doOrder(old, &order{transfer: true}))
+	c.elect()
+	is.True(c.leader() != old)
+	is.True(c.now-started < DefaultElectionTicks) // no election timeout was waited for
+	c.commit("b")
+	c.level()
+}
+
+func TestLearnerServesReadsAndDoesNotVote(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 40, 3, nil)
+	n := c.start(0, newMemDisk())
+	is.NoErr(c.addLearner(n.id))
+	c.commit("a")
+	is.NoErr(c.await(&c.barrier(n).call).err)
+	is.Equal(n.sm.Commands, []string{"a"})
+	for _, f := range c.followers() {
+		if f != n {
+			c.kill(f.id)
+		}
+	}
+	c.steps(300)
+	is.Equal(c.leader(), nil) // leader and learner are no quorum of three voters
+}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -28,7 +28,7 @@
 				c.commit(fmt.Sprint("c", i))
 			}
 			c.level()
-			for id := range c.nodes {
+			for _, id := range c.order {
 				c.kill(id)
 			}
 			for _, id := range c.order {
@@ -91,7 +91,7 @@
 	}
 	c.level()
 	is.True(c.leader().r.core.snap.Index >= 460)
-	for id := range c.nodes {
+	for _, id := range c.order {
 		c.kill(id)
 	}
 	for _, id := range c.order {
--- a/replica/replication.go
+++ b/replica/replication.go
@@ -123,6 +123,7 @@
 		c.forgetMemberships(changed)
 		c.noteMemberships(m.Entries[changed-m.Index-1:])
 	}
+	c.incoming = nil
 	agreed := m.Index + uint64(len(m.Entries))
 	c.log.commitTo(min(m.Commit, agreed))
 	return agreed
