--- a/cmd/rosemaryctl/options.go
+++ b/cmd/rosemaryctl/options.go
@@ -34,7 +34,7 @@
 	// Control lists the addresses of the replicas of control.
 	Control []settings.Addr `json:"control" validate:"min=1"`
 	// TLS is the operator's identity.
-	TLS settings.TLS `json:"tls"`
+	TLS *settings.TLS `json:"tls"`
 }
 
 func (o *options) addFlags(root *cobra.Command) {
@@ -59,7 +59,7 @@
 		}
 	}
 	if o.folder != "" {
-		a.TLS = settings.TLS{
+		a.TLS = &settings.TLS{
 			CA:   filepath.Join(o.folder, "ca.pem"),
 			Cert: filepath.Join(o.folder, o.name+".pem"),
 			Key:  filepath.Join(o.folder, o.name+".key"),
--- a/examples/files.go
+++ b/examples/files.go
@@ -103,8 +103,8 @@
 	return File{Name: name, Data: append(raw, '\n')}, errors.Wrapf(err, "encode %s", name)
 }
 
-func identity(name string) settings.TLS {
-	return settings.TLS{
+func identity(name string) *settings.TLS {
+	return &settings.TLS{
 		CA:   filepath.Join(keysFolder, "ca.pem"),
 		Cert: filepath.Join(keysFolder, name+".pem"),
 		Key:  filepath.Join(keysFolder, name+".key"),
--- a/route/predicted.go
+++ b/route/predicted.go
@@ -24,6 +24,14 @@
 	defaultHints = 16_384
 	// runningCost is the wait that one more request in flight is taken to cause.
 	runningCost = 2 * time.Millisecond
+	// exposure is the work in seconds that other entries are expected to send to an
+	// endpoint in a second. The report does not hold it yet.
+	exposure = 0.7
+	// tolerated is by how much the wait at an endpoint may be over its prediction
+	// before the sidecar turns the prompt away, in prefill time.
+	tolerated = 100 * time.Millisecond
+	// mostMisses is the number of such refusals after which there is no bound.
+	mostMisses = 4
 	// affinityTokens is what the endpoint that rendezvous hashing prefers for a
 	// repeated prefix is taken to save, in tokens, while no holder is known. It is
 	// small: a busy endpoint loses the prompt to another one.
@@ -86,6 +94,7 @@
 		Index:      best.index,
 		Predicted:  time.Duration(best.cost),
 		Considered: best.considered,
+		MaxPending: maxPending(now, req, &view[best.index]),
 		Reason:     best.reason,
 	}, nil
 }
@@ -202,12 +211,37 @@
 	seconds := (e.PendingAt(now) + float64(req.PromptTokens) - saved) / e.prefillRate()
 	cost := seconds * float64(time.Second)
 	cost += float64(e.requests()) * float64(runningCost)
+	if e.Rank < c.exposed(req.Class, e.Ranked) {
+		cost += exposure * float64(max(now.Sub(e.LoadAt), 0))
+	}
 	if e.Zone != req.Zone {
 		cost += float64(c.Spill)
 	}
 	return cost
 }
 
+// maxPending bounds what may wait at e: what the prediction holds and a tolerance
+// that doubles with each miss, so that the prompt is taken in the end.
+func maxPending(now time.Time, req *Request, e *Endpoint) int64 {
+	if req.Misses >= mostMisses {
+		return 0
+	}
+	tolerance := e.prefillRate() * tolerated.Seconds() * float64(int(1)<<req.Misses)
+	return int64(e.PendingAt(now)+tolerance) + 1
+}
+
+// exposed returns the number of lanes in which longer prompts than the class's may
+// have arrived since the last report.
+func (c *Predicted) exposed(class Class, n int) int {
+	switch class {
+	case Short:
+		return c.lanes.Width(Medium, n)
+	case Medium:
+		return c.lanes.Width(Long, n)
+	}
+	return 0
+}
+
 func reasonFor(req *Request, saved float64) string {
 	switch {
 	case saved > 0:
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -103,7 +103,6 @@
 		{"nothing set", `{}`, Faults{
 			{"node.name", "is missing"}, {"node.region", "is missing"}, {"node.zone", "is missing"},
 			{"plugins", "is missing"},
-			{"tls.ca", "is missing"}, {"tls.cert", "is missing"}, {"tls.key", "is missing"},
 		}},
 		{"stand-in without an identity", `{"node":{"name":"a","region":"r","zone":"z"},"plugins":{"standin.engine":{}}}`, nil},
 		{"stand-in beside a daemon", `{"node":{"name":"a","region":"r","zone":"z"},"tls":{"ca":"c","key":"k"},"plugins":{"standin.engine":{},"entry":{}}}`, Faults{
@@ -119,6 +118,9 @@
 		{"zone without a region", wholeFile + `,"zones":[{"name":"z"}]}`, Faults{
 			{"zones[0].region", "is missing"}, {"node.region", `zone "z" is in region "", not in "r"`},
 		}},
+		{"identity without files", `{"node":{"name":"a","region":"r","zone":"z"},"tls":{},"plugins":{"x":{}}}`, Faults{
+			{"tls.ca", "is missing"}, {"tls.cert", "is missing"}, {"tls.key", "is missing"},
+		}},
 		{"no plug-ins", `{"node":{"name":"","region":"r","zone":"z"},"tls":{"ca":"c","cert":"d","key":"e"},"plugins":{}}`, Faults{
 			{"node.name", "must not be empty"}, {"plugins", "want at least 1 entries"},
 		}},
