--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -15,7 +15,12 @@
 	Named map[string]int `json:"named"`
 }
 
+type Embedded struct {
+	Depth int `json:"depth" validate:"min=1"`
+}
+
 type sample struct {
+	Embedded
 	Listen  Addr              `json:"listen" validate:"required"`
 	Pause   Duration          `json:"pause" validate:"min=1ms"`
 	Mode    string            `json:"mode" validate:"oneof=fast slow"`
@@ -28,7 +33,7 @@
 }
 
 func newSample() *sample {
-	return &sample{Listen: "127.0.0.1:1", Pause: 1e9, Mode: "fast", Limits: limits{Count: 1}}
+	return &sample{Embedded: Embedded{Depth: 1}, Listen: "127.0.0.1:1", Pause: 1e9, Mode: "fast", Limits: limits{Count: 1}}
 }
 
 func TestDecodeListsFaults(t *testing.T) {
@@ -55,6 +60,7 @@
 		{"short duration", `{"pause":"1us"}`, Faults{{"p.pause", "want at least 1ms, got 1µs"}}},
 		{"wrong type", `{"limits":{"count":"many"}}`, Faults{{"p.limits.count", "want a whole number, got a string"}}},
 		{"fraction", `{"limits":{"count":1.5}}`, Faults{{"p.limits.count", "want a whole number, got 1.5"}}},
+		{"embedded", `{"depth":0}`, Faults{{"p.depth", "want at least 1, got 0"}}},
 		{"null", `{"limits":{"count":null}}`, Faults{{"p.limits.count", "want a whole number, got null"}}},
 		{"null pointer", `{"pointer":null}`, nil},
 		{"below a pointer", `{"pointer":{"count":0}}`, Faults{{"p.pointer.count", "want at least 1, got 0"}}},
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -11,11 +11,18 @@
 	"github.com/pkg/errors"
 )
 
+// embedded stands in a validator's namespace for an embedded struct, whose
+// fields are settings of the struct around it.
+const embedded = "^"
+
 var validate = newValidator()
 
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		if f.Anonymous && f.Tag.Get("json") == "" {
+			return embedded
+		}
 		name, _ := jsonName(f)
 		return name
 	})
@@ -47,6 +54,7 @@
 // below turns a validator's namespace into a JSON path without the type's name.
 func below(namespace string) string {
 	_, path, _ := strings.Cut(namespace, ".")
+	path = strings.ReplaceAll(path, embedded+".", "")
 	return mapKey.ReplaceAllString(path, ".$1")
 }
 
