--- a/cmd/rosemaryctl/main_test.go
+++ b/cmd/rosemaryctl/main_test.go
@@ -88,7 +88,7 @@
 
 	out, code = run("", "--id", accepted.ID, "take", "zone", "kerlouan-hall", "out")
 	is.Equal(code, 0)
-	is.True(strings.HasPrefix(out, "accepted before as revision 2"))
+	is.True(strings.HasPrefix(out, "accepted before as revision 2: zone kerlouan-hall: out"))
 
 	out, code = run("", "bring", "zone", "kerlouan-hall", "in", "expecting", "revision", "1")
 	is.Equal(code, exitConflict)
@@ -127,6 +127,7 @@
 		{"too few arguments", []string{"run"}, exitStatement},
 		{"unreachable", []string{"--control", "127.0.0.1:1", "--tls", dir, "--timeout", "50ms", "show", "zones"}, exitUnreachable},
 		{"bad identifier", []string{"--control", "127.0.0.1:1", "--tls", dir, "--id", "x", "drop", "route", "r"}, exitStatement},
+		{"identifier of a script", []string{"--id", "x", "run", "-"}, exitStatement},
 		{"unknown example", []string{"example", "paris", dir}, exitStatement},
 		{"unknown role", []string{"keys", "issue", dir, "x", "--role", "king"}, exitStatement},
 		{"name outside the folder", []string{"keys", "issue", dir, "../x", "--role", "entry"}, exitStatement},
--- a/cmd/rosemaryctl/script.go
+++ b/cmd/rosemaryctl/script.go
@@ -23,6 +23,9 @@
 ` + exitHelp,
 		Args: exactly(1),
 		RunE: func(c *cobra.Command, args []string) error {
+			if err := o.refuseID(); err != nil {
+				return err
+			}
 			script, closeScript, err := openScript(c, args[0])
 			if err != nil {
 				return err
@@ -33,6 +36,15 @@
 	}
 }
 
+// refuseID refuses --id beside more than one statement: a second order under the
+// same identifier would get the first one's answer.
+func (o *options) refuseID() error {
+	if o.id != "" {
+		return &cli.UsageError{Err: errors.New("--id goes with a single order")}
+	}
+	return nil
+}
+
 func openScript(c *cobra.Command, name string) (io.Reader, func(), error) {
 	if name == "-" {
 		return c.InOrStdin(), func() {}, nil
@@ -65,6 +77,9 @@
 refusal shows that change.`,
 		Args: exactly(0),
 		RunE: func(c *cobra.Command, _ []string) error {
+			if err := o.refuseID(); err != nil {
+				return err
+			}
 			session, closeSession, err := o.session()
 			if err != nil {
 				return err
--- a/operator/check.go
+++ b/operator/check.go
@@ -15,33 +15,34 @@
 	defaultWait    = 15 * time.Second
 )
 
-// Task is a checked statement; exactly one of Query, History, Wait and Order is set.
+// Task is a checked statement. Exactly one of query, history, wait and order is
+// set.
 type Task struct {
-	Query   *Query
-	History *HistoryOf
-	Wait    *WaitFor
-	Order   planner
-	// Explain asks only what Order would do.
-	Explain bool
-	// Expect is the revision that the order names; nil when it names none.
-	Expect *uint64
+	query   *tableQuery
+	history *historyQuery
+	wait    *waitQuery
+	order   planner
+	// explain asks only what order would do.
+	explain bool
+	// expect is the revision that the order names; nil when it names none.
+	expect *uint64
 }
 
-// Query asks for the rows of a table that meet all conditions.
-type Query struct {
+// tableQuery asks for the rows of a table that meet all conditions.
+type tableQuery struct {
 	table *table
 	where []condition
 }
 
-// HistoryOf asks for up to Limit accepted orders, from a revision on, or the
+// historyQuery asks for up to Limit accepted orders, from a revision on, or the
 // newest when From is nil. Zero is no limit where From is set.
-type HistoryOf struct {
+type historyQuery struct {
 	From  *uint64
 	Limit int
 }
 
-// WaitFor waits until Revision is in force; zero stands for the newest.
-type WaitFor struct {
+// waitQuery waits until Revision is in force; zero stands for the newest.
+type waitQuery struct {
 	Revision uint64
 	Timeout  time.Duration
 }
@@ -80,14 +81,14 @@
 		if err != nil {
 			return nil, err
 		}
-		t.Explain = true
+		t.explain = true
 		return t, nil
 	}
 	return checkOrder(s.Order)
 }
 
 func checkShow(s *Show) (*Task, error) {
-	q := &Query{table: tables[strings.ToLower(s.Table)]}
+	q := &tableQuery{table: tables[strings.ToLower(s.Table)]}
 	for _, c := range s.Where {
 		checked, err := checkCondition(q.table, c)
 		if err != nil {
@@ -95,11 +96,11 @@
 		}
 		q.where = append(q.where, checked)
 	}
-	return &Task{Query: q}, nil
+	return &Task{query: q}, nil
 }
 
 func checkHistory(h *History) (*Task, error) {
-	task := &HistoryOf{Limit: defaultHistory}
+	task := &historyQuery{Limit: defaultHistory}
 	if h.From != nil {
 		from, err := parseNumber(*h.From, "a revision")
 		if err != nil {
@@ -113,11 +114,11 @@
 			return nil, err
 		}
 	}
-	return &Task{History: task}, nil
+	return &Task{history: task}, nil
 }
 
 func checkWait(w *Wait) (*Task, error) {
-	task := &WaitFor{Timeout: defaultWait}
+	task := &waitQuery{Timeout: defaultWait}
 	var err error
 	if w.Revision != nil {
 		if task.Revision, err = parseNumber(*w.Revision, "a revision"); err != nil {
@@ -129,7 +130,7 @@
 			return nil, err
 		}
 	}
-	return &Task{Wait: task}, nil
+	return &Task{wait: task}, nil
 }
 
 func checkOrder(o *Order) (*Task, error) {
@@ -137,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Task{Order: planner}
+	t := &Task{order: planner}
 	if o.Expected == nil {
 		return t, nil
 	}
@@ -145,7 +146,7 @@
 		return nil, faultAt(o.Expected.Revision, "this order changes no configuration, so it takes no revision")
 	}
 	expect, err := parseNumber(o.Expected.Revision, "a revision")
-	t.Expect = &expect
+	t.expect = &expect
 	return t, err
 }
 
--- a/operator/order.go
+++ b/operator/order.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := planned(t.Order, v)
+	p, err := planned(t.order, v)
 	if err != nil {
 		return nil, err
 	}
@@ -53,8 +53,8 @@
 // else the one that the operator saw last, else the one it was planned against.
 func (s *Session) expected(t *Task, v *command.View) uint64 {
 	switch {
-	case t.Expect != nil:
-		return *t.Expect
+	case t.expect != nil:
+		return *t.expect
 	case s.seen != nil:
 		return *s.seen
 	}
@@ -64,7 +64,7 @@
 // acceptedBefore looks for an earlier sending of the session's order. It returns
 // no result when there was none.
 func (s *Session) acceptedBefore(ctx context.Context, t *Task) (Result, error) {
-	if _, ok := t.Order.(*addKey); ok {
+	if _, ok := t.order.(*addKey); ok {
 		return nil, &StatementError{Problem: "an order that makes a key cannot be sent again, since its key was not kept; look for it in \"history\", drop the key and add another"}
 	}
 	v, err := s.view(ctx)
@@ -80,7 +80,7 @@
 		if e.ID != s.fixedID {
 			continue
 		}
-		a := &Accepted{ID: e.ID, Revision: e.Revision, Before: true}
+		a := &Accepted{ID: e.ID, Revision: e.Revision, Before: true, What: entryText(&e)}
 		if e.Order != nil {
 			a.Fence = e.Order.Fence
 		}
--- a/operator/result.go
+++ b/operator/result.go
@@ -38,6 +38,8 @@
 	Fence uint64 `json:"fence,omitempty"`
 	// Before is set when the order had been accepted by an earlier sending.
 	Before bool `json:"accepted_before,omitempty"`
+	// What says what an earlier sending did.
+	What string `json:"what,omitempty"`
 	// Key is a new key of a client account, shown this once.
 	Key string `json:"key,omitempty"`
 }
@@ -57,6 +59,9 @@
 	if a.Fence > 0 {
 		fmt.Fprintf(&b, " with fencing number %d", a.Fence)
 	}
+	if a.What != "" {
+		fmt.Fprintf(&b, ": %s", a.What)
+	}
 	fmt.Fprintf(&b, " (order %s)\n", a.ID)
 	if a.Key != "" {
 		fmt.Fprintf(&b, "key: %s\nThe key is not kept and cannot be shown again.\n", a.Key)
--- a/operator/session.go
+++ b/operator/session.go
@@ -69,17 +69,17 @@
 	ctx, cancel := s.bounded(ctx, t)
 	defer cancel()
 	switch {
-	case t.Query != nil:
+	case t.query != nil:
 		v, err := s.look(ctx)
 		if err != nil {
 			return nil, err
 		}
-		return t.Query.run(v), nil
-	case t.History != nil:
-		return s.history(ctx, t.History)
-	case t.Wait != nil:
-		return s.wait(ctx, *t.Wait)
-	case t.Explain:
+		return t.query.run(v), nil
+	case t.history != nil:
+		return s.history(ctx, t.history)
+	case t.wait != nil:
+		return s.wait(ctx, *t.wait)
+	case t.explain:
 		return s.explain(ctx, t)
 	}
 	return s.order(ctx, t)
@@ -91,8 +91,8 @@
 		return context.WithCancel(ctx)
 	}
 	limit := s.Timeout
-	if t.Wait != nil {
-		limit += t.Wait.Timeout
+	if t.wait != nil {
+		limit += t.wait.Timeout
 	}
 	return context.WithTimeout(ctx, limit)
 }
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := planned(t.Order, v)
+	p, err := planned(t.order, v)
 	if err != nil {
 		return nil, err
 	}
@@ -134,7 +134,7 @@
 }
 
 // history lists accepted orders: those from a revision on, or the newest ones.
-func (s *Session) history(ctx context.Context, h *HistoryOf) (Result, error) {
+func (s *Session) history(ctx context.Context, h *historyQuery) (Result, error) {
 	if h.From != nil {
 		entries, err := s.audit(ctx, command.History{From: *h.From, Limit: h.Limit})
 		return &Listing{Entries: entries}, err
@@ -158,7 +158,7 @@
 const pollPause = 200 * time.Millisecond
 
 // wait asks until every process has reached a revision.
-func (s *Session) wait(ctx context.Context, w WaitFor) (Result, error) {
+func (s *Session) wait(ctx context.Context, w waitQuery) (Result, error) {
 	if w.Revision == 0 {
 		w.Revision = s.accepted
 	}
--- a/operator/show.go
+++ b/operator/show.go
@@ -81,7 +81,7 @@
 }
 
 // run returns the rows of the view that meet all conditions.
-func (q *Query) run(v *command.View) *Table {
+func (q *tableQuery) run(v *command.View) *Table {
 	t := &Table{columns: q.table.columns}
 	for _, row := range q.table.rows(v) {
 		if q.meets(row) {
@@ -91,7 +91,7 @@
 	return t
 }
 
-func (q *Query) meets(row []value) bool {
+func (q *tableQuery) meets(row []value) bool {
 	for _, c := range q.where {
 		if !c.holds(row) {
 			return false
