--- a/sidecar/connect.go
+++ b/sidecar/connect.go
@@ -67,6 +67,7 @@
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Endpoint: c.endpoint,
+		OnUpdate: func(u *wire.Update) { s.orders.take(u.Orders) },
 	})
 	if err != nil {
 		return err
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -121,11 +121,51 @@
 
 func (e *engineStatus) Error() string { return "engine answered " + strconv.Itoa(e.status) }
 
-// cancel cancels an attempt at the engine, which frees its memory.
-func (c *engineClient) cancel(ctx context.Context, a wire.Attempt) error {
+// held lists the exported and imported caches that the engine holds.
+func (c *engineClient) held(ctx context.Context) (engine.KVList, error) {
+	var list engine.KVList
+	ctx, cancel := context.WithTimeout(ctx, engineQuiet)
+	defer cancel()
+	return list, c.get(ctx, engine.PathKV, &list)
+}
+
+// order gives the engine an order and waits until it is carried out.
+func (c *engineClient) order(ctx context.Context, o engine.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	body, err := json.Marshal(o)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+engine.PathOrders, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return c.do(req, nil)
+}
+
+// refusedByEngine reports whether the engine will never carry the order out.
+func refusedByEngine(err error) bool {
+	var status *engineStatus
+	return errors.As(err, &status) && status.status >= http.StatusBadRequest && status.status < http.StatusInternalServerError
+}
+
+// cancel cancels the request called id at the engine, which frees its memory.
+func (c *engineClient) cancel(ctx context.Context, id string) error {
+	return c.remove(ctx, engine.PathRequests+id)
+}
+
+// freeKV frees the exported or imported cache called handle.
+func (c *engineClient) freeKV(ctx context.Context, handle string) error {
+	return c.remove(ctx, engine.PathKV+"/"+handle)
+}
+
+// remove deletes path at the engine. What is not there counts as deleted.
+func (c *engineClient) remove(ctx context.Context, path string) error {
 	ctx, stop := context.WithTimeout(ctx, engineQuiet)
 	defer stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.base+engine.PathRequests+engineRequestID(a), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, c.base+path, nil)
 	if err != nil {
 		return errors.Wrap(err, "make request")
 	}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -20,8 +20,8 @@
 		held, _ := s.budget.Held()
 		return float64(held)
 	})
-	set.NewGauge("sidecar_running", func() float64 { return float64(s.gate.load().Running) })
-	set.NewGauge("sidecar_free_tokens", func() float64 { return float64(s.gate.load().FreeTokens) })
+	set.NewGauge("sidecar_running", func() float64 { return float64(s.gate.load(s.clock.Now()).Running) })
+	set.NewGauge("sidecar_free_tokens", func() float64 { return float64(s.gate.load(s.clock.Now()).FreeTokens) })
 	set.NewGauge("sidecar_sent_bytes", func() float64 { return float64(s.traffic.Sent.Load()) })
 	set.NewGauge("sidecar_received_bytes", func() float64 { return float64(s.traffic.Received.Load()) })
 	return &sidecarMetrics{
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -72,6 +72,7 @@
 	control Coordinator
 	session func(ctx context.Context) error
 	gate    *gate
+	orders  *orders
 	budget  *stream.Budget
 	engine  *engineClient
 	metrics *sidecarMetrics
@@ -112,7 +113,8 @@
 	s.traffic = &wire.Traffic{}
 	s.budget = stream.NewBudget(s.Held)
 	s.engine = newEngineClient(s.Settings.Endpoint)
-	s.gate = newGate(h.Node.Name, h.Node.Zone, newIncarnation(h.Clock.Now()), s.Service)
+	s.gate = newGate(h.Node.Name, newIncarnation(h.Clock.Now()), s.Service)
+	s.orders = newOrders()
 	s.metrics = newMetrics(h.Metrics, s)
 	s.server, err = wire.Listen(string(s.Listen), id, s.traffic, s.serve)
 	if err != nil {
@@ -129,7 +131,7 @@
 
 // announcement describes the endpoint as it is now.
 func (s *Sidecar) announcement() wire.Endpoint {
-	e := s.gate.describe()
+	e := s.gate.describe(s.clock.Now())
 	e.Name, e.Region, e.Zone, e.Addr = s.node.Name, s.node.Region, s.node.Zone, s.Addr()
 	e.Target, e.Service, e.ChecksFence = s.Target, s.Service, s.ChecksFence
 	return e
@@ -140,10 +142,11 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, 3)
-	var tasks sync.WaitGroup
-	for _, task := range []func(context.Context) error{s.server.Serve, s.session, s.watchEngine} {
-		tasks.Go(func() { failed <- task(work) })
+	tasks := []func(context.Context) error{s.server.Serve, s.session, s.watchEngine, s.followOrders}
+	failed := make(chan error, len(tasks))
+	var running sync.WaitGroup
+	for _, task := range tasks {
+		running.Go(func() { failed <- task(work) })
 	}
 	var err error
 	select {
@@ -152,7 +155,7 @@
 	case err = <-failed:
 	}
 	stop()
-	tasks.Wait()
+	running.Wait()
 	return errors.Wrap(err, "serve endpoint")
 }
 
@@ -160,7 +163,7 @@
 func (s *Sidecar) leave() {
 	s.gate.leave()
 	s.control.Announce(s.announcement())
-	s.log.Info("endpoint leaving", "running", s.gate.load().Running)
+	s.log.Info("endpoint leaving", "running", s.gate.load(s.clock.Now()).Running)
 	idle := make(chan struct{})
 	go func() {
 		s.attempts.Wait()
