--- a/operator/result.go
+++ b/operator/result.go
@@ -109,7 +109,7 @@
 	var texts []string
 	for i, c := range e.Changes {
 		if i == shownChanges {
-			texts = append(texts, fmt.Sprintf("and %s more", plural(len(e.Changes)-i, "change")))
+			texts = append(texts, fmt.Sprintf("and %d more", len(e.Changes)-i))
 			break
 		}
 		texts = append(texts, describeChange(c))
