Look a refused call up before saying that it has not run

Cause: an entry that found no endpoint refused a resent seal as not run without asking control, though an earlier sending of it had run. The claim is now looked up first, and the ledger looks at the horizon before the endpoint. An entry without a configuration says so in place of 401, and its health is 503. Ports of deployments on loopback lie below the kernel's own.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -29,6 +30,13 @@
 	_ "github.com/rosemaryproxy/rosemaryproxy/standin"
 )
 
+// Ports of a deployment on loopback.
+const (
+	firstPort = 10_000
+	ports     = 20_000
+	portTries = 100
+)
+
 // Endpoint is one stand-in and its sidecar.
 type Endpoint struct {
 	Name   string
@@ -233,19 +241,31 @@
 	return addrs, nil
 }
 
-func reserveAddr(network string) (string, func(), error) {
+// reserveAddr opens a port below those that the kernel gives to outgoing
+// connections, which would take a port between its release and its use.
+func reserveAddr(network string) (addr string, release func(), err error) {
+	for range portTries {
+		addr = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if release, err = listen(network, addr); err == nil {
+			return addr, release, nil
+		}
+	}
+	return "", nil, err
+}
+
+func listen(network, addr string) (func(), error) {
 	if network == "udp" {
-		c, err := net.ListenPacket(network, "127.0.0.1:0")
+		c, err := net.ListenPacket(network, addr)
 		if err != nil {
-			return "", nil, err
+			return nil, err
 		}
-		return c.LocalAddr().String(), func() { _ = c.Close() }, nil
+		return func() { _ = c.Close() }, nil
 	}
-	l, err := net.Listen(network, "127.0.0.1:0")
+	l, err := net.Listen(network, addr)
 	if err != nil {
-		return "", nil, err
+		return nil, err
 	}
-	return l.Addr().String(), func() { _ = l.Close() }, nil
+	return func() { _ = l.Close() }, nil
 }
 
 // Write writes every settings file to dir, as "<name>.json".
--- /dev/null
+++ b/dev/once_test.go
@@ -0,0 +1,169 @@
+package dev
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/standin"
+)
+
+// reply is what a caller got.
+type reply struct {
+	status  int
+	verdict string
+	body    string
+}
+
+func seal(entry, key, body string) reply {
+	res, err := ask(entry, "/services/"+SmallServiceRoute+"/seal", body, map[string]string{"Idempotency-Key": key})
+	if err != nil {
+		return reply{}
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		return reply{}
+	}
+	return reply{status: res.StatusCode, verdict: res.Header.Get("X-Verdict"), body: string(raw)}
+}
+
+// newKey returns an idempotency key that carries its time.
+func newKey() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		panic(err)
+	}
+	return id.String()
+}
+
+// executions returns how often the worker ran each key.
+func executions(t *testing.T, d *Deployment, worker string) map[string]int {
+	t.Helper()
+	res, err := http.Get(d.Files.Stands[worker] + standin.PathExecutions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	var list standin.Executions
+	if err := json.NewDecoder(res.Body).Decode(&list); err != nil {
+		t.Fatal(err)
+	}
+	counts := map[string]int{}
+	for _, e := range list.Executions {
+		counts[e.Key] = e.Count
+	}
+	return counts
+}
+
+// everRan reports whether any reply leaves room for a run of the call. A reply
+// without a status is a broken connection, which promises nothing.
+func everRan(list []reply) bool {
+	for _, r := range list {
+		if r.verdict != "not_run" {
+			return true
+		}
+	}
+	return false
+}
+
+func startWithDesk(t *testing.T) *Deployment {
+	t.Helper()
+	d := start(t, Small(t.TempDir()))
+	until(t, "desk seals", func() bool { return seal(d.Files.Entries[0], newKey(), "{}").status == http.StatusOK })
+	return d
+}
+
+func TestASealRunsAtMostOnceWhoeverResendsIt(t *testing.T) {
+	is := is.New(t)
+	d := startWithDesk(t)
+	entries := d.Files.Entries
+
+	key := newKey()
+	first := seal(entries[0], key, `{"capsule":7}`)
+	is.Equal(first.status, http.StatusOK)
+	again := seal(entries[1], key, `{"capsule":7}`)
+	is.Equal(again, first) // the kept result, also through the other entry
+
+	other := seal(entries[1], key, `{"capsule":8}`)
+	is.Equal(other.status, http.StatusConflict)
+	is.Equal(other.verdict, "not_run")
+
+	var wg sync.WaitGroup
+	racing := newKey()
+	for i := range 12 {
+		wg.Go(func() { seal(entries[i%2], racing, "{}") })
+	}
+	wg.Wait()
+	until(t, "the raced seal is answered", func() bool { return seal(entries[0], racing, "{}").status == http.StatusOK })
+
+	counts := executions(t, d, "desk-1")
+	is.Equal(counts[key], 1)
+	is.Equal(counts[racing], 1)
+}
+
+func TestASealWithoutAKeyIsRefusedAsNotRun(t *testing.T) {
+	is := is.New(t)
+	d := startWithDesk(t)
+	res, err := ask(d.Files.Entries[0], "/services/"+SmallServiceRoute+"/seal", "{}", nil)
+	is.NoErr(err)
+	is.Equal(res.StatusCode, http.StatusBadRequest)
+	is.Equal(res.Header.Get("X-Verdict"), "not_run")
+	is.NoErr(res.Body.Close())
+}
+
+// A sidecar that is replaced in the middle of calls has forgotten what it let
+// through. No call may run a second time because of that, and one refused as not
+// run has not run.
+func TestASealRunsAtMostOnceWhileSidecarsAndEntriesRestart(t *testing.T) {
+	is := is.New(t)
+	d := startWithDesk(t)
+	entries := d.Files.Entries
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	replies := map[string][]reply{}
+	for worker := range 6 {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := newKey()
+				for try := range 3 {
+					r := seal(entries[(worker+try)%2], key, fmt.Sprintf(`{"n":%d}`, n))
+					mu.Lock()
+					replies[key] = append(replies[key], r)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	for range 3 {
+		is.NoErr(d.StopProcess("desk-1"))
+		is.NoErr(d.StartProcess("desk-1"))
+		time.Sleep(200 * time.Millisecond)
+		is.NoErr(d.StopProcess("entry-2"))
+		is.NoErr(d.StartProcess("entry-2"))
+	}
+	close(stop)
+	wg.Wait()
+	counts := executions(t, d, "desk-1")
+	for key, list := range replies {
+		is.True(counts[key] <= 1)
+		is.Equal(everRan(list) || counts[key] == 0, true) // nobody was told, and it ran
+		for _, r := range list {
+			is.True(r.status != http.StatusOK || counts[key] == 1) // answered, and it ran
+		}
+	}
+	is.True(len(counts) > 0)
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/engine"
@@ -35,9 +36,13 @@
 // serveHealth turns before anything else on a planned stop, so that the
 // platform's balancer sends new requests elsewhere.
 func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() {
+	switch {
+	case e.stopping.Load():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
+	case e.control.Config().Revision == 0:
+		http.Error(w, "starting", http.StatusServiceUnavailable)
+		return
 	}
 	_, _ = io.WriteString(w, "ok\n")
 }
@@ -66,7 +71,12 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, parse func(*call) error) {
 	c := e.newCall(r)
 	defer e.finish(c)
-	account, err := e.keys.authenticate(e.control.Config(), r.Header.Get("Authorization"))
+	doc := e.control.Config()
+	if doc.Revision == 0 {
+		e.answerRefusal(w, c, verdict.Refuse(verdict.ReasonStale, time.Second, "the entry has no configuration yet"))
+		return
+	}
+	account, err := e.keys.authenticate(doc, r.Header.Get("Authorization"))
 	if err != nil {
 		e.answerRefusal(w, c, verdict.From(err))
 		return
--- a/entry/once.go
+++ b/entry/once.go
@@ -23,18 +23,39 @@
 	for {
 		t, err := e.fleet.acquire(ctx, c)
 		if err != nil {
-			return err
+			return e.lookUp(ctx, c, a, err)
 		}
 		err = e.attemptOnce(ctx, c, t, a)
 		r := verdict.From(err)
-		if r == nil || r.Verdict != verdict.NotRun || !retryable(r.Reason) || c.attempts >= maxAttempts || ctx.Err() != nil {
+		if r == nil || r.Verdict != verdict.NotRun {
 			return err
 		}
+		if !retryable(r.Reason) || c.attempts >= maxAttempts || ctx.Err() != nil {
+			return e.lookUp(ctx, c, a, err)
+		}
 		c.tried(r)
 		a.reset()
 	}
 }
 
+// lookUp brings a call that cannot be dispatched now to its end: an earlier
+// sending of it may have run, and then its caller is owed that answer. A claim for
+// no endpoint is never given out; it only finds what is recorded.
+func (e *Entry) lookUp(ctx context.Context, c *call, a *answer, refused error) error {
+	claimed, err := e.control.Claim(ctx, session.NewID(), command.Claim{
+		Account: c.account.Name, Key: c.key, Digest: c.digest,
+	})
+	switch {
+	case err != nil:
+		return refused
+	case claimed.Result != nil:
+		return a.replay(claimed.Result)
+	case claimed.Refused != nil && claimed.Refused.Reason != verdict.ReasonIncarnation:
+		return claimed.Refused.Refusal()
+	}
+	return refused
+}
+
 // attemptOnce claims the call for the ticket's endpoint and dispatches it there.
 func (e *Entry) attemptOnce(ctx context.Context, c *call, t *ticket, a *answer) error {
 	x := e.newExchange(c, t, a)
--- a/once/ledger.go
+++ b/once/ledger.go
@@ -135,29 +135,38 @@
 		}
 		return r.answer(&c), false
 	}
-	if !current(c.Endpoint, c.Incarnation) {
-		return Answer{Refusal: verdict.Refuse(verdict.ReasonIncarnation, progressRetry,
-			"incarnation %d of endpoint %s is not the registered one", c.Incarnation, c.Endpoint)}, false
+	if !ok {
+		return l.open(now, a, hash, &c, next, current)
 	}
-	if ok {
-		*r = newRecord(&c, next)
-		return r.granted(), true
+	if !current(c.Endpoint, c.Incarnation) {
+		return notRegistered(&c), false
 	}
-	return l.open(now, a, hash, &c, next)
+	*r = newRecord(&c, next)
+	return r.granted(), true
 }
 
-// open makes the record of a key that has none.
-func (l *Ledger) open(now time.Time, a *account, hash keyHash, c *Claim, next uint64) (Answer, bool) {
+// open makes the record of a key that has none. The horizon is looked at before
+// the endpoint: a key that may have run and been forgotten must not be answered
+// with NotRun for any other reason.
+func (l *Ledger) open(now time.Time, a *account, hash keyHash, c *Claim, next uint64, current Registered) (Answer, bool) {
 	at, timed := KeyTime(c.Key)
 	if refusal := l.admit(now, a, at, timed); refusal != nil {
 		return Answer{Refusal: refusal}, false
 	}
+	if !current(c.Endpoint, c.Incarnation) {
+		return notRegistered(c), false
+	}
 	r := newRecord(c, next)
 	a.add(hash, &r, at, timed)
 	l.forget(now, a)
 	return r.granted(), true
 }
 
+func notRegistered(c *Claim) Answer {
+	return Answer{Refusal: verdict.Refuse(verdict.ReasonIncarnation, progressRetry,
+		"incarnation %d of endpoint %s is not the registered one", c.Incarnation, c.Endpoint)}
+}
+
 // admit refuses a key without a record that must not or cannot run.
 func (l *Ledger) admit(now time.Time, a *account, at time.Time, timed bool) *verdict.Refusal {
 	if !timed {
