--- a/route/model_test.go
+++ b/route/model_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 
 	"github.com/rosemaryproxy/rosemaryproxy/admit"
 	"github.com/rosemaryproxy/rosemaryproxy/queue"
@@ -13,9 +12,8 @@
 )
 
 var (
-	modelSeeds  = flag.Int("model.seeds", 1, "seeds of a run of the model")
+	modelSeeds  = flag.Int("model.seeds", 5, "seeds of the model's report")
 	modelReport = flag.Bool("model.report", false, "print the model's report")
-	modelPolicy = flag.String("model.policy", "", "only this policy, with the fair queue")
 )
 
 // world is one run of the model.
@@ -39,7 +37,7 @@
 	without   bool // without long prompts
 	seconds   float64
 	seed      uint64
-	noAdmit   bool
+	ungated   bool // the sidecars neither reserve nor ramp
 }
 
 func newChooser(policy string, seed uint64) route.Chooser {
@@ -60,6 +58,7 @@
 	w := &world{q: &events{}, nodes: map[string]*node{}, rng: rand.New(rand.NewPCG(s.seed, 1))}
 	for i := range s.endpoints {
 		n := newNode(w.q, fmt.Sprintf("endpoint-%03d", i), fmt.Sprint("zone-", i%3), s.cold)
+		n.gate = !s.ungated
 		w.nodes[n.info.Name] = n
 		w.order = append(w.order, n)
 	}
@@ -172,32 +171,3 @@
 }
 
 func (r result) goodput() float64 { return r.good[0] + r.good[1] + r.good[2] }
-
-var policies = []string{"random", "round_robin", "least_requests", "two_choices", "predicted"}
-
-// TestModelReport prints the comparison of all policies.
-func TestModelReport(t *testing.T) {
-	if !*modelReport {
-		return
-	}
-	for _, load := range []float64{0.7, 0.9} {
-		for seed := range *modelSeeds {
-			for _, drr := range []bool{false, true} {
-				for _, policy := range policies {
-					if *modelPolicy != "" && (policy != *modelPolicy || !drr) {
-						continue
-					}
-					s := setup{endpoints: 20, entries: 3, load: load, policy: policy, drr: drr, seconds: 600, seed: uint64(seed + 1)}
-					with := run(s)
-					s.without = true
-					base := run(s)
-					p99, base99 := quantile(with.first[route.Short], 0.99), quantile(base.first[route.Short], 0.99)
-					t.Logf("load %.1f seed %d drr %-5v %-14s short p50 %6.3f p99 %7.3f base p99 %6.3f slow %6.2f medium p99 %7.2f long p50 %6.1f p99 %6.1f good %6.0f %6.0f %6.0f refused %v of %v missed %d crashes %d misses %d",
-						load, seed, drr, policy, quantile(with.first[0], 0.5), p99, base99, p99/base99,
-						quantile(with.first[1], 0.99), quantile(with.first[2], 0.5), quantile(with.first[2], 0.99),
-						with.good[0], with.good[1], with.good[2], with.refused, with.arrived, with.missed, with.crashes, with.misses)
-				}
-			}
-		}
-	}
-}
