route: check the deadline again at the endpoint that a waiting request is sent to

Cause: the admitted requests that were late had been admitted at the mean speed of the fleet, waited, and went to a slower, cold endpoint. Ruled out: a longer output than its bound (none). Change in the model's entry, for the entry to follow: a request fits only if it can still finish at the endpoint chosen.

--- a/route/model_entry_test.go
+++ b/route/model_entry_test.go
@@ -91,15 +91,25 @@
 	alone := seconds(float64(r.prompt) / (rate / float64(len(view))))
 	wait := seconds(float64(e.waiting.Tokens(r.class)) / (rate / float64(len(e.w.entries))))
 	if refusal == nil {
-		steps = speed(view[choice.Index].Load.DecodeRate, assumedSteps)
-		alone = seconds(float64(r.prompt) / speed(view[choice.Index].Load.PrefillRate, assumedRate))
-		wait += max(choice.Predicted-alone, 0)
-	} else {
-		wait += refusal.RetryAfter
+		r.forecast = e.forecastAt(r, choice)
+		r.forecast.Wait += wait
+		return
 	}
+	wait += refusal.RetryAfter
 	r.forecast = admit.Forecast{Wait: wait, Prefill: alone, Output: seconds(float64(r.output) / steps)}
 }
 
+// forecastAt predicts what the request takes at the endpoint chosen.
+func (e *entry) forecastAt(r *request, choice route.Choice) admit.Forecast {
+	load := e.table.View("m")[choice.Index].Load
+	alone := seconds(float64(r.prompt) / speed(load.PrefillRate, assumedRate))
+	return admit.Forecast{
+		Wait:    max(choice.Predicted-alone, 0),
+		Prefill: alone,
+		Output:  seconds(float64(r.output) / speed(load.DecodeRate, assumedSteps)),
+	}
+}
+
 // Speeds assumed of an endpoint that has measured none: those of a cold one.
 const (
 	assumedRate  = fullRate / coldSlowdown
@@ -151,9 +161,17 @@
 }
 
 func (e *entry) fits(item *queue.Item) bool {
-	choice, err := e.choose(item.Value.(*request))
+	r := item.Value.(*request)
+	choice, err := e.choose(r)
 	e.choice = choice
-	return err == nil
+	return err == nil && e.inTime(r, choice)
+}
+
+// inTime reports whether a request that has waited can still finish at the endpoint
+// chosen, which may be slower than the one it was admitted for.
+func (e *entry) inTime(r *request, choice route.Choice) bool {
+	n := e.forecastAt(r, choice)
+	return e.admit.Admit(e.now(), r.class, n, at(r.deadline)) == nil
 }
 
 func (e *entry) send(r *request, choice route.Choice) {
@@ -182,7 +200,7 @@
 	if refusal.Reason == verdict.ReasonOverloaded {
 		r.want.Misses++
 		e.w.misses++
-		if choice, err := e.choose(r); err == nil {
+		if choice, err := e.choose(r); err == nil && e.inTime(r, choice) {
 			e.send(r, choice)
 			return
 		}
@@ -195,7 +213,7 @@
 		return
 	}
 	if len(r.tried) < 3 && e.budget.Take(e.now()) {
-		if choice, err := e.choose(r); err == nil {
+		if choice, err := e.choose(r); err == nil && e.inTime(r, choice) {
 			e.send(r, choice)
 			return
 		}
