ramp: let a prompt go at its first token

Cause: in a cold fleet the allowance was held by streams of output, 45 s each, whose prompts were long done; endpoints stood idle behind a full allowance. Ruled out: lack of work (the queues were full). Change: Done counts a finished part off the allowance; Ended closes the attempt.

--- a/ramp/ramp.go
+++ b/ramp/ramp.go
@@ -89,20 +89,28 @@
 	return nil
 }
 
-// Finished notes that an attempt ended. done is the tokens that the engine has
-// worked on, which count towards being warm; a failed attempt passes 0.
-func (r *Ramp) Finished(tokens, done int64) {
+// Done notes that an attempt has finished a part of its work: its prompt at the first
+// token, its output at the end. The part no longer counts against the allowance and
+// raises it. A prompt is let go at its first token because a stream of output, which
+// takes long, is little work.
+func (r *Ramp) Done(tokens int64) {
 	r.inFlight = max(r.inFlight-tokens, 0)
-	r.attempts = max(r.attempts-1, 0)
 	if !r.cold || r.low > 0 {
 		return
 	}
-	r.allowance += r.set.Growth * float64(min(done, tokens))
+	r.allowance += r.set.Growth * float64(tokens)
 	if r.allowance >= float64(r.set.WarmTokens) {
 		r.cold = false
 	}
 }
 
+// Ended notes the end of an attempt. left is the part of its tokens that was not
+// Done: more than 0 for one that failed, was cancelled or needed less output.
+func (r *Ramp) Ended(left int64) {
+	r.inFlight = max(r.inFlight-left, 0)
+	r.attempts = max(r.attempts-1, 0)
+}
+
 // Measured takes in a measured prefill speed in tokens a second. The caller passes
 // speeds of times when there was work only. It reports whether the endpoint has
 // just become cold.
--- a/ramp/ramp_test.go
+++ b/ramp/ramp_test.go
@@ -16,7 +16,7 @@
 		if err := r.Start(10_000); err != nil {
 			t.Fatal(err)
 		}
-		r.Finished(10_000, 10_000)
+		finish(r, 10_000)
 	}
 	if r.Cold() {
 		t.Fatal("still cold after 10 million tokens")
@@ -24,6 +24,20 @@
 	return r
 }
 
+func finish(r *Ramp, tokens int64) {
+	r.Done(tokens)
+	r.Ended(0)
+}
+
+func TestStreamOfOutputDoesNotHoldItsPrompt(t *testing.T) {
+	is := is.New(t)
+	r := New(DefaultSettings())
+	is.NoErr(r.Start(16_000))
+	is.True(r.Start(8_000) != nil)
+	r.Done(15_500) // the first token
+	is.NoErr(r.Start(8_000))
+}
+
 func TestColdEndpointTakesItsAllowanceOnly(t *testing.T) {
 	is := is.New(t)
 	r := New(DefaultSettings())
@@ -96,7 +110,7 @@
 	for range 200 {
 		r.Measured(1_000)
 		is.NoErr(r.Start(10_000))
-		r.Finished(10_000, 10_000)
+		finish(r, 10_000)
 	}
 	is.True(!r.Cold())
 }
@@ -106,7 +120,7 @@
 	r := New(DefaultSettings())
 	for range 1000 {
 		is.NoErr(r.Start(10_000))
-		r.Finished(10_000, 0)
+		r.Ended(10_000)
 	}
 	is.True(r.Cold())
 }
@@ -129,7 +143,7 @@
 				t.Fatal("an idle endpoint refused")
 			}
 			if rapid.Bool().Draw(t, "finish") && len(running) > 0 {
-				r.Finished(running[0], running[0])
+				finish(r, running[0])
 				done += running[0]
 				running = running[1:]
 			}
--- a/route/model_engine_test.go
+++ b/route/model_engine_test.go
@@ -121,7 +121,8 @@
 		n.warmth = coldWork
 		for n.ramp.Cold() {
 			_ = n.ramp.Start(100_000)
-			n.ramp.Finished(100_000, 100_000)
+			n.ramp.Done(100_000)
+			n.ramp.Ended(0)
 		}
 	}
 	return n
@@ -273,6 +274,7 @@
 			n.prefill = slices.Delete(n.prefill, 0, 1)
 			kept = append(kept, c)
 			n.book.Progress(at(n.q.now), c.id, int64(c.req.prompt))
+			n.ramp.Done(int64(c.req.prompt))
 			n.q.after(linkSeconds, func() { c.from.firstToken(c) })
 		}
 	}
@@ -282,10 +284,10 @@
 
 // end completes an attempt.
 func (n *node) end(c *call) {
-	total := int64(c.req.prompt + c.req.output)
 	if n.gate {
 		n.book.Release(at(n.q.now), c.id)
-		n.ramp.Finished(total, total)
+		n.ramp.Done(int64(c.req.output))
+		n.ramp.Ended(0)
 	}
 	load := n.load()
 	n.q.after(linkSeconds, func() { c.from.ended(c, load) })
