--- a/cmd/rosemaryctl/main.go
+++ b/cmd/rosemaryctl/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,11 +11,13 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	err := newRoot().ExecuteContext(ctx)
+	root := newRoot()
+	err := root.ExecuteContext(ctx)
 	stop()
 	if err == nil {
 		return
 	}
-	fmt.Fprintf(os.Stderr, "rosemaryctl: %v\n", err)
+	asJSON, _ := root.PersistentFlags().GetBool("json")
+	report(os.Stderr, err, asJSON)
 	os.Exit(exitCode(err))
 }
--- a/cmd/rosemaryctl/main_test.go
+++ b/cmd/rosemaryctl/main_test.go
@@ -146,6 +146,19 @@
 	is.Equal(exitCode(errors.New("x")), exitFailed)
 }
 
+func TestFailuresAsJSON(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	_, fault := operator.Compile("take zone hall")
+	report(&out, fault, true)
+	report(&out, &operator.UncertainError{ID: "7", Err: verdict.Uncertain(verdict.ReasonNoQuorum, 0, "x")}, true)
+	is.Equal(out.String(), `{"error":{"code":2,"message":"expected \"out\", found the end of the statement","column":16}}`+"\n"+
+		`{"error":{"code":4,"message":"no answer to order 7; it may have been accepted: look for it in \"history\", or give it again with --id 7 (may_have_run: no_quorum: x)","verdict":"may_have_run","reason":"no_quorum","id":"7"}}`+"\n")
+	out.Reset()
+	report(&out, fault, false)
+	is.Equal(out.String(), "rosemaryctl: "+fault.Error()+"\n")
+}
+
 func TestRotateKeepsTheRoleAndChangesTheKey(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
