--- a/operator/grammar.go
+++ b/operator/grammar.go
@@ -47,6 +47,7 @@
 // what may stand there instead.
 func (g rules) furthest(words []lexer.Token) (int, []expectation) {
 	w := &grammarWalk{rules: g, words: words}
+	// The end of a statement is noted too, as an expectation of nothing more.
 	w.expression(g["Statement"], 0, func(at int) { w.note(at, expectation{}) })
 	expected := slices.DeleteFunc(w.expected, func(e expectation) bool { return e == expectation{} })
 	return w.deepest, expected
--- a/operator/session_test.go
+++ b/operator/session_test.go
@@ -88,6 +88,13 @@
 	}
 }
 
+func TestRowsAreSortedByName(t *testing.T) {
+	is := is.New(t)
+	rows := [][]value{{"scribe-10"}, {"desk"}, {"scribe-9"}, {"scribe"}, {"1"}, {"scribe-99999999999999999999"}}
+	sortByName(rows)
+	is.Equal(rows, [][]value{{"1"}, {"desk"}, {"scribe"}, {"scribe-9"}, {"scribe-10"}, {"scribe-99999999999999999999"}})
+}
+
 func TestOrdersChangeTheConfiguration(t *testing.T) {
 	tests := []struct{ source, want string }{
 		{"take zone hall out", "zone hall: out"},
--- a/operator/show.go
+++ b/operator/show.go
@@ -80,7 +80,7 @@
 	},
 }
 
-// run returns the rows of the view that meet all conditions.
+// run returns the rows of the view that meet all conditions, sorted by name.
 func (q *tableQuery) run(v *command.View) *Table {
 	t := &Table{columns: q.table.columns}
 	for _, row := range q.table.rows(v) {
@@ -88,6 +88,7 @@
 			t.rows = append(t.rows, row)
 		}
 	}
+	sortByName(t.rows)
 	return t
 }
 
