Test experiments; keep baselines from cutting quick answers

Seen: 1 to 3 of about 210 streams through the baselines were cut in 6 of 8 runs of TestBaselinesServeASmallScenario. Cause: the HTTP server closes a request's body when the answer begins; the proxy's transport, still looking for the body's end, then fails and closes the engine's connection (ReverseProxy logs 'use of closed network connection').

--- a/experiment/baseline.go
+++ b/experiment/baseline.go
@@ -183,6 +183,9 @@
 		return
 	}
 	defer pool.release(b)
+	// Without full duplex, the server closes the request's body when the answer
+	// begins, and a transport that still looks for the body's end cuts the answer.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	p.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), backendKey{}, b)))
 }
 
