--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -25,6 +25,18 @@
 	ExitSettings = 2
 )
 
+// UsageError is a fault in the arguments of a command.
+type UsageError struct {
+	// Err is the fault.
+	Err error
+}
+
+// Error returns the fault.
+func (e *UsageError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the fault.
+func (e *UsageError) Unwrap() error { return e.Err }
+
 // Daemon returns the command of a daemon: run, check and plugins.
 func Daemon(name, short string) *cobra.Command {
 	var file string
@@ -36,37 +48,19 @@
 		SilenceErrors: true,
 		Args:          cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			f, err := settings.ReadFile(file)
+			f, err := load(file)
 			if err != nil {
 				return err
 			}
 			return kernel.Main(name, f)
 		},
 	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
 	root.PersistentFlags().StringVarP(&file, "settings", "s", name+".json", "the JSON settings file")
 	root.AddCommand(check(&file), plugins())
 	return root
 }
 
-func check(file *string) *cobra.Command {
-	return &cobra.Command{
-		Use:   "check",
-		Short: "Check the settings file and list every fault with its JSON path",
-		Args:  cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			f, err := settings.ReadFile(*file)
-			if err != nil {
-				return err
-			}
-			if err := kernel.Check(f); err != nil {
-				return err
-			}
-			_, err = fmt.Fprintln(c.OutOrStdout(), "settings are good")
-			return err
-		},
-	}
-}
-
 func plugins() *cobra.Command {
 	return &cobra.Command{
 		Use:   "plugins",
@@ -91,5 +85,9 @@
 		os.Exit(ExitSettings)
 	}
 	fmt.Fprintf(os.Stderr, "%s: %v\n", c.Name(), err)
+	var usage *UsageError
+	if errors.As(err, &usage) {
+		os.Exit(ExitSettings)
+	}
 	os.Exit(ExitFailure)
 }
--- a/control/control.go
+++ b/control/control.go
@@ -1,2 +1,209 @@
-// Package control is the daemon that holds the replicated state.
+// Package control is the daemon that holds the replicated state: it keeps a
+// session with every entry and sidecar, brings them the configuration, and
+// answers the commands of operators and processes.
 package control
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/replica"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// defaultGrace leaves a sidecar the time to notice that its replica is lost and
+// to open a session with another.
+const defaultGrace = 8 * time.Second
+
+func init() {
+	kernel.Register(kernel.PluginInfo{ID: "control", Identity: true, New: func() any {
+		return &Plugin{
+			Lease: settings.Duration(session.DefaultLease),
+			Grace: settings.Duration(defaultGrace),
+			Tick:  settings.Duration(replica.DefaultTickInterval),
+		}
+	}})
+}
+
+// Plugin is the control daemon as a plug-in.
+type Plugin struct {
+	// Listen is the address for sessions, commands and the other replicas.
+	Listen settings.Addr `json:"listen" validate:"required"`
+	// Data is the folder of the replica's files.
+	Data string `json:"data" validate:"required"`
+	// ID is this replica's number in Replicas while the group forms. Zero is for a
+	// replica that joins later: its disk gets a number of its own, and an operator
+	// adds it.
+	ID uint64 `json:"id"`
+	// Replicas are the addresses of the replicas that the group starts with, by
+	// number. The group keeps later changes itself.
+	Replicas map[string]settings.Addr `json:"replicas" validate:"required_with=ID"`
+	// Bootstrap is a JSON file with the first configuration; it counts only while
+	// there is none.
+	Bootstrap string `json:"bootstrap,omitempty"`
+	// Lease is the time for which a heartbeat's echo permits a process to work.
+	Lease settings.Duration `json:"lease"`
+	// Grace is the silence after which an endpoint is dropped from the list.
+	Grace settings.Duration `json:"grace"`
+	// Tick is the unit of time of elections: a leader is missed after ten.
+	Tick settings.Duration `json:"tick"`
+
+	server   *Server
+	replica  *replica.Replica
+	disk     *replica.OSDisk
+	dialer   *session.Dialer
+	listener *wire.Server
+	cancel   context.CancelFunc
+}
+
+var (
+	_ kernel.Provisioner = (*Plugin)(nil)
+	_ kernel.Runner      = (*Plugin)(nil)
+)
+
+// Provision implements kernel.Provisioner.
+func (p *Plugin) Provision(h *kernel.Host) error {
+	replicas, err := p.replicaAddrs()
+	if err != nil {
+		return err
+	}
+	bootstrap, err := p.readBootstrap()
+	if err != nil {
+		return err
+	}
+	id, err := wire.LoadIdentity(h.TLS)
+	if err != nil {
+		return err
+	}
+	p.server = p.newServer(h, id, bootstrap, maps.Clone(replicas))
+	if err := p.openReplica(h, replicas); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	p.listener, err = wire.Listen(string(p.Listen), id, &wire.Traffic{}, func(stream wire.Stream) { p.server.handle(ctx, stream) })
+	if err != nil {
+		_ = p.disk.Close()
+	}
+	return err
+}
+
+func (p *Plugin) newServer(h *kernel.Host, id *wire.Identity, bootstrap *config.Document, addrs map[replica.ID]string) *Server {
+	p.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
+	s := &Server{
+		barriers:  newBarriers(),
+		clock:     h.Clock,
+		log:       h.Log,
+		span:      p.Lease.Std(),
+		bootstrap: bootstrap,
+		table:     newTable(h.Clock.Now(), p.Grace.Std()),
+		lender:    &lender{valid: p.Lease.Std()},
+		transport: newTransport(p.dialer, h.Clock, h.Log, addrs),
+	}
+	s.store = newStore(h.Clock, s.table.notifyAll)
+	return s
+}
+
+func (p *Plugin) openReplica(h *kernel.Host, replicas map[replica.ID]string) error {
+	disk, err := replica.OpenOSDisk(p.Data)
+	if err != nil {
+		return err
+	}
+	p.disk = disk
+	p.replica, err = replica.Open(replica.Options{
+		ID:           replica.ID(p.ID),
+		Bootstrap:    replicas,
+		Disk:         disk,
+		StateMachine: p.server.store,
+		Transport:    p.server.transport,
+		TickInterval: p.Tick.Std(),
+		Log:          h.Log.Named("replica"),
+	})
+	if err != nil {
+		_ = disk.Close()
+		return err
+	}
+	p.server.node, p.server.members = p.replica, p.replica.Members
+	return nil
+}
+
+func (p *Plugin) replicaAddrs() (map[replica.ID]string, error) {
+	out := map[replica.ID]string{}
+	for key, addr := range p.Replicas {
+		id, err := strconv.ParseUint(key, 10, 64)
+		if err != nil || id == 0 {
+			return nil, errors.Errorf("replicas: %q is no replica's number", key)
+		}
+		out[replica.ID(id)] = string(addr)
+	}
+	if _, ok := out[replica.ID(p.ID)]; !ok && p.ID != 0 {
+		return nil, errors.Errorf("replicas: the own number %d is missing", p.ID)
+	}
+	return out, nil
+}
+
+// readBootstrap reads and checks the first configuration whole.
+func (p *Plugin) readBootstrap() (*config.Document, error) {
+	if p.Bootstrap == "" {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(p.Bootstrap)
+	if err != nil {
+		return nil, errors.Wrap(err, "read bootstrap configuration")
+	}
+	doc := config.NewDocument()
+	if err := json.Unmarshal(raw, doc); err != nil {
+		return nil, errors.Wrap(err, "parse bootstrap configuration")
+	}
+	if err := config.NewDocument().Check(doc.Bootstrap()); err != nil {
+		return nil, errors.Wrap(err, "check bootstrap configuration")
+	}
+	return doc, nil
+}
+
+// Addr is the address that the daemon listens on.
+func (p *Plugin) Addr() string { return p.listener.Addr() }
+
+// Run implements kernel.Runner. A replica that stops on a fault of its disk ends
+// the process.
+func (p *Plugin) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer p.close()
+	// The streams have to end for Serve to return.
+	defer context.AfterFunc(ctx, p.cancel)()
+	s := p.server
+	s.transport.open(ctx, p.replica.Status().ID)
+	fault := make(chan error, 1)
+	s.running.Go(func() {
+		defer stop()
+		fault <- p.replica.Run(ctx)
+	})
+	s.running.Go(func() { s.runBarriers(ctx) })
+	s.running.Go(func() { s.runSweeps(ctx) })
+	s.running.Go(func() { s.runReports(ctx) })
+	err := p.listener.Serve(ctx)
+	stop()
+	if replicaErr := <-fault; replicaErr != nil {
+		return replicaErr
+	}
+	return err
+}
+
+func (p *Plugin) close() {
+	p.cancel()
+	p.server.running.Wait()
+	p.server.transport.wait()
+	p.dialer.Close()
+	_ = p.disk.Close()
+}
--- /dev/null
+++ b/sidecar/gate.go
@@ -0,0 +1,292 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/once"
+	"github.com/rosemaryproxy/rosemaryproxy/ramp"
+	"github.com/rosemaryproxy/rosemaryproxy/reserve"
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+const (
+	// retryElsewhere is when a request refused by one endpoint is worth another try.
+	retryElsewhere = 100 * time.Millisecond
+	// reservationGrace is how long after its deadline an attempt keeps its memory
+	// when nobody has said that it ended.
+	reservationGrace = 5 * time.Second
+	// serviceRoom stands for the room of a plain service, which has no KV tokens.
+	serviceRoom = 1
+)
+
+// gate is the last decision before the engine. Its lock is "sidecar.gate".
+type gate struct {
+	name    string
+	service bool
+
+	mu          sync.Mutex
+	incarnation uint64
+	leaving     bool
+	running     int
+	long        int
+	// pending is the prompt tokens granted whose first token has not come.
+	pending int64
+	book    *reserve.Book
+	ramp    *ramp.Ramp
+	claims  *once.Gate
+	engine  engine.Load
+}
+
+// admission is what the gate granted to one attempt.
+type admission struct {
+	id      string
+	prompt  int64
+	tokens  int64
+	long    bool
+	started bool
+}
+
+func newGate(name string, incarnation uint64, service bool) *gate {
+	return &gate{
+		name:        name,
+		service:     service,
+		incarnation: incarnation,
+		book:        reserve.NewBook(reserve.DefaultSettings()),
+		ramp:        ramp.New(ramp.DefaultSettings()),
+		claims:      once.NewGate(incarnation),
+	}
+}
+
+// permitted says whether the configuration gives the endpoint new work. Our own
+// document decides while we, or an entry whose revision is not above ours, prove
+// that it was current a moment ago. An entry with a higher revision answers for
+// it: it sends only where that revision allows.
+func permitted(doc *config.Document, own, peer wire.Permission, name, zone string) error {
+	proven := own.Left > 0 || peer.Left > 0
+	switch {
+	case !proven:
+		return verdict.Refuse(verdict.ReasonStale, time.Second, "neither entry nor sidecar knows that revision %d is current", own.Revision)
+	case own.Left <= 0 && peer.Revision > own.Revision:
+		return nil
+	case doc.EndpointState(name, zone) != config.In:
+		return verdict.Refuse(verdict.ReasonZoneOut, retryElsewhere, "endpoint %s or its availability zone is out", name)
+	}
+	return nil
+}
+
+// admit decides on one attempt of the entry called owner and books what it needs.
+// Its error is a *verdict.Refusal that promises that nothing has run.
+func (g *gate) admit(now time.Time, d *wire.Dispatch, owner string) (*admission, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.open(d); err != nil {
+		return nil, err
+	}
+	a := &admission{
+		id:     engineRequestID(d.Attempt),
+		prompt: int64(d.PromptTokens),
+		tokens: int64(d.PromptTokens) + int64(d.OutputTokens),
+		long:   route.ClassOf(d.PromptTokens) == route.Long,
+	}
+	if err := g.bookEngine(now, d, a, owner); err != nil {
+		return nil, err
+	}
+	if d.Claim != nil {
+		if err := g.claims.Pass(d.Claim.Fence, d.Incarnation); err != nil {
+			return nil, err
+		}
+	}
+	g.running++
+	return a, nil
+}
+
+// open checks what does not depend on the engine's room.
+func (g *gate) open(d *wire.Dispatch) error {
+	switch {
+	case d.Endpoint != g.name:
+		return verdict.Refuse(verdict.ReasonNoEndpoint, 0, "endpoint %s is not here", d.Endpoint)
+	case d.Incarnation != g.incarnation:
+		return verdict.Refuse(verdict.ReasonIncarnation, retryElsewhere, "endpoint %s has started anew", g.name)
+	case g.leaving:
+		return verdict.Refuse(verdict.ReasonEndpointLeaving, retryElsewhere, "endpoint %s is leaving", g.name)
+	case d.Alone && g.running > 0:
+		return verdict.Refuse(verdict.ReasonOverloaded, retryElsewhere, "endpoint %s is not idle", g.name)
+	case d.MaxPending > 0 && g.pending > d.MaxPending:
+		return verdict.Refuse(verdict.ReasonOverloaded, retryElsewhere, "endpoint %s has %d prompt tokens waiting", g.name, g.pending)
+	}
+	return nil
+}
+
+// bookEngine reserves the engine's memory and a part of a cold engine's allowance.
+func (g *gate) bookEngine(now time.Time, d *wire.Dispatch, a *admission, owner string) error {
+	if g.service {
+		return nil
+	}
+	expires := now.Add(d.Deadline + reservationGrace)
+	if err := g.book.Reserve(now, a.id, owner, a.tokens, expires); err != nil {
+		return err
+	}
+	if err := g.ramp.Start(a.tokens); err != nil {
+		g.book.Release(now, a.id)
+		return err
+	}
+	g.pending += a.prompt
+	if a.long {
+		g.long++
+	}
+	return nil
+}
+
+// seal makes sure that the claim of a refused attempt does not pass later, and
+// returns what is proven about it.
+func (g *gate) seal(c *wire.Claim, incarnation uint64) verdict.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.claims.Seal(c.Fence, incarnation)
+}
+
+// unused takes back a claim that passed when no byte has left for the endpoint.
+func (g *gate) unused(c *wire.Claim) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.claims.Unused(c.Fence)
+}
+
+// openClaims lets claims above newest pass, once incarnation is registered.
+func (g *gate) openClaims(incarnation, newest uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if incarnation == g.incarnation {
+		g.claims.Open(newest)
+	}
+}
+
+// firstToken notes that the attempt's prompt has been processed.
+func (g *gate) firstToken(now time.Time, a *admission) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if a.started || g.service {
+		return
+	}
+	a.started = true
+	g.pending -= a.prompt
+	g.book.Progress(now, a.id, a.prompt)
+}
+
+// finish takes back an attempt. freed is set once the engine holds nothing of it
+// any more; else its memory stays booked until sweep has freed it. done is the
+// tokens that the engine has worked on.
+func (g *gate) finish(now time.Time, a *admission, freed bool, done int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	if g.service {
+		return
+	}
+	if !a.started {
+		g.pending -= a.prompt
+	}
+	if a.long {
+		g.long--
+	}
+	g.ramp.Finished(a.tokens, done)
+	if freed {
+		g.book.Release(now, a.id)
+	}
+}
+
+// current returns the endpoint's incarnation.
+func (g *gate) current() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.incarnation
+}
+
+// leave refuses all new work from now on.
+func (g *gate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+}
+
+// observe takes in a report of the engine that was true at the given time. It
+// returns whether the engine has started anew, which begins an incarnation.
+func (g *gate) observe(now, at time.Time, l engine.Load) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.engine = l
+	if g.service {
+		return false
+	}
+	if g.book.Report(at, l) {
+		g.incarnation = newIncarnation(now)
+		g.claims = once.NewGate(g.incarnation)
+		g.ramp.Restarted()
+		return true
+	}
+	if g.pending > 0 && l.PrefillRate > 0 {
+		g.ramp.Measured(l.PrefillRate)
+	}
+	return false
+}
+
+// orphans lists what has to be cancelled or freed at the engine: holdings whose
+// lease has lapsed, and attempts that no longer fit an engine that shrank.
+func (g *gate) orphans(now time.Time) (lapsed, excess []reserve.Orphan) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Sweep(now), g.book.Excess(now)
+}
+
+// reconcile takes in the caches that the engine holds for others.
+func (g *gate) reconcile(now time.Time, list engine.KVList, adopted time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Reconcile(now, list, adopted)
+}
+
+// released notes that the engine has freed a holding.
+func (g *gate) released(now time.Time, id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.book.Release(now, id)
+}
+
+// load is the endpoint's load as the gate sees it.
+func (g *gate) load(now time.Time) wire.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.service {
+		return wire.Load{FreeTokens: serviceRoom, CapacityTokens: serviceRoom, RampTokens: ramp.Warm, Running: g.running, Leaving: g.leaving}
+	}
+	return wire.Load{
+		FreeTokens:     g.book.Free(now),
+		CapacityTokens: g.book.Capacity(),
+		PendingPrefill: g.pending,
+		PrefillRate:    g.engine.PrefillRate,
+		DecodeRate:     g.engine.DecodeRate,
+		RampTokens:     g.ramp.Left(),
+		Running:        g.running,
+		Leaving:        g.leaving,
+		LongRunning:    g.long,
+	}
+}
+
+// describe returns what the gate knows of the endpoint.
+func (g *gate) describe(now time.Time) wire.Endpoint {
+	load := g.load(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return wire.Endpoint{
+		Incarnation: g.incarnation,
+		Version:     g.engine.Version,
+		Adapters:    g.engine.Adapters,
+		Role:        g.engine.Role,
+		Load:        load,
+	}
+}
