--- a/control/control.go
+++ b/control/control.go
@@ -26,7 +26,7 @@
 const defaultGrace = 8 * time.Second
 
 func init() {
-	kernel.Register(kernel.PluginInfo{ID: "control", New: func() any {
+	kernel.Register(kernel.PluginInfo{ID: "control", Identity: true, New: func() any {
 		return &Plugin{
 			Lease: settings.Duration(session.DefaultLease),
 			Grace: settings.Duration(defaultGrace),
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -84,6 +84,9 @@
 	ResumeFrom int64 `cbor:"17,keyasint,omitempty"`
 	// Alone asks the sidecar to run the attempt with no other in flight.
 	Alone bool `cbor:"18,keyasint,omitempty"`
+	// MaxPending is the most prompt tokens that may wait for prefill before this
+	// attempt; 0 is no bound. It is refused when the sender's view was too old.
+	MaxPending int64 `cbor:"19,keyasint,omitempty"`
 }
 
 // Claim is the right to dispatch a non-idempotent call once.
@@ -161,6 +164,10 @@
 	Chunks  uint64  `cbor:"2,keyasint"`
 	Bytes   int64   `cbor:"3,keyasint"`
 	Load    Load    `cbor:"4,keyasint"`
+	// PromptTokens and OutputTokens are the usage that the engine reported; zero
+	// when it reported none.
+	PromptTokens int `cbor:"5,keyasint,omitempty"`
+	OutputTokens int `cbor:"6,keyasint,omitempty"`
 }
 
 // Cancel asks the sidecar to cancel the attempt at the engine.
