--- /dev/null
+++ b/replica/core_test.go
@@ -0,0 +1,175 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+// votersOf returns n voting members from ID 1 on.
+func votersOf(n int) []Member {
+	var members []Member
+	for i := range n {
+		members = append(members, Member{ID: ID(i + 1), Voter: true})
+	}
+	return members
+}
+
+// coreOf returns the core of member 1 of n with the given log on its disk.
+func coreOf(n int, term uint64, entries ...Entry) *core {
+	opts := coreOptions{id: 1, electionTicks: 10, heartbeatTicks: 2, rand: rand.New(rand.NewPCG(1, 1))}
+	from := restored{hard: hardState{Term: term}, entries: entries}
+	from.snapshot.Members = votersOf(n)
+	return newCore(opts, from)
+}
+
+// flushed saves what the core has to save and returns its messages.
+func flushed(c *core) []Message {
+	c.flush()
+	rd := c.ready()
+	c.advance(&rd)
+	return append(rd.messages, c.ready().messages...)
+}
+
+// lead makes a core the leader of its next term.
+func lead(c *core) {
+	c.campaign(true)
+	for id := range c.current().voters() {
+		c.step(&Message{Type: MsgVoteReply, From: ID(id + 1), To: 1, Term: c.term})
+	}
+}
+
+// An entry of an older term can be on a majority and still be overwritten, by a
+// replica with an entry of a term in between.
+func TestLeaderCommitsOlderTermsOnlyWithItsOwn(t *testing.T) {
+	is := is.New(t)
+	c := coreOf(5, 3, Entry{Index: 1, Term: 1}, Entry{Index: 2, Term: 2})
+	lead(c)
+	flushed(c)
+	is.Equal(c.role, roleLeader)
+	c.step(&Message{Type: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: 2})
+	c.step(&Message{Type: MsgAppendReply, From: 3, To: 1, Term: c.term, Index: 2})
+	is.Equal(c.log.committed, uint64(0))
+	c.step(&Message{Type: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: 3})
+	c.step(&Message{Type: MsgAppendReply, From: 3, To: 1, Term: c.term, Index: 3})
+	is.Equal(c.log.committed, uint64(3))
+}
+
+// Two leaders that each begin a change from another membership could commit by
+// majorities that do not meet. So a leader first commits in its own term.
+func TestNewLeaderChangesNoMembershipBeforeItCommits(t *testing.T) {
+	is := is.New(t)
+	c := coreOf(3, 1)
+	lead(c)
+	flushed(c)
+	_, err := c.proposeChange(change{op: opAddLearner, id: 9})
+	is.True(errors.Is(err, ErrChangePending))
+	c.step(&Message{Type: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: 1})
+	_, err = c.proposeChange(change{op: opAddLearner, id: 9})
+	is.NoErr(err)
+}
+
+func TestVoteIsOnDiskBeforeItIsGiven(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 61, 3, nil)
+	c.commit("a")
+	c.level()
+	n := c.followers()[0]
+	l := &n.r.core.log
+	ask := Message{Type: MsgVote, To: n.id, Term: n.r.core.term + 1, LogTerm: l.lastTerm(), Force: true}
+	stale, first, second := ask, ask, ask
+	stale.From = 7 // raises the term and gets no vote
+	first.From, first.Index = 8, l.last()
+	second.From, second.Index = 9, l.last()
+	for _, m := range []*Message{&stale, &first} {
+		n.r.Receive(m)
+		is.NoErr(n.r.turn())
+	}
+	is.Equal(n.r.core.vote, ID(8))
+	c.kill(n.id)
+	n = c.restart(n.id)
+	n.r.Receive(&second)
+	is.NoErr(n.r.turn())
+	is.Equal(n.r.core.vote, ID(8))
+	is.Equal(n.r.core.term, ask.Term)
+}
+
+func TestFastBackUpSkipsAWholeTermAtATime(t *testing.T) {
+	is := is.New(t)
+	var long, short []Entry
+	for i := range uint64(1000) { // the follower followed a leader whose entries died with it
+		long = append(long, Entry{Index: i + 1, Term: 2})
+		short = append(short, Entry{Index: i + 1, Term: 3})
+	}
+	leader := coreOf(2, 3, short...)
+	lead(leader)
+	follower := coreOf(2, 2, long...)
+	follower.id = 2
+	rounds := 0
+	for follower.log.lastTerm() != leader.term {
+		rounds++
+		is.True(rounds < 8)
+		for _, m := range flushed(leader) {
+			follower.step(&m)
+		}
+		for _, m := range flushed(follower) {
+			leader.step(&m)
+		}
+	}
+	is.Equal(follower.log.last(), leader.log.last())
+}
+
+func TestWindowBoundsWhatIsUnanswered(t *testing.T) {
+	is := is.New(t)
+	c := coreOf(3, 1)
+	lead(c)
+	flushed(c)
+	c.step(&Message{Type: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: 1})
+	sent := 0
+	for range 10 * maxInflight {
+		_, err := c.propose([]byte("x"))
+		is.NoErr(err)
+		for _, m := range flushed(c) {
+			if m.Type == MsgAppend && m.To == 2 && len(m.Entries) > 0 {
+				sent++
+			}
+		}
+	}
+	is.Equal(sent, maxInflight)
+	c.step(&Message{Type: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: c.log.last()})
+	is.Equal(len(c.progress[2].inflight), 0)
+}
+
+func TestUncommittedBytesAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := coreOf(3, 1)
+	lead(c)
+	command := make([]byte, MaxCommandBytes)
+	for range maxUncommittedBytes/MaxCommandBytes - 1 {
+		_, err := c.propose(command)
+		is.NoErr(err)
+	}
+	_, err := c.propose(command)
+	is.True(errors.Is(err, ErrBusy))
+}
+
+func TestReadsThatWaitShareARound(t *testing.T) {
+	is := is.New(t)
+	c := coreOf(3, 1)
+	lead(c)
+	flushed(c)
+	c.step(&Message{Type: MsgAppendReply, From: 2, To: 1, Term: c.term, Index: 1})
+	flushed(c)
+	for i := range uint64(100) {
+		c.readIndex(i)
+	}
+	first := flushed(c)
+	is.Equal(len(first), 2) // one heartbeat to each follower, for the first read
+	c.step(&Message{Type: MsgHeartbeatReply, From: 2, To: 1, Term: c.term, Read: 1})
+	is.Equal(len(c.readDone), 1)
+	is.Equal(len(flushed(c)), 2) // and one more round for the other 99
+	c.step(&Message{Type: MsgHeartbeatReply, From: 3, To: 1, Term: c.term, Read: 2})
+	is.Equal(len(c.readDone), 99)
+}
--- a/replica/random_test.go
+++ b/replica/random_test.go
@@ -17,12 +17,14 @@
 	answered  []string          // commands whose callers were told that they committed
 	refused   []string          // commands whose callers were told that they never run
 	committed map[uint64]string // by index, as first seen committed on any replica
+	wiped     []ID              // lost with their disks and still members
+	wipedAt   int
 }
 
 // act does one thing at random.
 func (s *scenario) act(t *rapid.T) {
 	n := s.nodes[rapid.SampledFrom(s.order).Draw(t, "replica")]
-	switch rapid.IntRange(0, 11).Draw(t, "act") {
+	switch rapid.IntRange(0, 15).Draw(t, "act") {
 	case 0, 1, 2:
 		if n.runs() {
 			s.next++
@@ -53,20 +55,66 @@
 		}
 	case 10:
 		if n.runs() {
-			s.transferFrom(n)
+			s.try(n, &order{transfer: true})
 		}
 	case 11:
 		n.disk.failSync = n.runs() && rapid.Bool().Draw(t, "fail")
+	case 12:
+		s.wipe(n)
+	case 13, 14, 15:
+		s.repair()
 	}
 	s.steps(rapid.IntRange(1, 25).Draw(t, "steps"))
 }
 
-func (s *scenario) transferFrom(n *node) {
-	o := &order{transfer: true}
+// try hands an order to n and does not wait.
+func (s *scenario) try(n *node, o *order) {
 	o.call = newCall(context.Background())
 	n.r.inbox.put(func() { n.r.inbox.orders = append(n.r.inbox.orders, o) })
 }
 
+// wipe destroys a replica's disk for good, if the leader says that any one more loss
+// is survived and has had the time to notice the loss before. A new disk takes its place.
+func (s *scenario) wipe(n *node) {
+	lead := s.leader()
+	late := s.now-s.wipedAt > 2*DefaultElectionTicks
+	if lead == nil || !late || !lead.r.Status().Survives || !lead.r.core.current().isVoter(n.id) {
+		return
+	}
+	s.exit(n.id)
+	delete(s.nodes, n.id)
+	s.order = slices.DeleteFunc(s.order, func(id ID) bool { return id == n.id })
+	s.wiped = append(s.wiped, n.id)
+	s.wipedAt = s.now
+	s.start(0, newMemDisk())
+}
+
+// repair takes the next step of replacing a wiped replica.
+func (s *scenario) repair() {
+	lead := s.leader()
+	if lead == nil {
+		return
+	}
+	now := lead.r.core.current()
+	for _, id := range s.order {
+		m, ok := now.find(id)
+		switch {
+		case !ok:
+			s.try(lead, &order{change: change{op: opAddLearner, id: id}})
+			return
+		case !m.Voter:
+			s.try(lead, &order{change: change{op: opPromote, id: id}})
+			return
+		}
+	}
+	for _, id := range s.wiped {
+		if _, ok := now.find(id); ok {
+			s.try(lead, &order{change: change{op: opRemove, id: id}})
+			return
+		}
+	}
+}
+
 // collect notes the outcomes that came.
 func (s *scenario) collect() {
 	var rest []*proposal
