control: histories, suspects, changes of the replicas; quota: whole slots

A shared limit of 4 requests in flight stayed at 3 with three busy entries: each got the whole part of a third of it.

wire.Update has Suspects and Judged: the digests to run alone, and whether both lists are given.

--- a/control/command/command.go
+++ b/control/command/command.go
@@ -36,7 +36,7 @@
 	NameMember = "member"
 	// NameSuspect takes Suspect and answers nothing. Entries only.
 	NameSuspect = "suspect"
-	// NameStanding takes nothing and answers Standing, from any replica about itself.
+	// NameStanding takes nothing and answers ReplicaStanding, from any replica about itself.
 	NameStanding = "standing"
 )
 
@@ -151,14 +151,14 @@
 	Result *Result `cbor:"2,keyasint,omitempty"`
 	// Refused says why the call does not run, with a proven verdict.
 	Refused *wire.Refused `cbor:"3,keyasint,omitempty"`
-	// Open is the claim that another entry holds, when the call is in
+	// Standing is the claim that another entry holds, when the call is in
 	// progress. Its number passes once whoever brings it, so an entry may dispatch
 	// the call under it to find out or finish what another left behind.
-	Open *OpenClaim `cbor:"4,keyasint,omitempty"`
+	Standing *Standing `cbor:"4,keyasint,omitempty"`
 }
 
-// OpenClaim is a claim that was given out and not yet settled.
-type OpenClaim struct {
+// Standing is a claim that was given out and not yet settled.
+type Standing struct {
 	Fence       uint64 `cbor:"1,keyasint"`
 	Endpoint    string `cbor:"2,keyasint"`
 	Incarnation uint64 `cbor:"3,keyasint"`
@@ -210,8 +210,8 @@
 	Digests     []uint64 `cbor:"3,keyasint"`
 }
 
-// Standing says where one replica stands, for a process that polls a majority.
-type Standing struct {
+// ReplicaStanding says where one replica stands, for a process that polls a majority.
+type ReplicaStanding struct {
 	ID     uint64   `cbor:"1,keyasint"`
 	Leader uint64   `cbor:"2,keyasint"`
 	Voters []uint64 `cbor:"3,keyasint"`
--- a/control/commands.go
+++ b/control/commands.go
@@ -26,6 +26,8 @@
 type access struct {
 	roles   []wire.Role
 	propose bool
+	// change commands go to the group of replicas itself.
+	change bool
 	// local commands are answered by any replica about itself.
 	local bool
 	// frequent commands belong to requests and are not logged at their normal outcome.
@@ -38,6 +40,8 @@
 	command.NameFence:   {roles: []wire.Role{wire.RoleSidecar}, propose: true},
 	command.NameClaim:   {roles: []wire.Role{wire.RoleEntry}, propose: true, frequent: true},
 	command.NameSettle:  {roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar}, propose: true, frequent: true},
+	command.NameSuspect: {roles: []wire.Role{wire.RoleEntry}, propose: true},
+	command.NameMember:  {roles: []wire.Role{wire.RoleOperator}, change: true},
 	command.NameView:    {roles: []wire.Role{wire.RoleOperator}},
 	command.NameHistory: {roles: []wire.Role{wire.RoleOperator}},
 	command.NameInForce: {roles: []wire.Role{wire.RoleOperator}},
@@ -96,9 +100,12 @@
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	var answer *wire.Answer
-	if a.propose {
+	switch {
+	case a.propose:
 		answer = s.propose(ctx, peer, c)
-	} else {
+	case a.change:
+		answer = s.changeMembers(ctx, c)
+	default:
 		answer = s.readCommand(ctx, c)
 	}
 	s.logCommand(peer, c, answer)
@@ -218,10 +225,8 @@
 
 // logCommand writes a line for each command that changes the state.
 func (s *Server) logCommand(peer wire.Peer, c *wire.Command, a *wire.Answer) {
-	if !commands[c.Name].propose {
-		return
-	}
-	if a.Refused == nil && commands[c.Name].frequent {
+	kind := commands[c.Name]
+	if !kind.propose && !kind.change || a.Refused == nil && kind.frequent {
 		return
 	}
 	if a.Refused == nil {
@@ -239,9 +244,9 @@
 
 // standing says where this replica stands. The log is looked at before the
 // revision: what is appended later was accepted after the question.
-func (s *Server) standing() command.Standing {
+func (s *Server) standing() command.ReplicaStanding {
 	status := s.node.Status()
-	out := command.Standing{ID: uint64(status.ID), Leader: uint64(status.Leader)}
+	out := command.ReplicaStanding{ID: uint64(status.ID), Leader: uint64(status.Leader)}
 	if l, ok := s.node.(lastIndexer); ok {
 		last := l.LastIndex()
 		out.Settled = s.node.Status().Applied >= last
--- /dev/null
+++ b/control/members.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/replica"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// The actions of command.Member.
+const (
+	memberAdd     = "add"
+	memberPromote = "promote"
+	memberRemove  = "remove"
+)
+
+// changer is a replica whose membership can be changed.
+type changer interface {
+	AddLearner(ctx context.Context, id replica.ID, addr string) error
+	Promote(ctx context.Context, id replica.ID) error
+	Remove(ctx context.Context, id replica.ID) error
+}
+
+// changeMembers carries out a change of the replicas.
+func (s *Server) changeMembers(ctx context.Context, c *wire.Command) *wire.Answer {
+	var m command.Member
+	if err := wire.Unmarshal(c.Body, &m); err != nil {
+		return refused(verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err))
+	}
+	node, ok := s.node.(changer)
+	if !ok {
+		return refused(verdict.Refuse(verdict.ReasonBadRequest, 0, "this control has no group of replicas"))
+	}
+	var err error
+	id := replica.ID(m.ID)
+	switch m.Action {
+	case memberAdd:
+		err = node.AddLearner(ctx, id, m.Addr)
+	case memberPromote:
+		err = node.Promote(ctx, id)
+	case memberRemove:
+		err = node.Remove(ctx, id)
+	default:
+		err = errors.Errorf("unknown action %q: want add, promote or remove", m.Action)
+		return refused(verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err))
+	}
+	if err != nil {
+		return refused(memberRefusal(err))
+	}
+	return &wire.Answer{}
+}
+
+// memberRefusal tells a change that cannot be made from one that may be made later.
+func memberRefusal(err error) *verdict.Refusal {
+	for _, cause := range []error{
+		replica.ErrMemberExists, replica.ErrNotMember, replica.ErrNotWhole, replica.ErrLastVoter, replica.ErrChangePending,
+	} {
+		if errors.Is(err, cause) {
+			return verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err)
+		}
+	}
+	return proposeRefusal(err)
+}
--- a/control/session.go
+++ b/control/session.go
@@ -48,6 +48,7 @@
 	directory uint64
 	settled   bool
 	orders    uint64
+	suspects  uint64
 	leader    string
 	any       bool
 }
@@ -170,6 +171,7 @@
 	s.store.read(func(m *state.Machine) {
 		news = addConfiguration(u, m, ses.role, t) || news
 		news = addOrders(u, m, ses, t) || news
+		news = addSuspects(u, m, t) || news
 	})
 	if ses.role != wire.RoleSidecar {
 		news = s.addEndpoints(u, t) || news
@@ -226,6 +228,16 @@
 	return len(u.Orders) > 0
 }
 
+// addSuspects adds the requests that run alone or not at all.
+func addSuspects(u *wire.Update, m *state.Machine, t *told) bool {
+	if m.SuspectsVersion() == t.suspects {
+		return false
+	}
+	t.suspects = m.SuspectsVersion()
+	u.Suspects, u.Quarantine, u.Judged = m.Suspects(), m.Quarantine(), true
+	return true
+}
+
 // addEndpoints adds the changes of the endpoint list. Until the list has settled
 // after the replica's start it may lack endpoints that still have to announce
 // themselves here, so it is not yet sent as the whole list.
--- a/control/session/poll.go
+++ b/control/session/poll.go
@@ -30,7 +30,7 @@
 	began := c.options.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, c.options.Lease/2)
 	defer cancel()
-	answers := make(chan *command.Standing, len(c.options.Replicas))
+	answers := make(chan *command.ReplicaStanding, len(c.options.Replicas))
 	for _, addr := range c.options.Replicas {
 		go func() { answers <- c.askStanding(ctx, addr) }()
 	}
@@ -55,7 +55,7 @@
 }
 
 // askStanding returns what one replica says about itself, or nil.
-func (c *Client) askStanding(ctx context.Context, addr string) *command.Standing {
+func (c *Client) askStanding(ctx context.Context, addr string) *command.ReplicaStanding {
 	stream, err := c.options.Opener.Open(ctx, addr)
 	if err != nil {
 		return nil
@@ -66,7 +66,7 @@
 	if err != nil || answer.Refused != nil {
 		return nil
 	}
-	var s command.Standing
+	var s command.ReplicaStanding
 	if wire.Unmarshal(answer.Body, &s) != nil {
 		return nil
 	}
--- a/control/session/session_test.go
+++ b/control/session/session_test.go
@@ -254,7 +254,7 @@
 }
 
 // standing answers a poll with s and ends sessions at once.
-func standing(s command.Standing) func(*fakeStream) {
+func standing(s command.ReplicaStanding) func(*fakeStream) {
 	return func(f *fakeStream) {
 		m, err := f.Recv()
 		if _, ok := m.(*wire.Command); err != nil || !ok {
@@ -268,13 +268,13 @@
 func TestPollOfAMajorityRenewsThePermissionWithoutALeader(t *testing.T) {
 	voters := []uint64{1, 2, 3}
 	tests := map[string]struct {
-		answers []command.Standing
+		answers []command.ReplicaStanding
 		want    bool
 	}{
-		"two of three": {[]command.Standing{{ID: 1, Voters: voters, Revision: 2, Settled: true}, {ID: 2, Voters: voters, Revision: 1, Settled: true}}, true},
-		"one of three": {[]command.Standing{{ID: 1, Voters: voters, Revision: 2, Settled: true}}, false},
-		"undecided":    {[]command.Standing{{ID: 1, Voters: voters, Revision: 2, Settled: true}, {ID: 2, Voters: voters, Revision: 2}}, false},
-		"more known":   {[]command.Standing{{ID: 1, Voters: voters, Revision: 2, Settled: true}, {ID: 2, Voters: voters, Revision: 3, Settled: true}}, false},
+		"two of three": {[]command.ReplicaStanding{{ID: 1, Voters: voters, Revision: 2, Settled: true}, {ID: 2, Voters: voters, Revision: 1, Settled: true}}, true},
+		"one of three": {[]command.ReplicaStanding{{ID: 1, Voters: voters, Revision: 2, Settled: true}}, false},
+		"undecided":    {[]command.ReplicaStanding{{ID: 1, Voters: voters, Revision: 2, Settled: true}, {ID: 2, Voters: voters, Revision: 2}}, false},
+		"more known":   {[]command.ReplicaStanding{{ID: 1, Voters: voters, Revision: 2, Settled: true}, {ID: 2, Voters: voters, Revision: 3, Settled: true}}, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/control/state/order.go
+++ b/control/state/order.go
@@ -31,8 +31,9 @@
 type standing struct {
 	// Incarnation is the newest one that asked for its fencing number.
 	Incarnation uint64 `cbor:"1,keyasint"`
-	// Newest is the newest fencing number given out for the endpoint.
-	Newest uint64 `cbor:"2,keyasint"`
+	// Registered is the number given to the incarnation at its registration: lower
+	// ones belong to earlier incarnations.
+	Registered uint64 `cbor:"2,keyasint"`
 	// Orders are the standing orders by rising fencing number.
 	Orders []wire.Order `cbor:"3,keyasint"`
 }
@@ -79,11 +80,10 @@
 			"endpoint %s has a newer incarnation %d", c.Endpoint, s.Incarnation))
 	}
 	if c.Incarnation == s.Incarnation {
-		return accept(command.Fenced{Newest: s.Newest})
+		return accept(command.Fenced{Newest: s.Registered})
 	}
 	s.Incarnation = c.Incarnation
-	s.Newest = m.orders.next()
-	threshold := s.Newest
+	s.Registered = m.orders.next()
 	standing := s.Orders
 	s.Orders = nil
 	for _, o := range standing {
@@ -91,7 +91,7 @@
 		s.add(o)
 	}
 	m.orders.set(c.Endpoint, s)
-	return accept(command.Fenced{Newest: threshold})
+	return accept(command.Fenced{Newest: s.Registered})
 }
 
 // add puts an order in force in place of the older one with the same action.
@@ -104,7 +104,6 @@
 		}
 	}
 	s.Orders = append(kept, o)
-	s.Newest = o.Fence
 }
 
 func replaces(newer, older wire.Order) bool {
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
@@ -9,6 +10,17 @@
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
+// canonical writes maps in one order, so that equal states have equal snapshots.
+var canonical = newCanonical()
+
+func newCanonical() cbor.EncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // image is the whole state as it is written to a snapshot.
 type image struct {
 	Now       int64                `cbor:"1,keyasint"`
@@ -21,6 +33,8 @@
 	Endpoints map[string]standing  `cbor:"8,keyasint"`
 	Orders    uint64               `cbor:"9,keyasint"`
 	Claims    once.Image           `cbor:"10,keyasint"`
+	Suspects  map[uint64]*suspect  `cbor:"11,keyasint"`
+	Suspicion uint64               `cbor:"12,keyasint"`
 }
 
 // Snapshot returns the whole state.
@@ -35,11 +49,13 @@
 		Endpoints: m.orders.endpoints,
 		Orders:    m.orders.version,
 		Claims:    m.claims.Image(),
+		Suspects:  m.suspects.byDigest,
+		Suspicion: m.suspects.version,
 	}
 	for _, id := range m.answers.order {
 		img.Answers = append(img.Answers, m.answers.byID[id])
 	}
-	return wire.Marshal(&img)
+	return canonical.Marshal(&img)
 }
 
 // Restore replaces the whole state by a snapshot. On an error the state is as it was.
@@ -68,6 +84,10 @@
 	}
 	fresh.orders.last = img.LastFence
 	fresh.orders.version = img.Orders
+	fresh.suspects.version = img.Suspicion
+	if img.Suspects != nil {
+		fresh.suspects.byDigest = img.Suspects
+	}
 	if img.Endpoints != nil {
 		fresh.orders.endpoints = img.Endpoints
 	}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -54,6 +54,8 @@
 	answers *answers
 	orders  *orders
 	claims  *once.Ledger
+	// suspects are requests that may crash endpoints.
+	suspects *suspects
 	// now is the highest time of a command, in nanoseconds since 1970.
 	now int64
 }
@@ -61,10 +63,11 @@
 // New returns the empty state.
 func New() *Machine {
 	return &Machine{
-		doc:     config.NewDocument(),
-		answers: newAnswers(maxAnswers),
-		orders:  newOrders(),
-		claims:  once.NewLedger(once.DefaultLimits(), time.Time{}),
+		doc:      config.NewDocument(),
+		answers:  newAnswers(maxAnswers),
+		orders:   newOrders(),
+		claims:   once.NewLedger(once.DefaultLimits(), time.Time{}),
+		suspects: newSuspects(),
 	}
 }
 
@@ -103,6 +106,8 @@
 		return m.claim(e)
 	case command.NameSettle:
 		return m.settle(e)
+	case command.NameSuspect:
+		return m.suspect(e)
 	}
 	return refuse(internal(errors.Errorf("unknown command %q", e.Name)))
 }
@@ -140,4 +145,4 @@
 }
 
 // NewsVersion changes with everything that sessions are told.
-func (m *Machine) NewsVersion() uint64 { return m.doc.Revision + m.orders.version }
+func (m *Machine) NewsVersion() uint64 { return m.doc.Revision + m.orders.version + m.suspects.version }
--- /dev/null
+++ b/control/state/state_test.go
@@ -0,0 +1,309 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+var start = time.Date(2026, 12, 3, 20, 0, 0, 0, time.UTC)
+
+// log applies commands to a machine as a replica would.
+type log struct {
+	t     testing.TB
+	m     *Machine
+	index uint64
+	now   time.Time
+}
+
+func newLog(t testing.TB) *log {
+	l := &log{t: t, m: New(), now: start}
+	l.must(NameBootstrap, "", command.Change{Changes: []config.Change{
+		{Zone: &config.Zone{Name: "hall", Region: "leon-coast", State: config.In}},
+		{Account: &config.Account{Name: "parish"}},
+	}})
+	return l
+}
+
+func encodeEntry(name, id, who string, at time.Time, body any) []byte {
+	raw, err := wire.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	entry, err := wire.Marshal(&Entry{ID: id, Name: name, Who: who, At: at.UnixNano(), Body: raw})
+	if err != nil {
+		panic(err)
+	}
+	return entry
+}
+
+func (l *log) apply(name, id string, body any) *wire.Answer {
+	l.index++
+	var a wire.Answer
+	if err := wire.Unmarshal(l.m.Apply(l.index, encodeEntry(name, id, "operator-"+id, l.now, body)), &a); err != nil {
+		l.t.Fatal(err)
+	}
+	return &a
+}
+
+func (l *log) must(name, id string, body any) *wire.Answer {
+	a := l.apply(name, id, body)
+	if a.Refused != nil {
+		l.t.Fatalf("%s refused: %s", name, a.Refused.Detail)
+	}
+	return a
+}
+
+func zone(state config.ZoneState) config.Change {
+	return config.Change{Zone: &config.Zone{Name: "hall", Region: "leon-coast", State: state}}
+}
+
+func (l *log) claim(id, key string, incarnation uint64) command.Claimed {
+	a := l.must(command.NameClaim, id, command.Claim{Account: "parish", Key: key, Endpoint: "desk", Incarnation: incarnation})
+	var c command.Claimed
+	if err := wire.Unmarshal(a.Body, &c); err != nil {
+		l.t.Fatal(err)
+	}
+	return c
+}
+
+func (l *log) fence(id string, incarnation uint64) *wire.Answer {
+	return l.apply(command.NameFence, id, command.Fence{Endpoint: "desk", Incarnation: incarnation})
+}
+
+func TestRaceUnderEqualNumbersHasOneWinner(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	out, in := command.Change{Expect: 1, Changes: []config.Change{zone(config.Out)}}, command.Change{Expect: 1, Changes: []config.Change{zone(config.In)}}
+	won := l.must(command.NameChange, "a", out)
+	lost := l.apply(command.NameChange, "b", in)
+	is.Equal(lost.Refused.Reason, verdict.ReasonRevisionConflict)
+	is.Equal(lost.Refused.Detail, "revision 1 was expected and is now 2: operator-a changed it first, by command a")
+	is.Equal(l.m.Document().Zones["hall"].State, config.Out)
+
+	// Resends of both, after more changes, get their first answers.
+	l.must(command.NameChange, "c", command.Change{Expect: 2, Changes: []config.Change{zone(config.In)}})
+	is.Equal(l.apply(command.NameChange, "a", out).Body, won.Body)
+	is.Equal(l.apply(command.NameChange, "b", in).Refused.Detail, lost.Refused.Detail)
+	is.Equal(l.m.Document().Revision, uint64(3))
+}
+
+func TestRefusedCommandsChangeNothing(t *testing.T) {
+	tests := map[string]struct {
+		name string
+		body any
+	}{
+		"unknown command":      {"dance", nil},
+		"fault in a change":    {command.NameChange, command.Change{Expect: command.AnyRevision, Changes: []config.Change{zone("maybe")}}},
+		"one fault of two":     {command.NameChange, command.Change{Expect: 1, Changes: []config.Change{zone(config.Out), {DropModel: "x"}}}},
+		"unknown action":       {command.NameOrder, command.Order{Endpoint: "desk", Action: "explode", Value: "x"}},
+		"order to nobody":      {command.NameOrder, command.Order{Action: ActionLoad, Value: "x"}},
+		"claim without a key":  {command.NameClaim, command.Claim{Account: "parish"}},
+		"claim too long":       {command.NameClaim, command.Claim{Account: "parish", Key: string(make([]byte, 300))}},
+		"body of another type": {command.NameChange, "text"},
+		"second bootstrap":     {NameBootstrap, command.Change{Changes: []config.Change{zone(config.Out)}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLog(t)
+			l.apply(test.name, "x", test.body)
+			is.Equal(l.m.Document().Revision, uint64(1))
+			is.Equal(l.m.OrdersVersion(), uint64(0))
+			is.Equal(len(l.m.Audit(0, 0)), 1)
+		})
+	}
+}
+
+func TestDamagedEntryIsRefused(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	var a wire.Answer
+	is.NoErr(wire.Unmarshal(l.m.Apply(2, []byte{0xff, 0x00}), &a))
+	is.Equal(a.Refused.Reason, verdict.ReasonInternal)
+}
+
+func TestNewIncarnationTakesTheOldOnesPlace(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	is.True(l.fence("f1", 10).Refused == nil)
+	l.must(command.NameOrder, "o1", command.Order{Endpoint: "desk", Action: ActionLoad, Value: "scribe"})
+	l.must(command.NameOrder, "o2", command.Order{Endpoint: "desk", Action: ActionRole, Value: "prefill"})
+	l.must(command.NameOrder, "o3", command.Order{Endpoint: "desk", Action: ActionLoad, Value: "other"})
+	before := l.m.Orders("desk", 10)
+	is.Equal(len(before), 2) // the second load replaced the first
+
+	var fenced command.Fenced
+	is.NoErr(wire.Unmarshal(l.fence("f2", 20).Body, &fenced))
+	is.Equal(l.m.Orders("desk", 10), nil) // the old one gets nothing any more
+	after := l.m.Orders("desk", 20)
+	is.Equal(len(after), 2)
+	for _, o := range after {
+		is.True(o.Fence > fenced.Newest && fenced.Newest > before[1].Fence)
+	}
+	is.Equal(l.fence("f3", 10).Refused.Reason, verdict.ReasonFenced) // a thawed old one
+	var again command.Fenced
+	is.NoErr(wire.Unmarshal(l.fence("f4", 20).Body, &again))
+	is.Equal(again, fenced) // asked again, it is told the same
+}
+
+func TestClaimsAreForTheRegisteredIncarnation(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	is.Equal(l.claim("c1", "k1", 10).Refused.Reason, verdict.ReasonIncarnation) // not registered yet
+	l.fence("f1", 10)
+	first := l.claim("c2", "k1", 10)
+	is.True(first.Fence > 0)
+	is.Equal(l.claim("c2", "k1", 10), first) // a resend of the command
+	resend := l.claim("c3", "k1", 10)
+	is.Equal(resend.Refused.Reason, verdict.ReasonInProgress)
+	is.Equal(*resend.Standing, command.Standing{Fence: first.Fence, Endpoint: "desk", Incarnation: 10})
+
+	l.fence("f2", 20)
+	is.Equal(l.claim("c4", "k2", 10).Refused.Verdict, verdict.NotRun)
+	gone := l.claim("c5", "k1", 20)
+	is.Equal(gone.Refused.Verdict, verdict.MayHaveRun)
+	is.Equal(gone.Refused.Reason, verdict.ReasonEndpointLost)
+
+	second := l.claim("c6", "k2", 20)
+	l.must(command.NameSettle, "s1", command.Settle{Account: "parish", Key: "k2", Fence: second.Fence, Verdict: verdict.Ran, Result: &command.Result{Status: 201}})
+	is.Equal(l.claim("c7", "k2", 20).Result.Status, 201)
+}
+
+func TestManyClaimsDoNotPushOutAnswersToOperators(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	l.fence("f1", 10)
+	first := l.must(command.NameChange, "a", command.Change{Expect: 1, Changes: []config.Change{zone(config.Out)}})
+	for i := range maxAnswers + 10 {
+		l.claim(fmt.Sprint("c", i), fmt.Sprint("k", i), 10)
+	}
+	is.Equal(l.apply(command.NameChange, "a", command.Change{Expect: 1}).Body, first.Body)
+}
+
+func TestCatchUpAfterHundredsOfChanges(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	follower := l.m.Document().Clone()
+	for i := range maxRevised + 100 {
+		state := []config.ZoneState{config.In, config.Out}[i%2]
+		l.must(command.NameChange, fmt.Sprint(i), command.Change{Expect: command.AnyRevision, Changes: []config.Change{zone(state)}})
+	}
+	_, ok := l.m.Since(follower.Revision)
+	is.True(!ok) // too far behind: the whole document is sent
+	changes, ok := l.m.Since(l.m.Document().Revision - maxRevised)
+	is.True(ok && len(changes) == maxRevised)
+
+	snapshot, err := l.m.Snapshot()
+	is.NoErr(err)
+	restarted := New()
+	is.NoErr(restarted.Restore(snapshot))
+	is.Equal(restarted.Document(), l.m.Document())
+	is.Equal(len(restarted.Audit(0, 0)), len(l.m.Audit(0, 0)))
+}
+
+func TestSuspects(t *testing.T) {
+	type fall struct {
+		endpoint string
+		digests  []uint64
+	}
+	tests := map[string]struct {
+		falls                []fall
+		suspects, quarantine []uint64
+	}{
+		"one fall":                  {[]fall{{"a", []uint64{1, 2}}}, nil, nil},
+		"one fall, many reports":    {[]fall{{"a", []uint64{1, 2}}, {"a", []uint64{1}}, {"a", []uint64{1}}}, nil, nil},
+		"two falls":                 {[]fall{{"a", []uint64{1, 2}}, {"b", []uint64{1, 3}}}, []uint64{1}, nil},
+		"then one alone":            {[]fall{{"a", []uint64{1, 2}}, {"b", []uint64{1}}}, nil, []uint64{1}},
+		"three falls in company":    {[]fall{{"a", []uint64{1, 2}}, {"b", []uint64{1, 3}}, {"c", []uint64{1, 2}}}, []uint64{2}, []uint64{1}},
+		"two requests, one crashes": {[]fall{{"a", []uint64{1, 2}}, {"b", []uint64{1, 2}}, {"c", []uint64{1}}}, []uint64{2}, []uint64{1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLog(t)
+			for i, f := range test.falls {
+				l.must(command.NameSuspect, fmt.Sprint(i), command.Suspect{Endpoint: f.endpoint, Incarnation: 1, Digests: f.digests})
+			}
+			is.Equal(l.m.Suspects(), test.suspects)
+			is.Equal(l.m.Quarantine(), test.quarantine)
+			l.now = l.now.Add(suspicionLife + time.Second)
+			l.must(command.NameSuspect, "late", command.Suspect{Endpoint: "z", Digests: []uint64{99}})
+			is.Equal(len(l.m.Quarantine()), 0)
+		})
+	}
+}
+
+func TestRestoreRefusesDamageAndKeepsTheState(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	is.True(l.m.Restore([]byte("not a snapshot")) != nil)
+	is.Equal(l.m.Document().Revision, uint64(1))
+}
+
+// randomEntry draws one command, with identifiers that repeat.
+func randomEntry(t *rapid.T, now time.Time) []byte {
+	id := fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "id"))
+	key := rapid.SampledFrom([]string{"k", fmt.Sprintf("%d-x", now.Unix())}).Draw(t, "key")
+	n := uint64(rapid.IntRange(0, 4).Draw(t, "number"))
+	bodies := map[string]any{
+		command.NameChange:  command.Change{Expect: n, Changes: []config.Change{zone(config.Out)}},
+		command.NameOrder:   command.Order{Endpoint: "desk", Action: ActionLoad, Value: id},
+		command.NameFence:   command.Fence{Endpoint: "desk", Incarnation: n},
+		command.NameClaim:   command.Claim{Account: "parish", Key: key, Endpoint: "desk", Incarnation: n},
+		command.NameSettle:  command.Settle{Account: "parish", Key: key, Fence: n, Verdict: verdict.Ran, Result: &command.Result{Status: 200}},
+		command.NameSuspect: command.Suspect{Endpoint: id, Digests: []uint64{n}},
+	}
+	name := rapid.SampledFrom([]string{
+		command.NameChange, command.NameOrder, command.NameFence, command.NameClaim, command.NameSettle, command.NameSuspect,
+	}).Draw(t, "name")
+	return encodeEntry(name, id, "x", now, bodies[name])
+}
+
+// TestReplicasAgree applies one log to two machines, of which one is restored from
+// a snapshot at any point, and compares every result and the whole state.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		a, b := newLog(t).m, newLog(t).m
+		now := start
+		index := uint64(1)
+		rt.Repeat(map[string]func(*rapid.T){
+			"apply": func(t *rapid.T) {
+				index++
+				entry := randomEntry(t, now)
+				if !bytes.Equal(a.Apply(index, entry), b.Apply(index, entry)) {
+					t.Fatal("replicas answer differently")
+				}
+			},
+			"pass time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "seconds")) * time.Second)
+			},
+			"restore": func(t *rapid.T) {
+				snapshot, err := b.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				b = New()
+				if err := b.Restore(snapshot); err != nil {
+					t.Fatal(err)
+				}
+			},
+			"": func(t *rapid.T) {
+				x, errX := a.Snapshot()
+				y, errY := b.Snapshot()
+				if errX != nil || errY != nil || !bytes.Equal(x, y) {
+					t.Fatal("replicas differ")
+				}
+			},
+		})
+	})
+}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -139,14 +139,12 @@
 	return a
 }
 
-// lend works out the holder's new share of one account.
+// lend works out the holder's new share of one account: in proportion to what all
+// want, and never more than what the others' shares leave.
 func (l *Ledger) lend(now time.Time, name, account string, limit Amount) Amount {
 	var others, wanted Amount
-	// crowd is how many requests in flight it takes to give each holder one at least.
-	var crowd float64
 	loans := l.accounts[account]
 	for other, held := range loans {
-		crowd += max(1, held.wanted[Concurrent])
 		for k := range Kinds {
 			wanted[k] += held.wanted[k]
 			if other != name {
@@ -162,7 +160,7 @@
 		case limit[k] == 0:
 			out[k] = want[k]
 		case k == Concurrent:
-			out[k] = slots(limit[k], left, want[k], wanted[k], crowd)
+			out[k] = math.Floor(min(left, slots(loans, name, limit[k], wanted[k])))
 		default:
 			out[k] = min(left, proportion(limit[k], want[k], wanted[k]))
 		}
@@ -182,14 +180,36 @@
 	return share
 }
 
-// slots divides requests in flight, which come whole. A holder that wants any
-// gets one while there are any left; one that is idle, and wants less than one,
-// gets one only while there are enough for all.
-func slots(limit, left, want, all, crowd float64) float64 {
-	if want < 1 && crowd > limit {
+// slots returns a holder's part of the requests in flight, which come whole. Each
+// holder that wants any gets one at least, and those that are left over by rounding
+// go to the first by name. An idle holder, which wants less than one, gets one only
+// while there are enough for all.
+func slots(loans map[string]*loan, name string, limit, all float64) float64 {
+	var crowd, given float64
+	rank := 0.0
+	for other, held := range loans {
+		crowd += max(1, held.wanted[Concurrent])
+		if want := held.wanted[Concurrent]; want >= 1 {
+			given += wholeSlots(limit, want, all)
+			if other < name {
+				rank++
+			}
+		}
+	}
+	want := loans[name].wanted[Concurrent]
+	switch {
+	case want < 1 && crowd > limit:
 		return 0
+	case want < 1:
+		return 1
+	case rank < limit-given:
+		return wholeSlots(limit, want, all) + 1
 	}
-	return math.Floor(min(left, max(1, proportion(limit, want, all))))
+	return wholeSlots(limit, want, all)
+}
+
+func wholeSlots(limit, want, all float64) float64 {
+	return max(1, math.Floor(proportion(limit, want, all)))
 }
 
 // outstanding is the most of a kind that may be in force at the holder.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -107,6 +107,21 @@
 	is.Equal(got[0].Amount[Concurrent], 8.0)
 }
 
+func TestNoSlotIsLeftOverByRounding(t *testing.T) {
+	is := is.New(t)
+	l := ready()
+	now := start
+	for seq := uint64(1); seq <= 5; seq++ {
+		for i := range 3 {
+			w := wants(6)
+			w[0].Seq = seq - 1
+			l.Demand(now, fmt.Sprint("entry-", i), seq, w, limits)
+		}
+		now = now.Add(valid)
+	}
+	is.Equal(l.Lent(now.Add(-valid), "parish")[Concurrent], limit[Concurrent])
+}
+
 func TestHolderRefusesOverItsShareWithTheTimeToComeBack(t *testing.T) {
 	is := is.New(t)
 	h := NewHolder()
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -258,6 +258,10 @@
 	Quarantine []uint64 `cbor:"10,keyasint,omitempty"`
 	// Revision is the replica's own configuration revision.
 	Revision uint64 `cbor:"11,keyasint,omitempty"`
+	// Suspects lists digests of requests that run with no other in flight. It and
+	// Quarantine are whole lists and count where Judged is set.
+	Suspects []uint64 `cbor:"12,keyasint,omitempty"`
+	Judged   bool     `cbor:"13,keyasint,omitempty"`
 }
 
 // Order tells a sidecar what to do with its engine.
