--- /dev/null
+++ b/control/bench_test.go
@@ -0,0 +1,191 @@
+package control_test
+
+import (
+	"fmt"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// BenchmarkClaims measures claims a second over real files and sockets, by the
+// number of entries' calls in flight and of replicas.
+func BenchmarkClaims(b *testing.B) {
+	for _, replicas := range []int{1, 3, 5} {
+		for _, inFlight := range []int{1, 16, 64, 256} {
+			b.Run(fmt.Sprintf("replicas=%d/in-flight=%d", replicas, inFlight), func(b *testing.B) {
+				benchmarkClaims(b, replicas, inFlight)
+			})
+		}
+	}
+}
+
+func benchmarkClaims(b *testing.B, replicas, inFlight int) {
+	d := deploy(b, replicas, calm)
+	d.leader(d.client("operator-1", wire.RoleOperator, nil))
+	sidecar := d.client("sidecar-1", wire.RoleSidecar, func(o *session.Options) {
+		o.Endpoint = func() *wire.Endpoint { return &wire.Endpoint{Name: "desk", Incarnation: 1} }
+	})
+	if err := sidecar.Do(within(b), command.NameFence, "f", command.Fence{Endpoint: "desk", Incarnation: 1}, nil); err != nil {
+		b.Fatal(err)
+	}
+	entry := d.client("entry-1", wire.RoleEntry, nil)
+	var next atomic.Int64
+	var failed atomic.Int64
+	b.ResetTimer()
+	var wg sync.WaitGroup
+	for range inFlight {
+		wg.Go(func() {
+			for {
+				n := next.Add(1)
+				if n > int64(b.N) {
+					return
+				}
+				key := fmt.Sprintf("%d-%d", time.Now().UnixMilli(), n)
+				var claimed command.Claimed
+				err := entry.Do(within(b), command.NameClaim, key, command.Claim{
+					Account: "parish", Key: key, Endpoint: "desk", Incarnation: 1,
+				}, &claimed)
+				if err != nil || claimed.Fence == 0 {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	if failed.Load() > 0 {
+		b.Fatalf("%d claims failed", failed.Load())
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "claims/s")
+}
+
+// BenchmarkMembers measures, by the number of sessions, of which a third are
+// entries: the bytes a second of each session while nothing changes but loads,
+// the time from the acceptance of a change until the last process has it, and the
+// memory of a session at both its ends.
+func BenchmarkMembers(b *testing.B) {
+	for _, members := range []int{9, 30, 90, 180, 300} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) { benchmarkMembers(b, members) })
+	}
+}
+
+// fleet is the processes of one measurement.
+type fleet struct {
+	clients []*session.Client
+	traffic []*wire.Traffic
+	entries int
+}
+
+func (d *deployment) fleet(members int) *fleet {
+	f := &fleet{}
+	for i := range members {
+		traffic := &wire.Traffic{}
+		adjust := func(o *session.Options) {
+			o.Opener = d.dialer(fmt.Sprint("p-", i), o.Role, traffic)
+			o.Heartbeat, o.Lease = session.DefaultHeartbeat, session.DefaultLease
+			o.Clock = nil
+		}
+		var c *session.Client
+		if i%3 == 0 {
+			f.entries++
+			c = d.client(fmt.Sprint("p-", i), wire.RoleEntry, adjust)
+		} else {
+			c = d.client(fmt.Sprint("p-", i), wire.RoleSidecar, func(o *session.Options) {
+				adjust(o)
+				o.Endpoint = announcer(i)
+			})
+		}
+		d.background(c.Run)
+		f.clients = append(f.clients, c)
+		f.traffic = append(f.traffic, traffic)
+	}
+	return f
+}
+
+// announcer returns an endpoint whose load differs at each heartbeat.
+func announcer(i int) func() *wire.Endpoint {
+	var beats atomic.Int64
+	return func() *wire.Endpoint {
+		return &wire.Endpoint{
+			Name: fmt.Sprint("worker-", i), Region: "leon-coast", Zone: "hall", Addr: "10.0.0.1:7000", Incarnation: 1,
+			Target: "scribe", Version: "v1",
+			Load: wire.Load{
+				FreeTokens: 100_000 - beats.Add(1), CapacityTokens: 200_000, PrefillRate: 8123.5, DecodeRate: 512.25,
+				RampTokens: -1, Running: 12,
+			},
+		}
+	}
+}
+
+func (f *fleet) bytes() (entries, sidecars int64) {
+	for i, t := range f.traffic {
+		if i%3 == 0 {
+			entries += t.Sent.Load() + t.Received.Load()
+		} else {
+			sidecars += t.Sent.Load() + t.Received.Load()
+		}
+	}
+	return entries, sidecars
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+// idleWindow is how long the traffic of an idle fleet is measured.
+const idleWindow = 10 * time.Second
+
+func benchmarkMembers(b *testing.B, members int) {
+	d := deploy(b, 3, calm)
+	operator := d.client("operator-1", wire.RoleOperator, nil)
+	d.leader(operator)
+	before := heapBytes()
+	f := d.fleet(members)
+	for _, c := range f.clients {
+		eventually(b, "all permitted", func() bool { return c.Fresh() && c.View().Revision() > 0 })
+	}
+	time.Sleep(2 * session.DefaultHeartbeat)
+	perMember := (heapBytes() - before) / float64(members)
+	entries0, sidecars0 := f.bytes()
+	time.Sleep(idleWindow)
+	entries1, sidecars1 := f.bytes()
+
+	b.ResetTimer()
+	var slowest time.Duration
+	for i := range b.N {
+		took := f.change(b, operator, i)
+		slowest = max(slowest, took)
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(entries1-entries0)/idleWindow.Seconds()/float64(f.entries), "B/s/entry")
+	b.ReportMetric(float64(sidecars1-sidecars0)/idleWindow.Seconds()/float64(members-f.entries), "B/s/sidecar")
+	b.ReportMetric(perMember/1024, "KB/member")
+	b.ReportMetric(float64(slowest.Microseconds())/1000, "slowest-ms")
+}
+
+// change makes one change and returns the time until every process has it.
+func (f *fleet) change(b *testing.B, operator *session.Client, i int) time.Duration {
+	began := time.Now()
+	zone := config.Zone{Name: "annex", Region: "leon-coast", State: []config.ZoneState{config.In, config.Out}[i%2]}
+	change := command.Change{Expect: command.AnyRevision, Changes: []config.Change{{Zone: &zone}}}
+	var changed command.Changed
+	if err := operator.Do(within(b), command.NameChange, session.NewID(), change, &changed); err != nil {
+		b.Fatal(err)
+	}
+	for _, c := range f.clients {
+		for c.View().Revision() < changed.Revision {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
--- a/control/control.go
+++ b/control/control.go
@@ -183,7 +183,7 @@
 	// The streams have to end for Serve to return.
 	defer context.AfterFunc(ctx, p.cancel)()
 	s := p.server
-	s.transport.open(ctx, p.replica.Status().ID)
+	s.transport.open(ctx, p.replica.Status().ID, p.Addr())
 	fault := make(chan error, 1)
 	s.running.Go(func() {
 		defer stop()
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -14,7 +14,7 @@
 
 func TestEntryAndSidecarLearnOfEachOtherAndOfAZoneOut(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t, 1, "")
+	d := deploy(t, 1, hasty)
 	entry, list := d.entry("entry-1")
 	sidecar, _ := d.sidecar(wire.Endpoint{Name: "worker-1", Zone: "annex", Addr: "127.0.0.1:9", Incarnation: 1, Target: "scribe"})
 	for _, c := range []*session.Client{entry, sidecar} {
@@ -42,7 +42,7 @@
 
 func TestResendGetsTheFirstAnswerAndTheLoserIsToldTheWinner(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t, 1, "")
+	d := deploy(t, 1, hasty)
 	operator := d.client("operator-1", wire.RoleOperator, nil)
 	d.leader(operator)
 	var first, again command.Changed
@@ -59,7 +59,7 @@
 
 func TestCommandsAreRefusedToTheWrongRole(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t, 1, "")
+	d := deploy(t, 1, hasty)
 	entry := d.client("entry-1", wire.RoleEntry, nil)
 	refusal := verdict.From(entry.Do(within(t), command.NameChange, "c1", zoneOut(1, "annex"), nil))
 	is.Equal(refusal.Reason, verdict.ReasonUnauthenticated)
@@ -67,7 +67,7 @@
 }
 
 func TestSilentEndpointLeavesTheList(t *testing.T) {
-	d := deploy(t, 1, "")
+	d := deploy(t, 1, hasty)
 	_, list := d.entry("entry-1")
 	_, stop := d.sidecar(wire.Endpoint{Name: "worker-1", Incarnation: 1})
 	eventually(t, "endpoint listed", func() bool { return list.has("worker-1") })
@@ -77,7 +77,7 @@
 
 func TestLossOfTheLeaderLosesNoChangeAndNoPermission(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t, 3, "")
+	d := deploy(t, 3, hasty)
 	entry, list := d.entry("entry-1")
 	sidecar, _ := d.sidecar(wire.Endpoint{Name: "worker-1", Zone: "annex", Incarnation: 1})
 	operator := d.client("operator-1", wire.RoleOperator, nil)
@@ -107,7 +107,7 @@
 }
 
 func TestWithoutAQuorumCommandsAreRefusedAndNothingRuns(t *testing.T) {
-	d := deploy(t, 3, "")
+	d := deploy(t, 3, hasty)
 	entry, _ := d.entry("entry-1")
 	operator := d.client("operator-1", wire.RoleOperator, nil)
 	leader := d.leader(operator)
@@ -126,7 +126,7 @@
 
 func TestOnlyReplicaRestartsWithItsState(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t, 1, "")
+	d := deploy(t, 1, hasty)
 	entry, _ := d.entry("entry-1")
 	operator := d.client("operator-1", wire.RoleOperator, nil)
 	d.leader(operator)
@@ -141,3 +141,57 @@
 	is.NoErr(operator.Do(within(t), command.NameChange, "c1", zoneOut(1, "annex"), &again))
 	is.Equal(again.Revision, uint64(2)) // a resend after the restart gets the first answer
 }
+
+func TestLostReplicaIsReplacedAndAnotherLossSurvived(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3, hasty)
+	operator := d.client("operator-1", wire.RoleOperator, nil)
+	leader := d.leader(operator)
+	lost, second := (leader+1)%3, (leader+2)%3
+	d.stop(lost)
+	is.NoErr(operator.Do(within(t), command.NameChange, "c1", zoneOut(1, "annex"), nil))
+
+	addr := d.join("control-4")
+	var standing command.ReplicaStanding
+	newcomer := d.client("operator-2", wire.RoleOperator, func(o *session.Options) { o.Replicas = []string{addr} })
+	is.NoErr(newcomer.Do(within(t), command.NameStanding, "", nil, &standing))
+	member := func(action string, id uint64) error {
+		return operator.Do(within(t), command.NameMember, session.NewID(), command.Member{Action: action, ID: id, Addr: addr}, nil)
+	}
+	is.NoErr(member("add", standing.ID))
+	eventually(t, "the new replica is whole and votes", func() bool { return member("promote", standing.ID) == nil })
+	is.NoErr(member("remove", uint64(lost+1)))
+	eventually(t, "repair is done", func() bool {
+		var view command.View
+		is.NoErr(operator.Do(within(t), command.NameView, "", nil, &view))
+		whole := 0
+		for _, r := range view.Replicas {
+			if r.Whole && r.Voter {
+				whole++
+			}
+		}
+		return whole == 3
+	})
+	d.stop(second)
+	is.NoErr(operator.Do(within(t), command.NameChange, "c2", zoneOut(2, "hall"), nil))
+}
+
+func TestMemberCommandRefusesWhatCannotBe(t *testing.T) {
+	d := deploy(t, 1, hasty)
+	operator := d.client("operator-1", wire.RoleOperator, nil)
+	d.leader(operator)
+	tests := map[string]command.Member{
+		"unknown action":     {Action: "crown", ID: 2},
+		"the last voter":     {Action: "remove", ID: 1},
+		"promote a stranger": {Action: "promote", ID: 7},
+		"add a member":       {Action: "add", ID: 1, Addr: "127.0.0.1:1"},
+	}
+	for name, member := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			refusal := verdict.From(operator.Do(within(t), command.NameMember, session.NewID(), member, nil))
+			is.Equal(refusal.Verdict, verdict.NotRun)
+			is.Equal(refusal.Reason, verdict.ReasonBadRequest)
+		})
+	}
+}
--- a/control/deploy_test.go
+++ b/control/deploy_test.go
@@ -43,12 +43,18 @@
 	bootstrap string
 	addrs     []string
 	stops     map[int]func()
-	// extra are further settings of every replica, as JSON fields.
-	extra string
+	// spans are the time spans in the settings of every replica, as JSON fields.
+	spans string
 }
 
-// deploy starts a group of size replicas. extra are further JSON settings.
-func deploy(t testing.TB, size int, extra string) *deployment {
+// Time spans of a group in JSON: hasty for tests, calm for measurements.
+const (
+	hasty = `"grace":"1s","tick":"10ms"`
+	calm  = `"grace":"30s","tick":"50ms"`
+)
+
+// deploy starts a group of size replicas with time spans in JSON.
+func deploy(t testing.TB, size int, spans string) *deployment {
 	t.Helper()
 	is := is.New(t)
 	dir := t.TempDir()
@@ -56,7 +62,7 @@
 	is.NoErr(err)
 	d := &deployment{
 		t: t, ca: ca, dir: dir, bootstrap: filepath.Join(dir, "bootstrap.json"),
-		stops: map[int]func(){}, extra: extra,
+		stops: map[int]func(){}, spans: spans,
 	}
 	is.NoErr(os.WriteFile(d.bootstrap, []byte(bootstrapJSON), 0o600))
 	for range size {
@@ -87,20 +93,33 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	return fmt.Sprintf(`{"listen":%q,"data":%q,"id":%d,"replicas":%s,"bootstrap":%q,"grace":"1s","tick":"10ms"%s}`,
-		d.addrs[i], filepath.Join(d.dir, "data", strconv.Itoa(i+1)), i+1, list, d.bootstrap, d.extra)
+	return fmt.Sprintf(`{"listen":%q,"data":%q,"id":%d,"replicas":%s,"bootstrap":%q,%s}`,
+		d.addrs[i], filepath.Join(d.dir, "data", strconv.Itoa(i+1)), i+1, list, d.bootstrap, d.spans)
 }
 
 // start runs replica i, counted from 0, until stop or the end of the test.
 func (d *deployment) start(i int) {
+	d.t.Helper()
+	d.stops[i] = d.run(fmt.Sprintf("control-%d", i+1), d.settings(i))
+}
+
+// join runs a replica that is not yet a member and returns its address.
+func (d *deployment) join(name string) string {
+	d.t.Helper()
+	addr := freeAddr(d.t)
+	d.run(name, fmt.Sprintf(`{"listen":%q,"data":%q,%s}`, addr, filepath.Join(d.dir, "data", name), d.spans))
+	return addr
+}
+
+func (d *deployment) run(name, raw string) (stop func()) {
 	d.t.Helper()
 	is := is.New(d.t)
-	files, err := d.ca.Issue(d.dir, fmt.Sprintf("control-%d", i+1), wire.RoleControl)
+	files, err := d.ca.Issue(d.dir, name, wire.RoleControl)
 	is.NoErr(err)
 	h := kernel.NewHost(&settings.File{TLS: files}, hclog.NewNullLogger())
-	loaded, err := h.Load("control", json.RawMessage(d.settings(i)))
+	loaded, err := h.Load("control", json.RawMessage(raw))
 	is.NoErr(err)
-	d.stops[i] = d.background(loaded.(*control.Plugin).Run)
+	return d.background(loaded.(*control.Plugin).Run)
 }
 
 func (d *deployment) stop(i int) { d.stops[i]() }
@@ -121,25 +140,34 @@
 
 func (d *deployment) client(name string, role wire.Role, adjust func(*session.Options)) *session.Client {
 	d.t.Helper()
-	is := is.New(d.t)
-	files, err := d.ca.Issue(d.dir, name, role)
-	is.NoErr(err)
-	id, err := wire.LoadIdentity(files)
-	is.NoErr(err)
-	dialer := session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
-	d.t.Cleanup(dialer.Close)
 	o := session.Options{
 		Node: settings.Node{Name: name, Region: "leon-coast", Zone: "hall"}, Role: role,
-		Replicas: d.addrs, Opener: dialer, Heartbeat: 50 * time.Millisecond, Lease: 2 * time.Second,
+		Replicas: d.addrs, Heartbeat: 50 * time.Millisecond, Lease: 2 * time.Second,
 	}
 	if adjust != nil {
 		adjust(&o)
 	}
+	if o.Opener == nil {
+		o.Opener = d.dialer(name, role, &wire.Traffic{})
+	}
 	c, err := session.New(o)
-	is.NoErr(err)
+	is.New(d.t).NoErr(err)
 	return c
 }
 
+// dialer returns the connections of a process to control, counted in traffic.
+func (d *deployment) dialer(name string, role wire.Role, traffic *wire.Traffic) *session.Dialer {
+	d.t.Helper()
+	is := is.New(d.t)
+	files, err := d.ca.Issue(d.dir, name, role)
+	is.NoErr(err)
+	id, err := wire.LoadIdentity(files)
+	is.NoErr(err)
+	dialer := session.NewDialer(id, wire.PoolOptions{}, traffic)
+	d.t.Cleanup(dialer.Close)
+	return dialer
+}
+
 // entry runs an entry that keeps a list of endpoints.
 func (d *deployment) entry(name string) (*session.Client, *endpointList) {
 	list := &endpointList{}
--- a/control/directory.go
+++ b/control/directory.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -34,8 +36,8 @@
 type member struct {
 	endpoint wire.Endpoint
 	heard    time.Time
-	// told is when the sessions were last told.
-	told time.Time
+	// slot is the time slot in which the sessions were last told of the load.
+	slot int64
 }
 
 // newDirectory returns an empty list at version 1, because version 0 stands for
@@ -66,11 +68,12 @@
 		old.heard = now
 		return unchanged
 	}
-	if ok && sameButLoad(old.endpoint, e) && now.Sub(old.told) < d.loadInterval() {
+	slot := d.loadSlot(now, e.Name)
+	if ok && sameButLoad(old.endpoint, e) && slot == old.slot {
 		old.heard = now
 		return unchanged
 	}
-	d.members[e.Name] = &member{endpoint: e, heard: now, told: now}
+	d.members[e.Name] = &member{endpoint: e, heard: now, slot: slot}
 	d.changed(e.Name)
 	return published
 }
@@ -87,6 +90,15 @@
 	return reflect.DeepEqual(a, b)
 }
 
+// loadSlot numbers the time slots in which an endpoint's load is told once. The
+// slots of different endpoints begin at different times, so that the reports are
+// spread evenly.
+func (d *directory) loadSlot(now time.Time, name string) int64 {
+	interval := int64(d.loadInterval())
+	offset := int64(xxhash.Sum64String(name) % uint64(interval))
+	return (now.UnixNano() + offset) / interval
+}
+
 // loadInterval is the least time between two reports of one endpoint's load. It
 // grows with the list, so that a session spends no more than loadBytesPerSecond.
 func (d *directory) loadInterval() time.Duration {
--- a/control/history_test.go
+++ b/control/history_test.go
@@ -112,7 +112,7 @@
 
 func TestConfigurationIsALinearizableRegister(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t, 3, "")
+	d := deploy(t, 3, hasty)
 	d.leader(d.client("operator-0", wire.RoleOperator, nil))
 	h := &history{began: time.Now()}
 	clients := make([]*session.Client, historyClients)
@@ -203,7 +203,7 @@
 
 func TestClaimsAreLinearizable(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t, 3, "")
+	d := deploy(t, 3, hasty)
 	d.leader(d.client("operator-0", wire.RoleOperator, nil))
 	sidecar := d.client("sidecar-0", wire.RoleSidecar, func(o *session.Options) {
 		o.Endpoint = func() *wire.Endpoint { return &wire.Endpoint{Name: "desk", Incarnation: 1} }
@@ -241,7 +241,7 @@
 
 func TestSecondSidecarTakesTheFirstOnesPlace(t *testing.T) {
 	is := is.New(t)
-	d := deploy(t, 3, "")
+	d := deploy(t, 3, hasty)
 	operator := d.client("operator-1", wire.RoleOperator, nil)
 	d.leader(operator)
 	old, _ := d.sidecar(wire.Endpoint{Name: "worker-1", Zone: "hall", Incarnation: 1})
@@ -264,7 +264,7 @@
 }
 
 func TestEntriesOfAllReplicasShareOneLimit(t *testing.T) {
-	d := deploy(t, 3, `,"lease":"600ms"`)
+	d := deploy(t, 3, hasty+`,"lease":"600ms"`)
 	d.leader(d.client("operator-1", wire.RoleOperator, nil))
 	account := &config.Account{Name: "parish", Limits: config.Limits{Concurrent: 4}}
 	var limits []*session.Limits
--- a/control/transport.go
+++ b/control/transport.go
@@ -65,6 +65,9 @@
 type startMessage struct {
 	ID    replica.ID `cbor:"1,keyasint"`
 	Start uint64     `cbor:"2,keyasint"`
+	// Addr is where the sender listens: a replica that has just joined does not know
+	// the others yet and has to answer them.
+	Addr string `cbor:"3,keyasint"`
 }
 
 var _ replica.Transport = (*transport)(nil)
@@ -76,12 +79,13 @@
 	}
 }
 
-// open lets messages of the replica id out until ctx ends. Earlier ones are dropped.
-func (t *transport) open(ctx context.Context, id replica.ID) {
+// open lets messages of the replica id, which listens on addr, out until ctx ends.
+// Earlier ones are dropped.
+func (t *transport) open(ctx context.Context, id replica.ID, addr string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ctx = ctx
-	t.start = startMessage{ID: id, Start: rand.Uint64()}
+	t.start = startMessage{ID: id, Start: rand.Uint64(), Addr: addr}
 }
 
 // started notes which start of a replica sends to us. At a new one the
@@ -92,6 +96,9 @@
 	if t.starts[m.ID] == m.Start {
 		return
 	}
+	if _, ok := t.addrs[m.ID]; !ok {
+		t.addrs[m.ID] = m.Addr
+	}
 	t.starts[m.ID] = m.Start
 	if s, ok := t.senders[m.ID]; ok {
 		select {
