--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -35,7 +35,6 @@
 	deadlines *admit.Deadlines
 	estimates *admit.Estimator
 	retries   *route.RetryBudget
-	speeds    *speeds
 	nextID    uint64
 	// found is what fits chose for the call that Pop returns.
 	found route.Choice
@@ -82,7 +81,6 @@
 		deadlines: admit.NewDeadlines(),
 		estimates: admit.NewEstimator(),
 		retries:   route.NewRetryBudget(),
-		speeds:    newSpeeds(),
 	}, nil
 }
 
@@ -233,9 +231,14 @@
 
 func (d *dispatcher) fits(now time.Time, item *queue.Item) bool {
 	c := item.Value.(*waiter).c
-	choice, err := d.chooser.Choose(now, &c.want, d.table.View(c.want.Target))
+	view := d.table.View(c.want.Target)
+	choice, err := d.chooser.Choose(now, &c.want, view)
 	d.found = choice
-	return err == nil
+	if err != nil {
+		return false
+	}
+	// The endpoint may be slower than the one for which the call was admitted.
+	return d.deadlines.Admit(now, c.want.Class, forecastAt(c, view, choice), c.deadline) == nil
 }
 
 func (d *dispatcher) start(now time.Time, c *call, choice route.Choice) *ticket {
@@ -296,9 +299,6 @@
 	if c.usage.prompt > 0 {
 		d.estimates.Observe(c.route.Name, c.promptBytes, c.usage.prompt)
 	}
-	if c.usage.output > 0 && !c.firstByte.IsZero() {
-		d.speeds.observe(c.want.Target, now.Sub(c.firstByte), c.usage.output)
-	}
 	d.deadlines.Observe(c.want.Class, c.forecast, now.Sub(c.started))
 }
 
--- a/entry/forecast.go
+++ b/entry/forecast.go
@@ -8,11 +8,11 @@
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
+// Speeds assumed of an endpoint that has measured none, in tokens a second: those
+// of a cold one.
 const (
-	// assumedTokenTime is the time between two tokens before any was measured.
-	assumedTokenTime = 31 * time.Millisecond
-	// speedWeight is the weight of a new measurement in a target's speed.
-	speedWeight = 0.1
+	assumedPrefillRate = 2_000
+	assumedDecodeRate  = 20
 )
 
 // usage is the tokens that an engine reported for a call.
@@ -21,57 +21,51 @@
 	output int
 }
 
-// speeds learns the time between two tokens of each target's answers.
-type speeds struct {
-	tokenTime map[string]time.Duration
-}
-
-func newSpeeds() *speeds { return &speeds{tokenTime: map[string]time.Duration{}} }
-
-func (s *speeds) observe(target string, took time.Duration, tokens int) {
-	if tokens < 2 || took <= 0 {
-		return
-	}
-	measured := took / time.Duration(tokens-1)
-	old, ok := s.tokenTime[target]
-	if !ok {
-		s.tokenTime[target] = measured
-		return
+// forecast predicts what the call takes: at the endpoint chosen, or else at a
+// middling one after the work that is ahead of it. The caller holds the lock.
+func (d *dispatcher) forecast(c *call, view []route.Endpoint, choice route.Choice, refusal *verdict.Refusal) admit.Forecast {
+	prefill, decode := fleetSpeed(view)
+	queued := secondsOf(float64(d.waiting.Tokens(c.want.Class)) / prefill)
+	if refusal == nil {
+		f := forecastAt(c, view, choice)
+		f.Wait += queued
+		return f
 	}
-	s.tokenTime[target] = old + time.Duration(speedWeight*float64(measured-old))
-}
-
-func (s *speeds) output(target string, tokens int) time.Duration {
-	perToken, ok := s.tokenTime[target]
-	if !ok {
-		perToken = assumedTokenTime
+	n := float64(max(len(view), 1))
+	return admit.Forecast{
+		Wait:    queued + refusal.RetryAfter,
+		Prefill: secondsOf(float64(c.want.PromptTokens) * n / prefill),
+		Output:  secondsOf(float64(c.want.OutputTokens) * n / decode),
 	}
-	return perToken * time.Duration(tokens)
 }
 
-// forecast predicts what the call takes: its wait at the entry follows from the
-// work ahead of it and the speed of the endpoints. The caller holds the lock.
-func (d *dispatcher) forecast(c *call, view []route.Endpoint, choice route.Choice, refusal *verdict.Refusal) admit.Forecast {
-	rate := 0.0
+// fleetSpeed returns the speeds of all endpoints of the view together.
+func fleetSpeed(view []route.Endpoint) (prefill, decode float64) {
 	for i := range view {
 		if !view[i].Out {
-			rate += view[i].Load.PrefillRate
+			prefill += measured(view[i].Load.PrefillRate, assumedPrefillRate)
+			decode += measured(view[i].Load.DecodeRate, assumedDecodeRate)
 		}
 	}
-	f := admit.Forecast{}
-	if rate > 0 {
-		f.Prefill = secondsOf(float64(c.want.PromptTokens) / (rate / float64(len(view))))
-		f.Wait = secondsOf(float64(d.waiting.Tokens(c.want.Class)) / rate)
-	}
-	if c.want.OutputTokens > 0 {
-		f.Output = d.speeds.output(c.want.Target, c.want.OutputTokens)
+	return max(prefill, assumedPrefillRate), max(decode, assumedDecodeRate)
+}
+
+// forecastAt predicts what the call takes at the endpoint chosen.
+func forecastAt(c *call, view []route.Endpoint, choice route.Choice) admit.Forecast {
+	load := &view[choice.Index].Load
+	prefill := secondsOf(float64(c.want.PromptTokens) / measured(load.PrefillRate, assumedPrefillRate))
+	return admit.Forecast{
+		Wait:    max(choice.Predicted-prefill, 0),
+		Prefill: prefill,
+		Output:  secondsOf(float64(c.want.OutputTokens) / measured(load.DecodeRate, assumedDecodeRate)),
 	}
-	if refusal != nil {
-		f.Wait += refusal.RetryAfter
-		return f
+}
+
+func measured(rate, assumed float64) float64 {
+	if rate > 0 {
+		return rate
 	}
-	f.Wait += max(choice.Predicted-f.Prefill, 0)
-	return f
+	return assumed
 }
 
 func secondsOf(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -32,8 +32,10 @@
 	mu          sync.Mutex
 	incarnation uint64
 	leaving     bool
-	running     int
-	long        int
+	// idle is closed once the endpoint is leaving and nothing runs any more.
+	idle    chan struct{}
+	running int
+	long    int
 	// pending is the prompt tokens granted whose first token has not come.
 	pending int64
 	book    *reserve.Book
@@ -49,6 +51,8 @@
 	tokens  int64
 	long    bool
 	started bool
+	// left is the part of tokens that the engine has not yet worked on.
+	left int64
 }
 
 func newGate(name string, incarnation uint64, service bool) *gate {
@@ -56,6 +60,7 @@
 		name:        name,
 		service:     service,
 		incarnation: incarnation,
+		idle:        make(chan struct{}),
 		book:        reserve.NewBook(reserve.DefaultSettings()),
 		ramp:        ramp.New(ramp.DefaultSettings()),
 		claims:      once.NewGate(incarnation),
@@ -91,6 +96,7 @@
 		id:     engineRequestID(d.Attempt),
 		prompt: int64(d.PromptTokens),
 		tokens: int64(d.PromptTokens) + int64(d.OutputTokens),
+		left:   int64(d.PromptTokens) + int64(d.OutputTokens),
 		long:   route.ClassOf(d.PromptTokens) == route.Long,
 	}
 	if err := g.bookEngine(now, d, a, owner); err != nil {
@@ -175,16 +181,26 @@
 	}
 	a.started = true
 	g.pending -= a.prompt
+	g.worked(a, a.prompt)
 	g.book.Progress(now, a.id, a.prompt)
 }
 
+// worked counts work that the engine has done towards its being warm. The caller
+// holds the lock.
+func (g *gate) worked(a *admission, tokens int64) {
+	tokens = min(tokens, a.left)
+	a.left -= tokens
+	g.ramp.Done(tokens)
+}
+
 // finish takes back an attempt. freed is set once the engine holds nothing of it
-// any more; else its memory stays booked until sweep has freed it. done is the
-// tokens that the engine has worked on.
-func (g *gate) finish(now time.Time, a *admission, freed bool, done int64) {
+// any more; else its memory stays booked until sweep has freed it. output is the
+// tokens of output of a whole answer.
+func (g *gate) finish(now time.Time, a *admission, freed bool, output int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
+	g.checkIdle()
 	if g.service {
 		return
 	}
@@ -194,7 +210,8 @@
 	if a.long {
 		g.long--
 	}
-	g.ramp.Finished(a.tokens, done)
+	g.worked(a, output)
+	g.ramp.Ended(a.left)
 	if freed {
 		g.book.Release(now, a.id)
 	}
@@ -211,7 +228,19 @@
 func (g *gate) leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.leaving {
+		return
+	}
 	g.leaving = true
+	g.checkIdle()
+}
+
+// checkIdle closes idle when the last attempt of a leaving endpoint has ended.
+// Nothing is admitted after that, so it happens once. The caller holds the lock.
+func (g *gate) checkIdle() {
+	if g.leaving && g.running == 0 {
+		close(g.idle)
+	}
 }
 
 // observe takes in a report of the engine that was true at the given time. It
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -49,7 +49,7 @@
 	} else {
 		x.neverSent()
 	}
-	s.gate.finish(s.clock.Now(), a, x.freed, x.done)
+	s.gate.finish(s.clock.Now(), a, x.freed, x.output)
 	if err != nil {
 		s.refuse(st, d, s.sealed(d, err))
 	}
@@ -99,10 +99,10 @@
 	a      *admission
 	ctx    context.Context
 	cancel context.CancelFunc
-	// freed is set once the engine holds nothing of the attempt any more, and done
-	// is the tokens that it has worked on.
-	freed bool
-	done  int64
+	// freed is set once the engine holds nothing of the attempt any more, and output
+	// is the tokens of output of a whole answer.
+	freed  bool
+	output int64
 }
 
 // relay sends the request to the endpoint and its answer to the entry.
@@ -241,7 +241,7 @@
 func (x *exchange) end(tail *tail, seq uint64, offset int64) error {
 	x.freed = true
 	prompt, output := tail.usage()
-	x.done = int64(prompt) + int64(output)
+	x.output = int64(output)
 	x.s.metrics.finished()
 	return x.st.Send(&wire.End{
 		Attempt: x.d.Attempt, Chunks: seq, Bytes: offset, Load: x.s.gate.load(x.s.clock.Now()),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -76,8 +76,6 @@
 	budget  *stream.Budget
 	engine  *engineClient
 	metrics *sidecarMetrics
-	// attempts counts the streams being served, for a planned stop.
-	attempts sync.WaitGroup
 }
 
 var (
@@ -164,21 +162,14 @@
 	s.gate.leave()
 	s.control.Announce(s.announcement())
 	s.log.Info("endpoint leaving", "running", s.gate.load(s.clock.Now()).Running)
-	idle := make(chan struct{})
-	go func() {
-		s.attempts.Wait()
-		close(idle)
-	}()
 	select {
-	case <-idle:
+	case <-s.gate.idle:
 	case <-s.clock.After(stopTimeout):
 	}
 }
 
 // serve handles one stream of an entry.
 func (s *Sidecar) serve(st wire.Stream) {
-	s.attempts.Add(1)
-	defer s.attempts.Done()
 	if st.Peer().Role != wire.RoleEntry {
 		s.log.Warn("stream refused", "peer", st.Peer().Name, "role", string(st.Peer().Role))
 		return
