--- a/dev/plan.go
+++ b/dev/plan.go
@@ -40,10 +40,11 @@
 	}
 	for i, zone := range p.Zones {
 		p.Endpoints = append(p.Endpoints, Endpoint{
-			Name:   fmt.Sprintf("scribe-%d", i+1),
-			Zone:   zone,
-			Target: SmallModel,
-			Engine: map[string]any{"model": SmallModel, "decode_tokens_per_second": 200, "kv_tokens": 1_200_000},
+			Name:    fmt.Sprintf("scribe-%d", i+1),
+			Zone:    zone,
+			Target:  SmallModel,
+			Sidecar: map[string]any{"linger": "1s"},
+			Engine:  map[string]any{"model": SmallModel, "decode_tokens_per_second": 200, "kv_tokens": 1_200_000},
 		})
 	}
 	p.Endpoints = append(p.Endpoints, Endpoint{
@@ -51,6 +52,8 @@
 		Zone:   p.Zones[0],
 		Target: SmallService,
 		Worker: map[string]any{},
+
+		Sidecar: map[string]any{"linger": "1s"},
 	})
 	return p
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -43,6 +43,9 @@
 	Held stream.Limits `json:"held"`
 	// ReaderTimeout ends an attempt whose reader takes nothing for so long.
 	ReaderTimeout settings.Duration `json:"reader_timeout"`
+	// Linger is how long a leaving endpoint still answers dispatches with a refusal,
+	// so that entries have heard of it before its address is gone.
+	Linger settings.Duration `json:"linger"`
 	// PollEvery is the interval at which the engine's load is read.
 	PollEvery settings.Duration `json:"poll_every"`
 }
@@ -95,6 +98,9 @@
 	if s.ReaderTimeout == 0 {
 		s.ReaderTimeout = settings.Duration(30 * time.Second)
 	}
+	if s.Linger == 0 {
+		s.Linger = settings.Duration(3 * time.Second)
+	}
 	if s.PollEvery == 0 {
 		s.PollEvery = settings.Duration(200 * time.Millisecond)
 	}
@@ -157,11 +163,13 @@
 	return errors.Wrap(err, "serve endpoint")
 }
 
-// leave announces that the endpoint leaves and waits for the attempts in flight.
+// leave announces that the endpoint leaves, waits for the attempts in flight, and
+// stays until entries have stopped sending.
 func (s *Sidecar) leave() {
 	s.gate.leave()
 	s.control.Announce(s.announcement())
 	s.log.Info("endpoint leaving", "running", s.gate.load(s.clock.Now()).Running)
+	<-s.clock.After(s.Linger.Std())
 	select {
 	case <-s.gate.idle:
 	case <-s.clock.After(stopTimeout):
