--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/quota"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -34,9 +36,13 @@
 // serveHealth turns before anything else on a planned stop, so that the
 // platform's balancer sends new requests elsewhere.
 func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() {
+	switch {
+	case e.stopping.Load():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 		return
+	case e.control.Config().Revision == 0:
+		http.Error(w, "starting", http.StatusServiceUnavailable)
+		return
 	}
 	_, _ = io.WriteString(w, "ok\n")
 }
@@ -65,7 +71,12 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, parse func(*call) error) {
 	c := e.newCall(r)
 	defer e.finish(c)
-	account, err := e.keys.authenticate(e.control.Config(), r.Header.Get("Authorization"))
+	doc := e.control.Config()
+	if doc.Revision == 0 {
+		e.answerRefusal(w, c, verdict.Refuse(verdict.ReasonStale, time.Second, "the entry has no configuration yet"))
+		return
+	}
+	account, err := e.keys.authenticate(doc, r.Header.Get("Authorization"))
 	if err != nil {
 		e.answerRefusal(w, c, verdict.From(err))
 		return
@@ -76,6 +87,11 @@
 		e.answerRefusal(w, c, verdict.From(err))
 		return
 	}
+	if err := e.limit(c); err != nil {
+		e.answerRefusal(w, c, verdict.From(err))
+		return
+	}
+	defer e.unlimit(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	answer := newAnswer(w, c, e.ReaderTimeout.Std(), e.clock)
@@ -99,6 +115,24 @@
 	a.breakOff(r)
 }
 
+// limit books the request on its account's limits.
+func (e *Entry) limit(c *call) error {
+	c.booked = quota.Cost{
+		Tokens:    int64(c.want.PromptTokens) + int64(c.want.OutputTokens),
+		HeldBytes: int64(len(c.body)),
+	}
+	return e.limits.Take(e.clock.Now(), &c.account, c.booked)
+}
+
+// unlimit ends the booking, with the tokens that the request really took.
+func (e *Entry) unlimit(c *call) {
+	spent := c.booked
+	if c.usage.prompt > 0 {
+		spent.Tokens = int64(c.usage.prompt) + int64(c.usage.output)
+	}
+	e.limits.Release(e.clock.Now(), c.account.Name, c.booked, spent)
+}
+
 // authorize checks that the account may use the route.
 func authorize(doc *config.Document, c *call, name string) error {
 	route, ok := doc.Routes[name]
