Try every endpoint again after a pause when all have refused a call

Now it makes all of them good again after a pause that doubles from 50 ms to 1 s. Ruled out: consensus (a leader stood after 0.7 s) and free ports.

--- a/dev/dev.go
+++ b/dev/dev.go
@@ -5,6 +5,8 @@
 package dev
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,6 +15,8 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -295,6 +299,7 @@
 }
 
 type running struct {
+	host   *kernel.Host
 	cancel context.CancelFunc
 	done   chan struct{}
 	err    error
@@ -336,7 +341,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{cancel: cancel, done: make(chan struct{})}
+	r := &running{host: h, cancel: cancel, done: make(chan struct{})}
 	d.mu.Lock()
 	d.runs[name] = r
 	d.mu.Unlock()
@@ -361,6 +366,30 @@
 	return r.err
 }
 
+// Metric returns the value of a metric of the process called name, or 0.
+func (d *Deployment) Metric(name, metric string) float64 {
+	d.mu.Lock()
+	r := d.runs[name]
+	d.mu.Unlock()
+	if r == nil {
+		return 0
+	}
+	var text bytes.Buffer
+	r.host.Metrics.WritePrometheus(&text)
+	for lines := bufio.NewScanner(&text); lines.Scan(); {
+		key, value, ok := strings.Cut(lines.Text(), " ")
+		if !ok || key != metric {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0
+		}
+		return v
+	}
+	return 0
+}
+
 // Stop stops all processes: entries first, then sidecars, stand-ins and control.
 func (d *Deployment) Stop() {
 	for _, role := range []string{"entry", "sidecar", "standin.worker", "standin.engine", "control"} {
--- a/entry/call.go
+++ b/entry/call.go
@@ -58,6 +58,9 @@
 	// forecast is what admission predicted, and promptBytes the prompt's length.
 	forecast    admit.Forecast
 	promptBytes int
+	// notBefore is the end of the latest pause, and pauses counts them.
+	notBefore time.Time
+	pauses    int
 	// runs counts the attempts that ended without proof that they have not run.
 	runs int
 	// booked is what the request takes of its account's limits while it runs.
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -22,6 +22,13 @@
 // happened: predictions change with time alone.
 const drainEvery = 20 * time.Millisecond
 
+// Bounds of the pauses between rounds in which every endpoint has refused a call.
+const (
+	firstPause   = 50 * time.Millisecond
+	longestPause = time.Second
+	maxDoublings = 8
+)
+
 // dispatcher admits calls, keeps them waiting in a fair order, and gives each an
 // endpoint. Its lock is "entry.table".
 type dispatcher struct {
@@ -180,7 +187,7 @@
 	if refusal == nil && d.waiting.Tokens(c.want.Class) == 0 {
 		return nil, d.start(now, c, choice), nil
 	}
-	return d.push(now, c)
+	return d.push(now, c, refusal)
 }
 
 // worthWaiting tells a lack of room from what waiting does not mend.
@@ -193,7 +200,10 @@
 	return false
 }
 
-func (d *dispatcher) push(now time.Time, c *call) (*waiter, *ticket, error) {
+func (d *dispatcher) push(now time.Time, c *call, refusal *verdict.Refusal) (*waiter, *ticket, error) {
+	if len(c.want.Tried) > 0 && refusal != nil {
+		c.pause(now)
+	}
 	d.nextID++
 	w := &waiter{id: d.nextID, c: c, since: now, result: make(chan outcome, 1)}
 	err := d.waiting.Push(now, queue.Item{
@@ -229,8 +239,19 @@
 	}
 }
 
+// pause makes all endpoints good for another try after a while, when all of them
+// have refused the call. Each pause is twice as long as the one before.
+func (c *call) pause(now time.Time) {
+	c.want.Tried = nil
+	c.notBefore = now.Add(min(firstPause<<min(c.pauses, maxDoublings), longestPause))
+	c.pauses++
+}
+
 func (d *dispatcher) fits(now time.Time, item *queue.Item) bool {
 	c := item.Value.(*waiter).c
+	if now.Before(c.notBefore) {
+		return false
+	}
 	view := d.table.View(c.want.Target)
 	choice, err := d.chooser.Choose(now, &c.want, view)
 	d.found = choice
--- a/entry/perform.go
+++ b/entry/perform.go
@@ -12,8 +12,8 @@
 
 const (
 	// maxAttempts bounds the tries of one request, most of which cost an endpoint
-	// nothing but a refusal.
-	maxAttempts = 12
+	// nothing but a refusal. Between rounds over all endpoints there are pauses.
+	maxAttempts = 100
 	// maxRuns bounds the tries that an endpoint may have worked on.
 	maxRuns = 3
 )
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -11,6 +11,7 @@
 // sidecarMetrics are the metrics of one sidecar.
 type sidecarMetrics struct {
 	set  *metrics.Set
+	got  *metrics.Counter
 	done *metrics.Counter
 	slow *metrics.Counter
 }
@@ -26,11 +27,13 @@
 	set.NewGauge("sidecar_received_bytes", func() float64 { return float64(s.traffic.Received.Load()) })
 	return &sidecarMetrics{
 		set:  set,
+		got:  set.NewCounter("sidecar_granted_total"),
 		done: set.NewCounter("sidecar_finished_total"),
 		slow: set.NewCounter("sidecar_slow_readers_total"),
 	}
 }
 
+func (m *sidecarMetrics) granted()    { m.got.Inc() }
 func (m *sidecarMetrics) finished()   { m.done.Inc() }
 func (m *sidecarMetrics) slowReader() { m.slow.Inc() }
 
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -39,6 +39,7 @@
 		s.refuse(st, d, s.sealed(d, err))
 		return
 	}
+	s.metrics.granted()
 	s.log.Debug("attempt granted", "request", a.id, "account", d.Account, "tokens", a.tokens)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Deadline)
 	defer cancel()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -21,6 +21,9 @@
 const (
 	// dispatchTimeout bounds the wait for the first message of a stream.
 	dispatchTimeout = 5 * time.Second
+	// flushTime is what the last messages need to reach their entries before the
+	// connections close.
+	flushTime = 500 * time.Millisecond
 	// stopTimeout bounds a planned stop; an attempt has its own deadline before.
 	stopTimeout = 10 * time.Minute
 )
@@ -174,6 +177,8 @@
 	case <-s.gate.idle:
 	case <-s.clock.After(stopTimeout):
 	}
+	// The last messages of the last attempts may still be on their way.
+	<-s.clock.After(flushTime)
 }
 
 // serve handles one stream of an entry.
