replica: settle ties between pre-candidates

Cause: after a kill the remaining two of three time out within a round trip of each other; both win their pre-vote, both vote for themselves, and both wait for another timeout, often several times.

Ruled out: lost messages (the network of the benchmark loses none) and a leader that steps down again (no term had one).

A pre-candidate now gives way to one with a longer log or, logs being equal, a higher ID.

--- a/replica/core.go
+++ b/replica/core.go
@@ -59,6 +59,7 @@
 
 	// Only tests set these: they show the failure that a mechanism prevents.
 	disablePreVote     bool
+	disableYield       bool
 	disableCheckQuorum bool
 	disableReadRound   bool
 }
--- a/replica/election.go
+++ b/replica/election.go
@@ -80,6 +80,9 @@
 		free = m.Term > c.term && (m.Force || !c.hearsLeader())
 	}
 	grant := free && c.log.isUpToDate(m.Index, m.LogTerm) && c.pendingSnap == nil
+	if pre && grant && c.role == rolePreCandidate {
+		grant = c.yield(m)
+	}
 	reply := Message{Type: m.Type + 1, To: m.From, Reject: !grant}
 	if pre && grant {
 		reply.Term = m.Term
@@ -91,6 +94,20 @@
 	}
 }
 
+// yield settles which of two pre-candidates goes on. If both did they would split the
+// votes and wait for another timeout. The one with the longer log wins, then the one
+// with the higher ID.
+func (c *core) yield(m *Message) bool {
+	even := m.Index == c.log.last() && m.LogTerm == c.log.lastTerm()
+	if even && m.From < c.id && !c.opts.disableYield {
+		return false
+	}
+	if !c.opts.disableYield {
+		c.becomeFollower(c.term, 0)
+	}
+	return true
+}
+
 func (c *core) handleVoteReply(m *Message, as role) {
 	if c.role != as {
 		return
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -131,6 +131,28 @@
 	}
 }
 
+// Two followers time out at nearly the same tick. If both went on from pre-vote to vote
+// they would share the votes and wait again, time after time.
+func TestPreCandidatesDoNotSplitTheVotes(t *testing.T) {
+	for _, off := range []bool{true, false} {
+		t.Run(fmt.Sprintf("off=%t", off), func(t *testing.T) {
+			is := is.New(t)
+			longest := 0
+			for seed := range uint64(200) {
+				c := newCluster(t, seed, 3, tuneCore(func(o *coreOptions) { o.disableYield = off }))
+				c.commit("a")
+				c.level()
+				c.kill(c.leader().id)
+				start := c.now
+				c.elect()
+				longest = max(longest, c.now-start)
+			}
+			// In ticks: the longest timeout, a pre-vote, a vote and a commit.
+			is.Equal(longest <= 2*DefaultElectionTicks+8, !off)
+		})
+	}
+}
+
 func TestFrozenLeaderThawsWithoutCommittingTwice(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 15, 3, nil)
