replica: a learner votes once its leader is silent

Cause: found by the random scenario (lost disk, learner promoted while it was down, 25% loss). A learner does not campaign, so it kept its last leader for ever, and for a randomised timeout of just the shortest length it always counted as hearing that leader. With its promotion in one replica's log only, the group needed that vote and never had a leader again.

Ruled out: the tie rule between pre-candidates (one candidate only was there). Before: TestLearnerVotesOnceItsLeaderIsSilent failed. After: it passes, and so do 3000 random cases (go test -run Random -rapid.checks=3000).

--- a/replica/core.go
+++ b/replica/core.go
@@ -146,6 +146,7 @@
 		return
 	}
 	c.electionElapsed = 0
+	c.leader = 0 // a learner does not campaign, and must not hold on to a leader either
 	c.campaign(false)
 }
 
--- a/replica/core_test.go
+++ b/replica/core_test.go
@@ -173,3 +173,24 @@
 	c.step(&Message{Type: MsgHeartbeatReply, From: 3, To: 1, Term: c.term, Read: 2})
 	is.Equal(len(c.readDone), 99)
 }
+
+// A learner may be the voter that a candidate needs: its promotion is in the
+// candidate's log and has not reached it.
+func TestLearnerVotesOnceItsLeaderIsSilent(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(50) { // the randomised timeout can be the shortest one
+		c := coreOf(3, 1)
+		c.opts.rand = rand.New(rand.NewPCG(seed, 1))
+		c.id = 9 // no member
+		c.step(&Message{Type: MsgHeartbeat, From: 3, To: 9, Term: 2})
+		flushed(c)
+		ask := Message{Type: MsgPreVote, From: 1, To: 9, Term: 3, Index: 1, LogTerm: 2}
+		c.step(&ask)
+		is.True(flushed(c)[0].Reject)
+		for range 2 * c.opts.electionTicks {
+			c.tick()
+		}
+		c.step(&ask)
+		is.True(!flushed(c)[0].Reject)
+	}
+}
