--- a/replica/driver.go
+++ b/replica/driver.go
@@ -103,6 +103,8 @@
 	full      bool // the reserve is in use, or even that is full
 	blocked   bool // the disk refused the last batch; not tried again before a tick
 	led       uint64
+	running   bool // on a goroutine of its own
+	job       *snapshotJob
 	sinceSnap int // bytes applied since the last snapshot
 	ticks     uint64
 }
@@ -223,6 +225,7 @@
 		ticks = ticker.C
 	}
 	defer r.stop()
+	r.running = true
 	err := r.turn()
 	for err == nil {
 		select {
--- a/replica/files.go
+++ b/replica/files.go
@@ -11,8 +11,9 @@
 const (
 	segmentPrefix  = "log-"
 	snapshotPrefix = "snapshot-"
-	temporaryName  = "temporary"
 	reserveName    = "reserve"
+	// temporaryPrefix starts the names of files that are not whole yet.
+	temporaryPrefix = "temporary-"
 	// failedName marks a disk on which a write failed. The operating system may show
 	// what it could not write until the machine restarts, so a new process must not
 	// trust what it reads.
@@ -59,6 +60,9 @@
 	if slices.Contains(names, failedName) {
 		return nil, restored{}, ErrDiskFailed
 	}
+	if err := removeTemporary(disk, names); err != nil {
+		return nil, restored{}, err
+	}
 	snap, err := s.loadSnapshotMeta(names)
 	if err != nil {
 		return nil, restored{}, err
@@ -77,6 +81,19 @@
 	return s, from, err
 }
 
+// removeTemporary removes what a process left unfinished.
+func removeTemporary(disk Disk, names []string) error {
+	for _, name := range names {
+		if !strings.HasPrefix(name, temporaryPrefix) {
+			continue
+		}
+		if err := disk.Remove(name); err != nil {
+			return errors.Wrap(err, "replica: remove unfinished file")
+		}
+	}
+	return nil
+}
+
 // combine joins the latest snapshot with the log. It reports whether the log does not
 // reach the snapshot, so that it has to start anew behind it.
 func combine(snap snapshotMeta, p *replay) (restored, bool, error) {
@@ -320,11 +337,11 @@
 }
 
 // replaceFile gives name the content b, whole or not at all.
-func replaceFile(disk Disk, name string, b []byte) error {
-	if err := writeFile(disk, temporaryName, b); err != nil {
+func replaceFile(disk Disk, temporary, name string, b []byte) error {
+	if err := writeFile(disk, temporary, b); err != nil {
 		return err
 	}
-	if err := disk.Rename(temporaryName, name); err != nil {
+	if err := disk.Rename(temporary, name); err != nil {
 		return err
 	}
 	return disk.SyncDir()
--- a/replica/identity.go
+++ b/replica/identity.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return errors.Wrap(err, "replica: encode identity")
 	}
-	err = replaceFile(disk, identityName, appendFrame(nil, 0, payload))
+	err = replaceFile(disk, temporaryPrefix+identityName, identityName, appendFrame(nil, 0, payload))
 	return errors.Wrap(err, "replica: write identity")
 }
 
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -4,12 +4,6 @@
 	"github.com/pkg/errors"
 )
 
-// maxLogBytes is the size of applied commands from which a snapshot is taken early.
-const maxLogBytes = 64 << 20
-
-// streamPatience is how many times longer than usual a snapshot waits for a stream.
-const streamPatience = 4
-
 // tick advances the time of the core by one tick.
 func (r *Replica) tick() {
 	r.ticks++
@@ -302,52 +296,6 @@
 	r.transfers = nil
 }
 
-// maybeSnapshot takes a snapshot once enough was applied, and drops the log before it
-// but for a part that lets a follower catch up without a snapshot.
-func (r *Replica) maybeSnapshot() error {
-	c := r.core
-	if !r.snapshotDue() || r.full || c.pendingSnap != nil || c.log.applied > c.log.stable {
-		return nil
-	}
-	data, err := r.opts.StateMachine.Snapshot()
-	if err != nil {
-		return errors.Wrap(err, "replica: take snapshot")
-	}
-	term, _ := c.log.term(c.log.applied)
-	meta := snapshotMeta{
-		Index:    c.log.applied,
-		Term:     term,
-		Members:  c.membershipAt(c.log.applied).members,
-		Size:     uint64(len(data)),
-		Checksum: checksum(data),
-	}
-	err = r.store.saveSnapshot(meta, data)
-	if errors.Is(err, ErrDiskFull) {
-		r.log.Warn("no room for a snapshot", "id", uint64(r.founding.ID), "bytes", meta.Size)
-		r.sinceSnap = 0
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	r.sinceSnap = 0
-	keep := meta.Index - min(meta.Index, r.opts.SnapshotEvery/2)
-	c.compacted(meta, keep)
-	r.log.Info("snapshot", "id", uint64(r.founding.ID), "index", meta.Index, "bytes", meta.Size)
-	return r.store.compact(keep)
-}
-
-// snapshotDue says whether enough was applied. While a snapshot is being streamed a new
-// one waits, but not for ever: a follower that cannot take it must not fill our disk.
-func (r *Replica) snapshotDue() bool {
-	applied := r.core.log.applied - r.core.snap.Index
-	every, bytes := r.opts.SnapshotEvery, maxLogBytes
-	if r.core.streaming() {
-		every, bytes = every*streamPatience, bytes*streamPatience
-	}
-	return applied >= every || r.sinceSnap >= bytes
-}
-
 // publish makes the state visible to other goroutines.
 func (r *Replica) publish() {
 	c := r.core
@@ -389,6 +337,9 @@
 		b.end(nil, ErrStopped)
 	}
 	r.endProposals(ErrUncertain, 0)
+	if r.job != nil {
+		<-r.job.done
+	}
 	r.endReads(ErrStopped)
 	for _, o := range r.transfers {
 		o.end(nil, ErrUncertain)
--- a/replica/run_test.go
+++ b/replica/run_test.go
@@ -125,7 +125,7 @@
 
 func TestRunCommitsFromManyCallersAndRestarts(t *testing.T) {
 	is := is.New(t)
-	g := newLiveGroup(t, 3, nil)
+	g := newLiveGroup(t, 3, func(o *Options) { o.SnapshotEvery = 30 })
 	ctx := context.Background()
 	var callers sync.WaitGroup
 	for i := range 8 {
--- a/replica/snapfile.go
+++ b/replica/snapfile.go
@@ -13,21 +13,32 @@
 
 // A snapshot file is one frame with the encoded snapshotMeta, followed by the data.
 
-// saveSnapshot writes a snapshot and removes the ones before it.
-func (s *store) saveSnapshot(meta snapshotMeta, data []byte) error {
-	if s.failed != nil {
-		return s.failed
-	}
+// writeSnapshot writes a snapshot under its name, whole or not at all. It may run beside
+// the log's writes.
+func writeSnapshot(disk Disk, meta snapshotMeta, data []byte) error {
 	payload, err := cbor.Marshal(meta)
 	if err != nil {
 		return errors.Wrap(err, "replica: encode snapshot")
 	}
 	file := append(appendFrame(nil, meta.Index, payload), data...)
-	err = replaceFile(s.disk, snapshotName(meta.Index), file)
-	switch {
-	case err != nil && isFull(err):
-		s.disk.Remove(temporaryName)
+	temporary := temporaryPrefix + snapshotName(meta.Index)
+	err = replaceFile(disk, temporary, snapshotName(meta.Index), file)
+	if err != nil && isFull(err) {
+		disk.Remove(temporary)
 		return ErrDiskFull
+	}
+	return err
+}
+
+// saveSnapshot writes a snapshot that replaces the log, and removes the ones before it.
+func (s *store) saveSnapshot(meta snapshotMeta, data []byte) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	err := writeSnapshot(s.disk, meta, data)
+	switch {
+	case errors.Is(err, ErrDiskFull):
+		return err
 	case err != nil:
 		return s.fail(err, "write snapshot")
 	}
