--- a/route/model_test.go
+++ b/route/model_test.go
@@ -86,19 +86,19 @@
 	info := n.info
 	info.Load = n.load()
 	taken := at(w.q.now)
-	for _, e := range w.entries {
-		delay := reportDelay * (1 + w.rng.Float64()/2)
-		if taken == epoch {
-			delay = 0
-		}
-		w.q.after(delay, func() {
+	delay := reportDelay * (1 + w.rng.Float64()/2)
+	if taken == epoch {
+		delay = 0
+	}
+	w.q.after(delay, func() {
+		for _, e := range w.entries {
 			known, ok := e.table.Get(info.Name)
 			if !ok || info.Incarnation > known.Incarnation {
 				e.table.Upsert(taken, info)
 			}
 			e.table.SetLoad(info.Name, info.Load, taken)
-		})
-	}
+		}
+	})
 	w.q.after(reportEvery*(0.9+0.2*w.rng.Float64()), func() { w.announce(n) })
 }
 
