--- a/cmd/rosemary-load/main.go
+++ b/cmd/rosemary-load/main.go
@@ -18,7 +18,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/experiment"
 )
 
-func main() { cli.Execute(command()) }
+func main() { cli.Execute(rootCommand()) }
 
 // options are the flags of a run.
 type options struct {
@@ -33,7 +33,7 @@
 	quiet     bool
 }
 
-func command() *cobra.Command {
+func rootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "rosemary-load",
 		Short:         "Measure a serving system under open-loop load",
--- a/experiment/memory.go
+++ b/experiment/memory.go
@@ -17,7 +17,8 @@
 	// At is in model time from the part's start.
 	At time.Duration
 	// Bytes is the resident memory of the entries where they are processes of
-	// their own; else the live heap and stacks of this whole process.
+	// their own; else the stacks of this whole process and the heap that its last
+	// garbage collection found alive.
 	Bytes int64
 	// Held is what the system says that it holds for callers.
 	Held int64
@@ -58,10 +59,10 @@
 	return sum
 }
 
-// ownMemory returns the bytes of this process's live objects and stacks.
+// ownMemory returns the bytes of this process's live heap and stacks.
 func ownMemory() int64 {
 	samples := []metrics.Sample{
-		{Name: "/memory/classes/heap/objects:bytes"},
+		{Name: "/gc/heap/live:bytes"},
 		{Name: "/memory/classes/heap/stacks:bytes"},
 	}
 	metrics.Read(samples)
