--- a/experiment/runner.go
+++ b/experiment/runner.go
@@ -157,8 +157,7 @@
 		d.run.Memory = sampleMemory(ctx, d.scenario, d.part, d.system, d.clock)
 	})
 	group.Go(func() {
-		readers := runSlowReaders(ctx, d.scenario, slow, d.client, d.clock)
-		d.run.Use = &MemoryUse{Readers: readers}
+		d.run.Use = &MemoryUse{Readers: d.runSlowReaders(ctx, slow)}
 	})
 }
 
--- a/experiment/scenario.go
+++ b/experiment/scenario.go
@@ -126,8 +126,9 @@
 
 // SlowReaders are callers that stop reading in the middle of a stream.
 type SlowReaders struct {
-	// At is when they send their requests.
+	// At is when the first sends its request; the others follow evenly within Over.
 	At    settings.Duration `json:"at"`
+	Over  settings.Duration `json:"over"`
 	Count int               `json:"count" validate:"min=1"`
 	Model string            `json:"model" validate:"required"`
 	// PromptTokens and OutputTokens are the size of each request.
--- a/experiment/slow.go
+++ b/experiment/slow.go
@@ -3,29 +3,50 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
+)
 
-	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+const (
+	// slowFirstBytes is what a slow reader reads before it stops reading.
+	slowFirstBytes = 512
+	// slowSocketBytes bounds what the kernel takes on a slow reader's side, so
+	// that the system has to hold the rest.
+	slowSocketBytes = 8 << 10
 )
 
-// slowFirstBytes is what a slow reader reads before it stops reading.
-const slowFirstBytes = 512
+// newSlowClient returns a client like c whose sockets take little.
+func newSlowClient(c *client) *client {
+	slow := *c
+	transport := &http.Transport{
+		DisableCompression: true,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetReadBuffer(slowSocketBytes)
+			}
+			return conn, err
+		},
+	}
+	slow.http = &http.Client{Transport: transport}
+	return &slow
+}
 
 // runSlowReaders opens streams whose callers stop reading and keeps them until
-// ctx ends. It returns how many were still open then.
-func runSlowReaders(ctx context.Context, s *Scenario, r *SlowReaders, c *client, clock kernel.Clock) int {
-	select {
-	case <-clock.After(s.real(r.At.Std())):
-	case <-ctx.Done():
-		return 0
-	}
+// ctx ends. It returns how many streams began.
+func (d *driver) runSlowReaders(ctx context.Context, r *SlowReaders) int {
+	s := d.scenario
+	c := newSlowClient(d.client)
+	defer c.close()
 	item := &Item{Name: "slow reader", Prompt: &Prompt{Model: r.Model}, Deadline: s.Duration * 10}
 	var open sync.WaitGroup
-	var mu sync.Mutex
-	held := 0
+	var began atomic.Int64
 	for i := range r.Count {
 		a := &Arrival{
+			Due:          r.At.Std() + r.Over.Std()*time.Duration(i)/time.Duration(r.Count),
 			Number:       i,
 			Item:         item,
 			Account:      &s.Accounts[i%len(s.Accounts)],
@@ -34,22 +55,23 @@
 			Entry:        i,
 			name:         fmt.Sprintf("slow reader %d", i),
 		}
+		if !d.sleepUntil(ctx, c.due(a)) {
+			break
+		}
 		open.Go(func() {
 			if holdStream(ctx, c, a) {
-				mu.Lock()
-				held++
-				mu.Unlock()
+				began.Add(1)
 			}
 		})
 	}
 	open.Wait()
-	return held
+	return int(began.Load())
 }
 
 // holdStream reads the start of a stream and then nothing until ctx ends. It
 // reports whether the stream began.
 func holdStream(ctx context.Context, c *client, a *Arrival) bool {
-	deadline := c.start.Add(c.scenario.real(c.scenario.deadline(a.Item)))
+	deadline := c.due(a).Add(c.scenario.real(c.scenario.deadline(a.Item)))
 	req, err := c.request(ctx, a, &Result{}, deadline)
 	if err != nil {
 		return false
--- a/standin/batch.go
+++ b/standin/batch.go
@@ -111,24 +111,23 @@
 	return rates{prefill: speed * e.cfg.PrefillRate, decode: speed * decode}
 }
 
-// prefill shares a budget of tokens among the prompts of the lowest priority
-// number first, in equal parts within one priority.
+// prefill gives a budget of tokens to the prompts of the lowest priority number
+// first, and within one priority in the engine's order.
 func (e *Engine) prefill(now time.Time, batch []*request, budget float64) {
-	var prompts []*request
-	for _, r := range batch {
-		if r.phase == prefilling {
-			prompts = append(prompts, r)
-		}
-	}
+	prompts := slices.DeleteFunc(slices.Clone(batch), func(r *request) bool { return r.phase != prefilling })
+	arrival := e.cfg.PrefillOrder == prefillArrival
 	slices.SortFunc(prompts, func(a, b *request) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.prefillLeft, b.prefillLeft), cmp.Compare(a.seq, b.seq))
+		if arrival || a.prefillLeft == b.prefillLeft {
+			return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.seq, b.seq))
+		}
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.prefillLeft, b.prefillLeft))
 	})
 	for i, r := range prompts {
-		same := 1
-		for i+same < len(prompts) && prompts[i+same].priority == r.priority {
-			same++
+		sharers := 1
+		for !arrival && i+sharers < len(prompts) && prompts[i+sharers].priority == r.priority {
+			sharers++
 		}
-		part := min(r.prefillLeft, budget/float64(same))
+		part := min(r.prefillLeft, budget/float64(sharers))
 		r.prefillLeft -= part
 		budget -= part
 		if r.prefillLeft <= 0 {
--- a/standin/config.go
+++ b/standin/config.go
@@ -25,6 +25,9 @@
 	CacheTokens int64 `json:"cache_tokens" validate:"min=0"`
 	// PrefillRate is the prompt speed of the whole engine in tokens a second.
 	PrefillRate float64 `json:"prefill_tokens_per_second" validate:"gt=0"`
+	// PrefillOrder is how prompts of one priority share the prefill speed: "equal"
+	// parts for all, or by "arrival", so that one waits for those before it.
+	PrefillOrder string `json:"prefill_order,omitempty" validate:"omitempty,oneof=equal arrival"`
 	// DecodeRate is the output speed of one request alone, in tokens a second.
 	DecodeRate float64 `json:"decode_tokens_per_second" validate:"gt=0"`
 	// BatchSlowdown is by how much each further running request slows decoding.
@@ -72,6 +75,12 @@
 	WarmFirst bool `json:"warm_first"`
 }
 
+// Orders of prefill.
+const (
+	prefillEqual   = "equal"
+	prefillArrival = "arrival"
+)
+
 // DefaultEngineConfig returns the settings of a middling engine that starts warm.
 func DefaultEngineConfig() EngineConfig {
 	return EngineConfig{
@@ -81,6 +90,7 @@
 		KVTokens:            500_000,
 		CacheTokens:         200_000,
 		PrefillRate:         20_000,
+		PrefillOrder:        prefillEqual,
 		DecodeRate:          60,
 		BatchSlowdown:       0.03,
 		PrefillInterference: 0.5,
--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -64,14 +64,23 @@
 	return r
 }
 
-func TestPromptsShareTheBatchByPriority(t *testing.T) {
-	is := is.New(t)
-	e := stepEngine(t, nil)
-	long, short, urgent := e.add(400, 1, 1), e.add(20, 1, 1), e.add(40, 1, 0)
-	e.advance(time.Second) // 100 tokens: 40 for the urgent one, 20 and 40 for the others
-	is.Equal(urgent.phase, finished)
-	is.Equal(short.phase, finished)
-	is.Equal(long.prefillLeft, 360.0)
+func TestPrefillOrder(t *testing.T) {
+	cases := []struct {
+		order               string
+		long, short, urgent float64 // what is left after a second
+	}{
+		{prefillEqual, 360, 0, 0}, // 40 of 100 tokens for the urgent one, 20 and 40 for the others
+		{prefillArrival, 340, 20, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.order, func(t *testing.T) {
+			is := is.New(t)
+			e := stepEngine(t, func(cfg *EngineConfig) { cfg.PrefillOrder = c.order })
+			long, short, urgent := e.add(400, 1, 1), e.add(20, 1, 1), e.add(40, 1, 0)
+			e.advance(time.Second)
+			is.Equal([]float64{long.prefillLeft, short.prefillLeft, urgent.prefillLeft}, []float64{c.long, c.short, c.urgent})
+		})
+	}
 }
 
 func TestWaitingRequestsStartByPriority(t *testing.T) {
