--- a/experiment/memory.go
+++ b/experiment/memory.go
@@ -94,8 +94,8 @@
 type MemoryUse struct {
 	// Readers is how many slow readers had their streams open at the end.
 	Readers int
-	// Before is the largest sample before the slow readers came, and Peak the
-	// largest one after.
+	// Before is the last sample before the slow readers came, and Peak the largest
+	// one after.
 	Before   int64
 	Peak     int64
 	HeldPeak int64
@@ -105,7 +105,7 @@
 	var u MemoryUse
 	for _, m := range list {
 		if m.At < from {
-			u.Before = max(u.Before, m.Bytes)
+			u.Before = m.Bytes
 			continue
 		}
 		u.Peak = max(u.Peak, m.Bytes)
--- a/experiment/plot.go
+++ b/experiment/plot.go
@@ -20,6 +20,8 @@
 	plotWidth  = 20 * vg.Centimeter
 	plotHeight = 12 * vg.Centimeter
 	lineWidth  = vg.Length(1.5)
+	// halfStep is the room beside the first and the last class of an axis.
+	halfStep = 0.5
 )
 
 // plotFormats are the file name extensions of plots.
@@ -108,11 +110,13 @@
 		names[i] = c.Name
 	}
 	p.NominalX(names...)
+	p.Legend.Left = true
 	for i, variant := range r.variantNames() {
 		p50, p99 := r.firstLines(part, variant)
 		addLine(p, variant, p99, i)
 		addDashed(p, p50, plotutil.Color(i))
 	}
+	p.X.Min, p.X.Max = -halfStep, float64(len(classes))-halfStep
 	return p
 }
 
@@ -184,6 +188,8 @@
 	if !drawn {
 		return nil
 	}
+	p.Y.Min = 0
+	p.Legend.Left = true
 	return p
 }
 
