--- a/control/command/command.go
+++ b/control/command/command.go
@@ -36,6 +36,8 @@
 	NameMember = "member"
 	// NameSuspect takes Suspect and answers nothing. Entries only.
 	NameSuspect = "suspect"
+	// NameStanding takes nothing and answers ReplicaStanding, from any replica about itself.
+	NameStanding = "standing"
 )
 
 // AnyRevision in Change.Expect accepts the change at any revision.
@@ -207,3 +209,14 @@
 	Incarnation uint64   `cbor:"2,keyasint"`
 	Digests     []uint64 `cbor:"3,keyasint"`
 }
+
+// ReplicaStanding says where one replica stands, for a process that polls a majority.
+type ReplicaStanding struct {
+	ID     uint64   `cbor:"1,keyasint"`
+	Leader uint64   `cbor:"2,keyasint"`
+	Voters []uint64 `cbor:"3,keyasint"`
+	// Revision is the highest configuration revision that it holds. Settled is set
+	// when its log has nothing after that which may still become a change.
+	Revision uint64 `cbor:"4,keyasint"`
+	Settled  bool   `cbor:"5,keyasint"`
+}
