--- a/dev/zone_test.go
+++ b/dev/zone_test.go
@@ -38,7 +38,7 @@
 	}, &changed)
 	until(t, "the zone's order is in force", func() bool {
 		var lagging command.Lagging
-		operate(t, d, command.NameInForce, command.InForce{Revision: changed.Revision}, &lagging)
+		operate(t, d, command.NameInForce, command.InForce(changed), &lagging)
 		return len(lagging.Processes) == 0
 	})
 }
