--- a/route/model_test.go
+++ b/route/model_test.go
@@ -86,19 +86,19 @@
 	info := n.info
 	info.Load = n.load()
 	taken := at(w.q.now)
-	for _, e := range w.entries {
-		delay := reportDelay * (1 + w.rng.Float64()/2)
-		if taken == epoch {
-			delay = 0
-		}
-		w.q.after(delay, func() {
+	delay := reportDelay * (1 + w.rng.Float64()/2)
+	if taken == epoch {
+		delay = 0
+	}
+	w.q.after(delay, func() {
+		for _, e := range w.entries {
 			known, ok := e.table.Get(info.Name)
 			if !ok || info.Incarnation > known.Incarnation {
 				e.table.Upsert(taken, info)
 			}
 			e.table.SetLoad(info.Name, info.Load, taken)
-		})
-	}
+		}
+	})
 	w.q.after(reportEvery*(0.9+0.2*w.rng.Float64()), func() { w.announce(n) })
 }
 
@@ -123,16 +123,15 @@
 
 // result is what a run measured.
 type result struct {
-	setup          setup
-	first          [route.Classes][]float64 // times to first token, sorted
-	arrived        [route.Classes]int
-	refused        [route.Classes]int
-	good           [route.Classes]float64 // prompt tokens of requests finished in time, a second
-	recent         float64                // the same over the second half of the run
-	missed         int
-	finished, late int
-	crashes        int
-	misses         int
+	setup   setup
+	first   [route.Classes][]float64 // times to first token, sorted
+	arrived [route.Classes]int
+	refused [route.Classes]int
+	good    [route.Classes]float64 // prompt tokens of requests finished in time, a second
+	recent  float64                // the same over the second half of the run
+	missed  int
+	crashes int
+	misses  int
 }
 
 // warmup is the time at the start of a run that is not measured, in seconds.
