--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -143,7 +143,7 @@
 }
 
 // idleWindow is how long the traffic of an idle fleet is measured.
-const idleWindow = 10 * time.Second
+const idleWindow = 40 * time.Second
 
 func benchmarkMembers(b *testing.B, members int) {
 	d := deploy(b, 3, calm)
--- a/control/commands.go
+++ b/control/commands.go
@@ -97,6 +97,9 @@
 	if redirect := s.redirect(); redirect != nil {
 		return redirect
 	}
+	if refusal := s.checkOrder(c); refusal != nil {
+		return refused(refusal)
+	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	var answer *wire.Answer
@@ -124,6 +127,16 @@
 	return &wire.Answer{Leader: s.addrOf(status.Leader)}
 }
 
+// checkOrder refuses an order to an endpoint that has not announced itself, most
+// likely a slip of the pen. The state machine cannot tell: the list is not in it.
+func (s *Server) checkOrder(c *wire.Command) *verdict.Refusal {
+	var o command.Order
+	if c.Name != command.NameOrder || wire.Unmarshal(c.Body, &o) != nil || s.table.listed(o.Endpoint) {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonBadRequest, 0, "no endpoint %q has announced itself", o.Endpoint)
+}
+
 func noQuorum() *verdict.Refusal {
 	return verdict.Refuse(verdict.ReasonNoQuorum, electionRetry, "control has no leader now")
 }
--- a/control/control.go
+++ b/control/control.go
@@ -21,6 +21,10 @@
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
+// snapshotEvery is the number of commands between snapshots: at the claims of full
+// size about one a minute.
+const snapshotEvery = 50_000
+
 // defaultGrace leaves a sidecar the time to notice that its replica is lost and
 // to open a session with another.
 const defaultGrace = 8 * time.Second
@@ -121,13 +125,14 @@
 	}
 	p.disk = disk
 	p.replica, err = replica.Open(replica.Options{
-		ID:           replica.ID(p.ID),
-		Bootstrap:    replicas,
-		Disk:         disk,
-		StateMachine: p.server.store,
-		Transport:    p.server.transport,
-		TickInterval: p.Tick.Std(),
-		Log:          h.Log.Named("replica"),
+		ID:            replica.ID(p.ID),
+		Bootstrap:     replicas,
+		Disk:          disk,
+		StateMachine:  p.server.store,
+		Transport:     p.server.transport,
+		TickInterval:  p.Tick.Std(),
+		SnapshotEvery: snapshotEvery,
+		Log:           h.Log.Named("replica"),
 	})
 	if err != nil {
 		_ = disk.Close()
--- a/control/state/answer.go
+++ b/control/state/answer.go
@@ -5,7 +5,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
-// answers keeps the newest answers by command identifier, oldest first out.
+// answers keeps the newest answers by sender and identifier, oldest first out.
 type answers struct {
 	limit int
 	byID  map[string][]byte
@@ -21,11 +21,7 @@
 	return kept, ok
 }
 
-// put keeps the answer. A command without identifier cannot be resent.
 func (a *answers) put(id string, answer []byte) {
-	if id == "" {
-		return
-	}
 	if len(a.order) == a.limit {
 		delete(a.byID, a.order[0])
 		a.order = a.order[1:]
--- a/control/state/claim.go
+++ b/control/state/claim.go
@@ -27,7 +27,7 @@
 	}
 	answer, used := m.claims.Claim(m.time(), once.Claim{
 		Account: c.Account, Key: c.Key, Digest: c.Digest,
-		Endpoint: c.Endpoint, Incarnation: c.Incarnation, Command: e.ID,
+		Endpoint: c.Endpoint, Incarnation: c.Incarnation, Command: e.key(),
 	}, m.orders.last+1, m.registered)
 	if used {
 		m.orders.last++
--- a/control/state/order.go
+++ b/control/state/order.go
@@ -54,6 +54,9 @@
 		return refuse(verdict.Refuse(verdict.ReasonBadRequest, 0,
 			"an order needs an endpoint, a value and an action load, adapter, version or role"))
 	}
+	if _, ok := m.doc.Models[c.Value]; c.Action == ActionLoad && !ok {
+		return refuse(verdict.Refuse(verdict.ReasonBadRequest, 0, "unknown model %q", c.Value))
+	}
 	order := wire.Order{Fence: m.orders.next(), Endpoint: c.Endpoint, Action: c.Action, Value: c.Value}
 	s := m.orders.endpoints[c.Endpoint]
 	s.add(order)
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -30,7 +30,7 @@
 
 // Entry is one command in the log of the replicas.
 type Entry struct {
-	// ID makes the command idempotent. It is unique over all senders.
+	// ID makes the command idempotent. It is unique among those of the sender.
 	ID string `cbor:"1,keyasint"`
 	// Name is the command's name in package command, or NameBootstrap.
 	Name string `cbor:"2,keyasint"`
@@ -84,14 +84,20 @@
 	if e.Name == command.NameClaim || e.Name == command.NameSettle {
 		return encode(m.apply(&e))
 	}
-	if kept, ok := m.answers.get(e.ID); ok {
+	if e.ID == "" {
+		return encode(m.apply(&e))
+	}
+	if kept, ok := m.answers.get(e.key()); ok {
 		return kept
 	}
 	answer := encode(m.apply(&e))
-	m.answers.put(e.ID, answer)
+	m.answers.put(e.key(), answer)
 	return answer
 }
 
+// key names the command over all senders: nobody gets the answer to another's.
+func (e *Entry) key() string { return e.Who + " " + e.ID }
+
 func (m *Machine) apply(e *Entry) *wire.Answer {
 	switch e.Name {
 	case NameBootstrap:
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -30,6 +30,8 @@
 	l.must(NameBootstrap, "", command.Change{Changes: []config.Change{
 		{Zone: &config.Zone{Name: "hall", Region: "leon-coast", State: config.In}},
 		{Account: &config.Account{Name: "parish"}},
+		{Model: &config.Model{Name: "scribe"}},
+		{Model: &config.Model{Name: "other"}},
 	}})
 	return l
 }
@@ -97,6 +99,16 @@
 	is.Equal(l.m.Document().Revision, uint64(3))
 }
 
+func TestNobodyGetsTheAnswerToAnothersCommand(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	change := command.Change{Expect: 1, Changes: []config.Change{zone(config.Out)}}
+	l.must(command.NameChange, "a", change)
+	var b wire.Answer
+	is.NoErr(wire.Unmarshal(l.m.Apply(99, encodeEntry(command.NameChange, "a", "somebody-else", start, change)), &b))
+	is.Equal(b.Refused.Reason, verdict.ReasonRevisionConflict)
+}
+
 func TestRefusedCommandsChangeNothing(t *testing.T) {
 	tests := map[string]struct {
 		name string
@@ -106,6 +118,7 @@
 		"fault in a change":    {command.NameChange, command.Change{Expect: command.AnyRevision, Changes: []config.Change{zone("maybe")}}},
 		"one fault of two":     {command.NameChange, command.Change{Expect: 1, Changes: []config.Change{zone(config.Out), {DropModel: "x"}}}},
 		"unknown action":       {command.NameOrder, command.Order{Endpoint: "desk", Action: "explode", Value: "x"}},
+		"unknown model":        {command.NameOrder, command.Order{Endpoint: "desk", Action: ActionLoad, Value: "x"}},
 		"order to nobody":      {command.NameOrder, command.Order{Action: ActionLoad, Value: "x"}},
 		"claim without a key":  {command.NameClaim, command.Claim{Account: "parish"}},
 		"claim too long":       {command.NameClaim, command.Claim{Account: "parish", Key: string(make([]byte, 300))}},
@@ -257,7 +270,7 @@
 	n := uint64(rapid.IntRange(0, 4).Draw(t, "number"))
 	bodies := map[string]any{
 		command.NameChange:  command.Change{Expect: n, Changes: []config.Change{zone(config.Out)}},
-		command.NameOrder:   command.Order{Endpoint: "desk", Action: ActionLoad, Value: id},
+		command.NameOrder:   command.Order{Endpoint: "desk", Action: ActionLoad, Value: "scribe"},
 		command.NameFence:   command.Fence{Endpoint: "desk", Incarnation: n},
 		command.NameClaim:   command.Claim{Account: "parish", Key: key, Endpoint: "desk", Incarnation: n},
 		command.NameSettle:  command.Settle{Account: "parish", Key: key, Fence: n, Verdict: verdict.Ran, Result: &command.Result{Status: 200}},
--- a/control/table.go
+++ b/control/table.go
@@ -276,6 +276,14 @@
 	return sortProcesses(out)
 }
 
+// listed reports whether the endpoint is in the list.
+func (t *table) listed(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.list.members[name]
+	return ok
+}
+
 // endpoints lists all endpoints by name.
 func (t *table) endpoints() []wire.Endpoint {
 	t.mu.Lock()
