--- a/experiment/answer.go
+++ b/experiment/answer.go
@@ -86,9 +86,7 @@
 		if t.first.IsZero() {
 			t.first = c.clock.Now()
 		}
-		if s.take(data) {
-			break
-		}
+		s.take(data)
 	}
 	return s.conclude(ctx, t)
 }
@@ -125,22 +123,23 @@
 	}
 }
 
-// take takes the data of an event. It reports true at the stream's end.
-func (s *streamReader) take(data []byte) bool {
+// take takes the data of an event. Nothing may follow the end mark.
+func (s *streamReader) take(data []byte) {
 	if bytes.Equal(data, []byte("[DONE]")) {
+		s.wrong = s.wrong || s.done
 		s.done = true
-		return true
+		return
 	}
 	if s.isError {
 		t := asRefusal(data, "error event")
 		t.outcome = Failed
 		s.refused = &t
-		return true
+		return
 	}
 	var a standin.Answer
-	if json.Unmarshal(data, &a) != nil {
+	if json.Unmarshal(data, &a) != nil || s.done {
 		s.wrong = true
-		return true
+		return
 	}
 	text := a.Text()
 	end := s.got + len(text)
@@ -151,7 +150,6 @@
 	if a.Usage != nil && a.Usage.CompletionTokens != int64(s.tokens) {
 		s.wrong = true
 	}
-	return false
 }
 
 // conclude says how the stream ended. One that has its end mark and not its own
--- a/experiment/client_test.go
+++ b/experiment/client_test.go
@@ -74,6 +74,7 @@
 			return events(own[:strings.Index(own, " ")+1], n) + doneMark
 		}, Wrong, ""},
 		{"repeated answer", 200, func(own, _ string, n int) string { return events(own+own, n) + doneMark }, Wrong, ""},
+		{"more after the end mark", 200, func(own, _ string, n int) string { return events(own, n) + doneMark + events(own, n) }, Wrong, ""},
 		{"wrong usage", 200, func(own, _ string, n int) string { return events(own, n+1) + doneMark }, Wrong, ""},
 		{"no end mark", 200, func(own, _ string, n int) string { return events(own, n) }, Failed, ""},
 		{"empty stream", 200, func(string, string, int) string { return "" }, Failed, ""},
