--- a/dev/dev.go
+++ b/dev/dev.go
@@ -5,13 +5,18 @@
 package dev
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -29,6 +34,13 @@
 	_ "github.com/rosemaryproxy/rosemaryproxy/standin"
 )
 
+// Ports of a deployment on loopback.
+const (
+	firstPort = 10_000
+	ports     = 20_000
+	portTries = 100
+)
+
 // Endpoint is one stand-in and its sidecar.
 type Endpoint struct {
 	Name   string
@@ -233,19 +245,31 @@
 	return addrs, nil
 }
 
-func reserveAddr(network string) (string, func(), error) {
+// reserveAddr opens a port below those that the kernel gives to outgoing
+// connections, which would take a port between its release and its use.
+func reserveAddr(network string) (addr string, release func(), err error) {
+	for range portTries {
+		addr = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if release, err = listen(network, addr); err == nil {
+			return addr, release, nil
+		}
+	}
+	return "", nil, err
+}
+
+func listen(network, addr string) (func(), error) {
 	if network == "udp" {
-		c, err := net.ListenPacket(network, "127.0.0.1:0")
+		c, err := net.ListenPacket(network, addr)
 		if err != nil {
-			return "", nil, err
+			return nil, err
 		}
-		return c.LocalAddr().String(), func() { _ = c.Close() }, nil
+		return func() { _ = c.Close() }, nil
 	}
-	l, err := net.Listen(network, "127.0.0.1:0")
+	l, err := net.Listen(network, addr)
 	if err != nil {
-		return "", nil, err
+		return nil, err
 	}
-	return l.Addr().String(), func() { _ = l.Close() }, nil
+	return func() { _ = l.Close() }, nil
 }
 
 // Write writes every settings file to dir, as "<name>.json".
@@ -275,6 +299,7 @@
 }
 
 type running struct {
+	host   *kernel.Host
 	cancel context.CancelFunc
 	done   chan struct{}
 	err    error
@@ -316,7 +341,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{cancel: cancel, done: make(chan struct{})}
+	r := &running{host: h, cancel: cancel, done: make(chan struct{})}
 	d.mu.Lock()
 	d.runs[name] = r
 	d.mu.Unlock()
@@ -341,6 +366,30 @@
 	return r.err
 }
 
+// Metric returns the value of a metric of the process called name, or 0.
+func (d *Deployment) Metric(name, metric string) float64 {
+	d.mu.Lock()
+	r := d.runs[name]
+	d.mu.Unlock()
+	if r == nil {
+		return 0
+	}
+	var text bytes.Buffer
+	r.host.Metrics.WritePrometheus(&text)
+	for lines := bufio.NewScanner(&text); lines.Scan(); {
+		key, value, ok := strings.Cut(lines.Text(), " ")
+		if !ok || key != metric {
+			continue
+		}
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0
+		}
+		return v
+	}
+	return 0
+}
+
 // Stop stops all processes: entries first, then sidecars, stand-ins and control.
 func (d *Deployment) Stop() {
 	for _, role := range []string{"entry", "sidecar", "standin.worker", "standin.engine", "control"} {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -21,6 +21,9 @@
 const (
 	// dispatchTimeout bounds the wait for the first message of a stream.
 	dispatchTimeout = 5 * time.Second
+	// flushTime is what the last messages need to reach their entries before the
+	// connections close.
+	flushTime = 500 * time.Millisecond
 	// stopTimeout bounds a planned stop; an attempt has its own deadline before.
 	stopTimeout = 10 * time.Minute
 )
@@ -43,6 +46,9 @@
 	Held stream.Limits `json:"held"`
 	// ReaderTimeout ends an attempt whose reader takes nothing for so long.
 	ReaderTimeout settings.Duration `json:"reader_timeout"`
+	// Linger is how long a leaving endpoint still answers dispatches with a refusal,
+	// so that entries have heard of it before its address is gone.
+	Linger settings.Duration `json:"linger"`
 	// PollEvery is the interval at which the engine's load is read.
 	PollEvery settings.Duration `json:"poll_every"`
 }
@@ -76,8 +82,6 @@
 	budget  *stream.Budget
 	engine  *engineClient
 	metrics *sidecarMetrics
-	// attempts counts the streams being served, for a planned stop.
-	attempts sync.WaitGroup
 }
 
 var (
@@ -97,6 +101,9 @@
 	if s.ReaderTimeout == 0 {
 		s.ReaderTimeout = settings.Duration(30 * time.Second)
 	}
+	if s.Linger == 0 {
+		s.Linger = settings.Duration(3 * time.Second)
+	}
 	if s.PollEvery == 0 {
 		s.PollEvery = settings.Duration(200 * time.Millisecond)
 	}
@@ -159,26 +166,23 @@
 	return errors.Wrap(err, "serve endpoint")
 }
 
-// leave announces that the endpoint leaves and waits for the attempts in flight.
+// leave announces that the endpoint leaves, waits for the attempts in flight, and
+// stays until entries have stopped sending.
 func (s *Sidecar) leave() {
 	s.gate.leave()
 	s.control.Announce(s.announcement())
 	s.log.Info("endpoint leaving", "running", s.gate.load(s.clock.Now()).Running)
-	idle := make(chan struct{})
-	go func() {
-		s.attempts.Wait()
-		close(idle)
-	}()
+	<-s.clock.After(s.Linger.Std())
 	select {
-	case <-idle:
+	case <-s.gate.idle:
 	case <-s.clock.After(stopTimeout):
 	}
+	// The last messages of the last attempts may still be on their way.
+	<-s.clock.After(flushTime)
 }
 
 // serve handles one stream of an entry.
 func (s *Sidecar) serve(st wire.Stream) {
-	s.attempts.Add(1)
-	defer s.attempts.Done()
 	if st.Peer().Role != wire.RoleEntry {
 		s.log.Warn("stream refused", "peer", st.Peer().Name, "role", string(st.Peer().Role))
 		return
