route: draw 8 endpoints a zone and tolerate 150 ms

Cause: at 600 endpoints a short prompt needed 2.6 dispatches before it was taken: the best of 16 draws is the endpoint whose report is most out of date. Change: 8 draws in a zone, a tolerance of 150 ms of prefill.

--- a/route/predicted.go
+++ b/route/predicted.go
@@ -17,7 +17,7 @@
 // Defaults of Predicted.
 const (
 	// defaultSamples is the number of endpoints drawn in each zone.
-	defaultSamples = 16
+	defaultSamples = 8
 	// defaultSpill is by how much another zone has to be quicker to be chosen.
 	defaultSpill = 50 * time.Millisecond
 	// defaultHints is the number of prompt prefixes remembered.
@@ -29,7 +29,7 @@
 	exposure = 0.7
 	// tolerated is by how much the wait at an endpoint may be over its prediction
 	// before the sidecar turns the prompt away, in prefill time.
-	tolerated = 100 * time.Millisecond
+	tolerated = 150 * time.Millisecond
 	// mostMisses is the number of such refusals after which there is no bound.
 	mostMisses = 4
 	// affinityTokens is what the endpoint that rendezvous hashing prefers for a
