--- /dev/null
+++ b/quarantine/list.go
@@ -0,0 +1,199 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// List is what is known of all requests that were in flight when an endpoint
+// fell. It is deterministic: the same calls in the same order lead to the same
+// state on every replica. now never goes back from call to call.
+type List struct {
+	limits  Limits
+	records map[uint64]*record
+	// falls lists the remembered falls, oldest first.
+	falls []*fall
+}
+
+// place is one incarnation of an endpoint.
+type place struct {
+	endpoint    string
+	incarnation uint64
+}
+
+// fall is the end of an incarnation.
+type fall struct {
+	place place
+	at    time.Time
+	// digests were in flight and have a record. cleared were too, and do not count:
+	// they ran to a whole answer since, or their record gave way to others.
+	digests []uint64
+	cleared []uint64
+	// alone is set when nothing but the one request was in flight.
+	alone bool
+	// outage is set when many endpoints fell at about the same time.
+	outage bool
+	// explained is set while a convicted request is among the digests.
+	explained bool
+}
+
+// record is what is known of one request.
+type record struct {
+	// falls lists those that have the request among their digests, oldest first.
+	falls     []*fall
+	convicted bool
+	permit    permit
+	// lapsed counts permits that ended with no word of how the run went.
+	lapsed int
+}
+
+// NewList returns an empty list.
+func NewList(limits Limits) *List {
+	return &List{limits: limits, records: map[uint64]*record{}}
+}
+
+// Fall takes in a report.
+func (l *List) Fall(now time.Time, r Report) {
+	l.expire(now)
+	f := l.fall(now, place{endpoint: r.Endpoint, incarnation: r.Incarnation})
+	for _, digest := range r.Digests {
+		l.add(f, digest)
+	}
+	l.endPermits(f, r.Alone)
+	f.alone = f.known() == 1 && (f.alone || r.Alone)
+	l.explain(f)
+	l.markOutage(now)
+	l.judge(f)
+}
+
+// fall returns the fall of the incarnation, which is new when nobody reported it.
+func (l *List) fall(now time.Time, p place) *fall {
+	for _, f := range l.falls {
+		if f.place == p {
+			return f
+		}
+	}
+	if len(l.falls) >= l.limits.Falls {
+		l.forgetFall(l.oldest())
+	}
+	f := &fall{place: p, at: now}
+	l.falls = append(l.falls, f)
+	return f
+}
+
+// oldest returns the fall to forget first: one that helps to refuse nothing.
+func (l *List) oldest() *fall {
+	for _, f := range l.falls {
+		if !f.explained {
+			return f
+		}
+	}
+	return l.falls[0]
+}
+
+// known returns how many requests are known to have been in flight.
+func (f *fall) known() int { return len(f.digests) + len(f.cleared) }
+
+// add enters a request that was in flight.
+func (l *List) add(f *fall, digest uint64) {
+	if slices.Contains(f.digests, digest) || slices.Contains(f.cleared, digest) || f.known() >= l.limits.PerFall {
+		return
+	}
+	r := l.records[digest]
+	if r == nil {
+		l.makeRoom()
+		r = &record{}
+		l.records[digest] = r
+	}
+	r.falls = append(r.falls, f)
+	f.digests = append(f.digests, digest)
+}
+
+// Whole notes that the request ran to a whole answer: it crashes nothing. It
+// returns whether that changed anything.
+func (l *List) Whole(now time.Time, digest uint64) bool {
+	l.expire(now)
+	r := l.records[digest]
+	if r == nil || r.convicted {
+		return false
+	}
+	l.forget(digest)
+	return true
+}
+
+// forget drops the record of a request. Its falls no longer count against it, also
+// when they are reported again.
+func (l *List) forget(digest uint64) {
+	for _, f := range l.records[digest].falls {
+		f.digests = remove(f.digests, digest)
+		f.cleared = append(f.cleared, digest)
+	}
+	delete(l.records, digest)
+}
+
+// forgetFall drops a fall, and the records that have no other.
+func (l *List) forgetFall(f *fall) {
+	for _, digest := range f.digests {
+		r := l.records[digest]
+		r.falls = remove(r.falls, f)
+		if len(r.falls) == 0 {
+			delete(l.records, digest)
+		}
+	}
+	l.falls = remove(l.falls, f)
+}
+
+func remove[T comparable](list []T, item T) []T {
+	return slices.DeleteFunc(list, func(other T) bool { return other == item })
+}
+
+// expire forgets the falls that are too old, and with them what hung on them.
+func (l *List) expire(now time.Time) {
+	for _, f := range slices.Clone(l.falls) {
+		if now.After(f.at.Add(l.life(f))) {
+			l.forgetFall(f)
+		}
+	}
+}
+
+// life returns how long a fall counts.
+func (l *List) life(f *fall) time.Duration {
+	switch {
+	case f.explained:
+		return l.limits.ConvictedLife
+	case f.outage:
+		return l.limits.OutageLife
+	}
+	return l.limits.SuspectLife
+}
+
+// makeRoom forgets the record that says least, when there are too many.
+func (l *List) makeRoom() {
+	if len(l.records) < l.limits.Digests {
+		return
+	}
+	var worst uint64
+	var least *record
+	for digest, r := range l.records {
+		if least == nil || r.compare(least) < 0 || (r.compare(least) == 0 && digest < worst) {
+			worst, least = digest, r
+		}
+	}
+	l.forget(worst)
+}
+
+// compare orders records by how much is lost with them: convicted ones last, then
+// by the number of falls, then by the age of the newest.
+func (r *record) compare(o *record) int {
+	switch {
+	case r.convicted != o.convicted && o.convicted:
+		return -1
+	case r.convicted != o.convicted:
+		return 1
+	case len(r.falls) != len(o.falls):
+		return len(r.falls) - len(o.falls)
+	}
+	return r.newest().Compare(o.newest())
+}
+
+func (r *record) newest() time.Time { return r.falls[len(r.falls)-1].at }
--- /dev/null
+++ b/quarantine/list_test.go
@@ -0,0 +1,228 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 12, 3, 12, 0, 0, 0, time.UTC)
+
+const (
+	crasher  uint64 = 666
+	innocent uint64 = 7
+)
+
+// at returns the time some seconds after the start.
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// falls reports falls of different endpoints, a minute apart.
+func falls(l *List, sets ...[]uint64) {
+	for i, digests := range sets {
+		l.Fall(at(float64(60*i)), Report{
+			Endpoint: fmt.Sprintf("e%02d", i), Incarnation: 1, Digests: digests, Alone: len(digests) == 1,
+		})
+	}
+}
+
+func TestFalls(t *testing.T) {
+	one := []uint64{crasher}
+	two := []uint64{crasher, innocent}
+	cases := []struct {
+		name     string
+		falls    [][]uint64
+		crasher  Status
+		innocent Status
+	}{
+		{"none", nil, Clear, Clear},
+		{"one in company", [][]uint64{two}, Suspect, Suspect},
+		{"one alone: the endpoint may have died for any reason", [][]uint64{one}, Suspect, Clear},
+		{"two in company", [][]uint64{two, two}, Suspect, Suspect},
+		{"company, then alone: the others are free again", [][]uint64{two, one}, Convicted, Clear},
+		{"alone, then company", [][]uint64{one, two}, Convicted, Clear},
+		{"twice near the same", [][]uint64{two, two, one}, Convicted, Clear},
+		{"three in changing company", [][]uint64{two, {crasher, 8}, {crasher, 9}}, Convicted, Clear},
+		{"near one that is convicted", [][]uint64{one, one, two, two, two}, Convicted, Clear},
+		{"near one that is convicted, and elsewhere", [][]uint64{one, one, two, {innocent, 8}}, Convicted, Suspect},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l := NewList(DefaultLimits())
+			falls(l, c.falls...)
+			is.Equal(l.Status(crasher), c.crasher)
+			is.Equal(l.Status(innocent), c.innocent)
+		})
+	}
+}
+
+func TestOneFallReportedByManyCountsOnce(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	for i := range 10 {
+		l.Fall(at(float64(i)), Report{Endpoint: "e", Incarnation: 4, Digests: []uint64{crasher, uint64(i)}})
+	}
+	is.Equal(l.Status(crasher), Suspect)
+	is.Equal(l.records[crasher].lost(), 1)
+	is.Equal(len(l.Digests(Suspect)), 11)
+}
+
+func TestAloneHoldsOnlyWhileNobodyKnowsOfMore(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	l.Fall(at(0), Report{Endpoint: "a", Incarnation: 1, Digests: []uint64{crasher, innocent}})
+	l.Fall(at(1), Report{Endpoint: "b", Incarnation: 1, Digests: []uint64{innocent}})
+	is.Equal(l.Status(innocent), Suspect)
+	l.Fall(at(2), Report{Endpoint: "b", Incarnation: 1, Digests: []uint64{crasher}, Alone: true})
+	is.Equal(l.Status(crasher), Suspect)
+	l.Fall(at(3), Report{Endpoint: "c", Incarnation: 1, Digests: []uint64{crasher}, Alone: true})
+	is.Equal(l.Status(crasher), Convicted)
+	is.Equal(l.Status(innocent), Clear)
+}
+
+func TestWholeAnswerClears(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	falls(l, []uint64{crasher, innocent}, []uint64{crasher, innocent})
+	is.True(l.Whole(at(61), innocent))
+	is.Equal(l.Status(innocent), Clear)
+	l.Fall(at(62), Report{Endpoint: "e00", Incarnation: 1, Digests: []uint64{innocent}})
+	is.Equal(l.Status(innocent), Clear) // a late report of the same fall
+	l.Fall(at(63), Report{Endpoint: "e05", Incarnation: 1, Digests: []uint64{innocent}, Alone: true})
+	is.Equal(l.Status(innocent), Suspect) // counted from the start again
+	is.True(!l.Whole(at(64), 12345))
+}
+
+func TestOutageConvictsNobody(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	// An availability zone dies within 4 s: requests of the first endpoints run
+	// alone on others that die too.
+	l.Fall(at(0), Report{Endpoint: "a", Incarnation: 1, Digests: []uint64{innocent, 8, 9}})
+	l.Fall(at(1), Report{Endpoint: "b", Incarnation: 1, Digests: []uint64{innocent}, Alone: true})
+	is.Equal(l.Status(innocent), Convicted)
+	for i := range 40 {
+		l.Fall(at(1.5+float64(i)/16), Report{Endpoint: fmt.Sprint("c", i), Incarnation: 1, Digests: []uint64{uint64(100 + i)}})
+	}
+	is.Equal(l.Status(innocent), Suspect)
+	is.Equal(l.Status(8), Clear)
+	is.Equal(l.Status(120), Clear)
+	is.Equal(l.Digests(Convicted), nil)
+	is.Equal(l.Digests(Suspect), []uint64{innocent})
+	l.Whole(at(3700), 1)
+	is.Equal(l.Status(innocent), Clear)
+}
+
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{
+		SuspectLife: time.Hour, OutageLife: time.Minute, ConvictedLife: 2 * time.Hour,
+		Digests: 20, Falls: 6, PerFall: 5, BurstFalls: 1000, BurstWindow: time.Second,
+	}
+	l := NewList(limits)
+	falls(l, []uint64{crasher, innocent}, []uint64{crasher})
+	for i := range 1000 {
+		r := Report{Endpoint: fmt.Sprint("f", i), Incarnation: 1}
+		for j := range 10 {
+			r.Digests = append(r.Digests, uint64(10_000+10*i+j))
+		}
+		l.Fall(at(120+float64(i)), r)
+		is.True(len(l.records) <= limits.Digests)
+		is.True(len(l.falls) <= limits.Falls)
+	}
+	is.Equal(l.Status(crasher), Convicted)
+	l.Whole(at(2*3600+59), 1)
+	is.Equal(l.Status(crasher), Convicted)
+	l.Whole(at(2*3600+61), 1)
+	is.Equal(l.Status(crasher), Clear)
+	is.Equal(len(l.records), 0)
+	is.Equal(len(l.falls), 0)
+}
+
+func TestPermits(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	ask := func(seconds float64, holder string) Permit {
+		return l.Permit(at(seconds), Ask{Digest: crasher, Holder: holder, Endpoint: holder, Incarnation: 1, Until: at(seconds + 100)})
+	}
+	is.Equal(ask(0, "x"), Permit{Status: Clear, Granted: true})
+	l.Fall(at(1), Report{Endpoint: "a", Incarnation: 1, Digests: []uint64{crasher, innocent}})
+	is.Equal(ask(2, "b"), Permit{Status: Suspect, Granted: true})
+	is.Equal(ask(3, "b"), Permit{Status: Suspect, Granted: true}) // its answer was lost
+	is.Equal(ask(3, "c"), Permit{Status: Suspect, RetryAfter: retryPermit})
+	l.Return(at(4), crasher, "c") // not the holder
+	is.True(!ask(4, "c").Granted)
+	l.Return(at(5), crasher, "b")
+	is.True(ask(5, "c").Granted)
+	is.True(!ask(104, "d").Granted)
+	is.True(ask(106, "d").Granted) // lapsed: it counts as lost
+	l.Fall(at(107), Report{Endpoint: "other", Incarnation: 1, Digests: []uint64{crasher, 9}})
+	is.True(!ask(108, "e").Granted) // d is in flight still
+	is.Equal(ask(300, "e"), Permit{Status: Suspect, RetryAfter: retryHeld})
+	l.Whole(at(301), crasher)
+	is.Equal(ask(302, "e"), Permit{Status: Clear, Granted: true})
+}
+
+func TestFallOfAPermitsPlaceCountsAgainstItsHolder(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	falls(l, []uint64{crasher, innocent})
+	is.True(l.Permit(at(1), Ask{Digest: crasher, Holder: "h", Endpoint: "z", Incarnation: 3, Until: at(50)}).Granted)
+	l.Fall(at(2), Report{Endpoint: "z", Incarnation: 3}) // its entry went down too
+	is.Equal(l.records[crasher].lost(), 2)
+	is.Equal(l.Permit(at(60), Ask{Digest: crasher, Holder: "k", Until: at(90)}), Permit{Status: Suspect, Granted: true})
+}
+
+func TestImageKeepsEverything(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	falls(l, []uint64{crasher, innocent}, []uint64{crasher}, []uint64{innocent, 8, 9}, []uint64{8, 10})
+	l.Whole(at(200), 9)
+	l.Permit(at(201.25), Ask{Digest: 8, Holder: "h", Endpoint: "z", Incarnation: 3, Until: at(250.000001)})
+	data, err := cbor.Marshal(l.Image())
+	is.NoErr(err)
+	var img Image
+	is.NoErr(cbor.Unmarshal(data, &img))
+	restored, err := Restore(DefaultLimits(), img)
+	is.NoErr(err)
+	again, err := cbor.Marshal(restored.Image())
+	is.NoErr(err)
+	is.Equal(again, data)
+	for _, digest := range []uint64{crasher, innocent, 8, 9, 10} {
+		is.Equal(restored.Status(digest), l.Status(digest))
+	}
+	is.Equal(restored.records[8], l.records[8])
+	is.True(!restored.Permit(at(240), Ask{Digest: 8, Holder: "i", Until: at(300)}).Granted)
+
+	_, err = Restore(DefaultLimits(), Image{Records: []RecordImage{{Digest: 1}}})
+	is.True(err != nil)
+	_, err = Restore(DefaultLimits(), Image{Falls: []FallImage{{Digests: []uint64{1}}}})
+	is.True(err != nil)
+}
+
+func TestLocalGoesByItsOwnLossesFirst(t *testing.T) {
+	is := is.New(t)
+	l := NewLocal()
+	is.Equal(l.Status(at(0), crasher), Clear)
+	l.Lost(at(0), crasher)
+	is.Equal(l.Status(at(1), crasher), Suspect)
+	l.Update(nil, nil) // sent before control heard of the loss
+	is.Equal(l.Status(at(2), crasher), Suspect)
+	l.Judged(at(3), crasher, Convicted)
+	is.Equal(l.Status(at(3), crasher), Convicted)
+	l.Update([]uint64{crasher}, nil)
+	is.Equal(l.Status(at(4), crasher), Suspect)
+	l.Judged(at(5), crasher, Clear)
+	is.Equal(l.Status(at(5), crasher), Clear)
+	l.Update(nil, []uint64{crasher})
+	is.Equal(l.Status(at(999), crasher), Convicted)
+	l.Update(nil, nil)
+	is.Equal(l.Status(at(999), crasher), Clear)
+	for i := range 2 * maxOwn {
+		l.Lost(at(1000), uint64(i))
+	}
+	is.Equal(len(l.own), maxOwn)
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,2 +1,111 @@
 // Package quarantine finds requests that crash the endpoints that run them.
+//
+// When an endpoint falls, everything in flight on it is suspect. A suspect runs
+// apart: alone on an endpoint, at one place at a time, under a permit of the
+// replicated List. A whole answer clears it. A fall while it ran alone, after an
+// earlier one, convicts it, and so does a third fall in company. A convicted
+// request is refused everywhere, and the falls that it took part in no longer
+// count against the others that were in flight.
+//
+// Requests are told apart by a digest of their content, so a resend through
+// another entry meets what is known of the first.
+//
+// Nothing in this package does I/O, reads a clock, starts a goroutine or locks.
 package quarantine
+
+import "time"
+
+// MaxLost is the most endpoints that may be lost to one request.
+const MaxLost = 3
+
+// Status says how a request with some content may run.
+type Status uint8
+
+// The statuses, from the most to the least trusted.
+const (
+	// Clear requests run anywhere.
+	Clear Status = iota
+	// Suspect requests run under a permit, with no other in flight on the endpoint.
+	Suspect
+	// Convicted requests are refused everywhere.
+	Convicted
+)
+
+// String returns the status's name in logs.
+func (s Status) String() string {
+	switch s {
+	case Clear:
+		return "clear"
+	case Suspect:
+		return "suspect"
+	}
+	return "convicted"
+}
+
+// Limits bound what a List keeps.
+type Limits struct {
+	// SuspectLife is how long a fall counts, OutageLife how long one of many at
+	// about the same time, and ConvictedLife for how long a convicted request is
+	// refused after its last fall.
+	SuspectLife   time.Duration
+	OutageLife    time.Duration
+	ConvictedLife time.Duration
+	// Digests bounds the requests remembered, Falls the falls, and PerFall the
+	// requests of one fall.
+	Digests int
+	Falls   int
+	PerFall int
+	// BurstFalls within BurstWindow are taken for an outage of a rack or an
+	// availability zone: they convict nobody, and a request that was in one of
+	// them only stays clear.
+	BurstFalls  int
+	BurstWindow time.Duration
+}
+
+// DefaultLimits suit one group of replicas.
+func DefaultLimits() Limits {
+	return Limits{
+		SuspectLife:   24 * time.Hour,
+		OutageLife:    time.Hour,
+		ConvictedLife: 7 * 24 * time.Hour,
+		Digests:       8192,
+		Falls:         1024,
+		PerFall:       256,
+		BurstFalls:    5,
+		BurstWindow:   10 * time.Second,
+	}
+}
+
+// Report says that an incarnation of an endpoint fell. Several processes may
+// report parts of one fall; together they count once.
+type Report struct {
+	Endpoint    string
+	Incarnation uint64
+	// Digests were in flight, as far as the reporter knows.
+	Digests []uint64
+	// Alone is set when it is certain that nothing else was in flight: the
+	// sidecar's list has one digest, or the sidecar granted the attempt as one to
+	// run apart.
+	Alone bool
+}
+
+// Ask asks for a permit to run a suspect request.
+type Ask struct {
+	Digest uint64
+	// Holder names the attempt. The same one asking again gets the same answer.
+	Holder string
+	// Endpoint and Incarnation say where it is to run.
+	Endpoint    string
+	Incarnation uint64
+	// Until is when the run is over at the latest: the end of its deadline.
+	Until time.Time
+}
+
+// Permit is the answer to an Ask.
+type Permit struct {
+	Status Status
+	// Granted is set when the request may run: apart, if it is suspect.
+	Granted bool
+	// RetryAfter is when it is worth asking again, when it is suspect and not granted.
+	RetryAfter time.Duration
+}
