Quarantine: hold the bound of three over random interleavings

A request that another explains stays suspect, since that conviction may be taken back; equally strong evidence against two convicts neither.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,10 +2,10 @@
 //
 // When an endpoint falls, everything in flight on it is suspect. A suspect runs
 // apart: alone on an endpoint, at one place at a time, under a permit of the
-// replicated List. A whole answer clears it. A fall while it ran alone, after an
-// earlier one, convicts it, and so does a third fall in company. A convicted
-// request is refused everywhere, and the falls that it took part in no longer
-// count against the others that were in flight.
+// replicated List. A whole answer clears it. A fall while it ran alone and another
+// one convict it, and so do three in company. A convicted request is refused
+// everywhere, and the falls that it took part in no longer speak against the others
+// that were in flight. Those run apart until one whole answer each clears them.
 //
 // Requests are told apart by a digest of their content, so a resend through
 // another entry meets what is known of the first.
