--- a/control/control.go
+++ b/control/control.go
@@ -21,6 +21,9 @@
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
+// handOverTimeout bounds the handing over of leadership at a planned stop.
+const handOverTimeout = 2 * time.Second
+
 // snapshotEvery is the number of commands between snapshots: at the claims of full
 // size about one a minute.
 const snapshotEvery = 50_000
@@ -182,22 +185,27 @@
 // Run implements kernel.Runner. A replica that stops on a fault of its disk ends
 // the process.
 func (p *Plugin) Run(ctx context.Context) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
+	// The work outlives ctx for the time that it takes to hand leadership over.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer p.close()
+	defer stop()
+	defer context.AfterFunc(ctx, func() {
+		p.handOver(work)
+		stop()
+	})()
 	// The streams have to end for Serve to return.
-	defer context.AfterFunc(ctx, p.cancel)()
+	defer context.AfterFunc(work, p.cancel)()
 	s := p.server
-	s.transport.open(ctx, p.replica.Status().ID, p.Addr())
+	s.transport.open(work, p.replica.Status().ID, p.Addr())
 	fault := make(chan error, 1)
 	s.running.Go(func() {
 		defer stop()
-		fault <- p.replica.Run(ctx)
+		fault <- p.replica.Run(work)
 	})
-	s.running.Go(func() { s.runBarriers(ctx) })
-	s.running.Go(func() { s.runSweeps(ctx) })
-	s.running.Go(func() { s.runReports(ctx) })
-	err := p.listener.Serve(ctx)
+	s.running.Go(func() { s.runBarriers(work) })
+	s.running.Go(func() { s.runSweeps(work) })
+	s.running.Go(func() { s.runReports(work) })
+	err := p.listener.Serve(work)
 	stop()
 	if replicaErr := <-fault; replicaErr != nil {
 		return replicaErr
@@ -205,6 +213,22 @@
 	return err
 }
 
+// handOver gives leadership to another replica before a planned stop, so that
+// nobody has to miss the leader first.
+func (p *Plugin) handOver(ctx context.Context) {
+	status := p.replica.Status()
+	if status.Leader != status.ID || len(p.server.otherReplicas()) == 0 {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := p.replica.Transfer(bounded, 0); err != nil {
+		p.server.log.Warn("leadership not handed over", "error", err)
+		return
+	}
+	p.server.log.Info("leadership handed over")
+}
+
 func (p *Plugin) close() {
 	p.cancel()
 	p.server.running.Wait()
--- a/control/directory.go
+++ b/control/directory.go
@@ -133,7 +133,7 @@
 func (d *directory) changed(name string) {
 	d.version++
 	if len(d.log) == maxDirectoryLog {
-		d.log = append(d.log[:0], d.log[1:]...)
+		d.log = d.log[1:]
 	}
 	d.log = append(d.log, name)
 }
--- /dev/null
+++ b/control/directory_test.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+var start = time.Date(2026, 12, 3, 20, 0, 0, 0, time.UTC)
+
+func worker(incarnation uint64, adjust func(*wire.Endpoint)) wire.Endpoint {
+	e := wire.Endpoint{Name: "worker-1", Addr: "10.0.0.1:7000", Incarnation: incarnation}
+	if adjust != nil {
+		adjust(&e)
+	}
+	return e
+}
+
+func TestAnnouncements(t *testing.T) {
+	tests := map[string]struct {
+		next wire.Endpoint
+		want announcement
+	}{
+		"the same":               {worker(5, nil), unchanged},
+		"older incarnation":      {worker(4, func(e *wire.Endpoint) { e.Addr = "10.0.0.2:7000" }), outdated},
+		"newer, other address":   {worker(6, func(e *wire.Endpoint) { e.Addr = "10.0.0.2:7000" }), published},
+		"another load":           {worker(5, func(e *wire.Endpoint) { e.Load.FreeTokens = 7 }), unchanged},
+		"leaving":                {worker(5, func(e *wire.Endpoint) { e.Load.Leaving = true }), published},
+		"warm now":               {worker(5, func(e *wire.Endpoint) { e.Load.RampTokens = -1 }), published},
+		"more memory":            {worker(5, func(e *wire.Endpoint) { e.Load.CapacityTokens = 9 }), published},
+		"another version loaded": {worker(5, func(e *wire.Endpoint) { e.Version = "v2" }), published},
+		"an adapter more":        {worker(5, func(e *wire.Endpoint) { e.Adapters = []string{"x"} }), published},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDirectory()
+			d.announce(start, worker(5, nil))
+			is.New(t).Equal(d.announce(start, test.next), test.want)
+		})
+	}
+}
+
+func TestLoadIsToldOnceInItsSlot(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory()
+	told := 0
+	now := start
+	for i := range 1000 {
+		now = now.Add(100 * time.Millisecond)
+		if d.announce(now, worker(5, func(e *wire.Endpoint) { e.Load.FreeTokens = int64(i) })) == published {
+			told++
+		}
+	}
+	is.True(told >= 100 && told <= 101) // one a second
+}
+
+func TestEndpointThatFallsSilentIsDropped(t *testing.T) {
+	is := is.New(t)
+	d := newDirectory()
+	d.announce(start, worker(5, nil))
+	d.heard(start.Add(5*time.Second), "worker-1", 5)
+	d.heard(start.Add(9*time.Second), "worker-1", 4) // an old incarnation is no sign of life
+	is.Equal(len(d.expire(start.Add(5*time.Second))), 0)
+	is.Equal(d.expire(start.Add(6*time.Second)), []string{"worker-1"})
+	// Afterwards it may join again, also as a process that counts from below.
+	is.Equal(d.announce(start.Add(7*time.Second), worker(1, nil)), published)
+}
+
+// TestFollowersOfTheListAreComplete lets a session fall behind by any number of
+// changes and compares its list with the directory's.
+func TestFollowersOfTheListAreComplete(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDirectory()
+		now := start
+		known := map[string]wire.Endpoint{}
+		version := uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": func(t *rapid.T) {
+				d.announce(now, wire.Endpoint{
+					Name:        fmt.Sprint("w", rapid.IntRange(0, 5).Draw(t, "name")),
+					Incarnation: uint64(rapid.IntRange(0, 3).Draw(t, "incarnation")),
+				})
+			},
+			"many": func(t *rapid.T) {
+				if rapid.IntRange(0, 15).Draw(t, "rarely") > 0 {
+					return
+				}
+				for i := range maxDirectoryLog + 1 {
+					d.announce(now, wire.Endpoint{Name: "busy", Incarnation: 10, Version: fmt.Sprint(i)})
+				}
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Second)
+				d.expire(now)
+			},
+			"follow": func(t *rapid.T) {
+				news := d.since(version)
+				if news.reset {
+					clear(known)
+				}
+				for _, e := range news.endpoints {
+					known[e.Name] = e
+				}
+				for _, name := range news.gone {
+					delete(known, name)
+				}
+				version = news.version
+				if len(known) != len(d.members) {
+					t.Fatalf("follower knows %d endpoints of %d", len(known), len(d.members))
+				}
+				for name, m := range d.members {
+					if known[name].Version != m.endpoint.Version || known[name].Incarnation != m.endpoint.Incarnation {
+						t.Fatalf("follower knows endpoint %s otherwise", name)
+					}
+				}
+			},
+		})
+	})
+}
