replica: refuse a membership change that would leave no quorum; an example

With one of three voters dead, removing a live one was accepted; the group then needed both of the two that were left, one of them dead. TestChangeThatWouldLoseTheQuorumIsRefused failed without the check and passes with it.

--- a/replica/errors.go
+++ b/replica/errors.go
@@ -32,6 +32,8 @@
 	ErrNotMember = errors.New("replica: not a member")
 	// ErrNotWhole means that the learner does not hold all that is committed yet.
 	ErrNotWhole = errors.New("replica: learner is not whole yet")
+	// ErrQuorumLost means that too few of the voters after the change are there to commit it.
+	ErrQuorumLost = errors.New("replica: the change would leave no quorum")
 	// ErrLastVoter means that the group would be left without a voter.
 	ErrLastVoter = errors.New("replica: last voter cannot be removed")
 )
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -167,9 +167,29 @@
 	if err != nil {
 		return 0, err
 	}
+	if !c.canCommit(members) {
+		return 0, ErrQuorumLost
+	}
 	return c.appendOwn(EntryMembership, encodeMembers(members)), nil
 }
 
+// canCommit says whether the voters of members that were heard from lately are a quorum
+// of them. The change is counted by the new membership: without one it would never
+// commit, and no other change could follow.
+func (c *core) canCommit(members []Member) bool {
+	voters, active := 0, 0
+	for _, m := range members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if c.isActive(m.ID) {
+			active++
+		}
+	}
+	return active >= quorumOf(voters)
+}
+
 // apply returns the members after ch.
 func (c *core) apply(ch change) ([]Member, error) {
 	members := slices.Clone(c.current().members)
--- a/replica/repair_test.go
+++ b/replica/repair_test.go
@@ -195,6 +195,19 @@
 	is.True(errors.Is(c.addLearner(1), ErrMemberExists))
 }
 
+// With one of three voters dead, removing a live one would leave a quorum of two of two.
+func TestChangeThatWouldLoseTheQuorumIsRefused(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 41, 3, nil)
+	c.commit("a")
+	dead, live := c.followers()[0].id, c.followers()[1].id
+	c.kill(dead)
+	c.until("the loss to be noticed", func() bool { return !c.elect().r.core.isActive(dead) })
+	is.True(errors.Is(c.remove(live), ErrQuorumLost))
+	is.NoErr(c.remove(dead))
+	c.commit("b")
+}
+
 func TestUncommittedMembershipIsDroppedWithItsEntry(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 36, 3, nil)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -12,9 +12,9 @@
 // StateMachine is the state that is replicated. Calls are serial.
 type StateMachine interface {
 	// Apply carries out the committed command at index and returns its result,
-	// the same on every replica.
+	// the same on every replica. It must not change command.
 	Apply(index uint64, command []byte) []byte
-	// Snapshot returns the whole state.
+	// Snapshot returns the whole state. The replica keeps the slice.
 	Snapshot() ([]byte, error)
 	// Restore replaces the whole state.
 	Restore(snapshot []byte) error
