--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -236,7 +236,7 @@
 	lead.disk.flip(name, len(lead.disk.names[name].data)/2)
 	c.steps(200)
 	is.True(c.nodes[id].r.core.log.applied < lead.r.core.log.base) // never installed
-	is.NoErr(c.doOrder(lead, &order{transfer: true})) // to a leader whose file is sound
+	is.NoErr(c.doOrder(lead, &order{transfer: true}))              // to a leader whose file is sound
 	c.commit("b")
 	c.level()
 	is.Equal(len(c.nodes[id].sm.Commands), 32)
