--- a/replica/membership.go
+++ b/replica/membership.go
@@ -163,15 +163,35 @@
 	if c.current().index > c.log.committed || !c.committedInTerm() {
 		return 0, ErrChangePending
 	}
-	members, err := c.apply(ch)
+	members, err := c.membersAfter(ch)
 	if err != nil {
 		return 0, err
 	}
+	if !c.canCommit(members) {
+		return 0, ErrQuorumLost
+	}
 	return c.appendOwn(EntryMembership, encodeMembers(members)), nil
 }
 
-// apply returns the members after ch.
-func (c *core) apply(ch change) ([]Member, error) {
+// canCommit says whether the voters of members that were heard from lately are a quorum
+// of them. The change is counted by the new membership: without one it would never
+// commit, and no other change could follow.
+func (c *core) canCommit(members []Member) bool {
+	voters, active := 0, 0
+	for _, m := range members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if c.isActive(m.ID) {
+			active++
+		}
+	}
+	return active >= quorumOf(voters)
+}
+
+// membersAfter returns the members once ch is done.
+func (c *core) membersAfter(ch change) ([]Member, error) {
 	members := slices.Clone(c.current().members)
 	at := slices.IndexFunc(members, func(m Member) bool { return m.ID == ch.id })
 	switch {
