route: keep memory in the lanes and bound the backlog at endpoints

Change: the lanes keep memory for long prompts, 90% in the first and less from lane to lane; an endpoint with 4 s of prefill waiting gets no more and the rest waits in the fair queue; the short reserve goes back to 1.5. Weighed: keep 0.6 and 0.9, headroom 1.25 and 1.5, reserve 1.35 and 1.5. Tests: the table, the choosers' fault cases, and the targets on the model.

--- a/route/lanes.go
+++ b/route/lanes.go
@@ -16,7 +16,7 @@
 	laneHeadroom = 1.5
 	// shortReserve widens the endpoints that only short prompts use over the bare
 	// share of short work.
-	shortReserve = 1.35
+	shortReserve = 1.5
 )
 
 // priorShare is the share of the prompt tokens by class that is assumed before
--- a/route/model_entry_test.go
+++ b/route/model_entry_test.go
@@ -89,7 +89,8 @@
 		steps += speed(view[i].Load.DecodeRate, assumedSteps) / float64(len(view))
 	}
 	alone := seconds(float64(r.prompt) / (rate / float64(len(view))))
-	wait := seconds(float64(e.waiting.Tokens(r.class)) / (rate / float64(len(e.w.entries))))
+	share := rate / float64(len(e.w.entries)) * e.classShare(r.class)
+	wait := seconds(float64(e.waiting.Tokens(r.class)) / share)
 	if refusal == nil {
 		r.forecast = e.forecastAt(r, choice)
 		r.forecast.Wait += wait
@@ -110,6 +111,19 @@
 	}
 }
 
+// classShare is the part of the work that a class gets while the classes that wait now
+// do so.
+func (e *entry) classShare(class route.Class) float64 {
+	weights := queue.DefaultSettings().Weights
+	sum := weights[class]
+	for c := range weights {
+		if c != int(class) && e.waiting.Tokens(route.Class(c)) > 0 {
+			sum += weights[c]
+		}
+	}
+	return weights[class] / sum
+}
+
 // Speeds assumed of an endpoint that has measured none: those of a cold one.
 const (
 	assumedRate  = fullRate / coldSlowdown
--- a/route/model_test.go
+++ b/route/model_test.go
@@ -37,7 +37,8 @@
 	without   bool // without long prompts
 	seconds   float64
 	seed      uint64
-	ungated   bool // the sidecars neither reserve nor ramp
+	falls     float64 // seconds from one fall of an endpoint to the next; 0 is none
+	ungated   bool    // the sidecars neither reserve nor ramp
 }
 
 func newChooser(policy string, seed uint64) route.Chooser {
@@ -112,6 +113,9 @@
 		e := w.entries[(i*7+int(s.seed))%len(w.entries)]
 		w.q.after(r.arrived, func() { e.arrive(r) })
 	}
+	for n := 1; s.falls > 0 && float64(n)*s.falls < s.seconds; n++ {
+		w.q.after(float64(n)*s.falls, w.order[n%len(w.order)].crash)
+	}
 	w.q.run(s.seconds)
 	res := newResult(s, all)
 	res.misses = w.misses
@@ -130,7 +134,6 @@
 	good           [route.Classes]float64 // prompt tokens of requests finished in time, a second
 	recent         float64                // the same over the second half of the run
 	missed         int
-	finished, late int
 	crashes        int
 	misses         int
 }
--- a/route/predicted.go
+++ b/route/predicted.go
@@ -8,6 +8,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/engine"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
 func init() {
@@ -20,6 +21,9 @@
 	defaultSamples = 8
 	// defaultSpill is by how much another zone has to be quicker to be chosen.
 	defaultSpill = 50 * time.Millisecond
+	// defaultMaxWait is the backlog from which an endpoint gets no more. It has to
+	// outlast the age of a report, so that endpoints do not run dry.
+	defaultMaxWait = 4 * time.Second
 	// defaultHints is the number of prompt prefixes remembered.
 	defaultHints = 16_384
 	// runningCost is the wait that one more request in flight is taken to cause.
@@ -32,6 +36,8 @@
 	tolerated = 150 * time.Millisecond
 	// mostMisses is the number of such refusals after which there is no bound.
 	mostMisses = 4
+	// laneKeep is the share of its memory that the first lane keeps for long prompts.
+	laneKeep = 0.9
 	// affinityTokens is what the endpoint that rendezvous hashing prefers for a
 	// repeated prefix is taken to save, in tokens, while no holder is known. It is
 	// small: a busy endpoint loses the prompt to another one.
@@ -47,6 +53,8 @@
 	Samples int `json:"samples"`
 	// Spill is by how much another zone has to be quicker to be chosen.
 	Spill settings.Duration `json:"spill"`
+	// MaxWait is the backlog in prefill time from which an endpoint gets no more.
+	MaxWait settings.Duration `json:"max_wait"`
 	// Hints says which endpoints probably hold a prompt's prefix.
 	Hints *CacheHints `json:"-"`
 
@@ -59,6 +67,7 @@
 	return &Predicted{
 		Samples: defaultSamples,
 		Spill:   settings.Duration(defaultSpill),
+		MaxWait: settings.Duration(defaultMaxWait),
 		Hints:   NewCacheHints(defaultHints),
 		rand:    source{seed},
 		lanes:   NewLanes(),
@@ -84,7 +93,11 @@
 		c.weighOtherZones(now, req, view, width, lo, &best)
 	}
 	if best.index < 0 {
-		return chosen(now, req, view, -1, "")
+		choice, err := chosen(now, req, view, -1, "")
+		if r := verdict.From(err); r == nil || r.RetryAfter > 0 {
+			c.count(now, req)
+		}
+		return choice, err
 	}
 	c.count(now, req)
 	return Choice{
@@ -96,8 +109,7 @@
 	}, nil
 }
 
-// count takes a request into the mix the first time that an endpoint is found for it.
-// A prompt that no endpoint can hold is no work for any.
+// count takes a request into the mix, once. A prompt that no endpoint can hold is no work for any.
 func (c *Predicted) count(now time.Time, req *Request) {
 	if !req.counted {
 		c.lanes.Observe(now, req.Class, req.PromptTokens)
@@ -199,7 +211,7 @@
 func (c *Predicted) weigh(now time.Time, req *Request, view []Endpoint, width, i int, saved float64, best *candidate) {
 	e := &view[i]
 	best.considered++
-	if e.Rank >= width || e.fitness(req) != fits {
+	if e.Rank >= width || e.fitness(req) != fits || c.backlogged(now, e) || c.keeps(req, e) {
 		return
 	}
 	cost := c.cost(now, req, e, saved)
@@ -211,6 +223,25 @@
 	best.reason = reasonFor(req, saved)
 }
 
+// backlogged reports whether so much waits at e that a prompt waits better at the
+// entry, in a fair order and for whichever endpoint is free first. What waits at the
+// engine holds its memory and keeps long prompts out.
+func (c *Predicted) backlogged(now time.Time, e *Endpoint) bool {
+	return e.PendingAt(now) > e.prefillRate()*c.MaxWait.Std().Seconds()
+}
+
+// keeps reports whether e is a lane of long prompts that keeps its memory for them:
+// all of it in the first lane, and less from lane to lane. Without it, streams of
+// shorter prompts always hold what a long one needs.
+func (c *Predicted) keeps(req *Request, e *Endpoint) bool {
+	lanes := c.lanes.Width(Long, e.Ranked)
+	if req.Class == Long || e.Rank >= lanes {
+		return false
+	}
+	kept := laneKeep * float64(e.Load.CapacityTokens) * float64(lanes-e.Rank) / float64(lanes)
+	return float64(e.FreeAt()-req.Needs()) < kept
+}
+
 // cost is the predicted time to first token at e in nanoseconds, with small
 // charges for a busy endpoint and another zone.
 func (c *Predicted) cost(now time.Time, req *Request, e *Endpoint, saved float64) float64 {
--- /dev/null
+++ b/route/predicted_test.go
@@ -0,0 +1,300 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// choose returns the endpoint that c chooses for a prompt.
+func choose(t *testing.T, c Chooser, table *Table, now time.Time, req *Request) (Endpoint, Choice) {
+	t.Helper()
+	req.Target = "m"
+	req.Class = ClassOf(req.PromptTokens)
+	choice, err := c.Choose(now, req, table.View("m"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table.View("m")[choice.Index], choice
+}
+
+func setLoad(t *Table, name string, at time.Time, change func(*wire.Load)) {
+	load := warm()
+	change(&load)
+	t.SetLoad(name, load, at)
+}
+
+// TestShortAvoidsAnEndpointWithALongPrompt: two endpoints have one request each, one
+// of 400,000 tokens. Least requests cannot tell them apart.
+func TestShortAvoidsAnEndpointWithALongPrompt(t *testing.T) {
+	for policy, c := range map[string]Chooser{"least_requests": NewLeastRequests(1), "predicted": NewPredicted(1)} {
+		t.Run(policy, func(t *testing.T) {
+			is := is.New(t)
+			table := NewTable()
+			for _, name := range []string{"a", "b"} {
+				table.Upsert(start, announce(name, "z"))
+			}
+			setLoad(table, "a", after(1), func(l *wire.Load) { l.Running, l.PendingPrefill = 1, 400_000 })
+			setLoad(table, "b", after(1), func(l *wire.Load) { l.Running, l.PendingPrefill = 1, 1_000 })
+			blocked := 0
+			for range 100 {
+				if e, _ := choose(t, c, table, after(1), &Request{PromptTokens: 2_000, Zone: "z"}); e.Name == "a" {
+					blocked++
+				}
+			}
+			is.Equal(blocked > 0, policy == "least_requests")
+		})
+	}
+}
+
+// TestBurstOfLongPromptsLeavesEndpointsFree: 40 long prompts come at once.
+func TestBurstOfLongPromptsLeavesEndpointsFree(t *testing.T) {
+	for policy, c := range map[string]Chooser{"least_requests": NewLeastRequests(1), "predicted": NewPredicted(1)} {
+		t.Run(policy, func(t *testing.T) {
+			is := is.New(t)
+			table := fleet(20)
+			for range 40 {
+				req := &Request{Target: "m", Class: Long, PromptTokens: 400_000, Zone: "z0"}
+				choice, err := c.Choose(start, req, table.View("m"))
+				if err != nil {
+					continue // it waits at the entry
+				}
+				table.Started(start, table.View("m")[choice.Index].Name, 400_000, 0)
+			}
+			free := 0
+			for _, e := range table.View("m") {
+				if e.InFlight == 0 {
+					free++
+				}
+			}
+			is.Equal(free > 0, policy == "predicted")
+		})
+	}
+}
+
+// TestMediumStreamsLeaveLongPromptsRoom: medium prompts come without end and stream
+// their output; then a long one comes.
+func TestMediumStreamsLeaveLongPromptsRoom(t *testing.T) {
+	for policy, c := range map[string]Chooser{"two_choices": NewTwoChoices(1), "predicted": NewPredicted(1)} {
+		t.Run(policy, func(t *testing.T) {
+			is := is.New(t)
+			table := fleet(20)
+			for i := range 2_000 {
+				now := after(float64(i))
+				req := &Request{Target: "m", Class: Medium, PromptTokens: 50_000, OutputTokens: 500, Zone: "z0"}
+				if choice, err := c.Choose(now, req, table.View("m")); err == nil {
+					e := table.View("m")[choice.Index]
+					f := table.Started(now, e.Name, 50_000, 500)
+					e.Load.FreeTokens -= 50_500
+					table.Granted(f, e.Load, now) // never finishes
+				}
+			}
+			req := &Request{Target: "m", Class: Long, PromptTokens: 600_000, Zone: "z0"}
+			_, err := c.Choose(after(2_000), req, table.View("m"))
+			is.Equal(err == nil, policy == "predicted")
+		})
+	}
+}
+
+func TestLanesFollowTheMix(t *testing.T) {
+	is := is.New(t)
+	l := NewLanes()
+	observe := func(from float64, class Class, tokens int) {
+		for i := range 3600 { // one a second for an hour
+			l.Observe(after(from+float64(i)), class, tokens)
+		}
+	}
+	observe(0, Short, 3_000)
+	is.Equal(l.Width(Long, 100), 1) // no long prompts: one lane is kept
+	is.True(l.Width(Medium, 100) <= 1)
+	observe(3600, Long, 300_000)
+	is.Equal(l.Width(Long, 100), 99) // one endpoint stays free of long prompts
+	is.True(l.Share(Long) > 0.99)
+	for _, n := range []int{1, 2, 3, 600} {
+		for _, class := range []Class{Short, Medium, Long} {
+			width := l.Width(class, n)
+			is.True(width >= 1 && width <= n)
+			is.True(class == Short || n == 1 || width < n)
+		}
+	}
+}
+
+func TestLanesOfAPromptThatFitsNowhereAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	c := NewPredicted(1)
+	before := c.lanes.Share(Long)
+	for range 100 {
+		req := &Request{Target: "m", Class: Long, PromptTokens: 5_000_000}
+		_, err := c.Choose(start, req, fleet(20).View("m"))
+		is.True(err != nil)
+	}
+	is.Equal(c.lanes.Share(Long), before)
+}
+
+func TestOwnZoneFirst(t *testing.T) {
+	cases := []struct {
+		name    string
+		pending int64 // prompt tokens that wait at each endpoint of the own zone
+		want    string
+	}{
+		{"idle", 0, "z1"},
+		{"a short wait", 400, "z1"},
+		{"a long wait", 20_000, "other"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			table := fleet(60)
+			for _, e := range table.View("m") {
+				if e.Zone == "z1" {
+					setLoad(table, e.Name, after(1), func(l *wire.Load) { l.PendingPrefill = tc.pending })
+				}
+			}
+			e, _ := choose(t, NewPredicted(1), table, after(1), &Request{PromptTokens: 2_000, Zone: "z1"})
+			is.Equal(e.Zone == "z1", tc.want == "z1")
+		})
+	}
+}
+
+// TestStaleLoadDoesNotHerd: 100 entries have the same report, in which one endpoint
+// of 40 is idle and the others have a little work.
+func TestStaleLoadDoesNotHerd(t *testing.T) {
+	is := is.New(t)
+	taken := map[string]int{}
+	for seed := range uint64(100) {
+		table := NewTable()
+		for i := range 40 {
+			table.Upsert(start, announce(fmt.Sprintf("e%02d", i), "z"))
+			setLoad(table, fmt.Sprintf("e%02d", i), after(1), func(l *wire.Load) { l.PendingPrefill = int64(min(i, 1) * 3_000) })
+		}
+		e, _ := choose(t, NewPredicted(seed), table, after(1), &Request{PromptTokens: 2_000, Zone: "z"})
+		taken[e.Name]++
+	}
+	is.True(taken["e00"] < 40) // all 100 with a full scan
+}
+
+func TestMaxPendingGrowsWithMisses(t *testing.T) {
+	is := is.New(t)
+	table := one()
+	setLoad(table, "a", after(1), func(l *wire.Load) { l.PendingPrefill = 10_000 })
+	last := int64(0)
+	for misses := range mostMisses {
+		_, choice := choose(t, NewPredicted(1), table, after(1), &Request{PromptTokens: 2_000, Zone: "z", Misses: misses})
+		is.True(choice.MaxPending > 10_000 && choice.MaxPending > last)
+		last = choice.MaxPending
+	}
+	_, choice := choose(t, NewPredicted(1), table, after(1), &Request{PromptTokens: 2_000, Zone: "z", Misses: mostMisses})
+	is.Equal(choice.MaxPending, int64(0)) // taken in the end, however wrong the view
+}
+
+func TestColdEndpointGetsOnlyWhatItBears(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	cold := announce("a", "z")
+	cold.Load.RampTokens = 5_000
+	table.Upsert(start, cold)
+	c := NewPredicted(1)
+	sent := 0
+	for range 20 {
+		req := &Request{Target: "m", PromptTokens: 2_000, Zone: "z"}
+		if _, err := c.Choose(start, req, table.View("m")); err == nil {
+			table.Started(start, "a", 2_000, 0)
+			sent++
+		}
+	}
+	is.Equal(sent, 2)
+}
+
+func events(seq uint64, kind string, prefix uint64) engine.CacheEvents {
+	return engine.CacheEvents{Events: []engine.CacheEvent{{Seq: seq, Kind: kind, Prefix: prefix, Tokens: 4_000}}}
+}
+
+func TestCacheHints(t *testing.T) {
+	const prefix = 42
+	cases := []struct {
+		name string
+		feed func(h *CacheHints)
+		want bool // whether the holder e007 is chosen
+	}{
+		{"nothing known", func(*CacheHints) {}, false},
+		{"stored", func(h *CacheHints) { h.Apply(start, "z2", "e007", events(1, "stored", prefix)) }, true},
+		{"evicted", func(h *CacheHints) {
+			h.Apply(start, "z2", "e007", events(1, "stored", prefix))
+			h.Apply(start, "z2", "e007", events(2, "evicted", prefix))
+		}, false},
+		{"repeated old eviction", func(h *CacheHints) {
+			h.Apply(start, "z2", "e007", events(3, "evicted", prefix))
+			h.Apply(start, "z2", "e007", events(4, "stored", prefix))
+			h.Apply(start, "z2", "e007", events(3, "evicted", prefix))
+		}, true},
+		{"one gap", func(h *CacheHints) {
+			h.Apply(start, "z2", "e007", events(1, "stored", prefix))
+			h.Apply(start, "z2", "e007", events(9, "stored", 1))
+		}, true},
+		{"many gaps", func(h *CacheHints) {
+			h.Apply(start, "z2", "e007", events(1, "stored", prefix))
+			for seq := range uint64(5) {
+				h.Apply(start, "z2", "e007", events(10+10*seq, "stored", 1))
+			}
+		}, false},
+		{"restarted", func(h *CacheHints) {
+			h.Apply(start, "z2", "e007", events(1, "stored", prefix))
+			h.Forget("e007")
+		}, false},
+		{"endpoint that is gone", func(h *CacheHints) { h.Apply(start, "z2", "e999", events(1, "stored", prefix)) }, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			c := NewPredicted(1)
+			tc.feed(c.Hints)
+			e, choice := choose(t, c, fleet(20), start, &Request{PromptTokens: 5_000, Zone: "z2", Prefix: prefix})
+			is.Equal(e.Name == "e007" && choice.Reason == "cached", tc.want)
+		})
+	}
+}
+
+// TestAffinityIsBounded: everyone sends one prefix. The holder takes no more than its
+// share and the saving allow.
+func TestAffinityIsBounded(t *testing.T) {
+	is := is.New(t)
+	c := NewPredicted(1)
+	table := fleet(20)
+	c.Hints.Stored(start, "z2", "e007", 42, 4_000)
+	for range 100 {
+		e, _ := choose(t, c, table, start, &Request{PromptTokens: 5_000, Zone: "z2", Prefix: 42})
+		table.Started(start, e.Name, 5_000, 0)
+	}
+	is.True(get(table, "e007").InFlight >= 5)
+	is.True(get(table, "e007").InFlight <= 10)
+}
+
+func TestRepeatedPrefixMeetsBeforeAnyEvent(t *testing.T) {
+	is := is.New(t)
+	chosen := map[string]bool{}
+	for seed := range uint64(10) { // entries with draws of their own
+		c := NewPredicted(seed)
+		for range 3 {
+			e, _ := choose(t, c, fleet(100), start, &Request{PromptTokens: 2_000, Zone: "z2", Prefix: 42})
+			if c.Hints.find(42).requests >= repeated {
+				chosen[e.Name] = true
+			}
+		}
+	}
+	is.Equal(len(chosen), 1)
+}
+
+func TestHintsAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := NewCacheHints(64)
+	for prefix := range uint64(10_000) {
+		h.Stored(start.Add(time.Duration(prefix)), "z", "a", prefix+1, 100)
+	}
+	is.Equal(len(h.slots), 64)
+	is.True(h.find(10_000) != nil)
+}
--- a/route/refuse.go
+++ b/route/refuse.go
@@ -13,6 +13,7 @@
 	retryMemory     = 500 * time.Millisecond
 	retryCold       = 500 * time.Millisecond
 	retryLeaving    = time.Second
+	retryBacklog    = 500 * time.Millisecond
 )
 
 // fitness says whether an endpoint can take a request, and if not why not. The
@@ -103,6 +104,8 @@
 		return verdict.Refuse(verdict.ReasonEndpointCold, retryCold, "every endpoint of %s is starting", req.Target)
 	case isFull:
 		return verdict.Refuse(verdict.ReasonEndpointMemory, retryMemory, "no endpoint of %s has %d KV tokens free", req.Target, req.Needs())
+	case fits:
+		return verdict.Refuse(verdict.ReasonOverloaded, retryBacklog, "every endpoint of %s has enough work waiting", req.Target)
 	}
 	return verdict.Refuse(verdict.ReasonNoEndpoint, retryNoEndpoint, "no other endpoint of %s is ready", req.Target)
 }
--- /dev/null
+++ b/route/table_test.go
@@ -0,0 +1,208 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func after(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func one() *Table {
+	t := NewTable()
+	t.Upsert(start, announce("a", "z"))
+	return t
+}
+
+func get(t *Table, name string) *Endpoint {
+	e, _ := t.Get(name)
+	return &e
+}
+
+func TestNewIncarnationIsCold(t *testing.T) {
+	cases := []struct {
+		name        string
+		incarnation uint64
+		cold        bool
+		inFlight    int
+	}{
+		{"same", 1, false, 1},
+		{"newer", 2, true, 0},
+		{"older", 0, false, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := one()
+			f := table.Started(start, "a", 1_000, 100)
+			e := announce("a", "z")
+			e.Incarnation = c.incarnation
+			table.Upsert(after(1), e)
+			is.Equal(get(table, "a").Load.RampTokens >= 0, c.cold)
+			is.Equal(get(table, "a").InFlight, c.inFlight)
+			table.Finished(f) // of the first incarnation
+			is.Equal(get(table, "a").InFlight, 0)
+			is.Equal(get(table, "a").InFlightTokens, int64(0))
+		})
+	}
+}
+
+func TestNewIncarnationStaysOut(t *testing.T) {
+	is := is.New(t)
+	table := one()
+	table.SetOut("a", true)
+	e := announce("a", "z")
+	e.Incarnation = 2
+	table.Upsert(after(1), e)
+	is.True(get(table, "a").Out)
+}
+
+func TestCrossedReportIsIgnored(t *testing.T) {
+	is := is.New(t)
+	table := one()
+	newer, older := warm(), warm()
+	newer.PendingPrefill = 7
+	older.PendingPrefill = 9
+	table.SetLoad("a", newer, after(2))
+	table.SetLoad("a", older, after(1))
+	is.Equal(get(table, "a").Load.PendingPrefill, int64(7))
+}
+
+// TestOwnAttemptsCountUntilReported: what an entry has sent counts at once, and once.
+func TestOwnAttemptsCountUntilReported(t *testing.T) {
+	is := is.New(t)
+	table := one()
+	table.Started(after(1), "a", 20_000, 500)
+	second := table.Started(after(3), "a", 10_000, 500)
+	is.Equal(get(table, "a").PendingAt(after(3)), 30_000.0)
+	load := warm()
+	load.PendingPrefill = 20_000
+	table.SetLoad("a", load, after(2)) // holds the first attempt only
+	is.Equal(get(table, "a").UnseenPrompt, int64(10_000))
+	is.Equal(get(table, "a").UnseenTokens, int64(10_500))
+	is.Equal(get(table, "a").FreeAt(), load.FreeTokens-10_500)
+	load.PendingPrefill = 25_000
+	table.Granted(second, load, after(3)) // holds both
+	is.Equal(get(table, "a").Unseen, 0)
+	is.Equal(get(table, "a").PendingAt(after(3)), 25_000.0)
+	is.Equal(get(table, "a").InFlight, 2)
+}
+
+func TestReportedBacklogShrinksWithAge(t *testing.T) {
+	is := is.New(t)
+	table := one()
+	load := warm()
+	load.PendingPrefill = 30_000
+	table.SetLoad("a", load, after(1))
+	is.Equal(get(table, "a").PendingAt(after(2)), 20_000.0) // 10,000 tokens a second
+	is.Equal(get(table, "a").PendingAt(after(9)), 0.0)
+	is.Equal(get(table, "a").FirstTokenIn(after(2), 5_000), 2500*time.Millisecond)
+}
+
+func TestRemoveAndMove(t *testing.T) {
+	is := is.New(t)
+	table := fleet(10)
+	table.Remove("e003")
+	table.Remove("e003")
+	is.Equal(len(table.View("m")), 9)
+	moved := announce("e004", "z9")
+	moved.Target = "other"
+	table.Upsert(after(1), moved)
+	is.Equal(len(table.View("m")), 8)
+	is.Equal(table.View("other")[0].Name, "e004")
+	table.Finished(Flight{Name: "gone"})
+	is.Equal(len(table.Names()), 9)
+	table.Remove("e004")
+	is.Equal(len(table.View("other")), 0)
+}
+
+// TestRanksAgree holds that entries which learned of the endpoints in another order
+// use the same lanes, spread over the zones.
+func TestRanksAgree(t *testing.T) {
+	is := is.New(t)
+	forward, backward := fleet(50), NewTable()
+	for i := 49; i >= 0; i-- {
+		e := forward.View("m")[i]
+		backward.Upsert(start, e.Endpoint)
+	}
+	lanes := map[string]int{}
+	for i, e := range forward.View("m") {
+		is.Equal(e.Rank, backward.View("m")[i].Rank)
+		if e.Rank < 10 {
+			lanes[e.Zone]++
+		}
+	}
+	for _, zone := range []string{"z0", "z1", "z2", "z3", "z4"} {
+		is.Equal(lanes[zone], 2)
+	}
+}
+
+func TestZoneOutMovesTheLanes(t *testing.T) {
+	is := is.New(t)
+	table := fleet(20)
+	for _, e := range table.View("m") {
+		if e.Zone == "z0" {
+			table.SetOut(e.Name, true)
+		}
+	}
+	in := map[int]bool{}
+	for _, e := range table.View("m") {
+		if !e.Out {
+			is.True(!in[e.Rank])
+			in[e.Rank] = true
+			is.Equal(e.Ranked, 16)
+		}
+	}
+	is.True(in[0] && in[15])
+}
+
+func TestViewAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	table := fleet(600)
+	load := warm()
+	is.Equal(testing.AllocsPerRun(100, func() {
+		table.View("m")
+		table.SetLoad("e300", load, after(1))
+		f := table.Started(after(2), "e300", 1_000, 100)
+		table.Finished(f)
+	}), 0.0)
+}
+
+func TestChooseAllocatesNothing(t *testing.T) {
+	for policy, chooser := range choosers() {
+		t.Run(policy, func(t *testing.T) {
+			is := is.New(t)
+			view := fleet(600).View("m")
+			req := &Request{}
+			i := 0
+			is.Equal(testing.AllocsPerRun(1000, func() {
+				i++
+				tokens := []int{2_000, 30_000, 400_000}[i%3]
+				*req = Request{Target: "m", Class: ClassOf(tokens), PromptTokens: tokens, Zone: "z2", Prefix: uint64(i % 50)}
+				_, _ = chooser.Choose(after(1), req, view)
+			}), 0.0)
+		})
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	b := NewRetryBudget()
+	taken := 0
+	for i := range 10_000 { // every request of a second fails and asks for a retry
+		now := start.Add(time.Duration(i) * 100 * time.Microsecond)
+		b.Attempted(now)
+		if b.Take(now) {
+			taken++
+		}
+	}
+	is.True(taken <= 10_000/10+DefaultRetryBurst+1)
+	is.True(taken >= 10_000/10)
+	for b.Take(after(1)) {
+		taken++
+	}
+	is.True(b.Take(after(4))) // an entry without traffic earns some too
+}
