--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -26,7 +26,7 @@
 	place place
 	at    time.Time
 	// digests were in flight and have a record. cleared were too, and do not count:
-	// they ran to a whole answer since, or their record gave way to others.
+	// they ran to a whole answer since.
 	digests []uint64
 	cleared []uint64
 	// alone is set when nothing but the one request was in flight.
@@ -74,21 +74,41 @@
 		}
 	}
 	if len(l.falls) >= l.limits.Falls {
-		l.forgetFall(l.oldest())
+		l.forgetFall(l.oldest(nil))
 	}
 	f := &fall{place: p, at: now}
 	l.falls = append(l.falls, f)
 	return f
 }
 
-// oldest returns the fall to forget first: one that helps to refuse nothing.
-func (l *List) oldest() *fall {
+// oldest returns the fall other than keep to forget first: one that helps to refuse
+// nothing. It returns nil when there is no other.
+func (l *List) oldest(keep *fall) *fall {
+	var oldest *fall
 	for _, f := range l.falls {
+		if f == keep {
+			continue
+		}
 		if !f.explained {
 			return f
 		}
+		if oldest == nil {
+			oldest = f
+		}
+	}
+	return oldest
+}
+
+// makeRoom forgets the oldest falls other than f until one more record fits.
+func (l *List) makeRoom(f *fall) bool {
+	for len(l.records) >= l.limits.Digests {
+		oldest := l.oldest(f)
+		if oldest == nil {
+			return false
+		}
+		l.forgetFall(oldest)
 	}
-	return l.falls[0]
+	return true
 }
 
 // known returns how many requests are known to have been in flight.
@@ -101,7 +121,9 @@
 	}
 	r := l.records[digest]
 	if r == nil {
-		l.makeRoom()
+		if !l.makeRoom(f) {
+			return
+		}
 		r = &record{}
 		l.records[digest] = r
 	}
@@ -166,34 +188,3 @@
 	}
 	return l.limits.SuspectLife
 }
-
-// makeRoom forgets the record that says least, when there are too many.
-func (l *List) makeRoom() {
-	if len(l.records) < l.limits.Digests {
-		return
-	}
-	var worst uint64
-	var least *record
-	for digest, r := range l.records {
-		if least == nil || r.compare(least) < 0 || (r.compare(least) == 0 && digest < worst) {
-			worst, least = digest, r
-		}
-	}
-	l.forget(worst)
-}
-
-// compare orders records by how much is lost with them: convicted ones last, then
-// by the number of falls, then by the age of the newest.
-func (r *record) compare(o *record) int {
-	switch {
-	case r.convicted != o.convicted && o.convicted:
-		return -1
-	case r.convicted != o.convicted:
-		return 1
-	case len(r.falls) != len(o.falls):
-		return len(r.falls) - len(o.falls)
-	}
-	return r.newest().Compare(o.newest())
-}
-
-func (r *record) newest() time.Time { return r.falls[len(r.falls)-1].at }
--- a/quarantine/permit.go
+++ b/quarantine/permit.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -76,14 +75,18 @@
 // among those in flight unless it is certain that nothing else was. A permit for
 // another place holds on: that run is still in flight.
 func (l *List) endPermits(f *fall, certain bool) {
-	for _, digest := range slices.Sorted(maps.Keys(l.records)) {
-		r := l.records[digest]
-		if r.permit.holder == "" || r.permit.place != f.place {
-			continue
-		}
-		r.permit = permit{}
-		if !certain {
-			l.add(f, digest)
+	var ended []uint64
+	for digest, r := range l.records {
+		if r.permit.holder != "" && r.permit.place == f.place {
+			r.permit = permit{}
+			ended = append(ended, digest)
 		}
 	}
+	if certain {
+		return
+	}
+	slices.Sort(ended)
+	for _, digest := range ended {
+		l.add(f, digest)
+	}
 }
