--- a/quarantine/permit.go
+++ b/quarantine/permit.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -41,7 +40,7 @@
 	r.lapse(now)
 	switch {
 	case r.permit.holder == a.Holder:
-		return Permit{Status: Suspect, Granted: true}
+		return Permit{Status: Suspect, Granted: true, Alone: r.alone()}
 	case r.permit.holder != "":
 		return Permit{Status: Suspect, RetryAfter: retryPermit}
 	case r.lost() >= MaxLost:
@@ -52,9 +51,14 @@
 		place:  place{endpoint: a.Endpoint, incarnation: a.Incarnation},
 		until:  a.Until,
 	}
-	return Permit{Status: Suspect, Granted: true}
+	return Permit{Status: Suspect, Granted: true, Alone: r.alone()}
 }
 
+// alone reports whether the request has to run with nothing else in flight. After
+// one loss it runs in the company of clear requests, because a fall makes suspects
+// of all that were near and few endpoints are idle; a second loss leaves few.
+func (r *record) alone() bool { return r.lost() > 1 }
+
 // Return takes a permit back when it is certain that the run is over and brought
 // nothing down: it was refused, never sent, or cancelled while the endpoint lives.
 func (l *List) Return(now time.Time, digest uint64, holder string) {
@@ -76,14 +80,18 @@
 // among those in flight unless it is certain that nothing else was. A permit for
 // another place holds on: that run is still in flight.
 func (l *List) endPermits(f *fall, certain bool) {
-	for _, digest := range slices.Sorted(maps.Keys(l.records)) {
-		r := l.records[digest]
-		if r.permit.holder == "" || r.permit.place != f.place {
-			continue
-		}
-		r.permit = permit{}
-		if !certain {
-			l.add(f, digest)
+	var ended []uint64
+	for digest, r := range l.records {
+		if r.permit.holder != "" && r.permit.place == f.place {
+			r.permit = permit{}
+			ended = append(ended, digest)
 		}
 	}
+	if certain {
+		return
+	}
+	slices.Sort(ended)
+	for _, digest := range ended {
+		l.add(f, digest)
+	}
 }
