Give each target a queue of its own, and fit the bound of a long prompt to the largest endpoint

Cause of prompt_too_long for prompts of 200,000 tokens: the bound on a prompt's length starts at twice the usual one.

--- a/entry/call.go
+++ b/entry/call.go
@@ -58,6 +58,8 @@
 	// forecast is what admission predicted, and promptBytes the prompt's length.
 	forecast    admit.Forecast
 	promptBytes int
+	// expected is the prompt's likely length in tokens; want holds its bound.
+	expected int
 	// alone is set for an attempt that runs with nothing else on its endpoint.
 	alone bool
 	// notBefore is the end of the latest pause, and pauses counts them.
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -22,6 +22,9 @@
 // happened: predictions change with time alone.
 const drainEvery = 20 * time.Millisecond
 
+// usableShare is the share of an engine's memory that one request may take.
+const usableShare = 0.95
+
 // Bounds of the pauses between rounds in which every endpoint has refused a call.
 const (
 	firstPause   = 50 * time.Millisecond
@@ -35,10 +38,11 @@
 	log   hclog.Logger
 	clock kernel.Clock
 
-	mu        sync.Mutex
-	table     *route.Table
-	chooser   route.Chooser
-	waiting   queue.Waiting
+	mu      sync.Mutex
+	table   *route.Table
+	chooser route.Chooser
+	// waiting holds a queue for each target: calls to one wait for no other.
+	waiting   map[string]queue.Waiting
 	deadlines *admit.Deadlines
 	estimates *admit.Estimator
 	retries   *route.RetryBudget
@@ -84,7 +88,7 @@
 		clock:     h.Clock,
 		table:     route.NewTable(),
 		chooser:   chooser,
-		waiting:   queue.New(queue.DefaultSettings()),
+		waiting:   map[string]queue.Waiting{},
 		deadlines: admit.NewDeadlines(),
 		estimates: admit.NewEstimator(),
 		retries:   route.NewRetryBudget(),
@@ -172,6 +176,7 @@
 		d.retries.Attempted(now)
 	}
 	view := d.table.View(c.want.Target)
+	c.fitBound(view)
 	choice, err := d.chooser.Choose(now, &c.want, view)
 	var refusal *verdict.Refusal
 	if err != nil {
@@ -184,12 +189,27 @@
 	if err := d.deadlines.Admit(now, c.want.Class, c.forecast, c.deadline); err != nil {
 		return nil, nil, err
 	}
-	if refusal == nil && d.waiting.Tokens(c.want.Class) == 0 {
+	if refusal == nil && d.queue(c.want.Target).Tokens(c.want.Class) == 0 {
 		return nil, d.start(now, c, choice), nil
 	}
 	return d.push(now, c, refusal)
 }
 
+// fitBound lowers the bound on the prompt's length to what the largest endpoint
+// holds, when the prompt itself is likely to fit there: the bound is twice the
+// length for a route that has been little used, and must not refuse for good what
+// an endpoint with nothing else in it serves.
+func (c *call) fitBound(view []route.Endpoint) {
+	largest := int64(0)
+	for i := range view {
+		largest = max(largest, view[i].Load.CapacityTokens)
+	}
+	room := int(float64(largest)*usableShare) - c.want.OutputTokens
+	if c.want.PromptTokens > room && c.expected <= room {
+		c.want.PromptTokens = room
+	}
+}
+
 // worthWaiting tells a lack of room from what waiting does not mend.
 func worthWaiting(reason verdict.Reason) bool {
 	switch reason {
@@ -206,7 +226,7 @@
 	}
 	d.nextID++
 	w := &waiter{id: d.nextID, c: c, since: now, result: make(chan outcome, 1)}
-	err := d.waiting.Push(now, queue.Item{
+	err := d.queue(c.want.Target).Push(now, queue.Item{
 		ID:      w.id,
 		Account: c.account.Name,
 		Class:   c.want.Class,
@@ -217,18 +237,36 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	d.drain(now)
+	d.drainTarget(now, c.want.Target)
 	return w, nil, nil
 }
 
-// drain gives endpoints to the waiting calls that fit and ends the hopeless ones.
-// The caller holds the lock.
+// queue returns the queue of a target. The caller holds the lock.
+func (d *dispatcher) queue(target string) queue.Waiting {
+	q, ok := d.waiting[target]
+	if !ok {
+		q = queue.New(queue.DefaultSettings())
+		d.waiting[target] = q
+	}
+	return q
+}
+
+// drain looks at the queues of all targets. The caller holds the lock.
 func (d *dispatcher) drain(now time.Time) {
-	for _, dropped := range d.waiting.Expire(now, nil) {
+	for target := range d.waiting {
+		d.drainTarget(now, target)
+	}
+}
+
+// drainTarget gives endpoints to the waiting calls that fit and ends the hopeless
+// ones. The caller holds the lock.
+func (d *dispatcher) drainTarget(now time.Time, target string) {
+	q := d.queue(target)
+	for _, dropped := range q.Expire(now, nil) {
 		dropped.Item.Value.(*waiter).result <- outcome{err: dropped.Refusal}
 	}
 	for {
-		item, ok := d.waiting.Pop(now, func(i *queue.Item) bool { return d.fits(now, i) })
+		item, ok := q.Pop(now, func(i *queue.Item) bool { return d.fits(now, i) })
 		if !ok {
 			return
 		}
@@ -280,7 +318,7 @@
 // abandon takes a call whose time is over or whose caller went out of the queue.
 func (d *dispatcher) abandon(ctx context.Context, w *waiter) error {
 	d.mu.Lock()
-	d.waiting.Remove(w.id)
+	d.queue(w.c.want.Target).Remove(w.id)
 	d.mu.Unlock()
 	select {
 	case out := <-w.result:
@@ -318,7 +356,7 @@
 		d.table.Granted(t.flight, *load, now)
 	}
 	d.table.Finished(t.flight)
-	d.drain(now)
+	d.drainTarget(now, t.endpoint.Target)
 }
 
 // completed learns from a call whose answer is whole.
@@ -351,5 +389,9 @@
 func (d *dispatcher) queued(class route.Class) int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.waiting.Tokens(class)
+	var tokens int64
+	for _, q := range d.waiting {
+		tokens += q.Tokens(class)
+	}
+	return tokens
 }
--- a/entry/forecast.go
+++ b/entry/forecast.go
@@ -25,7 +25,7 @@
 // middling one after the work that is ahead of it. The caller holds the lock.
 func (d *dispatcher) forecast(c *call, view []route.Endpoint, choice route.Choice, refusal *verdict.Refusal) admit.Forecast {
 	prefill, decode := fleetSpeed(view)
-	queued := secondsOf(float64(d.waiting.Tokens(c.want.Class)) / prefill)
+	queued := secondsOf(float64(d.queue(c.want.Target).Tokens(c.want.Class)) / prefill)
 	if refusal == nil {
 		f := forecastAt(c, view, choice)
 		f.Wait += queued
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -109,16 +109,18 @@
 		return verdict.Refuse(verdict.ReasonInternal, 0, "the model's name could not be set")
 	}
 	c.body = body
+	estimate := e.fleet.estimate(c.route.Name, text.bytes)
+	c.expected = estimate.Tokens
 	c.want = route.Request{
 		Target:       c.route.Target,
-		PromptTokens: e.fleet.estimate(c.route.Name, text.bytes).Bound,
+		PromptTokens: estimate.Bound,
 		OutputTokens: outputBound(c.route, p.MaxTokens),
 		Prefix:       text.prefix,
 		Zone:         e.node.Zone,
 		Deadline:     c.deadline,
 	}
 	c.promptBytes = text.bytes
-	c.want.Class = route.ClassOf(c.want.PromptTokens)
+	c.want.Class = route.ClassOf(estimate.Tokens)
 	return nil
 }
 
