--- /dev/null
+++ b/control/cut_test.go
@@ -0,0 +1,77 @@
+package control_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// cuttable is an Opener whose messages vanish in both directions while it is cut,
+// and nobody is told.
+type cuttable struct {
+	wire.Opener
+	cut atomic.Bool
+}
+
+func (c *cuttable) Open(ctx context.Context, addr string) (wire.Stream, error) {
+	if c.cut.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	s, err := c.Opener.Open(ctx, addr)
+	return &cuttableStream{Stream: s, cut: &c.cut}, err
+}
+
+type cuttableStream struct {
+	wire.Stream
+	cut *atomic.Bool
+}
+
+func (s *cuttableStream) Send(m wire.Message) error {
+	if s.cut.Load() {
+		return nil
+	}
+	return s.Stream.Send(m)
+}
+
+func (s *cuttableStream) Recv() (wire.Message, error) {
+	for {
+		m, err := s.Stream.Recv()
+		if err != nil || !s.cut.Load() {
+			return m, err
+		}
+	}
+}
+
+func TestZoneOutIsInForceWhereNobodyCanBeReached(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 3, patient)
+	operator := d.client("operator-1", wire.RoleOperator, nil)
+	d.leader(operator)
+	network := &cuttable{Opener: d.dialer("entry-1", wire.RoleEntry, &wire.Traffic{})}
+	entry := d.client("entry-1", wire.RoleEntry, func(o *session.Options) { o.Opener = network })
+	d.background(entry.Run)
+	eventually(t, "permitted", func() bool { return entry.Fresh() && entry.View().Revision() == 1 })
+
+	network.cut.Store(true)
+	is.NoErr(operator.Do(within(t), command.NameChange, "c1", zoneOut(1, "annex"), nil))
+	lagged := false
+	eventually(t, "in force", func() bool {
+		var lagging command.Lagging
+		is.NoErr(operator.Do(within(t), command.NameInForce, "", command.InForce{Revision: 2}, &lagging))
+		lagged = lagged || len(lagging.Processes) > 0
+		return len(lagging.Processes) == 0
+	})
+	is.True(lagged)         // it was known to hold a permission for the old revision
+	is.True(!entry.Fresh()) // what is called in force is in force here too
+	is.Equal(entry.View().Revision(), uint64(1))
+
+	network.cut.Store(false)
+	eventually(t, "back with the new revision", func() bool { return entry.Fresh() && entry.View().Revision() == 2 })
+}
