--- a/config/check.go
+++ b/config/check.go
@@ -110,12 +110,21 @@
 	}
 }
 
+// name checks a name that may stand in a path.
 func (k *checker) name(kind, name string) {
 	if name == "" || strings.ContainsAny(name, " \t\r\n/\"'") {
 		k.fault("bad name %q of a %s: want no space, quote or slash", name, kind)
 	}
 }
 
+// modelName checks the name of a model or target. Names of published models have
+// slashes.
+func (k *checker) modelName(kind, name string) {
+	if name == "" || strings.ContainsAny(name, " \t\r\n\"'") {
+		k.fault("bad name %q of a %s: want no space or quote", name, kind)
+	}
+}
+
 func (k *checker) state(s ZoneState) {
 	if s != In && s != Out {
 		k.fault("bad state %q: want %q or %q", s, In, Out)
@@ -133,7 +142,7 @@
 }
 
 func (k *checker) model(m Model) {
-	k.name("model", m.Name)
+	k.modelName("model", m.Name)
 	if m.WeightBytes < 0 {
 		k.fault("model %q: weight_bytes is below zero", m.Name)
 	}
@@ -155,7 +164,7 @@
 
 func (k *checker) route(r Route) {
 	k.name("route", r.Name)
-	k.name("target", r.Target)
+	k.modelName("target", r.Target)
 	switch r.Kind {
 	case ModelRoute:
 		known(k, k.after.Models, "model", r.Target)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -68,6 +68,7 @@
 	is.NoErr(sample().Check([]Change{
 		{Route: &Route{Name: "draft", Kind: ModelRoute, Target: "new", Accounts: []string{"trust"}}},
 		{Model: &Model{Name: "new"}},
+		{Model: &Model{Name: "published/name"}},
 		{Account: &Account{Name: "trust", KeyHashes: []string{hashB}}},
 		{DropRoute: "read"},
 		{DropModel: "scribe"},
--- a/control/commands.go
+++ b/control/commands.go
@@ -133,7 +133,7 @@
 // likely a slip of the pen. The state machine cannot tell: the list is not in it.
 func (s *Server) checkOrder(c *wire.Command) *verdict.Refusal {
 	var o command.Order
-	if c.Name != command.NameOrder || wire.Unmarshal(c.Body, &o) != nil || s.table.listed(o.Endpoint) {
+	if c.Name != command.NameOrder || wire.Unmarshal(c.Body, &o) != nil || !s.table.unknown(s.clock.Now(), o.Endpoint) {
 		return nil
 	}
 	return verdict.Refuse(verdict.ReasonBadRequest, 0, "no endpoint %q has announced itself", o.Endpoint)
--- a/control/table.go
+++ b/control/table.go
@@ -175,7 +175,7 @@
 func (t *table) endpointsSince(now time.Time, version uint64, toldSettled bool) (delta, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	settled := now.Sub(t.started) >= t.grace
+	settled := t.settled(now)
 	if settled && !toldSettled {
 		version = 0
 	}
@@ -276,14 +276,19 @@
 	return sortProcesses(out)
 }
 
-// listed reports whether the endpoint is in the list.
-func (t *table) listed(name string) bool {
+// unknown reports that no endpoint of that name has announced itself, once the
+// list has settled.
+func (t *table) unknown(now time.Time, name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	_, ok := t.list.members[name]
-	return ok
+	return !ok && t.settled(now)
 }
 
+// settled reports whether the endpoints have had the time to announce themselves
+// since this replica started.
+func (t *table) settled(now time.Time) bool { return now.Sub(t.started) >= t.grace }
+
 // endpoints lists all endpoints by name.
 func (t *table) endpoints() []wire.Endpoint {
 	t.mu.Lock()
