Go on with readings when the replicas have stopped

Cause: with two of three replicas killed, new work stopped after one lease, because one answer proves nothing. Now a replica's address is open for TCP as well; a VM that refuses the connection is up and its replica has stopped. A process whose permission never lapsed counts such replicas, since control answers an order that takes something out only once every permission without it has lapsed. Ruled out: counting replicas that give no answer, which cannot be told from a cut. An answer to a zone-out now takes one lease. Tests of lost VMs set Stopped to never, which is what they mean.

--- a/control/command/command.go
+++ b/control/command/command.go
@@ -259,4 +259,6 @@
 	// when its log has nothing after that which may still become a change.
 	Revision uint64 `cbor:"4,keyasint"`
 	Settled  bool   `cbor:"5,keyasint"`
+	// Addrs are the addresses of Voters, in the same order.
+	Addrs []string `cbor:"6,keyasint,omitempty"`
 }
--- a/control/commands.go
+++ b/control/commands.go
@@ -102,19 +102,22 @@
 	if refusal := s.checkOrder(c); refusal != nil {
 		return refused(refusal)
 	}
+	answer := s.carryOut(ctx, peer, c, a)
+	s.awaitLapse(ctx, c, answer)
+	s.logCommand(peer, c, answer)
+	return answer
+}
+
+func (s *Server) carryOut(ctx context.Context, peer wire.Peer, c *wire.Command, a access) *wire.Answer {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	var answer *wire.Answer
 	switch {
 	case a.propose:
-		answer = s.propose(ctx, peer, c)
+		return s.propose(ctx, peer, c)
 	case a.change:
-		answer = s.changeMembers(ctx, c)
-	default:
-		answer = s.readCommand(ctx, c)
+		return s.changeMembers(ctx, c)
 	}
-	s.logCommand(peer, c, answer)
-	return answer
+	return s.readCommand(ctx, c)
 }
 
 // redirect returns the answer of a replica that does not lead, or nil on the leader.
@@ -270,6 +273,7 @@
 	for _, m := range s.members() {
 		if m.Voter {
 			out.Voters = append(out.Voters, uint64(m.ID))
+			out.Addrs = append(out.Addrs, m.Addr)
 		}
 	}
 	return out
--- a/control/control.go
+++ b/control/control.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net"
 	"os"
 	"strconv"
 	"time"
@@ -70,6 +71,7 @@
 	disk     *replica.OSDisk
 	dialer   *session.Dialer
 	listener *wire.Server
+	liveness net.Listener
 	cancel   context.CancelFunc
 }
 
@@ -98,8 +100,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
+	if p.liveness, err = listenForLiveness(string(p.Listen)); err != nil {
+		_ = p.disk.Close()
+		return err
+	}
 	p.listener, err = wire.Listen(string(p.Listen), id, &wire.Traffic{}, func(stream wire.Stream) { p.server.handle(ctx, stream) })
 	if err != nil {
+		_ = p.liveness.Close()
 		_ = p.disk.Close()
 	}
 	return err
@@ -203,6 +210,8 @@
 		fault <- p.replica.Run(work)
 	})
 	s.running.Go(func() { s.runBarriers(work) })
+	s.running.Go(func() { serveLiveness(p.liveness) })
+	defer context.AfterFunc(work, func() { _ = p.liveness.Close() })()
 	s.running.Go(func() { s.runSweeps(work) })
 	s.running.Go(func() { s.runReports(work) })
 	err := p.listener.Serve(work)
--- a/control/deploy_test.go
+++ b/control/deploy_test.go
@@ -143,6 +143,7 @@
 	o := session.Options{
 		Node: settings.Node{Name: name, Region: "leon-coast", Zone: "hall"}, Role: role,
 		Replicas: d.addrs, Heartbeat: 50 * time.Millisecond, Lease: 2 * time.Second,
+		Stopped: func(context.Context, string) bool { return false }, // a lost VM refuses nothing
 	}
 	if adjust != nil {
 		adjust(&o)
--- a/control/session/client.go
+++ b/control/session/client.go
@@ -63,6 +63,9 @@
 	// OnUpdate is called for each update, in order, after the view and the
 	// permission have taken it in; it may be nil. It must not block.
 	OnUpdate func(*wire.Update)
+	// Stopped reports whether the replica at addr has certainly stopped, as opposed
+	// to being cut off; by default the VM's kernel is asked.
+	Stopped func(ctx context.Context, addr string) bool
 }
 
 // Client keeps a session with control. All methods are safe for concurrent use.
@@ -101,6 +104,9 @@
 	if o.Lease <= o.Heartbeat {
 		return nil, errors.Errorf("lease of %v is not longer than the heartbeat of %v", o.Lease, o.Heartbeat)
 	}
+	if o.Stopped == nil {
+		o.Stopped = connectionRefused
+	}
 	if o.Clock == nil {
 		o.Clock = kernel.SystemClock{}
 	}
--- a/control/session/poll.go
+++ b/control/session/poll.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"net"
+	"slices"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/lease"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -28,26 +33,89 @@
 // process's configuration was current when the poll began.
 func (c *Client) poll(ctx context.Context) {
 	began := c.options.Clock.Now()
+	unbroken := c.Permission().Left > 0
 	ctx, cancel := context.WithTimeout(ctx, c.options.Lease/2)
 	defer cancel()
-	answers := make(chan *command.ReplicaStanding, len(c.options.Replicas))
+	answers := make(chan polled, len(c.options.Replicas))
 	for _, addr := range c.options.Replicas {
-		go func() { answers <- c.askStanding(ctx, addr) }()
+		go func() { answers <- c.ask(ctx, addr) }()
 	}
-	var poll lease.Poll
+	var round pollRound
 	for range c.options.Replicas {
-		s := <-answers
-		if s == nil {
-			continue
-		}
-		poll.Add(lease.Standing{Replica: s.ID, Voters: s.Voters, Revision: s.Revision, Settled: s.Settled})
-		if poll.Proves(c.view.Revision()) {
+		round.add(<-answers, unbroken)
+		if round.proves(c.view.Revision(), len(c.options.Replicas)) {
 			c.proven(began)
 			return
 		}
 	}
 }
 
+// polled is what a poll learned of the replica at an address.
+type polled struct {
+	addr     string
+	standing *command.ReplicaStanding
+	stopped  bool
+}
+
+// stoppedTimeout bounds the question whether a replica has stopped; the kernel of
+// a VM that is up answers at once.
+const stoppedTimeout = 200 * time.Millisecond
+
+// ask asks one replica, unless its process has stopped.
+func (c *Client) ask(ctx context.Context, addr string) polled {
+	short, cancel := context.WithTimeout(ctx, stoppedTimeout)
+	defer cancel()
+	if c.options.Stopped(short, addr) {
+		return polled{addr: addr, stopped: true}
+	}
+	return polled{addr: addr, standing: c.askStanding(ctx, addr)}
+}
+
+// pollRound collects the answers of one poll.
+type pollRound struct {
+	standings []*command.ReplicaStanding
+	stopped   []string
+}
+
+func (r *pollRound) add(p polled, unbroken bool) {
+	if p.standing != nil {
+		r.standings = append(r.standings, p.standing)
+	}
+	if p.stopped && unbroken {
+		r.stopped = append(r.stopped, p.addr)
+	}
+}
+
+// proves reports whether the process was current when the poll began. When all
+// replicas of the settings have stopped there is nobody left to accept an order.
+func (r *pollRound) proves(ours uint64, replicas int) bool {
+	if len(r.stopped) == replicas {
+		return true
+	}
+	var poll lease.Poll
+	for _, s := range r.standings {
+		poll.Add(lease.Standing{Replica: s.ID, Voters: s.Voters, Revision: s.Revision, Settled: s.Settled})
+		for i, addr := range s.Addrs {
+			if slices.Contains(r.stopped, addr) {
+				poll.AddStopped(s.Voters[i])
+			}
+		}
+	}
+	return poll.Proves(ours)
+}
+
+// connectionRefused reports whether the VM at addr is up and no process listens
+// there.
+func connectionRefused(ctx context.Context, addr string) bool {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 func (c *Client) proven(since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/control/session/session_test.go
+++ b/control/session/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -265,6 +266,45 @@
 	}
 }
 
+func TestStoppedReplicasProveOnlyToAPermissionThatHasNotLapsed(t *testing.T) {
+	addrs := []string{"a", "b", "c"}
+	living := func(revision uint64) command.ReplicaStanding {
+		return command.ReplicaStanding{ID: 1, Voters: []uint64{1, 2, 3}, Addrs: addrs, Revision: revision, Settled: true}
+	}
+	tests := map[string]struct {
+		fresh   bool
+		answers []command.ReplicaStanding
+		stopped []string
+		want    bool
+	}{
+		"two stopped":                 {true, []command.ReplicaStanding{living(2)}, []string{"b", "c"}, true},
+		"all stopped":                 {true, nil, addrs, true},
+		"one stopped and one cut off": {true, []command.ReplicaStanding{living(2)}, []string{"b"}, true}, // it and the living one are two of three
+		"two cut off":                 {true, []command.ReplicaStanding{living(2)}, nil, false},
+		"one stopped and two cut off": {true, nil, []string{"b"}, false},
+		"the living one knows more":   {true, []command.ReplicaStanding{living(3)}, []string{"b", "c"}, false},
+		"the permission has lapsed":   {false, []command.ReplicaStanding{living(2)}, []string{"b", "c"}, false},
+		"all stopped, lapsed":         {false, nil, addrs, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			replicas := map[string]func(*fakeStream){}
+			for i, a := range test.answers {
+				replicas[addrs[i]] = standing(a)
+			}
+			c := newClient(t, &network{replicas: replicas}, addrs...)
+			c.options.Stopped = func(_ context.Context, addr string) bool { return slices.Contains(test.stopped, addr) }
+			c.View().Replace(document(2))
+			if test.fresh {
+				c.proven(c.options.Clock.Now().Add(-c.options.Lease / 2))
+			}
+			before := c.Permission().Left
+			c.poll(context.Background())
+			is.New(t).Equal(c.Permission().Left > before, test.want)
+		})
+	}
+}
+
 func TestPollOfAMajorityRenewsThePermissionWithoutALeader(t *testing.T) {
 	voters := []uint64{1, 2, 3}
 	tests := map[string]struct {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -245,7 +245,7 @@
 	return addrs, nil
 }
 
-// reserveAddr opens a port below those that the kernel gives to outgoing
+// reserveAddr opens a port, for UDP also the TCP port of the same number, below those that the kernel gives to outgoing
 // connections, which would take a port between its release and its use.
 func reserveAddr(network string) (addr string, release func(), err error) {
 	for range portTries {
@@ -258,18 +258,16 @@
 }
 
 func listen(network, addr string) (func(), error) {
-	if network == "udp" {
-		c, err := net.ListenPacket(network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return func() { _ = c.Close() }, nil
+	l, err := net.Listen("tcp", addr)
+	if err != nil || network == "tcp" {
+		return func() { _ = l.Close() }, err
 	}
-	l, err := net.Listen(network, addr)
+	c, err := net.ListenPacket(network, addr)
 	if err != nil {
+		_ = l.Close()
 		return nil, err
 	}
-	return func() { _ = l.Close() }, nil
+	return func() { _ = l.Close(); _ = c.Close() }, nil
 }
 
 // Write writes every settings file to dir, as "<name>.json".
--- a/lease/poll.go
+++ b/lease/poll.go
@@ -26,8 +26,16 @@
 // cut.
 type Poll struct {
 	answers map[uint64]Standing
+	stopped []uint64
 }
 
+// AddStopped enters a replica that has certainly stopped. It cannot tell what is in
+// its log, so it may be entered only by a process whose permission has not lapsed
+// since control last renewed it: such a process knows every order that control has
+// answered, because control answers an order only once all permissions that do not
+// know it have lapsed.
+func (p *Poll) AddStopped(replica uint64) { p.stopped = append(p.stopped, replica) }
+
 // Add enters the answer of one replica.
 func (p *Poll) Add(s Standing) {
 	if p.answers == nil {
@@ -43,7 +51,7 @@
 	if len(p.answers) == 0 {
 		return false
 	}
-	var counted []uint64
+	counted := slices.Clone(p.stopped)
 	for id, s := range p.answers {
 		if s.Revision > ours {
 			return false
