--- a/route/hints.go
+++ b/route/hints.go
@@ -174,13 +174,6 @@
 	}
 }
 
-// requested counts a request with the prefix and returns what is known of it.
-func (h *CacheHints) requested(now time.Time, prefix uint64) *slot {
-	s := h.slotOf(now, prefix)
-	s.requests++
-	return s
-}
-
 // worth returns the tokens that a holder is expected to save at now: fewer after
 // each gap in the endpoint's events, none once the hint is old.
 func (h *CacheHints) worth(now time.Time, held *holder) float64 {
--- a/route/model_test.go
+++ b/route/model_test.go
@@ -127,15 +127,15 @@
 
 // result is what a run measured.
 type result struct {
-	setup          setup
-	first          [route.Classes][]float64 // times to first token, sorted
-	arrived        [route.Classes]int
-	refused        [route.Classes]int
-	good           [route.Classes]float64 // prompt tokens of requests finished in time, a second
-	recent         float64                // the same over the second half of the run
-	missed         int
-	crashes        int
-	misses         int
+	setup   setup
+	first   [route.Classes][]float64 // times to first token, sorted
+	arrived [route.Classes]int
+	refused [route.Classes]int
+	good    [route.Classes]float64 // prompt tokens of requests finished in time, a second
+	recent  float64                // the same over the second half of the run
+	missed  int
+	crashes int
+	misses  int
 }
 
 // warmup is the time at the start of a run that is not measured, in seconds.
--- a/route/predicted_test.go
+++ b/route/predicted_test.go
@@ -161,6 +161,22 @@
 	}
 }
 
+func TestEntryInAZoneWithoutEndpoints(t *testing.T) {
+	is := is.New(t)
+	for _, zone := range []string{"a", "m", "z"} { // before, among and behind the others
+		table := NewTable()
+		table.Upsert(start, announce("one", "f"))
+		table.Upsert(start, announce("two", "r"))
+		taken := map[string]bool{}
+		for seed := range uint64(20) {
+			e, _ := choose(t, NewPredicted(seed), table, start, &Request{PromptTokens: 2_000, Zone: zone})
+			table.Started(start, e.Name, 2_000, 0)
+			taken[e.Name] = true
+		}
+		is.Equal(len(taken), 2)
+	}
+}
+
 // TestStaleLoadDoesNotHerd: 100 entries have the same report, in which one endpoint
 // of 40 is idle and the others have a little work.
 func TestStaleLoadDoesNotHerd(t *testing.T) {
--- a/route/table.go
+++ b/route/table.go
@@ -84,12 +84,13 @@
 	return names
 }
 
-// Upsert adds an endpoint or brings it up to date. An older incarnation than the
-// known one is ignored; a newer one starts cold, with nothing in flight.
-func (t *Table) Upsert(now time.Time, announced wire.Endpoint) {
+// Upsert adds an endpoint or brings it up to date; its load was true at the given
+// time. An older incarnation than the known one is ignored; a newer one starts cold,
+// with nothing in flight. An announcement without load keeps the load known.
+func (t *Table) Upsert(at time.Time, announced wire.Endpoint) {
 	old, i := t.find(announced.Name)
 	if old == nil {
-		t.insert(now, announced, Endpoint{})
+		t.insert(at, announced, Endpoint{})
 		return
 	}
 	if announced.Incarnation < old.Incarnation {
@@ -103,12 +104,16 @@
 	moved := announced.Target != old.Target || announced.Zone != old.Zone
 	if moved || announced.Incarnation > old.Incarnation {
 		t.Remove(announced.Name)
-		t.insert(now, announced, kept)
+		t.insert(at, announced, kept)
 		return
 	}
 	g := t.byName[announced.Name].group
+	load := announced.Load
+	announced.Load = old.Load
 	g.entries[i].Endpoint = announced
-	g.setLoad(i, announced.Load, now)
+	if load.CapacityTokens > 0 {
+		g.setLoad(i, load, at)
+	}
 }
 
 // coldLoad makes a warm or empty announcement cold: a new incarnation has run no
@@ -120,14 +125,14 @@
 	return load
 }
 
-func (t *Table) insert(now time.Time, announced wire.Endpoint, kept Endpoint) {
+func (t *Table) insert(at time.Time, announced wire.Endpoint, kept Endpoint) {
 	g := t.groups[announced.Target]
 	if g == nil {
 		g = &group{}
 		t.groups[announced.Target] = g
 	}
 	kept.Endpoint = announced
-	kept.LoadAt = now
+	kept.LoadAt = at
 	kept.hash = xxhash.Sum64String(announced.Name)
 	i, _ := slices.BinarySearchFunc(g.entries, kept, byZoneAndHash)
 	g.entries = slices.Insert(g.entries, i, kept)
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
 func after(seconds float64) time.Time {
@@ -71,6 +73,22 @@
 	is.Equal(get(table, "a").Load.PendingPrefill, int64(7))
 }
 
+func TestLateAnnouncementKeepsTheLoad(t *testing.T) {
+	is := is.New(t)
+	table := one()
+	newer := warm()
+	newer.PendingPrefill = 7
+	table.SetLoad("a", newer, after(2))
+	table.Upsert(after(1), announce("a", "z"))
+	is.Equal(get(table, "a").Load.PendingPrefill, int64(7))
+	bare := announce("a", "z")
+	bare.Load = wire.Load{}
+	bare.Version = "2"
+	table.Upsert(after(3), bare)
+	is.Equal(get(table, "a").Load.PendingPrefill, int64(7))
+	is.Equal(get(table, "a").Version, "2")
+}
+
 // TestOwnAttemptsCountUntilReported: what an entry has sent counts at once, and once.
 func TestOwnAttemptsCountUntilReported(t *testing.T) {
 	is := is.New(t)
