admit: forecast from measured speeds and the entry's own pace

The model's entry knew the number of entries, which an entry does not. A Pace measures the work that an entry gets through; the queue gives the share that a class can count on.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -46,6 +46,30 @@
 	}
 }
 
+func TestForecast(t *testing.T) {
+	is := is.New(t)
+	e := &route.Endpoint{}
+	e.Load.PrefillRate, e.Load.DecodeRate = 10_000, 20
+	f := At(e, route.Choice{Predicted: seconds(3)}, 10_000, 100)
+	is.Equal(f, Forecast{Wait: seconds(2), Prefill: seconds(1), Output: seconds(5)})
+	out := route.Endpoint{Out: true}
+	out.Load.PrefillRate = 1
+	is.Equal(SpeedsOf([]route.Endpoint{*e, out}), Speeds{Prefill: 10_000, Decode: 20})
+	is.Equal(SpeedsOf(nil), Speeds{Prefill: assumedPrefill, Decode: assumedDecode})
+}
+
+func TestPace(t *testing.T) {
+	is := is.New(t)
+	p := &Pace{}
+	is.Equal(p.Wait(start, 10_000, 0.5, 10_000), seconds(2)) // nothing sent yet
+	for i := range 3_000 {
+		p.Sent(start.Add(seconds(float64(i)/10)), 5_000)
+	}
+	now := start.Add(seconds(300))
+	is.True(p.Rate(now) > 48_000 && p.Rate(now) < 52_000)
+	is.True(p.Rate(now.Add(paceTime)) < 20_000)
+}
+
 func TestGiveUpLeavesTimeToRun(t *testing.T) {
 	is := is.New(t)
 	d := NewDeadlines()
--- a/queue/drr.go
+++ b/queue/drr.go
@@ -117,6 +117,17 @@
 // Tokens implements Waiting.
 func (q *Queue) Tokens(class route.Class) int64 { return q.book.tokens[class] }
 
+// Share implements Waiting: by the weights of the classes that wait.
+func (q *Queue) Share(class route.Class) float64 {
+	sum := q.set.Weights[class]
+	for c, weight := range q.set.Weights {
+		if c != int(class) && q.book.tokens[c] > 0 {
+			sum += weight
+		}
+	}
+	return q.set.Weights[class] / sum
+}
+
 // flowOf returns the flow that the item joins.
 func (q *Queue) flowOf(item Item) *flow {
 	key := flowKey{class: item.Class, account: item.Account}
--- a/queue/fifo.go
+++ b/queue/fifo.go
@@ -66,6 +66,21 @@
 // Tokens implements Waiting.
 func (q *FIFO) Tokens(class route.Class) int64 { return q.book.tokens[class] }
 
+// Share implements Waiting: by the part of the work that waits.
+func (q *FIFO) Share(class route.Class) float64 {
+	all := int64(0)
+	for _, tokens := range q.book.tokens {
+		all += tokens
+	}
+	if all == 0 {
+		return 1
+	}
+	return max(float64(q.book.tokens[class])/float64(all), leastShare)
+}
+
+// leastShare bounds a share from below, so that a wait stays finite.
+const leastShare = 0.01
+
 func (q *FIFO) remove(n *node) {
 	q.flow.unlink(n)
 	q.book.remove(n)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -51,6 +51,9 @@
 	Len() int
 	// Tokens returns the work waiting in a class, in tokens.
 	Tokens(class route.Class) int64
+	// Share returns the part of the work that a request of the class can count on
+	// behind the class's own work that waits now.
+	Share(class route.Class) float64
 }
 
 // Settings bound a queue.
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -157,6 +157,17 @@
 	return ids
 }
 
+func TestShare(t *testing.T) {
+	is := is.New(t)
+	for name, q := range both() {
+		is.Equal(q.Share(route.Long), 1.0)
+		is.NoErr(q.Push(start, item(1, "a", route.Short)))
+		is.NoErr(q.Push(start, item(2, "a", route.Medium)))
+		want := map[string]float64{"drr": 2.0 / 3, "fifo": 1.0 / 11}
+		is.Equal(q.Share(route.Short), want[name])
+	}
+}
+
 func TestExpiredLeaveAtOnce(t *testing.T) {
 	for name, q := range both() {
 		t.Run(name, func(t *testing.T) {
--- a/route/model_entry_test.go
+++ b/route/model_entry_test.go
@@ -42,6 +42,7 @@
 	waiting queue.Waiting
 	admit   *admit.Deadlines
 	budget  *route.RetryBudget
+	pace    admit.Pace
 	ready   bool
 	// choice is what fits found for the request that Pop returns.
 	choice route.Choice
@@ -79,62 +80,17 @@
 	return e.chooser.Choose(e.now(), &r.want, e.table.View("m"))
 }
 
-// forecast predicts what the request takes: the wait at the entry follows from the
-// work ahead of it and the speed of the endpoints that this entry has a share of.
+// forecast predicts what the request takes, with the wait at the entry.
 func (e *entry) forecast(r *request, choice route.Choice, refusal *verdict.Refusal) {
 	view := e.table.View("m")
-	rate, steps := 0.0, 0.0
-	for i := range view {
-		rate += speed(view[i].Load.PrefillRate, assumedRate)
-		steps += speed(view[i].Load.DecodeRate, assumedSteps) / float64(len(view))
-	}
-	alone := seconds(float64(r.prompt) / (rate / float64(len(view))))
-	share := rate / float64(len(e.w.entries)) * e.classShare(r.class)
-	wait := seconds(float64(e.waiting.Tokens(r.class)) / share)
+	mean := admit.SpeedsOf(view)
 	if refusal == nil {
-		r.forecast = e.forecastAt(r, choice)
-		r.forecast.Wait += wait
-		return
-	}
-	wait += refusal.RetryAfter
-	r.forecast = admit.Forecast{Wait: wait, Prefill: alone, Output: seconds(float64(r.output) / steps)}
-}
-
-// forecastAt predicts what the request takes at the endpoint chosen.
-func (e *entry) forecastAt(r *request, choice route.Choice) admit.Forecast {
-	load := e.table.View("m")[choice.Index].Load
-	alone := seconds(float64(r.prompt) / speed(load.PrefillRate, assumedRate))
-	return admit.Forecast{
-		Wait:    max(choice.Predicted-alone, 0),
-		Prefill: alone,
-		Output:  seconds(float64(r.output) / speed(load.DecodeRate, assumedSteps)),
-	}
-}
-
-// classShare is the part of the work that a class gets while the classes that wait now
-// do so.
-func (e *entry) classShare(class route.Class) float64 {
-	weights := queue.DefaultSettings().Weights
-	sum := weights[class]
-	for c := range weights {
-		if c != int(class) && e.waiting.Tokens(route.Class(c)) > 0 {
-			sum += weights[c]
-		}
-	}
-	return weights[class] / sum
-}
-
-// Speeds assumed of an endpoint that has measured none: those of a cold one.
-const (
-	assumedRate  = fullRate / coldSlowdown
-	assumedSteps = assumedRate / modelChunk
-)
-
-func speed(measured, assumed float64) float64 {
-	if measured > 0 {
-		return measured
+		r.forecast = admit.At(&view[choice.Index], choice, r.prompt, r.output)
+	} else {
+		r.forecast = mean.Alone(r.prompt, r.output)
+		r.forecast.Wait = refusal.RetryAfter
 	}
-	return assumed
+	r.forecast.Wait += e.pace.Wait(e.now(), e.waiting.Tokens(r.class), e.waiting.Share(r.class), mean.Prefill)
 }
 
 func (e *entry) push(r *request) {
@@ -184,8 +140,8 @@
 // inTime reports whether a request that has waited can still finish at the endpoint
 // chosen, which may be slower than the one it was admitted for.
 func (e *entry) inTime(r *request, choice route.Choice) bool {
-	n := e.forecastAt(r, choice)
-	return e.admit.Admit(e.now(), r.class, n, at(r.deadline)) == nil
+	f := admit.At(&e.table.View("m")[choice.Index], choice, r.prompt, r.output)
+	return e.admit.Admit(e.now(), r.class, f, at(r.deadline)) == nil
 }
 
 func (e *entry) send(r *request, choice route.Choice) {
@@ -202,7 +158,9 @@
 			}
 			if refusal != nil {
 				e.refused(c, refusal)
+				return
 			}
+			e.pace.Sent(e.now(), r.prompt+r.output)
 		})
 	})
 }
