--- a/route/predicted.go
+++ b/route/predicted.go
@@ -41,7 +41,7 @@
 	// affinityTokens is what the endpoint that rendezvous hashing prefers for a
 	// repeated prefix is taken to save, in tokens, while no holder is known. It is
 	// small: a busy endpoint loses the prompt to another one.
-	affinityTokens = engine.PrefixBytes / 4
+	affinityTokens = prefixTokens
 )
 
 // Predicted takes the endpoint with the least predicted time to first token among
@@ -87,6 +87,16 @@
 	return nil
 }
 
+// prefixTokens is what the engine's cache is taken to hold of a prompt that shares
+// the first engine.PrefixBytes bytes with another, in tokens: no more is known.
+const prefixTokens = engine.PrefixBytes / 4
+
+// Served notes that an endpoint has processed a prompt with the prefix, ahead of the
+// engine's own events. The host calls it at the first token.
+func (c *Predicted) Served(now time.Time, zone, name string, prefix uint64) {
+	c.Hints.Stored(now, zone, name, prefix, prefixTokens)
+}
+
 // Choose implements Chooser.
 func (c *Predicted) Choose(now time.Time, req *Request, view []Endpoint) (Choice, error) {
 	s := c.search(now, req, view)
--- a/route/predicted_test.go
+++ b/route/predicted_test.go
@@ -275,6 +275,16 @@
 	}
 }
 
+func TestServedPrefixIsPreferred(t *testing.T) {
+	is := is.New(t)
+	c := NewPredicted(1)
+	var observer PrefixObserver = c
+	observer.Served(start, "z2", "e007", 42)
+	e, choice := choose(t, c, fleet(20), start, &Request{PromptTokens: 5_000, Zone: "z2", Prefix: 42})
+	is.Equal(e.Name, "e007")
+	is.Equal(choice.Reason, "cached")
+}
+
 // TestAffinityIsBounded: everyone sends one prefix. The holder takes no more than its
 // share and the saving allow.
 func TestAffinityIsBounded(t *testing.T) {
--- a/route/route.go
+++ b/route/route.go
@@ -152,6 +152,12 @@
 	Reason string
 }
 
+// PrefixObserver is a Chooser that learns where prompt prefixes are cached.
+type PrefixObserver interface {
+	// Served notes that an endpoint has processed a prompt with the prefix.
+	Served(now time.Time, zone, name string, prefix uint64)
+}
+
 // Chooser is a policy for the choice of endpoint. Choose allocates nothing on
 // success; its error is a *verdict.Refusal. Calls are serialised by the caller.
 type Chooser interface {
