--- a/route/model_engine_test.go
+++ b/route/model_engine_test.go
@@ -80,7 +80,7 @@
 
 // node is an endpoint: an engine with continuous batching and chunked prefill, and
 // its sidecar with the reservations and the ramp. Prefill is first come, first
-// served, as in an engine that has no priorities.
+// served, unless priorities is set.
 type node struct {
 	q       *events
 	info    wire.Endpoint
@@ -94,6 +94,8 @@
 	steps   float64 // measured steps a second beside prefill, a token each for a stream
 	crashes int
 	gate    bool // whether the sidecar reserves and ramps
+	// priorities is set when shorter classes are prefilled first, from step to step.
+	priorities bool
 }
 
 // call is one attempt at an endpoint.
@@ -187,6 +189,9 @@
 	c.left = c.req.prompt
 	c.boot = n.info.Incarnation
 	n.prefill = append(n.prefill, c)
+	if n.priorities {
+		slices.SortStableFunc(n.prefill, func(a, b *call) int { return int(a.req.class) - int(b.req.class) })
+	}
 	if n.overloaded() {
 		n.crash()
 		return nil
--- a/route/model_report_test.go
+++ b/route/model_report_test.go
@@ -113,8 +113,8 @@
 func print(rows []row) string {
 	base := least(rows)
 	var b strings.Builder
-	fmt.Fprintf(&b, "\n%d endpoints, %d entries, load %.1f, %d seeds; ratios to least_requests with drr\n",
-		base.setup.endpoints, base.setup.entries, base.setup.load, len(base.p99))
+	fmt.Fprintf(&b, "\n%d endpoints, %d entries, load %.1f, %d seeds, engine priorities %v; ratios to least_requests with drr\n",
+		base.setup.endpoints, base.setup.entries, base.setup.load, len(base.p99), base.setup.priorities)
 	fmt.Fprintf(&b, "| policy | queue | short p50 s | short p99 s | p99 ratio (worst) | slowdown (worst) | medium p99 s | long p99 s | long tokens/s | long ratio (worst) | goodput ratio | short refused %% | late | crashes | misses/request |\n")
 	fmt.Fprintf(&b, "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, r := range rows {
@@ -141,6 +141,8 @@
 	for _, load := range []float64{0.7, 0.9} {
 		s := setup{endpoints: 20, entries: 3, load: load, seconds: 600}
 		t.Log(print(compare(s, policies, []bool{false, true}, *modelSeeds)))
+		s.priorities = true
+		t.Log(print(compare(s, policies, []bool{true}, *modelSeeds)))
 	}
 }
 
--- a/route/model_test.go
+++ b/route/model_test.go
@@ -28,17 +28,18 @@
 
 // setup says what a run consists of.
 type setup struct {
-	endpoints int
-	entries   int
-	load      float64 // share of the endpoints' prefill capacity
-	policy    string
-	drr       bool
-	cold      bool
-	without   bool // without long prompts
-	seconds   float64
-	seed      uint64
-	falls     float64 // seconds from one fall of an endpoint to the next; 0 is none
-	ungated   bool    // the sidecars neither reserve nor ramp
+	endpoints  int
+	entries    int
+	load       float64 // share of the endpoints' prefill capacity
+	policy     string
+	drr        bool
+	cold       bool
+	without    bool // without long prompts
+	seconds    float64
+	seed       uint64
+	falls      float64 // seconds from one fall of an endpoint to the next; 0 is none
+	ungated    bool    // the sidecars neither reserve nor ramp
+	priorities bool    // engines prefill shorter classes first
 }
 
 func newChooser(policy string, seed uint64) route.Chooser {
@@ -60,6 +61,7 @@
 	for i := range s.endpoints {
 		n := newNode(w.q, fmt.Sprintf("endpoint-%03d", i), fmt.Sprint("zone-", i%3), s.cold)
 		n.gate = !s.ungated
+		n.priorities = s.priorities
 		w.nodes[n.info.Name] = n
 		w.order = append(w.order, n)
 	}
