Baselines: bound request bodies in place of full duplex

Cause: with full duplex the server leaves the body to the transport, which goes on reading after the handler has returned on an early answer.

--- a/experiment/baseline.go
+++ b/experiment/baseline.go
@@ -157,9 +157,23 @@
 	return p, nil
 }
 
+// boundedBody ends a body after length bytes without a look beyond. The server
+// closes a request's body when the answer begins; a transport that still looked
+// for the body's end would then fail and cut the answer.
+func boundedBody(body io.ReadCloser, length int64) io.ReadCloser {
+	if length <= 0 {
+		return body
+	}
+	return struct {
+		io.Reader
+		io.Closer
+	}{io.LimitReader(body, length), body}
+}
+
 func rewrite(r *httputil.ProxyRequest) {
 	b := r.In.Context().Value(backendKey{}).(*backend)
 	r.SetURL(b.url)
+	r.Out.Body = boundedBody(r.Out.Body, r.Out.ContentLength)
 	if rest, ok := strings.CutPrefix(r.In.URL.Path, servicesPath); ok {
 		_, path, _ := strings.Cut(rest, "/")
 		r.Out.URL.Path = "/" + path
@@ -183,9 +197,6 @@
 		return
 	}
 	defer pool.release(b)
-	// Without full duplex, the server closes the request's body when the answer
-	// begins, and a transport that still looks for the body's end cuts the answer.
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	p.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), backendKey{}, b)))
 }
 
