--- a/experiment/plot.go
+++ b/experiment/plot.go
@@ -22,6 +22,9 @@
 	lineWidth  = vg.Length(1.5)
 	// halfStep is the room beside the first and the last class of an axis.
 	halfStep = 0.5
+	// legendRoom is how much higher than the data a logarithmic axis goes, so that
+	// the legend has a place.
+	legendRoom = 4
 )
 
 // plotFormats are the file name extensions of plots.
@@ -117,6 +120,7 @@
 		addDashed(p, p50, plotutil.Color(i))
 	}
 	p.X.Min, p.X.Max = -halfStep, float64(len(classes))-halfStep
+	p.Y.Max *= legendRoom
 	return p
 }
 
