--- a/health/bench_test.go
+++ b/health/bench_test.go
@@ -10,7 +10,7 @@
 	daySeconds = 24 * 3600
 	// warmSeconds is how long a watch learns before anything is counted.
 	warmSeconds = 4 * 3600
-	benchSeeds  = 4
+	benchSeeds  = 8
 )
 
 // loads are the requests a second at an entry, at night and at the peak, and the
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -93,7 +93,7 @@
 		LowUse:              0.6,
 		Hold:                2 * time.Minute,
 		StoreBytesPerSecond: 1 << 30,
-		LoadTime:            5 * time.Minute,
+		LoadTime:            2 * time.Minute,
 		Retry:               10 * time.Minute,
 		AdapterCopies:       2,
 	}
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -152,7 +152,7 @@
 					}
 					f.take(o, 60*giga)
 				}
-				if len(f.loads) > 5 {
+				if len(f.loads) > 2 {
 					t.Fatalf("%d loads at once", len(f.loads))
 				}
 				for i, n := range before {
