--- a/control/state/order.go
+++ b/control/state/order.go
@@ -31,8 +31,9 @@
 type standing struct {
 	// Incarnation is the newest one that asked for its fencing number.
 	Incarnation uint64 `cbor:"1,keyasint"`
-	// Newest is the newest fencing number given out for the endpoint.
-	Newest uint64 `cbor:"2,keyasint"`
+	// Registered is the number given to the incarnation at its registration: lower
+	// ones belong to earlier incarnations.
+	Registered uint64 `cbor:"2,keyasint"`
 	// Orders are the standing orders by rising fencing number.
 	Orders []wire.Order `cbor:"3,keyasint"`
 }
@@ -53,6 +54,9 @@
 		return refuse(verdict.Refuse(verdict.ReasonBadRequest, 0,
 			"an order needs an endpoint, a value and an action load, adapter, version or role"))
 	}
+	if _, ok := m.doc.Models[c.Value]; c.Action == ActionLoad && !ok {
+		return refuse(verdict.Refuse(verdict.ReasonBadRequest, 0, "unknown model %q", c.Value))
+	}
 	order := wire.Order{Fence: m.orders.next(), Endpoint: c.Endpoint, Action: c.Action, Value: c.Value}
 	s := m.orders.endpoints[c.Endpoint]
 	s.add(order)
@@ -79,11 +83,10 @@
 			"endpoint %s has a newer incarnation %d", c.Endpoint, s.Incarnation))
 	}
 	if c.Incarnation == s.Incarnation {
-		return accept(command.Fenced{Newest: s.Newest})
+		return accept(command.Fenced{Newest: s.Registered})
 	}
 	s.Incarnation = c.Incarnation
-	s.Newest = m.orders.next()
-	threshold := s.Newest
+	s.Registered = m.orders.next()
 	standing := s.Orders
 	s.Orders = nil
 	for _, o := range standing {
@@ -91,7 +94,7 @@
 		s.add(o)
 	}
 	m.orders.set(c.Endpoint, s)
-	return accept(command.Fenced{Newest: threshold})
+	return accept(command.Fenced{Newest: s.Registered})
 }
 
 // add puts an order in force in place of the older one with the same action.
@@ -104,7 +107,6 @@
 		}
 	}
 	s.Orders = append(kept, o)
-	s.Newest = o.Fence
 }
 
 func replaces(newer, older wire.Order) bool {
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -1,14 +1,27 @@
 package state
 
 import (
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/once"
+	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
+// canonical writes maps in one order, so that equal states have equal snapshots.
+var canonical = newCanonical()
+
+func newCanonical() cbor.EncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // image is the whole state as it is written to a snapshot.
 type image struct {
 	Now       int64                `cbor:"1,keyasint"`
@@ -21,10 +34,16 @@
 	Endpoints map[string]standing  `cbor:"8,keyasint"`
 	Orders    uint64               `cbor:"9,keyasint"`
 	Claims    once.Image           `cbor:"10,keyasint"`
+	Suspects  quarantine.Image     `cbor:"11,keyasint"`
+	Suspicion uint64               `cbor:"12,keyasint"`
 }
 
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
+	claims, err := m.claims.Image()
+	if err != nil {
+		return nil, err
+	}
 	img := image{
 		Now:       m.now,
 		Document:  m.doc,
@@ -34,12 +53,14 @@
 		LastFence: m.orders.last,
 		Endpoints: m.orders.endpoints,
 		Orders:    m.orders.version,
-		Claims:    m.claims.Image(),
+		Claims:    claims,
+		Suspects:  m.suspects.list.Image(),
+		Suspicion: m.suspects.version,
 	}
 	for _, id := range m.answers.order {
 		img.Answers = append(img.Answers, m.answers.byID[id])
 	}
-	return wire.Marshal(&img)
+	return canonical.Marshal(&img)
 }
 
 // Restore replaces the whole state by a snapshot. On an error the state is as it was.
@@ -52,6 +73,10 @@
 	if err != nil {
 		return err
 	}
+	list, err := quarantine.Restore(quarantine.DefaultLimits(), img.Suspects)
+	if err != nil {
+		return err
+	}
 	if len(img.Answers) != len(img.AnswerIDs) {
 		return errors.New("snapshot with damaged answers")
 	}
@@ -68,6 +93,8 @@
 	}
 	fresh.orders.last = img.LastFence
 	fresh.orders.version = img.Orders
+	fresh.suspects.version = img.Suspicion
+	fresh.suspects.list = list
 	if img.Endpoints != nil {
 		fresh.orders.endpoints = img.Endpoints
 	}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -30,7 +30,7 @@
 
 // Entry is one command in the log of the replicas.
 type Entry struct {
-	// ID makes the command idempotent. It is unique over all senders.
+	// ID makes the command idempotent. It is unique among those of the sender.
 	ID string `cbor:"1,keyasint"`
 	// Name is the command's name in package command, or NameBootstrap.
 	Name string `cbor:"2,keyasint"`
@@ -54,6 +54,8 @@
 	answers *answers
 	orders  *orders
 	claims  *once.Ledger
+	// suspects are requests that may crash endpoints.
+	suspects *suspects
 	// now is the highest time of a command, in nanoseconds since 1970.
 	now int64
 }
@@ -61,10 +63,11 @@
 // New returns the empty state.
 func New() *Machine {
 	return &Machine{
-		doc:     config.NewDocument(),
-		answers: newAnswers(maxAnswers),
-		orders:  newOrders(),
-		claims:  once.NewLedger(once.DefaultLimits(), time.Time{}),
+		doc:      config.NewDocument(),
+		answers:  newAnswers(maxAnswers),
+		orders:   newOrders(),
+		claims:   once.NewLedger(once.DefaultLimits(), time.Time{}),
+		suspects: newSuspects(),
 	}
 }
 
@@ -81,14 +84,20 @@
 	if e.Name == command.NameClaim || e.Name == command.NameSettle {
 		return encode(m.apply(&e))
 	}
-	if kept, ok := m.answers.get(e.ID); ok {
+	if e.ID == "" {
+		return encode(m.apply(&e))
+	}
+	if kept, ok := m.answers.get(e.key()); ok {
 		return kept
 	}
 	answer := encode(m.apply(&e))
-	m.answers.put(e.ID, answer)
+	m.answers.put(e.key(), answer)
 	return answer
 }
 
+// key names the command over all senders: nobody gets the answer to another's.
+func (e *Entry) key() string { return e.Who + " " + e.ID }
+
 func (m *Machine) apply(e *Entry) *wire.Answer {
 	switch e.Name {
 	case NameBootstrap:
@@ -103,6 +112,12 @@
 		return m.claim(e)
 	case command.NameSettle:
 		return m.settle(e)
+	case command.NameSuspect:
+		return m.suspect(e)
+	case command.NamePermit:
+		return m.permit(e)
+	case command.NameEnded:
+		return m.ended(e)
 	}
 	return refuse(internal(errors.Errorf("unknown command %q", e.Name)))
 }
@@ -140,4 +155,4 @@
 }
 
 // NewsVersion changes with everything that sessions are told.
-func (m *Machine) NewsVersion() uint64 { return m.doc.Revision + m.orders.version }
+func (m *Machine) NewsVersion() uint64 { return m.doc.Revision + m.orders.version + m.suspects.version }
--- a/experiment/memory.go
+++ b/experiment/memory.go
@@ -17,7 +17,8 @@
 	// At is in model time from the part's start.
 	At time.Duration
 	// Bytes is the resident memory of the entries where they are processes of
-	// their own; else the live heap and stacks of this whole process.
+	// their own; else the stacks of this whole process and the heap that its last
+	// garbage collection found alive.
 	Bytes int64
 	// Held is what the system says that it holds for callers.
 	Held int64
@@ -58,10 +59,10 @@
 	return sum
 }
 
-// ownMemory returns the bytes of this process's live objects and stacks.
+// ownMemory returns the bytes of this process's live heap and stacks.
 func ownMemory() int64 {
 	samples := []metrics.Sample{
-		{Name: "/memory/classes/heap/objects:bytes"},
+		{Name: "/gc/heap/live:bytes"},
 		{Name: "/memory/classes/heap/stacks:bytes"},
 	}
 	metrics.Read(samples)
@@ -93,8 +94,8 @@
 type MemoryUse struct {
 	// Readers is how many slow readers had their streams open at the end.
 	Readers int
-	// Before is the largest sample before the slow readers came, and Peak the
-	// largest one after.
+	// Before is the last sample before the slow readers came, and Peak the largest
+	// one after.
 	Before   int64
 	Peak     int64
 	HeldPeak int64
@@ -104,7 +105,7 @@
 	var u MemoryUse
 	for _, m := range list {
 		if m.At < from {
-			u.Before = max(u.Before, m.Bytes)
+			u.Before = m.Bytes
 			continue
 		}
 		u.Peak = max(u.Peak, m.Bytes)
--- a/replica/core.go
+++ b/replica/core.go
@@ -59,6 +59,7 @@
 
 	// Only tests set these: they show the failure that a mechanism prevents.
 	disablePreVote     bool
+	disableYield       bool
 	disableCheckQuorum bool
 	disableReadRound   bool
 }
@@ -145,6 +146,7 @@
 		return
 	}
 	c.electionElapsed = 0
+	c.leader = 0 // a learner does not campaign, and must not hold on to a leader either
 	c.campaign(false)
 }
 
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -39,6 +39,7 @@
 		s.refuse(st, d, s.sealed(d, err))
 		return
 	}
+	s.metrics.granted()
 	s.log.Debug("attempt granted", "request", a.id, "account", d.Account, "tokens", a.tokens)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Deadline)
 	defer cancel()
@@ -195,6 +196,7 @@
 	case x.ctx.Err() != nil:
 		return verdict.Uncertain(verdict.ReasonStreamBroken, 0, "the entry went %s", when)
 	}
+	x.s.gate.broke()
 	return verdict.Uncertain(verdict.ReasonEndpointLost, time.Second, "endpoint %s broke off %s", x.s.node.Name, when)
 }
 
