Quarantine: one suspect to a place, so that its fall tells without an idle endpoint

Cause: the fall of the first permitted run did not convict, as others were in flight. They were clear, though, so the permit's holder is the only suspect among them. A place now gets one suspect at a time, and a fall under its permit counts like one alone once a report names the request.

--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -43,33 +43,44 @@
 // that another explains: that conviction may yet be taken back.
 func (r *record) lost() int { return len(r.falls) + r.lapsed }
 
-// evidence counts the falls that speak against the request, and those of them in
-// which nothing else was in flight. Falls that the request shares with the other
-// one are left out.
-func (r *record) evidence(other *record) evidence {
+// evidence counts the falls that speak against a request, and those of them in which
+// it was the only suspect. Falls that the request shares with the other one are left
+// out.
+func (l *List) evidence(digest uint64, other *record) evidence {
+	r := l.records[digest]
 	var e evidence
 	for _, f := range r.falls {
-		if f.outage || (f.explained && !r.convicted) {
+		if f.outage || (f.explained && !r.convicted) || (f.held && f.holder == digest && !f.dispatched) {
 			continue
 		}
 		if other != nil && slices.Contains(other.falls, f) {
 			continue
 		}
 		e.falls++
-		if f.alone {
+		if f.alone || l.apart(f, digest) {
 			e.alone++
 		}
 	}
 	return e
 }
 
-// evidence is what speaks against a request.
+// apart reports whether a request ran under the permit for the place that fell, in
+// the company only of requests that no other fall makes suspect.
+func (l *List) apart(f *fall, digest uint64) bool {
+	if !f.held || f.holder != digest {
+		return false
+	}
+	return !slices.ContainsFunc(f.digests, func(o uint64) bool { return o != digest && len(l.records[o].falls) > 1 })
+}
+
+// evidence is what speaks against a request: the falls, and those in which it was
+// the only suspect.
 type evidence struct {
 	falls int
 	alone int
 }
 
-// certain holds for a request that fell alone, and not only then.
+// certain holds for a request that fell as the only suspect, and not only then.
 func (e evidence) certain() bool { return e.falls >= minFalls && e.alone > 0 }
 
 // likely holds for a request that was there too often.
@@ -101,7 +112,7 @@
 	var guilty []*record
 	for _, digest := range f.digests {
 		r := l.records[digest]
-		if !r.convicted && enough(r.evidence(nil)) {
+		if !r.convicted && enough(l.evidence(digest, nil)) {
 			guilty = append(guilty, r)
 		}
 	}
@@ -115,7 +126,7 @@
 	for _, f := range r.falls {
 		for _, digest := range f.digests {
 			other := l.records[digest]
-			if other.convicted && !slices.Contains(guilty, other) && !other.evidence(r).suffices() {
+			if other.convicted && !slices.Contains(guilty, other) && !l.evidence(digest, r).suffices() {
 				l.release(other)
 			}
 		}
@@ -159,7 +170,7 @@
 func (l *List) review(f *fall) {
 	for _, digest := range f.digests {
 		r := l.records[digest]
-		if r.convicted && !r.evidence(nil).suffices() {
+		if r.convicted && !l.evidence(digest, nil).suffices() {
 			l.release(r)
 		}
 	}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -31,6 +31,11 @@
 	cleared []uint64
 	// alone is set when nothing but the one request was in flight.
 	alone bool
+	// holder is the request that had the permit for the place, when held is set. It
+	// counts as lost here, and is evidence once dispatched is set: a report names it.
+	holder     uint64
+	held       bool
+	dispatched bool
 	// outage is set when many endpoints fell at about the same time.
 	outage bool
 	// explained is set while a convicted request is among the digests.
@@ -59,7 +64,8 @@
 	for _, digest := range r.Digests {
 		l.add(f, digest)
 	}
-	l.endPermits(f, r.Alone)
+	l.endPermit(f, r.Alone)
+	f.dispatched = f.dispatched || (f.held && slices.Contains(r.Digests, f.holder))
 	f.alone = f.known() == 1 && (f.alone || r.Alone)
 	l.explain(f)
 	l.markOutage(now)
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -179,6 +179,39 @@
 	is.Equal(ask(302, "e"), Permit{Status: Clear, Granted: true})
 }
 
+func TestOnlySuspectAmongClearRequestsIsConvicted(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	falls(l, []uint64{crasher, innocent})
+	ask := Ask{Digest: crasher, Holder: "h", Endpoint: "z", Incarnation: 3, Until: at(90)}
+	is.Equal(l.Permit(at(1), ask), Permit{Status: Suspect, Granted: true})
+	other := Ask{Digest: innocent, Holder: "i", Endpoint: "z", Incarnation: 3, Until: at(90)}
+	is.Equal(l.Permit(at(2), other), Permit{Status: Suspect, RetryAfter: retryPlace})
+	l.Fall(at(3), Report{Endpoint: "z", Incarnation: 3, Digests: []uint64{8, 9}})
+	is.Equal(l.Status(crasher), Suspect) // it may have been on its way still
+	l.Fall(at(4), Report{Endpoint: "z", Incarnation: 3, Digests: []uint64{crasher}})
+	is.Equal(l.Status(crasher), Convicted)
+	is.Equal(l.Status(8), Suspect)
+}
+
+// TestSecondCopyOnItsWayCostsNoFourthEndpoint is a run that once cost four: a copy
+// was in flight elsewhere when the first endpoint fell.
+func TestSecondCopyOnItsWayCostsNoFourthEndpoint(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(false)
+	f.send(0, 4, 1)
+	f.send(0, 5, 2)
+	is.True(f.send(0, 0, crasher))
+	is.True(f.send(0, 4, crasher))
+	f.crash(4)
+	is.True(f.send(0, 5, crasher)) // under a permit, beside request 2
+	f.crash(5)
+	is.True(!f.send(0, 7, crasher))
+	f.crash(0)
+	is.Equal(f.lost[crasher], 3)
+	is.Equal(f.list.Status(1), Suspect)
+}
+
 func TestFallOfAPermitsPlaceCountsAgainstItsHolder(t *testing.T) {
 	is := is.New(t)
 	l := NewList(DefaultLimits())
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,11 +1,12 @@
 // Package quarantine finds requests that crash the endpoints that run them.
 //
 // When an endpoint falls, everything in flight on it is suspect. A suspect runs
-// apart: alone on an endpoint, at one place at a time, under a permit of the
-// replicated List. A whole answer clears it. A fall while it ran alone and another
-// one convict it, and so do three in company. A convicted request is refused
-// everywhere, and the falls that it took part in no longer speak against the others
-// that were in flight. Those run apart until one whole answer each clears them.
+// apart: under a permit of the replicated List, at one place at a time, and as the
+// only suspect there. A whole answer clears it. A fall in which it was the only
+// suspect and another one convict it, and so do three in company. A convicted
+// request is refused everywhere, and the falls that it took part in no longer speak
+// against the others that were in flight. Those run apart until a whole answer
+// clears them.
 //
 // Requests are told apart by a digest of their content, so a resend through
 // another entry meets what is known of the first.
