Date the freshness that entries and sidecars state to each other

Cause: a dispatch that was held up, for example in a frozen sidecar, still stated the permission of its entry as it was when it left, and could bring new work to a zone that had been taken out since. A statement now counts only when it answers a stamp of the receiver's own.

--- a/entry/connect.go
+++ b/entry/connect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
@@ -22,16 +21,19 @@
 // Config returns the newest configuration known.
 func (c *coordinator) Config() *config.Document { return c.client.View().Load() }
 
-// Permission returns the proof that Config is current.
-func (c *coordinator) Permission(time.Time) wire.Permission { return c.client.Permission() }
-
 // Do sends a command to control's leader.
 func (c *coordinator) Do(ctx context.Context, name, id string, body, out any) error {
 	return c.client.Do(ctx, name, id, body, out)
 }
 
-// Adopt takes over a sidecar's freshness.
-func (c *coordinator) Adopt(since time.Time, p wire.Permission) { c.client.Adopt(since, p) }
+// Offer returns the permission as a statement to a sidecar.
+func (c *coordinator) Offer(peer string) wire.Permission { return c.client.Offer(peer) }
+
+// Learn takes in the statement of a sidecar.
+func (c *coordinator) Learn(peer string, p wire.Permission) { c.client.Learn(peer, p) }
+
+// Demand asks for shares with a heartbeat at once.
+func (c *coordinator) Demand() { c.client.Announce() }
 
 // Claim asks for the right to run a call once.
 func (c *coordinator) Claim(ctx context.Context, id string, claim command.Claim) (command.Claimed, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,8 @@
 	sidecarPing    = time.Second
 	sidecarSilence = 4 * time.Second
 	sidecarUnused  = 15 * time.Second
+	// demandEvery is the least time between two demands ahead of a heartbeat.
+	demandEvery = 200 * time.Millisecond
 	// stopTimeout bounds a planned stop; a request has its own deadline before.
 	stopTimeout = 10 * time.Minute
 )
@@ -63,13 +65,14 @@
 type Coordinator interface {
 	// Config returns the newest configuration known.
 	Config() *config.Document
-	// Permission returns the proof that Config is current.
-	Permission(now time.Time) wire.Permission
-	// Adopt takes over the freshness that a sidecar stated in its answer to a
-	// dispatch sent at since.
-	Adopt(since time.Time, p wire.Permission)
+	// Offer returns the proof that Config is current as a statement to the sidecar
+	// called peer, and Learn takes in such a statement of the sidecar.
+	Offer(peer string) wire.Permission
+	Learn(peer string, p wire.Permission)
 	// Claim asks for the right to run a call once. Its error says NotRun.
 	Claim(ctx context.Context, id string, claim command.Claim) (command.Claimed, error)
+	// Demand asks control at once for the shares of limits that are wanted.
+	Demand()
 	// Do sends a command to control's leader and decodes the answer into out.
 	Do(ctx context.Context, name, id string, body, out any) error
 }
@@ -96,6 +99,8 @@
 	listener net.Listener
 	server   *http.Server
 	stopping atomic.Bool
+	// asked is when shares were last asked for, in nanoseconds since 1970.
+	asked atomic.Int64
 }
 
 var (
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -121,7 +121,22 @@
 		Tokens:    int64(c.want.PromptTokens) + int64(c.want.OutputTokens),
 		HeldBytes: int64(len(c.body)),
 	}
-	return e.limits.Take(e.clock.Now(), &c.account, c.booked)
+	now := e.clock.Now()
+	err := e.limits.Take(now, &c.account, c.booked)
+	if err != nil {
+		e.askForShares(now)
+	}
+	return err
+}
+
+// askForShares sends the demand for shares at once, now and then, when a request
+// was refused: an account that was idle has no share yet.
+func (e *Entry) askForShares(now time.Time) {
+	last := e.asked.Load()
+	if now.UnixNano()-last < int64(demandEvery) || !e.asked.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	e.control.Demand()
 }
 
 // unlimit ends the booking, with the tokens that the request really took.
--- a/entry/perform.go
+++ b/entry/perform.go
@@ -133,7 +133,7 @@
 		Deadline:     c.deadline.Sub(now),
 		Priority:     int(c.want.Class),
 		Digest:       c.digest,
-		Permission:   e.control.Permission(now),
+		Permission:   e.control.Offer(t.endpoint.Name),
 		BodyBytes:    int64(len(c.body)),
 		Incarnation:  t.endpoint.Incarnation,
 		MaxPending:   t.choice.MaxPending,
--- a/sidecar/connect.go
+++ b/sidecar/connect.go
@@ -28,6 +28,12 @@
 // Permission returns the proof that Config is current.
 func (c *coordinator) Permission(time.Time) wire.Permission { return c.client.Permission() }
 
+// Offer returns the permission as a statement to an entry.
+func (c *coordinator) Offer(peer string) wire.Permission { return c.client.Offer(peer) }
+
+// Learn takes in the statement of an entry.
+func (c *coordinator) Learn(peer string, p wire.Permission) { c.client.Learn(peer, p) }
+
 // Announce replaces what control knows about the endpoint. Control hears of it
 // with the next heartbeat, at once when the endpoint leaves or starts anew.
 func (c *coordinator) Announce(e wire.Endpoint) {
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -76,17 +76,13 @@
 	}
 }
 
-// permitted says whether the configuration gives the endpoint new work. Our own
-// document decides while we, or an entry whose revision is not above ours, prove
-// that it was current a moment ago. An entry with a higher revision answers for
-// it: it sends only where that revision allows.
-func permitted(doc *config.Document, own, peer wire.Permission, name, zone string) error {
-	proven := own.Left > 0 || peer.Left > 0
+// permitted says whether the configuration gives the endpoint new work. It is
+// decided by our own document, while it is proven that this was current a moment
+// ago: by control, or by an entry that answered to a stamp of ours.
+func permitted(doc *config.Document, own wire.Permission, name, zone string) error {
 	switch {
-	case !proven:
-		return verdict.Refuse(verdict.ReasonStale, time.Second, "neither entry nor sidecar knows that revision %d is current", own.Revision)
-	case own.Left <= 0 && peer.Revision > own.Revision:
-		return nil
+	case own.Left <= 0:
+		return verdict.Refuse(verdict.ReasonStale, time.Second, "nobody has proven to endpoint %s that revision %d is current", name, own.Revision)
 	case doc.EndpointState(name, zone) != config.In:
 		return verdict.Refuse(verdict.ReasonZoneOut, retryElsewhere, "endpoint %s or its availability zone is out", name)
 	}
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -44,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.Deadline)
 	defer cancel()
 	x := &exchange{s: s, st: st, d: d, a: a, ctx: ctx, cancel: cancel}
-	err = st.Send(&wire.Grant{Attempt: d.Attempt, Load: s.gate.load(now), Permission: s.control.Permission(now)})
+	err = st.Send(&wire.Grant{Attempt: d.Attempt, Load: s.gate.load(now), Permission: s.control.Offer(st.Peer().Name)})
 	if err == nil {
 		err = x.relay()
 	} else {
@@ -60,7 +60,8 @@
 	if d.Deadline <= 0 {
 		return nil, verdict.Refuse(verdict.ReasonDeadline, 0, "the deadline has passed")
 	}
-	err := permitted(s.control.Config(), s.control.Permission(now), d.Permission, s.node.Name, s.node.Zone)
+	s.control.Learn(owner, d.Permission)
+	err := permitted(s.control.Config(), s.control.Permission(now), s.node.Name, s.node.Zone)
 	if err != nil {
 		return nil, err
 	}
@@ -88,7 +89,7 @@
 		"account", d.Account, "verdict", r.Verdict.String(), "reason", string(r.Reason), "detail", r.Detail)
 	now := s.clock.Now()
 	m := wire.NewRefused(d.Attempt, r)
-	m.Load, m.Permission = s.gate.load(now), s.control.Permission(now)
+	m.Load, m.Permission = s.gate.load(now), s.control.Offer(st.Peer().Name)
 	_ = st.Send(m)
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -59,6 +59,10 @@
 	Config() *config.Document
 	// Permission returns the proof that Config is current.
 	Permission(now time.Time) wire.Permission
+	// Offer returns the permission as a statement to the entry called peer, and
+	// Learn takes in such a statement of the entry.
+	Offer(peer string) wire.Permission
+	Learn(peer string, p wire.Permission)
 	// Announce replaces what control knows about the endpoint.
 	Announce(e wire.Endpoint)
 	// Do sends a command to control's leader and decodes the answer into out.
