--- a/cmd/rosemary-load/deployment.go
+++ b/cmd/rosemary-load/deployment.go
@@ -116,6 +116,9 @@
 	return d
 }
 
+// orderTimeout bounds the wait for the answer to an order.
+const orderTimeout = 10 * time.Second
+
 // zoneOrder takes a zone out or in again like an operator.
 func zoneOrder(client *session.Client, region string) func(context.Context, string, bool) error {
 	return func(ctx context.Context, zone string, in bool) error {
@@ -127,6 +130,10 @@
 			Expect:  command.AnyRevision,
 			Changes: []config.Change{{Zone: &config.Zone{Name: zone, Region: region, State: state}}},
 		}
+		// The answer to a zone that goes out takes one lease; a run that ends before
+		// does not take the order back.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
+		defer cancel()
 		return client.Do(ctx, command.NameChange, session.NewID(), change, nil)
 	}
 }
--- a/control/deploy_test.go
+++ b/control/deploy_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -19,6 +18,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/control"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/internal/loopback"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -78,12 +78,11 @@
 
 // freeAddr returns a loopback address that was free a moment ago.
 func freeAddr(t testing.TB) string {
-	packet, err := net.ListenPacket("udp", "127.0.0.1:0")
+	addrs, err := loopback.Addrs(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = packet.Close() }()
-	return packet.LocalAddr().String()
+	return addrs[0]
 }
 
 func (d *deployment) settings(i int) string {
--- a/dev/command.go
+++ b/dev/command.go
@@ -19,6 +19,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/rosemaryproxy/rosemaryproxy/cli"
+	"github.com/rosemaryproxy/rosemaryproxy/internal/loopback"
 )
 
 const (
@@ -78,7 +79,7 @@
 	}
 	p := Small(o.dir)
 	p.LogLevel = o.logLevel
-	second, err := freeAddrs("tcp", 1)
+	second, err := loopback.Addrs(1)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -10,8 +10,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"sort"
@@ -23,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/internal/loopback"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -34,13 +33,6 @@
 	_ "github.com/rosemaryproxy/rosemaryproxy/standin"
 )
 
-// Ports of a deployment on loopback.
-const (
-	firstPort = 10_000
-	ports     = 20_000
-	portTries = 100
-)
-
 // Endpoint is one stand-in and its sidecar.
 type Endpoint struct {
 	Name   string
@@ -96,12 +88,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if f.Control, err = freeAddrs("udp", p.Replicas); err != nil {
+	if f.Control, err = loopback.Addrs(p.Replicas); err != nil {
 		return nil, err
 	}
 	f.Entries = p.EntryAddrs
 	if len(f.Entries) == 0 {
-		if f.Entries, err = freeAddrs("tcp", p.Entries); err != nil {
+		if f.Entries, err = loopback.Addrs(p.Entries); err != nil {
 			return nil, err
 		}
 	}
@@ -208,7 +200,7 @@
 func (b *builder) endpoint(e Endpoint) error {
 	url := e.URL
 	if url == "" {
-		addr, err := freeAddrs("tcp", 1)
+		addr, err := loopback.Addrs(1)
 		if err != nil {
 			return err
 		}
@@ -231,45 +223,6 @@
 	}, e.Sidecar)
 }
 
-// freeAddrs returns n loopback addresses that were free a moment ago.
-func freeAddrs(network string, n int) ([]string, error) {
-	addrs := make([]string, 0, n)
-	for range n {
-		addr, release, err := reserveAddr(network)
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free address")
-		}
-		defer release()
-		addrs = append(addrs, addr)
-	}
-	return addrs, nil
-}
-
-// reserveAddr opens a port, for UDP also the TCP port of the same number, below those that the kernel gives to outgoing
-// connections, which would take a port between its release and its use.
-func reserveAddr(network string) (addr string, release func(), err error) {
-	for range portTries {
-		addr = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
-		if release, err = listen(network, addr); err == nil {
-			return addr, release, nil
-		}
-	}
-	return "", nil, err
-}
-
-func listen(network, addr string) (func(), error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil || network == "tcp" {
-		return func() { _ = l.Close() }, err
-	}
-	c, err := net.ListenPacket(network, addr)
-	if err != nil {
-		_ = l.Close()
-		return nil, err
-	}
-	return func() { _ = l.Close(); _ = c.Close() }, nil
-}
-
 // Write writes every settings file to dir, as "<name>.json".
 func (f *Files) Write(dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
