--- a/control/cut_test.go
+++ b/control/cut_test.go
@@ -60,16 +60,34 @@
 	eventually(t, "permitted", func() bool { return entry.Fresh() && entry.View().Revision() == 1 })
 
 	network.cut.Store(true)
-	is.NoErr(operator.Do(within(t), command.NameChange, "c1", zoneOut(1, "annex"), nil))
-	lagged := false
-	eventually(t, "in force", func() bool {
+	answered := make(chan error, 1)
+	go func() {
+		answered <- operator.Do(context.Background(), command.NameChange, "c1", zoneOut(1, "annex"), nil)
+	}()
+	eventually(t, "accepted", func() bool {
+		var view command.View
+		is.NoErr(operator.Do(within(t), command.NameView, "", nil, &view))
+		return view.Document.Revision == 2
+	})
+	inForce := func() bool {
 		var lagging command.Lagging
 		is.NoErr(operator.Do(within(t), command.NameInForce, "", command.InForce{Revision: 2}, &lagging))
-		lagged = lagged || len(lagging.Processes) > 0
 		return len(lagging.Processes) == 0
+	}
+	lagged := false
+	eventually(t, "answered", func() bool {
+		select {
+		case err := <-answered:
+			is.NoErr(err)
+			return true
+		default:
+			lagged = lagged || !inForce()
+			return false
+		}
 	})
 	is.True(lagged)         // it was known to hold a permission for the old revision
-	is.True(!entry.Fresh()) // what is called in force is in force here too
+	is.True(!entry.Fresh()) // what was answered is in force here too
+	eventually(t, "in force", inForce)
 	is.Equal(entry.View().Revision(), uint64(1))
 
 	network.cut.Store(false)
