--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -132,9 +132,10 @@
 
 // answer is what a caller got.
 type answer struct {
-	status int
-	body   string
-	err    error
+	status  int
+	verdict string
+	body    string
+	err     error
 }
 
 func post(entry, path, body string, header map[string]string) answer {
@@ -152,7 +153,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	raw, err := io.ReadAll(res.Body)
-	return answer{status: res.StatusCode, body: string(raw), err: err}
+	return answer{status: res.StatusCode, verdict: res.Header.Get("X-Verdict"), body: string(raw), err: err}
 }
 
 func prompt(entry, text string, stream bool) answer {
