--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -88,23 +88,27 @@
 
 func (e evidence) suffices() bool { return e.certain() || e.likely() }
 
-// judge convicts those in a fall against whom the evidence suffices. One that fell
-// alone explains the falls of those that only were near it, so it goes first. When
-// it is one of several, each may have been near the other: the next run apart tells.
+// judge convicts the one in a fall against whom the evidence suffices. One that was
+// the only suspect explains the falls of those that only were near it, so it goes
+// first. When the evidence is the same against several, each may have been near
+// the other, and none is convicted: the next run tells, or they are held because of
+// what may have been lost to them.
 func (l *List) judge(f *fall) {
 	guilty := l.against(f, evidence.certain)
 	if len(guilty) != 1 {
 		guilty = l.against(f, evidence.likely)
 	}
-	for _, r := range guilty {
-		r.convicted = true
-		for _, f := range r.falls {
-			f.explained = true
-		}
+	if len(guilty) == 1 {
+		l.convict(guilty[0])
 	}
-	for _, r := range guilty {
-		l.reconsider(r, guilty)
+}
+
+func (l *List) convict(r *record) {
+	r.convicted = true
+	for _, f := range r.falls {
+		f.explained = true
 	}
+	l.reconsider(r)
 }
 
 // against returns those in a fall against whom there is enough evidence.
@@ -122,12 +126,12 @@
 // reconsider releases those that were convicted earlier because of falls that the
 // guilty one explains: they were near it, and were alone on an endpoint that died
 // for another reason.
-func (l *List) reconsider(r *record, guilty []*record) {
-	for _, f := range r.falls {
+func (l *List) reconsider(guilty *record) {
+	for _, f := range guilty.falls {
 		for _, digest := range f.digests {
-			other := l.records[digest]
-			if other.convicted && !slices.Contains(guilty, other) && !l.evidence(digest, r).suffices() {
-				l.release(other)
+			r := l.records[digest]
+			if r.convicted && r != guilty && !l.evidence(digest, guilty).suffices() {
+				l.release(r)
 			}
 		}
 	}
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -47,6 +47,7 @@
 		{"three in changing company", [][]uint64{two, {crasher, 8}, {crasher, 9}}, Convicted, Suspect},
 		{"each was alone once: the next run tells", [][]uint64{one, {innocent}, two}, Suspect, Suspect},
 		{"each was alone once, then the next run", [][]uint64{one, {innocent}, two, one}, Convicted, Suspect},
+		{"three in the same company: both are held", [][]uint64{two, two, two}, Suspect, Suspect},
 		{"near one that is convicted", [][]uint64{one, one, two, two, two}, Convicted, Suspect},
 		{"near one that is convicted, and elsewhere", [][]uint64{one, one, two, {innocent, 8}}, Convicted, Suspect},
 	}
@@ -83,6 +84,17 @@
 	is.Equal(len(l.Digests(Suspect)), 11)
 }
 
+func TestHeldWithoutConviction(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	two := []uint64{crasher, innocent}
+	falls(l, two, two, two)
+	for _, digest := range two {
+		p := l.Permit(at(200), Ask{Digest: digest, Holder: "h", Endpoint: "z", Incarnation: 1, Until: at(300)})
+		is.Equal(p, Permit{Status: Suspect, RetryAfter: retryHeld})
+	}
+}
+
 func TestAloneHoldsOnlyWhileNobodyKnowsOfMore(t *testing.T) {
 	is := is.New(t)
 	l := NewList(DefaultLimits())
