--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -34,7 +34,9 @@
 	if err := x.open(ctx); err != nil {
 		return err
 	}
-	return x.carry(ctx, nil)
+	err := x.carry(ctx, nil)
+	e.observe(c, t.endpoint.Name, err)
+	return err
 }
 
 // exchange is the conversation with a sidecar about one attempt.
--- a/entry/connect.go
+++ b/entry/connect.go
@@ -77,6 +77,7 @@
 	doc := e.control.Config()
 	if u.Reset || len(u.Endpoints) > 0 || len(u.Gone) > 0 {
 		e.fleet.announce(doc, u.Endpoints, u.Gone, u.Reset)
+		e.watch.update(u)
 	}
 	e.suspects.update(u)
 	if u.Snapshot != nil || len(u.Changes) > 0 {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -377,6 +377,14 @@
 	return d.estimates.Estimate(route, bytes)
 }
 
+// setSuspect takes over whether the endpoint is taken for failing.
+func (d *dispatcher) setSuspect(name string, suspect bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.SetSuspect(name, suspect)
+	d.drain(d.clock.Now())
+}
+
 // find returns the endpoint called name.
 func (d *dispatcher) find(name string) (wire.Endpoint, bool) {
 	d.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,8 +93,10 @@
 	limits  *session.Limits
 	// suspects are requests that were in flight when an endpoint fell.
 	suspects *suspects
-	keys     keyring
-	metrics  *entryMetrics
+	// watch looks for endpoints that fail slowly.
+	watch   *watch
+	keys    keyring
+	metrics *entryMetrics
 
 	listener net.Listener
 	server   *http.Server
@@ -147,6 +149,7 @@
 	}
 	e.limits = session.NewLimits()
 	e.suspects = newSuspects()
+	e.watch = newWatch()
 	e.pool, err = wire.NewPool(id, wire.PoolOptions{
 		StreamWindow: answerWindowBytes,
 		KeepAlive:    sidecarPing,
@@ -189,10 +192,11 @@
 func (e *Entry) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	var tasks sync.WaitGroup
 	tasks.Go(func() { failed <- e.session(work) })
 	tasks.Go(func() { failed <- e.fleet.run(work) })
+	tasks.Go(func() { failed <- e.runProbes(work) })
 	tasks.Go(func() {
 		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
--- /dev/null
+++ b/entry/health.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/health"
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+const (
+	// expectedTokenTime is the time between tokens that samples are compared with.
+	// The detector learns each endpoint's own mean, so only its steadiness counts.
+	expectedTokenTime = 31 * time.Millisecond
+	// minSampleTokens is the shortest output whose speed says something.
+	minSampleTokens = 8
+	// probeEvery is the interval of probes: an entry's whole budget for them.
+	probeEvery = 2 * time.Second
+	// probeTokens is the length of a probe's answer, and probeTimeout bounds it.
+	probeTokens  = 16
+	probeTimeout = 10 * time.Second
+	// probeAccount stands in for a client account in a probe's dispatch.
+	probeAccount = "rosemary-probe"
+	probePrompt  = "Count from one to sixteen."
+)
+
+// watch looks for endpoints that fail slowly. Its lock is "entry.watch".
+type watch struct {
+	mu       sync.Mutex
+	detector *health.Detector
+	// joined holds the incarnation of each endpoint that is watched.
+	joined map[string]uint64
+}
+
+func newWatch() *watch {
+	return &watch{detector: health.NewDetector(health.DefaultSettings()), joined: map[string]uint64{}}
+}
+
+// update takes over which endpoints there are. One that has started anew is judged
+// anew.
+func (w *watch) update(u *wire.Update) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if u.Reset {
+		w.keep(u.Endpoints)
+	}
+	for _, name := range u.Gone {
+		w.leave(name)
+	}
+	for _, e := range u.Endpoints {
+		if !e.Service && w.joined[e.Name] != e.Incarnation {
+			w.joined[e.Name] = e.Incarnation
+			w.detector.Join(e.Name, e.Target)
+		}
+	}
+}
+
+// keep drops the endpoints that are not listed.
+func (w *watch) keep(endpoints []wire.Endpoint) {
+	listed := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		listed[e.Name] = true
+	}
+	for name := range w.joined {
+		if !listed[name] {
+			w.leave(name)
+		}
+	}
+}
+
+func (w *watch) leave(name string) {
+	delete(w.joined, name)
+	w.detector.Leave(name)
+}
+
+// observe takes in a sample and returns whether the endpoint's state changed, and
+// whether it is suspect now.
+func (w *watch) observe(now time.Time, name string, s health.Sample) (changed, suspect bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	changed = w.detector.Observe(now, name, s)
+	return changed, w.detector.Suspect(name)
+}
+
+// next returns the endpoint to probe now, if there is one.
+func (w *watch) next(now time.Time) (string, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	names := w.detector.Probe(now, 1, nil)
+	if len(names) == 0 {
+		return "", false
+	}
+	return names[0], true
+}
+
+// observe feeds the end of an attempt to the watch.
+func (e *Entry) observe(c *call, endpoint string, err error) {
+	if c.route.Kind != config.ModelRoute {
+		return
+	}
+	now := e.clock.Now()
+	s := health.Sample{Failed: verdict.IsReason(err, verdict.ReasonEndpointLost) || verdict.IsReason(err, verdict.ReasonEngineError)}
+	if err == nil && c.usage.output >= minSampleTokens && !c.firstByte.IsZero() {
+		perToken := now.Sub(c.firstByte) / time.Duration(c.usage.output-1)
+		s.Ratio = float64(perToken) / float64(expectedTokenTime)
+	}
+	if !s.Failed && s.Ratio == 0 {
+		return
+	}
+	changed, suspect := e.watch.observe(now, endpoint, s)
+	if changed {
+		e.fleet.setSuspect(endpoint, suspect)
+		e.log.Warn("endpoint judged", "endpoint", endpoint, "suspect", suspect, "failed", s.Failed, "ratio", s.Ratio)
+	}
+}
+
+// runProbes sends a probe now and then until ctx ends.
+func (e *Entry) runProbes(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.clock.After(probeEvery):
+		}
+		if name, ok := e.watch.next(e.clock.Now()); ok {
+			e.probe(ctx, name)
+		}
+	}
+}
+
+// probe sends a short prompt to one endpoint. The sidecar decides on it as on any
+// other attempt, so it costs nothing where there is no room.
+func (e *Entry) probe(ctx context.Context, name string) {
+	endpoint, ok := e.fleet.find(name)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c := e.newProbe(&endpoint)
+	a := newAnswer(discard{header: http.Header{}}, c, e.ReaderTimeout.Std(), e.clock)
+	t := e.fleet.again(c, &ticket{endpoint: endpoint, choice: route.Choice{Reason: "probe"}})
+	err := e.attempt(ctx, c, t, a)
+	e.log.Debug("endpoint probed", "endpoint", name, "error", err)
+}
+
+func (e *Entry) newProbe(endpoint *wire.Endpoint) *call {
+	now := e.clock.Now()
+	body, _ := json.Marshal(engine.Completion{Model: endpoint.Target, Prompt: probePrompt, MaxTokens: probeTokens, Stream: true})
+	return &call{
+		id:       uuid.New(),
+		started:  now,
+		deadline: now.Add(probeTimeout),
+		account:  config.Account{Name: probeAccount},
+		route:    config.Route{Name: probeAccount, Kind: config.ModelRoute, Target: endpoint.Target},
+		method:   http.MethodPost,
+		path:     engine.PathCompletions,
+		header:   map[string]string{"Content-Type": "application/json"},
+		body:     body,
+		want:     route.Request{Target: endpoint.Target, PromptTokens: len(probePrompt), OutputTokens: probeTokens},
+	}
+}
+
+// discard is a caller that wants nothing.
+type discard struct{ header http.Header }
+
+var _ http.ResponseWriter = discard{}
+
+// Header returns the header, which nobody sees.
+func (d discard) Header() http.Header { return d.header }
+
+// Write drops p.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// WriteHeader drops the status.
+func (discard) WriteHeader(int) {}
+
+// FlushError has nothing to flush.
+func (discard) FlushError() error { return nil }
+
+// SetWriteDeadline has nobody to wait for.
+func (discard) SetWriteDeadline(time.Time) error { return nil }
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -4,11 +4,16 @@
 // A goroutine that holds one of them may take only later ones. No lock is held
 // across I/O.
 var LockOrder = []string{
+	"control.table",
+	"control.store",
+	"session.Client",
+	"session.Limits",
+	"session.Dialer",
 	"config.View",
-	"entry.admission",
-	"entry.accounts",
 	"entry.table",
-	"quarantine.List",
+	"entry.suspects",
+	"entry.watch",
+	"sidecar.orders",
 	"sidecar.gate",
 	"stream.Budget",
 	"wire.Pool",
