reserve: take what changed at the time of a report as unknown to it

Cause: with 5,000 checks TestBookNeverOverfillsTheEngine found 937,439 tokens booked beside 62,562 of others in an engine of a million. A first token and a report had the same time; the report did not hold the prompt, and others' use was taken for ours. Ruled out: lost releases (the trace has none). Change: what changed within 200 ms before a report, or at its time, may be in it or not. Before: fails within 5,000 checks; after: 3 runs of 30,000 checks pass (go test ./reserve -rapid.checks=30000 -count=1).

--- a/reserve/report.go
+++ b/reserve/report.go
@@ -10,6 +10,9 @@
 const (
 	// surpriseKeep is what one report leaves of the largest surprise so far.
 	surpriseKeep = 0.99
+	// reportSkew is by how much a report may be older than it says. What changed within
+	// it, or at the report's very time, may be in the report or not.
+	reportSkew = 200 * time.Millisecond
 	// staleGrowth is how many times the margin may grow while reports are missing.
 	staleGrowth = 4.0
 )
@@ -62,15 +65,16 @@
 // at least what was known to be in use by then, and at most all that was reserved,
 // with what has been released since.
 func (b *Book) ours(at time.Time) (least, most int64) {
+	oldest := at.Add(-reportSkew)
 	for _, h := range b.holdings {
 		most += h.Tokens
-		if h.used > 0 && !h.usedSince.After(at) {
+		if h.used > 0 && h.usedSince.Before(oldest) {
 			least += h.used
 		}
 	}
 	kept := b.gone[:0]
 	for _, g := range b.gone {
-		if g.at.After(at) {
+		if !g.at.Before(oldest) {
 			most += g.tokens
 			kept = append(kept, g)
 		}
--- a/reserve/reserve_test.go
+++ b/reserve/reserve_test.go
@@ -244,6 +244,17 @@
 	is.True(b.Margin(after(602)) < before+1_000) // and forgets
 }
 
+// TestReportOfTheSameInstant: the engine has allocated a prompt and reports at the very
+// time of the first token, without the prompt. Others' use may not be hidden by it.
+func TestReportOfTheSameInstant(t *testing.T) {
+	is := is.New(t)
+	b := reported(memory - 60_000)
+	is.NoErr(reserve(b, 1, "a", 300_000))
+	b.Progress(after(1), "a", 300_000)
+	b.Report(after(1), report(memory-60_000))
+	is.True(b.Free(after(1)) <= memory-360_000)
+}
+
 // TestOwnUseIsNoSurprise holds that attempts whose memory shows up in reports at any
 // point between dispatch and release are not taken for others' use.
 func TestOwnUseIsNoSurprise(t *testing.T) {
