route: let few endpoints serve all classes

Cause: a lane keeps memory for long prompts; with one endpoint, which is a lane, short prompts could use a tenth of it, and with two, medium prompts had no other. Found by reading, shown by TestOneEndpointUsesItsMemory (fails before). Ruled out: the width of the lanes alone, which always left an endpoint. Change: long lanes leave medium prompts an endpoint without kept memory, and where none is left nothing is kept.

--- a/route/lanes.go
+++ b/route/lanes.go
@@ -78,13 +78,14 @@
 }
 
 // Width returns how many of n endpoints prompts of the class may use. The result
-// is at least 1 and, for n > 1, leaves at least one endpoint to shorter classes.
+// is at least 1. Where n allows it, at least one endpoint is left to shorter classes
+// by each class.
 func (l *Lanes) Width(class Class, n int) int {
 	width := n
 	switch class {
 	case Long:
 		width = int(math.Ceil(float64(n) * l.Share(Long) * laneHeadroom))
-		width = min(width, l.Width(Medium, n))
+		width = min(width, l.Width(Medium, n)-1)
 	case Medium:
 		width = n - int(math.Ceil(float64(n)*l.Share(Short)*shortReserve))
 		width = min(width, n-1)
--- a/route/search.go
+++ b/route/search.go
@@ -13,12 +13,13 @@
 	now    time.Time
 	req    *Request
 	view   []Endpoint
-	// width is the number of lanes open to the request's class, longLanes that of
-	// long prompts, and exposed that of lanes in which longer prompts than the
-	// request may have arrived since the last report.
-	width     int
-	longLanes int
-	exposed   int
+	// width is the number of lanes open to the request's class, longLanes and
+	// mediumLanes those of long and medium prompts, and exposed that of lanes in which
+	// longer prompts than the request may have arrived since the last report.
+	width       int
+	longLanes   int
+	mediumLanes int
+	exposed     int
 
 	best       int
 	cost       float64
@@ -34,9 +35,10 @@
 	ranked := view[0].Ranked
 	s.width = c.lanes.Width(req.Class, ranked)
 	s.longLanes = c.lanes.Width(Long, ranked)
+	s.mediumLanes = c.lanes.Width(Medium, ranked)
 	switch req.Class {
 	case Short:
-		s.exposed = c.lanes.Width(Medium, ranked)
+		s.exposed = s.mediumLanes
 	case Medium:
 		s.exposed = s.longLanes
 	}
@@ -159,9 +161,10 @@
 
 // keeps reports whether e is a lane of long prompts that keeps its memory for them:
 // most of it in the first lane, and less from lane to lane. Without it, streams of
-// shorter prompts always hold what a long one needs.
+// shorter prompts always hold what a long one needs. With so few endpoints that medium
+// prompts have none beside the lanes, nothing is kept.
 func (s *search) keeps(e *Endpoint) bool {
-	if s.req.Class == Long || e.Rank >= s.longLanes {
+	if s.req.Class == Long || e.Rank >= s.longLanes || s.longLanes >= s.mediumLanes {
 		return false
 	}
 	place := float64(s.longLanes-e.Rank) / float64(s.longLanes)
