--- a/queue/drr.go
+++ b/queue/drr.go
@@ -24,8 +24,20 @@
 	account string
 }
 
-// New returns an empty queue.
+// Least values of the settings: below them the round robin would not advance.
+const (
+	leastWeight  = 0.01
+	leastQuantum = 1
+	leastProbes  = 1
+)
+
+// New returns an empty queue. Settings that would not let it advance are raised.
 func New(s Settings) *Queue {
+	s.Quantum = max(s.Quantum, leastQuantum)
+	s.Probes = max(s.Probes, leastProbes)
+	for c := range s.Weights {
+		s.Weights[c] = max(s.Weights[c], leastWeight)
+	}
 	q := &Queue{set: s, book: newBook(), flows: map[flowKey]*flow{}, accounts: map[string]int{}}
 	for c := range q.classes {
 		q.classes[c] = &class{credit: credit{weight: s.Weights[c]}}
--- a/queue/flow.go
+++ b/queue/flow.go
@@ -15,7 +15,7 @@
 }
 
 // earn adds the work of some rounds. One that nobody is served from, because it does
-// not fit or is empty, saves up no more than a round.
+// not fit or is empty, saves up no more than what others have earned at once.
 func (c *credit) earn(work float64) {
 	if c.deficit >= work {
 		return
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -157,6 +157,15 @@
 	return ids
 }
 
+func TestQueueWithoutSettingsAdvances(t *testing.T) {
+	is := is.New(t)
+	q := New(Settings{MaxItems: 10})
+	is.NoErr(q.Push(start, item(1, "a", route.Long)))
+	is.NoErr(q.Push(start, item(2, "a", route.Long)))
+	is.Equal(len(share(q, 2*sizes[route.Long], byAccount)), 1)
+	is.Equal(q.Len(), 0)
+}
+
 func TestShare(t *testing.T) {
 	is := is.New(t)
 	for name, q := range both() {
