session: the fake stream loses no message at the end of its stream

Cause of the two failures under the race detector, TestDo and TestPollOfAMajority: the tests' fake stream could report the peer's close before a message that was sent earlier, so the fake replica never answered.

--- a/control/session/fake_test.go
+++ b/control/session/fake_test.go
@@ -63,15 +63,16 @@
 	select {
 	case m := <-s.in:
 		return m, nil
-	default:
+	case <-s.peerClosed:
+	case <-s.ctx.Done():
+		return nil, errors.New("stream was aborted")
 	}
+	// What the peer sent before it closed its side still arrives.
 	select {
 	case m := <-s.in:
 		return m, nil
-	case <-s.peerClosed:
+	default:
 		return nil, io.EOF
-	case <-s.ctx.Done():
-		return nil, errors.New("stream was aborted")
 	}
 }
 
