--- a/experiment/run_test.go
+++ b/experiment/run_test.go
@@ -72,6 +72,19 @@
 	is.Equal(run.Checks.FalseNotRun, 0)
 }
 
+func TestQuickReadersHoldNothing(t *testing.T) {
+	is := is.New(t)
+	s := scenario(t, strings.Replace(small, `"compare_to":"short"`,
+		`"slow_readers":{"at":"0s","over":"1s","count":4,"quick":true,"model":"m","prompt_tokens":100,"output_tokens":50}`, 1))
+	v, err := Lookup("random")
+	is.NoErr(err)
+	x := &Experiment{Scenario: s, Variants: []Variant{v}, Seeds: []uint64{1}, Parts: []string{"all"}}
+	report, err := x.Run(context.Background())
+	is.NoErr(err)
+	is.Equal(report.Memory[0].Readers, 4)
+	is.Equal(report.Service[0].Checks, Checks{Checked: true})
+}
+
 func TestChoosers(t *testing.T) {
 	list := []*backend{{zone: "a", inUse: 2}, {zone: "b", inUse: 1}, {zone: "a", inUse: 3}}
 	t.Run("round robin", func(t *testing.T) {
--- a/experiment/scenario.go
+++ b/experiment/scenario.go
@@ -124,13 +124,15 @@
 	SlowReaders *SlowReaders `json:"slow_readers,omitempty"`
 }
 
-// SlowReaders are callers that stop reading in the middle of a stream.
+// SlowReaders are callers that stop reading at the start of a stream.
 type SlowReaders struct {
 	// At is when the first sends its request; the others follow evenly within Over.
 	At    settings.Duration `json:"at"`
 	Over  settings.Duration `json:"over"`
 	Count int               `json:"count" validate:"min=1"`
-	Model string            `json:"model" validate:"required"`
+	// Quick makes them read at once: the same load, to compare with.
+	Quick bool   `json:"quick,omitempty"`
+	Model string `json:"model" validate:"required"`
 	// PromptTokens and OutputTokens are the size of each request.
 	PromptTokens int `json:"prompt_tokens" validate:"min=1"`
 	OutputTokens int `json:"output_tokens" validate:"min=1"`
--- a/experiment/slow.go
+++ b/experiment/slow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -59,7 +60,7 @@
 			break
 		}
 		open.Go(func() {
-			if holdStream(ctx, c, a) {
+			if holdStream(ctx, c, a, r.Quick) {
 				began.Add(1)
 			}
 		})
@@ -68,9 +69,9 @@
 	return int(began.Load())
 }
 
-// holdStream reads the start of a stream and then nothing until ctx ends. It
-// reports whether the stream began.
-func holdStream(ctx context.Context, c *client, a *Arrival) bool {
+// holdStream reads the start of a stream and then nothing until ctx ends, or all
+// of it at once. It reports whether the stream began.
+func holdStream(ctx context.Context, c *client, a *Arrival, quick bool) bool {
 	deadline := c.due(a).Add(c.scenario.real(c.scenario.deadline(a.Item)))
 	req, err := c.request(ctx, a, &Result{}, deadline)
 	if err != nil {
@@ -85,6 +86,10 @@
 		return false
 	}
 	_, err = resp.Body.Read(make([]byte, slowFirstBytes))
+	if quick {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return err == nil
+	}
 	<-ctx.Done()
 	return err == nil
 }
