--- a/control/commands.go
+++ b/control/commands.go
@@ -40,7 +40,9 @@
 	command.NameFence:   {roles: []wire.Role{wire.RoleSidecar}, propose: true},
 	command.NameClaim:   {roles: []wire.Role{wire.RoleEntry}, propose: true, frequent: true},
 	command.NameSettle:  {roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar}, propose: true, frequent: true},
-	command.NameSuspect: {roles: []wire.Role{wire.RoleEntry}, propose: true},
+	command.NameSuspect: {roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar}, propose: true},
+	command.NamePermit:  {roles: []wire.Role{wire.RoleEntry}, propose: true},
+	command.NameEnded:   {roles: []wire.Role{wire.RoleEntry}, propose: true},
 	command.NameMember:  {roles: []wire.Role{wire.RoleOperator}, change: true},
 	command.NameView:    {roles: []wire.Role{wire.RoleOperator}},
 	command.NameHistory: {roles: []wire.Role{wire.RoleOperator}},
@@ -97,19 +99,25 @@
 	if redirect := s.redirect(); redirect != nil {
 		return redirect
 	}
+	if refusal := s.checkOrder(c); refusal != nil {
+		return refused(refusal)
+	}
+	answer := s.carryOut(ctx, peer, c, a)
+	s.awaitLapse(ctx, c, answer)
+	s.logCommand(peer, c, answer)
+	return answer
+}
+
+func (s *Server) carryOut(ctx context.Context, peer wire.Peer, c *wire.Command, a access) *wire.Answer {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	var answer *wire.Answer
 	switch {
 	case a.propose:
-		answer = s.propose(ctx, peer, c)
+		return s.propose(ctx, peer, c)
 	case a.change:
-		answer = s.changeMembers(ctx, c)
-	default:
-		answer = s.readCommand(ctx, c)
+		return s.changeMembers(ctx, c)
 	}
-	s.logCommand(peer, c, answer)
-	return answer
+	return s.readCommand(ctx, c)
 }
 
 // redirect returns the answer of a replica that does not lead, or nil on the leader.
@@ -124,6 +132,16 @@
 	return &wire.Answer{Leader: s.addrOf(status.Leader)}
 }
 
+// checkOrder refuses an order to an endpoint that has not announced itself, most
+// likely a slip of the pen. The state machine cannot tell: the list is not in it.
+func (s *Server) checkOrder(c *wire.Command) *verdict.Refusal {
+	var o command.Order
+	if c.Name != command.NameOrder || wire.Unmarshal(c.Body, &o) != nil || !s.table.unknown(s.clock.Now(), o.Endpoint) {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonBadRequest, 0, "no endpoint %q has announced itself", o.Endpoint)
+}
+
 func noQuorum() *verdict.Refusal {
 	return verdict.Refuse(verdict.ReasonNoQuorum, electionRetry, "control has no leader now")
 }
@@ -255,6 +273,7 @@
 	for _, m := range s.members() {
 		if m.Voter {
 			out.Voters = append(out.Voters, uint64(m.ID))
+			out.Addrs = append(out.Addrs, m.Addr)
 		}
 	}
 	return out
--- a/control/control.go
+++ b/control/control.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"net"
 	"os"
 	"strconv"
 	"time"
@@ -21,6 +22,13 @@
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
+// handOverTimeout bounds the handing over of leadership at a planned stop.
+const handOverTimeout = 2 * time.Second
+
+// snapshotEvery is the number of commands between snapshots: at the claims of full
+// size about one a minute.
+const snapshotEvery = 50_000
+
 // defaultGrace leaves a sidecar the time to notice that its replica is lost and
 // to open a session with another.
 const defaultGrace = 8 * time.Second
@@ -63,11 +71,13 @@
 	disk     *replica.OSDisk
 	dialer   *session.Dialer
 	listener *wire.Server
+	liveness net.Listener
 	cancel   context.CancelFunc
 }
 
 var (
 	_ kernel.Provisioner = (*Plugin)(nil)
+	_ kernel.Validator   = (*Plugin)(nil)
 	_ kernel.Runner      = (*Plugin)(nil)
 )
 
@@ -91,13 +101,27 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
+	if p.liveness, err = listenForLiveness(string(p.Listen)); err != nil {
+		_ = p.disk.Close()
+		return err
+	}
 	p.listener, err = wire.Listen(string(p.Listen), id, &wire.Traffic{}, func(stream wire.Stream) { p.server.handle(ctx, stream) })
 	if err != nil {
+		_ = p.liveness.Close()
 		_ = p.disk.Close()
 	}
 	return err
 }
 
+// Validate implements kernel.Validator. A sidecar whose replica is lost notices
+// after a lease, and must not be dropped before it has found another.
+func (p *Plugin) Validate() error {
+	if p.Lease <= 0 || p.Grace <= p.Lease {
+		return errors.Errorf("grace of %v is not longer than the lease of %v", p.Grace.Std(), p.Lease.Std())
+	}
+	return nil
+}
+
 func (p *Plugin) newServer(h *kernel.Host, id *wire.Identity, bootstrap *config.Document, addrs map[replica.ID]string) *Server {
 	p.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
 	s := &Server{
@@ -121,13 +145,14 @@
 	}
 	p.disk = disk
 	p.replica, err = replica.Open(replica.Options{
-		ID:           replica.ID(p.ID),
-		Bootstrap:    replicas,
-		Disk:         disk,
-		StateMachine: p.server.store,
-		Transport:    p.server.transport,
-		TickInterval: p.Tick.Std(),
-		Log:          h.Log.Named("replica"),
+		ID:            replica.ID(p.ID),
+		Bootstrap:     replicas,
+		Disk:          disk,
+		StateMachine:  p.server.store,
+		Transport:     p.server.transport,
+		TickInterval:  p.Tick.Std(),
+		SnapshotEvery: snapshotEvery,
+		Log:           h.Log.Named("replica"),
 	})
 	if err != nil {
 		_ = disk.Close()
@@ -177,22 +202,29 @@
 // Run implements kernel.Runner. A replica that stops on a fault of its disk ends
 // the process.
 func (p *Plugin) Run(ctx context.Context) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
+	// The work outlives ctx for the time that it takes to hand leadership over.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer p.close()
+	defer stop()
+	defer context.AfterFunc(ctx, func() {
+		p.handOver(work)
+		stop()
+	})()
 	// The streams have to end for Serve to return.
-	defer context.AfterFunc(ctx, p.cancel)()
+	defer context.AfterFunc(work, p.cancel)()
 	s := p.server
-	s.transport.open(ctx, p.replica.Status().ID)
+	s.transport.open(work, p.replica.Status().ID, p.Addr())
 	fault := make(chan error, 1)
 	s.running.Go(func() {
 		defer stop()
-		fault <- p.replica.Run(ctx)
+		fault <- p.replica.Run(work)
 	})
-	s.running.Go(func() { s.runBarriers(ctx) })
-	s.running.Go(func() { s.runSweeps(ctx) })
-	s.running.Go(func() { s.runReports(ctx) })
-	err := p.listener.Serve(ctx)
+	s.running.Go(func() { s.runBarriers(work) })
+	s.running.Go(func() { serveLiveness(p.liveness) })
+	defer context.AfterFunc(work, func() { _ = p.liveness.Close() })()
+	s.running.Go(func() { s.runSweeps(work) })
+	s.running.Go(func() { s.runReports(work) })
+	err := p.listener.Serve(work)
 	stop()
 	if replicaErr := <-fault; replicaErr != nil {
 		return replicaErr
@@ -200,6 +232,22 @@
 	return err
 }
 
+// handOver gives leadership to another replica before a planned stop, so that
+// nobody has to miss the leader first.
+func (p *Plugin) handOver(ctx context.Context) {
+	status := p.replica.Status()
+	if status.Leader != status.ID || len(p.server.otherReplicas()) == 0 {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := p.replica.Transfer(bounded, 0); err != nil {
+		p.server.log.Warn("leadership not handed over", "error", err)
+		return
+	}
+	p.server.log.Info("leadership handed over")
+}
+
 func (p *Plugin) close() {
 	p.cancel()
 	p.server.running.Wait()
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/once"
+	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -33,12 +34,16 @@
 	Endpoints map[string]standing  `cbor:"8,keyasint"`
 	Orders    uint64               `cbor:"9,keyasint"`
 	Claims    once.Image           `cbor:"10,keyasint"`
-	Suspects  map[uint64]*suspect  `cbor:"11,keyasint"`
+	Suspects  quarantine.Image     `cbor:"11,keyasint"`
 	Suspicion uint64               `cbor:"12,keyasint"`
 }
 
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
+	claims, err := m.claims.Image()
+	if err != nil {
+		return nil, err
+	}
 	img := image{
 		Now:       m.now,
 		Document:  m.doc,
@@ -48,8 +53,8 @@
 		LastFence: m.orders.last,
 		Endpoints: m.orders.endpoints,
 		Orders:    m.orders.version,
-		Claims:    m.claims.Image(),
-		Suspects:  m.suspects.byDigest,
+		Claims:    claims,
+		Suspects:  m.suspects.list.Image(),
 		Suspicion: m.suspects.version,
 	}
 	for _, id := range m.answers.order {
@@ -68,6 +73,10 @@
 	if err != nil {
 		return err
 	}
+	list, err := quarantine.Restore(quarantine.DefaultLimits(), img.Suspects)
+	if err != nil {
+		return err
+	}
 	if len(img.Answers) != len(img.AnswerIDs) {
 		return errors.New("snapshot with damaged answers")
 	}
@@ -85,9 +94,7 @@
 	fresh.orders.last = img.LastFence
 	fresh.orders.version = img.Orders
 	fresh.suspects.version = img.Suspicion
-	if img.Suspects != nil {
-		fresh.suspects.byDigest = img.Suspects
-	}
+	fresh.suspects.list = list
 	if img.Endpoints != nil {
 		fresh.orders.endpoints = img.Endpoints
 	}
--- a/route/model_test.go
+++ b/route/model_test.go
@@ -28,16 +28,18 @@
 
 // setup says what a run consists of.
 type setup struct {
-	endpoints int
-	entries   int
-	load      float64 // share of the endpoints' prefill capacity
-	policy    string
-	drr       bool
-	cold      bool
-	without   bool // without long prompts
-	seconds   float64
-	seed      uint64
-	ungated   bool // the sidecars neither reserve nor ramp
+	endpoints  int
+	entries    int
+	load       float64 // share of the endpoints' prefill capacity
+	policy     string
+	drr        bool
+	cold       bool
+	without    bool // without long prompts
+	seconds    float64
+	seed       uint64
+	falls      float64 // seconds from one fall of an endpoint to the next; 0 is none
+	ungated    bool    // the sidecars neither reserve nor ramp
+	priorities bool    // engines prefill shorter classes first
 }
 
 func newChooser(policy string, seed uint64) route.Chooser {
@@ -59,6 +61,7 @@
 	for i := range s.endpoints {
 		n := newNode(w.q, fmt.Sprintf("endpoint-%03d", i), fmt.Sprint("zone-", i%3), s.cold)
 		n.gate = !s.ungated
+		n.priorities = s.priorities
 		w.nodes[n.info.Name] = n
 		w.order = append(w.order, n)
 	}
@@ -112,6 +115,9 @@
 		e := w.entries[(i*7+int(s.seed))%len(w.entries)]
 		w.q.after(r.arrived, func() { e.arrive(r) })
 	}
+	for n := 1; s.falls > 0 && float64(n)*s.falls < s.seconds; n++ {
+		w.q.after(float64(n)*s.falls, w.order[n%len(w.order)].crash)
+	}
 	w.q.run(s.seconds)
 	res := newResult(s, all)
 	res.misses = w.misses
