--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -230,10 +230,14 @@
 	if x.a.head == nil {
 		return x.unexpected(m)
 	}
+	first := x.order.Offset() == 0
 	data, err := x.order.Chunk(m)
 	if err != nil || len(data) == 0 {
 		return err
 	}
+	if first {
+		x.e.fleet.served(x.c, &x.t.endpoint)
+	}
 	return x.a.write(data)
 }
 
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/admit"
-	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/queue"
 	"github.com/rosemaryproxy/rosemaryproxy/route"
@@ -22,9 +21,6 @@
 // happened: predictions change with time alone.
 const drainEvery = 20 * time.Millisecond
 
-// usableShare is the share of an engine's memory that one request may take.
-const usableShare = 0.95
-
 // Bounds of the pauses between rounds in which every endpoint has refused a call.
 const (
 	firstPause   = 50 * time.Millisecond
@@ -41,8 +37,8 @@
 	mu      sync.Mutex
 	table   *route.Table
 	chooser route.Chooser
-	// waiting holds a queue for each target: calls to one wait for no other.
-	waiting   map[string]queue.Waiting
+	// targets holds a queue for each target: calls to one wait for no other.
+	targets   map[string]*target
 	deadlines *admit.Deadlines
 	estimates *admit.Estimator
 	retries   *route.RetryBudget
@@ -88,7 +84,7 @@
 		clock:     h.Clock,
 		table:     route.NewTable(),
 		chooser:   chooser,
-		waiting:   map[string]queue.Waiting{},
+		targets:   map[string]*target{},
 		deadlines: admit.NewDeadlines(),
 		estimates: admit.NewEstimator(),
 		retries:   route.NewRetryBudget(),
@@ -109,49 +105,6 @@
 	}
 }
 
-// configure takes over which endpoints are out.
-func (d *dispatcher) configure(doc *config.Document) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, name := range d.table.Names() {
-		if e, ok := d.table.Get(name); ok {
-			d.table.SetOut(name, doc.EndpointState(name, e.Zone) != config.In)
-		}
-	}
-	d.drain(d.clock.Now())
-}
-
-// announce takes over new and changed endpoints. With reset they are all.
-func (d *dispatcher) announce(doc *config.Document, endpoints []wire.Endpoint, gone []string, reset bool) {
-	now := d.clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, name := range gone {
-		d.table.Remove(name)
-	}
-	if reset {
-		d.keep(endpoints)
-	}
-	for _, e := range endpoints {
-		d.table.Upsert(now, e)
-		d.table.SetOut(e.Name, doc.EndpointState(e.Name, e.Zone) != config.In)
-	}
-	d.drain(now)
-}
-
-// keep removes the endpoints that are not listed.
-func (d *dispatcher) keep(endpoints []wire.Endpoint) {
-	listed := make(map[string]bool, len(endpoints))
-	for _, e := range endpoints {
-		listed[e.Name] = true
-	}
-	for _, name := range d.table.Names() {
-		if !listed[name] {
-			d.table.Remove(name)
-		}
-	}
-}
-
 // acquire waits until an endpoint has room for the call, and refuses at once what
 // cannot be served in time.
 func (d *dispatcher) acquire(ctx context.Context, c *call) (*ticket, error) {
@@ -185,11 +138,11 @@
 			return nil, nil, refusal
 		}
 	}
-	c.forecast = d.forecast(c, view, choice, refusal)
+	c.forecast = d.forecast(now, c, view, choice, refusal)
 	if err := d.deadlines.Admit(now, c.want.Class, c.forecast, c.deadline); err != nil {
 		return nil, nil, err
 	}
-	if refusal == nil && d.queue(c.want.Target).Tokens(c.want.Class) == 0 {
+	if refusal == nil && d.target(c.want.Target).waiting.Tokens(c.want.Class) == 0 {
 		return nil, d.start(now, c, choice), nil
 	}
 	return d.push(now, c, refusal)
@@ -204,7 +157,7 @@
 	for i := range view {
 		largest = max(largest, view[i].Load.CapacityTokens)
 	}
-	room := int(float64(largest)*usableShare) - c.want.OutputTokens
+	room := int(largest) - c.want.OutputTokens
 	if c.want.PromptTokens > room && c.expected <= room {
 		c.want.PromptTokens = room
 	}
@@ -226,7 +179,7 @@
 	}
 	d.nextID++
 	w := &waiter{id: d.nextID, c: c, since: now, result: make(chan outcome, 1)}
-	err := d.queue(c.want.Target).Push(now, queue.Item{
+	err := d.target(c.want.Target).waiting.Push(now, queue.Item{
 		ID:      w.id,
 		Account: c.account.Name,
 		Class:   c.want.Class,
@@ -241,27 +194,27 @@
 	return w, nil, nil
 }
 
-// queue returns the queue of a target. The caller holds the lock.
-func (d *dispatcher) queue(target string) queue.Waiting {
-	q, ok := d.waiting[target]
+// target returns the queue of a target. The caller holds the lock.
+func (d *dispatcher) target(name string) *target {
+	t, ok := d.targets[name]
 	if !ok {
-		q = queue.New(queue.DefaultSettings())
-		d.waiting[target] = q
+		t = &target{waiting: queue.New(queue.DefaultSettings())}
+		d.targets[name] = t
 	}
-	return q
+	return t
 }
 
 // drain looks at the queues of all targets. The caller holds the lock.
 func (d *dispatcher) drain(now time.Time) {
-	for target := range d.waiting {
-		d.drainTarget(now, target)
+	for name := range d.targets {
+		d.drainTarget(now, name)
 	}
 }
 
 // drainTarget gives endpoints to the waiting calls that fit and ends the hopeless
 // ones. The caller holds the lock.
-func (d *dispatcher) drainTarget(now time.Time, target string) {
-	q := d.queue(target)
+func (d *dispatcher) drainTarget(now time.Time, name string) {
+	q := d.target(name).waiting
 	for _, dropped := range q.Expire(now, nil) {
 		dropped.Item.Value.(*waiter).result <- outcome{err: dropped.Refusal}
 	}
@@ -297,12 +250,14 @@
 		return false
 	}
 	// The endpoint may be slower than the one for which the call was admitted.
-	return d.deadlines.Admit(now, c.want.Class, forecastAt(c, view, choice), c.deadline) == nil
+	f := admit.At(&view[choice.Index], choice, c.want.PromptTokens, c.want.OutputTokens)
+	return d.deadlines.Admit(now, c.want.Class, f, c.deadline) == nil
 }
 
 func (d *dispatcher) start(now time.Time, c *call, choice route.Choice) *ticket {
 	t := &ticket{endpoint: d.table.View(c.want.Target)[choice.Index].Endpoint, choice: choice}
 	t.flight = d.table.Started(now, t.endpoint.Name, c.want.PromptTokens, c.want.OutputTokens)
+	d.target(c.want.Target).pace.Sent(now, c.want.PromptTokens+c.want.OutputTokens)
 	return t
 }
 
@@ -318,7 +273,7 @@
 // abandon takes a call whose time is over or whose caller went out of the queue.
 func (d *dispatcher) abandon(ctx context.Context, w *waiter) error {
 	d.mu.Lock()
-	d.queue(w.c.want.Target).Remove(w.id)
+	d.target(w.c.want.Target).waiting.Remove(w.id)
 	d.mu.Unlock()
 	select {
 	case out := <-w.result:
@@ -340,13 +295,6 @@
 	return d.retries.Take(d.clock.Now())
 }
 
-// granted takes over the load that came with a grant.
-func (d *dispatcher) granted(t *ticket, load wire.Load) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.table.Granted(t.flight, load, d.clock.Now())
-}
-
 // finished takes back a ticket, with the endpoint's load when it sent one.
 func (d *dispatcher) finished(t *ticket, load *wire.Load) {
 	now := d.clock.Now()
@@ -358,48 +306,3 @@
 	d.table.Finished(t.flight)
 	d.drainTarget(now, t.endpoint.Target)
 }
-
-// completed learns from a call whose answer is whole.
-func (d *dispatcher) completed(c *call) {
-	now := d.clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if c.usage.prompt > 0 {
-		d.estimates.Observe(c.route.Name, c.promptBytes, c.usage.prompt)
-	}
-	d.deadlines.Observe(c.want.Class, c.forecast, now.Sub(c.started))
-}
-
-// estimate returns the estimate for a prompt of the route.
-func (d *dispatcher) estimate(route string, bytes int) admit.Estimate {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.estimates.Estimate(route, bytes)
-}
-
-// setSuspect takes over whether the endpoint is taken for failing.
-func (d *dispatcher) setSuspect(name string, suspect bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.table.SetSuspect(name, suspect)
-	d.drain(d.clock.Now())
-}
-
-// find returns the endpoint called name.
-func (d *dispatcher) find(name string) (wire.Endpoint, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	e, ok := d.table.Get(name)
-	return e.Endpoint, ok
-}
-
-// queued returns the work that waits in a class, in tokens.
-func (d *dispatcher) queued(class route.Class) int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var tokens int64
-	for _, q := range d.waiting {
-		tokens += q.Tokens(class)
-	}
-	return tokens
-}
--- a/entry/forecast.go
+++ b/entry/forecast.go
@@ -4,68 +4,36 @@
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/admit"
+	"github.com/rosemaryproxy/rosemaryproxy/queue"
 	"github.com/rosemaryproxy/rosemaryproxy/route"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
-// Speeds assumed of an endpoint that has measured none, in tokens a second: those
-// of a cold one.
-const (
-	assumedPrefillRate = 2_000
-	assumedDecodeRate  = 20
-)
-
 // usage is the tokens that an engine reported for a call.
 type usage struct {
 	prompt int
 	output int
 }
 
-// forecast predicts what the call takes: at the endpoint chosen, or else at a
-// middling one after the work that is ahead of it. The caller holds the lock.
-func (d *dispatcher) forecast(c *call, view []route.Endpoint, choice route.Choice, refusal *verdict.Refusal) admit.Forecast {
-	prefill, decode := fleetSpeed(view)
-	queued := secondsOf(float64(d.queue(c.want.Target).Tokens(c.want.Class)) / prefill)
-	if refusal == nil {
-		f := forecastAt(c, view, choice)
-		f.Wait += queued
-		return f
-	}
-	n := float64(max(len(view), 1))
-	return admit.Forecast{
-		Wait:    queued + refusal.RetryAfter,
-		Prefill: secondsOf(float64(c.want.PromptTokens) * n / prefill),
-		Output:  secondsOf(float64(c.want.OutputTokens) * n / decode),
-	}
+// target is the waiting calls of one model or service and the pace at which this
+// entry's calls are taken by its endpoints.
+type target struct {
+	waiting queue.Waiting
+	pace    admit.Pace
 }
 
-// fleetSpeed returns the speeds of all endpoints of the view together.
-func fleetSpeed(view []route.Endpoint) (prefill, decode float64) {
-	for i := range view {
-		if !view[i].Out {
-			prefill += measured(view[i].Load.PrefillRate, assumedPrefillRate)
-			decode += measured(view[i].Load.DecodeRate, assumedDecodeRate)
-		}
-	}
-	return max(prefill, assumedPrefillRate), max(decode, assumedDecodeRate)
-}
-
-// forecastAt predicts what the call takes at the endpoint chosen.
-func forecastAt(c *call, view []route.Endpoint, choice route.Choice) admit.Forecast {
-	load := &view[choice.Index].Load
-	prefill := secondsOf(float64(c.want.PromptTokens) / measured(load.PrefillRate, assumedPrefillRate))
-	return admit.Forecast{
-		Wait:    max(choice.Predicted-prefill, 0),
-		Prefill: prefill,
-		Output:  secondsOf(float64(c.want.OutputTokens) / measured(load.DecodeRate, assumedDecodeRate)),
-	}
-}
-
-func measured(rate, assumed float64) float64 {
-	if rate > 0 {
-		return rate
+// forecast predicts what the call takes: at the endpoint chosen, or else at a
+// middling one, after the work of this entry that is ahead of it. The caller holds
+// the lock.
+func (d *dispatcher) forecast(now time.Time, c *call, view []route.Endpoint, choice route.Choice, refusal *verdict.Refusal) admit.Forecast {
+	mean := admit.SpeedsOf(view)
+	f := mean.Alone(c.want.PromptTokens, c.want.OutputTokens)
+	if refusal == nil {
+		f = admit.At(&view[choice.Index], choice, c.want.PromptTokens, c.want.OutputTokens)
+	} else {
+		f.Wait = refusal.RetryAfter
 	}
-	return assumed
+	t := d.target(c.want.Target)
+	f.Wait += t.pace.Wait(now, t.waiting.Tokens(c.want.Class), t.waiting.Share(c.want.Class), mean.Prefill)
+	return f
 }
-
-func secondsOf(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/entry/perform.go
+++ b/entry/perform.go
@@ -131,7 +131,6 @@
 		PromptTokens: c.want.PromptTokens,
 		OutputTokens: c.want.OutputTokens,
 		Deadline:     c.deadline.Sub(now),
-		Priority:     int(c.want.Class),
 		Digest:       c.digest,
 		Permission:   e.control.Offer(t.endpoint.Name),
 		BodyBytes:    int64(len(c.body)),
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -45,8 +45,8 @@
 	idle    chan struct{}
 	running int
 	long    int
-	// pending is the prompt tokens granted whose first token has not come.
-	pending int64
+	// backlog estimates the prompt tokens that wait for prefill.
+	backlog reserve.Backlog
 	book    *reserve.Book
 	ramp    *ramp.Ramp
 	claims  *once.Gate
@@ -94,7 +94,7 @@
 func (g *gate) admit(now time.Time, d *wire.Dispatch, owner string) (*admission, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.open(d); err != nil {
+	if err := g.open(now, d); err != nil {
 		return nil, err
 	}
 	if err := g.apart(now, d); err != nil {
@@ -124,7 +124,7 @@
 }
 
 // open checks what does not depend on the engine's room.
-func (g *gate) open(d *wire.Dispatch) error {
+func (g *gate) open(now time.Time, d *wire.Dispatch) error {
 	switch {
 	case d.Endpoint != g.name:
 		return verdict.Refuse(verdict.ReasonNoEndpoint, 0, "endpoint %s is not here", d.Endpoint)
@@ -134,8 +134,8 @@
 		return verdict.Refuse(verdict.ReasonUnreachable, retryElsewhere, "endpoint %s has just broken off", g.name)
 	case g.leaving:
 		return verdict.Refuse(verdict.ReasonEndpointLeaving, retryElsewhere, "endpoint %s is leaving", g.name)
-	case d.MaxPending > 0 && g.pending > d.MaxPending:
-		return verdict.Refuse(verdict.ReasonOverloaded, retryElsewhere, "endpoint %s has %d prompt tokens waiting", g.name, g.pending)
+	case d.MaxPending > 0 && g.backlog.Pending(now, g.engine.PrefillRate) > d.MaxPending:
+		return verdict.Refuse(verdict.ReasonOverloaded, retryElsewhere, "endpoint %s has more than %d prompt tokens waiting", g.name, d.MaxPending)
 	}
 	return nil
 }
@@ -169,7 +169,7 @@
 		g.book.Release(now, a.id)
 		return err
 	}
-	g.pending += a.prompt
+	g.backlog.Add(now, a.id, a.prompt)
 	if a.long {
 		g.long++
 	}
@@ -208,7 +208,7 @@
 		return
 	}
 	a.started = true
-	g.pending -= a.prompt
+	g.backlog.Remove(now, a.id)
 	g.worked(a, a.prompt)
 	g.book.Progress(now, a.id, a.prompt)
 }
@@ -233,9 +233,7 @@
 	if g.service {
 		return
 	}
-	if !a.started {
-		g.pending -= a.prompt
-	}
+	g.backlog.Remove(now, a.id)
 	if a.long {
 		g.long--
 	}
@@ -294,9 +292,10 @@
 		g.incarnation = newIncarnation(now)
 		g.claims = once.NewGate(g.incarnation)
 		g.ramp.Restarted()
+		g.backlog.Clear()
 		return true
 	}
-	if g.pending > 0 && l.PrefillRate > 0 {
+	if g.backlog.Pending(now, l.PrefillRate) > 0 && l.PrefillRate > 0 {
 		g.ramp.Measured(l.PrefillRate)
 	}
 	return false
@@ -333,8 +332,8 @@
 	}
 	return wire.Load{
 		FreeTokens:     g.book.Free(now),
-		CapacityTokens: g.book.Capacity(),
-		PendingPrefill: g.pending,
+		CapacityTokens: g.book.Largest(),
+		PendingPrefill: g.backlog.Pending(now, g.engine.PrefillRate),
 		PrefillRate:    g.engine.PrefillRate,
 		DecodeRate:     g.engine.DecodeRate,
 		RampTokens:     g.ramp.Left(),
