--- /dev/null
+++ b/sidecar/contract_test.go
@@ -0,0 +1,332 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/stream"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+const (
+	endpointName = "scribe-1"
+	zoneName     = "kerlouan-hall"
+)
+
+// fakeControl is a Coordinator with fixed answers.
+type fakeControl struct {
+	doc        *config.Document
+	permission wire.Permission
+}
+
+func (f *fakeControl) Config() *config.Document                           { return f.doc }
+func (f *fakeControl) Permission(time.Time) wire.Permission               { return f.permission }
+func (f *fakeControl) Offer(string) wire.Permission                       { return f.permission }
+func (f *fakeControl) Learn(string, wire.Permission)                      {}
+func (f *fakeControl) Announce(wire.Endpoint)                             {}
+func (f *fakeControl) Do(context.Context, string, string, any, any) error { return nil }
+
+// fakeStream is an entry that sends the given messages and keeps what it gets.
+type fakeStream struct {
+	ctx  context.Context
+	in   chan wire.Message
+	sent []wire.Message
+}
+
+func (s *fakeStream) Peer() wire.Peer                 { return wire.Peer{Name: "entry-1", Role: wire.RoleEntry} }
+func (s *fakeStream) Send(m wire.Message) error       { s.sent = append(s.sent, m); return nil }
+func (s *fakeStream) SetDeadline(time.Time) error     { return nil }
+func (s *fakeStream) SetSendDeadline(time.Time) error { return nil }
+func (s *fakeStream) CloseSend() error                { return nil }
+func (s *fakeStream) Abort()                          {}
+func (s *fakeStream) Context() context.Context        { return s.ctx }
+func (s *fakeStream) Recv() (wire.Message, error) {
+	select {
+	case m := <-s.in:
+		return m, nil
+	case <-s.ctx.Done():
+		return nil, io.EOF
+	}
+}
+
+func newSidecar(t *testing.T, url string, service bool) *Sidecar {
+	t.Helper()
+	doc := config.NewDocument()
+	doc.Revision = 3
+	doc.Zones[zoneName] = config.Zone{Name: zoneName, State: config.In}
+	s := New(Settings{Endpoint: url, Target: "scribe", Service: service})
+	s.log, s.clock = hclog.NewNullLogger(), kernel.SystemClock{}
+	s.node = settings.Node{Name: endpointName, Zone: zoneName}
+	s.control = &fakeControl{doc: doc, permission: wire.Permission{Revision: 3, Left: time.Second}}
+	s.traffic = &wire.Traffic{}
+	s.budget = stream.NewBudget(s.Held)
+	s.engine = newEngineClient(url)
+	s.gate = newGate(endpointName, 7, service)
+	s.gate.openClaims(7, 0)
+	s.gate.observe(time.Now(), time.Now(), engine.Load{Boot: 1, TotalTokens: 100_000, FreeTokens: 100_000})
+	s.orders = newOrders()
+	s.metrics = newMetrics(metrics.NewSet(), s)
+	return s
+}
+
+func dispatch() *wire.Dispatch {
+	return &wire.Dispatch{
+		Attempt: wire.Attempt{Request: [16]byte{1}, Number: 1}, Endpoint: endpointName, Incarnation: 7,
+		Method: http.MethodPost, Path: engine.PathCompletions, PromptTokens: 10, OutputTokens: 10,
+		Deadline: 5 * time.Second, BodyBytes: 2,
+	}
+}
+
+// exchangeWith runs one dispatch and returns what the entry was sent.
+func exchangeWith(t *testing.T, s *Sidecar, d *wire.Dispatch) []wire.Message {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	st := &fakeStream{ctx: ctx, in: make(chan wire.Message, 1)}
+	st.in <- &wire.Body{Data: []byte("{}"), Last: true}
+	s.run(st, d)
+	return st.sent
+}
+
+func last(t *testing.T, sent []wire.Message) wire.Message {
+	t.Helper()
+	if len(sent) == 0 {
+		t.Fatal("the entry was sent nothing")
+	}
+	return sent[len(sent)-1]
+}
+
+// hijack answers with raw bytes and breaks the connection.
+func hijack(w http.ResponseWriter, raw string) {
+	conn, buf, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = buf.WriteString(raw)
+	_ = buf.Flush()
+	_ = conn.Close()
+}
+
+// Every way in which an engine answers or fails has its message to the entry.
+func TestEngineContract(t *testing.T) {
+	events := func(body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	tests := map[string]struct {
+		handler http.HandlerFunc
+		whole   bool
+		reason  verdict.Reason
+	}{
+		"whole events":             {events("data: {}\n\ndata: [DONE]\n\n"), true, ""},
+		"events without the end":   {events("data: {}\n\n"), false, verdict.ReasonEndpointLost},
+		"no events at all":         {events(""), false, verdict.ReasonEndpointLost},
+		"whole JSON":               {func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"a":1}`) }, true, ""},
+		"refused by the engine":    {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) }, true, ""},
+		"engine error":             {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, false, verdict.ReasonEngineError},
+		"broken before the answer": {func(w http.ResponseWriter, _ *http.Request) { hijack(w, "") }, false, verdict.ReasonEndpointLost},
+		"broken within the answer": {func(w http.ResponseWriter, _ *http.Request) {
+			hijack(w, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
+		}, false, verdict.ReasonEndpointLost},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			mux := http.NewServeMux()
+			mux.HandleFunc("POST "+engine.PathCompletions, tc.handler)
+			mux.HandleFunc("DELETE "+engine.PathRequests, func(http.ResponseWriter, *http.Request) {})
+			srv := httptest.NewServer(mux)
+			defer srv.Close()
+			s := newSidecar(t, srv.URL, false)
+			free := s.gate.load(time.Now()).FreeTokens
+			switch m := last(t, exchangeWith(t, s, dispatch())).(type) {
+			case *wire.End:
+				is.True(tc.whole)
+			case *wire.Refused:
+				is.Equal(m.Reason, tc.reason)
+				is.Equal(m.Verdict, verdict.MayHaveRun)
+			default:
+				t.Fatalf("unexpected %T", m)
+			}
+			is.Equal(s.gate.load(time.Now()).FreeTokens, free) // the reservation is given back
+		})
+	}
+}
+
+func TestAnEngineThatTakesNoConnectionHasNotRunTheRequest(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := l.Addr().String()
+	is.NoErr(l.Close())
+	m, ok := last(t, exchangeWith(t, newSidecar(t, "http://"+addr, false), dispatch())).(*wire.Refused)
+	is.True(ok)
+	is.Equal(m.Verdict, verdict.NotRun)
+	is.Equal(m.Reason, verdict.ReasonUnreachable)
+}
+
+// Each line is one thing that is wrong with a dispatch or with the endpoint; nothing
+// may reach the engine, and the refusal says so.
+func TestGateRefusesBeforeTheEngine(t *testing.T) {
+	tests := map[string]struct {
+		spoil  func(*Sidecar, *wire.Dispatch)
+		reason verdict.Reason
+	}{
+		"deadline passed":      {func(_ *Sidecar, d *wire.Dispatch) { d.Deadline = 0 }, verdict.ReasonDeadline},
+		"another endpoint":     {func(_ *Sidecar, d *wire.Dispatch) { d.Endpoint = "other" }, verdict.ReasonNoEndpoint},
+		"an older incarnation": {func(_ *Sidecar, d *wire.Dispatch) { d.Incarnation = 6 }, verdict.ReasonIncarnation},
+		"endpoint leaving":     {func(s *Sidecar, _ *wire.Dispatch) { s.gate.leave() }, verdict.ReasonEndpointLeaving},
+		"engine broke off":     {func(s *Sidecar, _ *wire.Dispatch) { s.gate.broke() }, verdict.ReasonUnreachable},
+		"no memory":            {func(_ *Sidecar, d *wire.Dispatch) { d.PromptTokens = 99_999 }, verdict.ReasonPromptTooLong},
+		"permission lapsed": {func(s *Sidecar, _ *wire.Dispatch) {
+			s.control.(*fakeControl).permission.Left = 0
+		}, verdict.ReasonStale},
+		"permission lapsed, stated by the entry": {func(s *Sidecar, d *wire.Dispatch) {
+			s.control.(*fakeControl).permission.Left = 0
+			d.Permission = wire.Permission{Revision: 9, Left: time.Minute}
+		}, verdict.ReasonStale},
+		"zone out": {func(s *Sidecar, _ *wire.Dispatch) {
+			s.control.Config().Zones[zoneName] = config.Zone{Name: zoneName, State: config.Out}
+		}, verdict.ReasonZoneOut},
+		"endpoint out": {func(s *Sidecar, _ *wire.Dispatch) {
+			s.control.Config().Endpoints[endpointName] = config.Out
+		}, verdict.ReasonZoneOut},
+		"zone unknown": {func(s *Sidecar, _ *wire.Dispatch) {
+			delete(s.control.Config().Zones, zoneName)
+		}, verdict.ReasonZoneOut},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var reached atomic.Bool
+			srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached.Store(true) }))
+			defer srv.Close()
+			s := newSidecar(t, srv.URL, false)
+			d := dispatch()
+			tc.spoil(s, d)
+			m, ok := last(t, exchangeWith(t, s, d)).(*wire.Refused)
+			is.True(ok)
+			is.Equal(m.Reason, tc.reason)
+			is.Equal(m.Verdict, verdict.NotRun)
+			is.True(!reached.Load())
+		})
+	}
+}
+
+// breakingService serves one call on each connection and breaks off within the
+// second, which it counts as arrived.
+func breakingService(t *testing.T) (url string, arrived *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	arrived = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go breakAfterOneAnswer(conn, arrived)
+		}
+	}()
+	return "http://" + l.Addr().String(), arrived
+}
+
+// This is what the sidecar has to avoid: net/http sends a call with a key again
+// when a kept connection breaks within it.
+func TestAPlainClientSendsABrokenCallAgain(t *testing.T) {
+	is := is.New(t)
+	url, arrived := breakingService(t)
+	client := &http.Client{Transport: &http.Transport{}}
+	for n := range 2 {
+		req, err := http.NewRequest(http.MethodPost, url+"/seal", strings.NewReader("{}"))
+		is.NoErr(err)
+		req.Header.Set("Idempotency-Key", fmt.Sprint("k", n))
+		res, err := client.Do(req)
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, res.Body)
+		is.NoErr(res.Body.Close())
+	}
+	is.Equal(arrived.Load(), int64(3)) // two calls
+}
+
+func TestAClaimedCallIsSentOnceOverABrokenConnection(t *testing.T) {
+	is := is.New(t)
+	url, arrived := breakingService(t)
+	s := newSidecar(t, url, true)
+	for fence := range uint64(4) {
+		d := dispatch()
+		d.Attempt.Request = [16]byte{byte(fence)}
+		d.Path = "/seal"
+		d.Header = map[string]string{"Idempotency-Key": fmt.Sprint("k", fence)}
+		d.Claim = &wire.Claim{Key: fmt.Sprint("k", fence), Fence: fence + 1}
+		exchangeWith(t, s, d)
+		is.Equal(arrived.Load(), int64(fence)+1)
+	}
+}
+
+// breakAfterOneAnswer answers the first request of a connection and breaks off at
+// the second.
+func breakAfterOneAnswer(conn net.Conn, arrived *atomic.Int64) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for n := range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		arrived.Add(1)
+		if n == 0 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+func TestAClaimPassesOnceAndARefusedOneIsSealed(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	defer srv.Close()
+	s := newSidecar(t, srv.URL, true)
+	claimed := func(fence uint64, deadline time.Duration) wire.Message {
+		d := dispatch()
+		d.Claim, d.Deadline = &wire.Claim{Key: "k", Fence: fence}, deadline
+		return last(t, exchangeWith(t, s, d))
+	}
+	_, ok := claimed(1, time.Second).(*wire.End)
+	is.True(ok)
+	again, ok := claimed(1, time.Second).(*wire.Refused)
+	is.True(ok)
+	is.True(again.Verdict != verdict.NotRun) // it has run
+	late, ok := claimed(2, 0).(*wire.Refused)
+	is.True(ok)
+	is.Equal(late.Verdict, verdict.NotRun)
+	copied, ok := claimed(2, time.Second).(*wire.Refused)
+	is.True(ok)
+	is.Equal(copied.Verdict, verdict.NotRun) // a copy of the refused dispatch does not pass
+	is.Equal(runs.Load(), int64(1))
+}
