--- a/cmd/rosemary-load/deployment.go
+++ b/cmd/rosemary-load/deployment.go
@@ -111,7 +111,7 @@
 		d.Routes[s.Name] = r
 	}
 	for _, a := range env.Accounts {
-		d.Accounts[a.Name] = config.Account{Name: a.Name, KeyHashes: []string{dev.HashKey(a.Key)}}
+		d.Accounts[a.Name] = config.Account{Name: a.Name, KeyHashes: []string{config.HashKey(a.Key)}}
 	}
 	return d
 }
--- a/cmd/rosemaryctl/keys.go
+++ b/cmd/rosemaryctl/keys.go
@@ -14,7 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/rosemaryproxy/rosemaryproxy/cli"
-	"github.com/rosemaryproxy/rosemaryproxy/operator"
+	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -181,7 +181,7 @@
 			if !scanner.Scan() || scanner.Text() == "" {
 				return &cli.UsageError{Err: errors.New("no key on standard input")}
 			}
-			_, err := fmt.Fprintln(c.OutOrStdout(), operator.HashKey(scanner.Text()))
+			_, err := fmt.Fprintln(c.OutOrStdout(), config.HashKey(scanner.Text()))
 			return err
 		},
 	}
--- a/cmd/rosemaryctl/main_test.go
+++ b/cmd/rosemaryctl/main_test.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/cli"
+	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control"
 	"github.com/rosemaryproxy/rosemaryproxy/examples"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
@@ -182,7 +183,7 @@
 	is := is.New(t)
 	out, code := ctl("demo-notaries\n", "key", "hash")
 	is.Equal(code, 0)
-	is.Equal(out, operator.HashKey("demo-notaries")+"\n")
+	is.Equal(out, config.HashKey("demo-notaries")+"\n")
 	_, code = ctl("", "key", "hash")
 	is.Equal(code, exitStatement)
 }
--- a/dev/plan.go
+++ b/dev/plan.go
@@ -1,8 +1,6 @@
 package dev
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -58,12 +56,6 @@
 	return p
 }
 
-// HashKey returns the digest under which the configuration keeps a key.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 func smallDocument() *config.Document {
 	d := config.NewDocument()
 	for _, z := range SmallZones {
@@ -77,6 +69,6 @@
 		Name: SmallServiceRoute, Kind: config.ServiceRoute, Target: SmallService, Deadline: 10 * time.Second,
 		NonIdempotent: []config.Call{{Method: "POST", Path: "/seal"}, {Method: "POST", Path: "/release"}},
 	}
-	d.Accounts[SmallAccount] = config.Account{Name: SmallAccount, KeyHashes: []string{HashKey(SmallKey)}}
+	d.Accounts[SmallAccount] = config.Account{Name: SmallAccount, KeyHashes: []string{config.HashKey(SmallKey)}}
 	return d
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,6 +77,17 @@
 	Do(ctx context.Context, name, id string, body, out any) error
 }
 
+// dialer opens streams to sidecars.
+type dialer interface {
+	wire.Opener
+	// Drop closes the connection to a sidecar that does not answer.
+	Drop(addr string)
+	// Close closes all connections.
+	Close()
+}
+
+var _ dialer = (*wire.Pool)(nil)
+
 // Entry is the plug-in of the daemon.
 type Entry struct {
 	Settings
@@ -85,7 +96,7 @@
 	clock   kernel.Clock
 	node    settings.Node
 	traffic *wire.Traffic
-	pool    *wire.Pool
+	pool    dialer
 	control Coordinator
 	session func(ctx context.Context) error
 	fleet   *dispatcher
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"strings"
 	"sync"
 
@@ -29,8 +27,7 @@
 	if !ok || key == "" {
 		return config.Account{}, unauthenticated()
 	}
-	sum := sha256.Sum256([]byte(key))
-	hash := hex.EncodeToString(sum[:])
+	hash := config.HashKey(key)
 	account, ok := doc.Accounts[k.lookup(doc, hash)]
 	if !ok {
 		return config.Account{}, unauthenticated()
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
-	"github.com/rosemaryproxy/rosemaryproxy/operator"
 )
 
 // Deployment is one example deployment.
@@ -77,7 +76,7 @@
 		doc.Routes[r.Name] = r
 	}
 	for _, a := range d.Accounts {
-		a.KeyHashes = []string{operator.HashKey(DemoKey(a.Name))}
+		a.KeyHashes = []string{config.HashKey(DemoKey(a.Name))}
 		doc.Accounts[a.Name] = a
 	}
 	return doc
--- a/operator/fake_test.go
+++ b/operator/fake_test.go
@@ -35,7 +35,7 @@
 	d.Zones["annex"] = config.Zone{Name: "annex", Region: "leon", State: config.Out}
 	d.Models["scribe"] = config.Model{Name: "scribe", Versions: []string{"v1", "v2"}, Adapters: []string{"breton"}, WeightBytes: 14e9}
 	d.Accounts["notary"] = config.Account{
-		Name: "notary", KeyHashes: []string{HashKey("one"), HashKey("two")},
+		Name: "notary", KeyHashes: []string{config.HashKey("one"), config.HashKey("two")},
 		Limits: config.Limits{RequestsPerSecond: 10, HeldBytes: 4e6},
 	}
 	d.Routes["read"] = config.Route{Name: "read", Kind: config.ModelRoute, Target: "scribe", Deadline: 30 * time.Second}
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/hex"
 	"maps"
 	"slices"
@@ -150,12 +149,6 @@
 	return keyPrefix + hex.EncodeToString(raw), nil
 }
 
-// HashKey returns the digest under which the configuration holds a key.
-func HashKey(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
 // addKey makes a key for a client account.
 type addKey struct{ account Name }
 
@@ -168,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	account.KeyHashes = append(slices.Clone(account.KeyHashes), HashKey(key))
+	account.KeyHashes = append(slices.Clone(account.KeyHashes), config.HashKey(key))
 	return &Plan{Changes: []config.Change{{Account: &account}}, Key: key}, nil
 }
 
--- a/operator/session_test.go
+++ b/operator/session_test.go
@@ -271,7 +271,7 @@
 	a := mustRun(t, newTestSession(f), "add key for account notary").(*Accepted)
 	hashes := f.view.Document.Accounts["notary"].KeyHashes
 	is.Equal(len(hashes), 3)
-	is.Equal(hashes[2], HashKey(a.Key))
+	is.Equal(hashes[2], config.HashKey(a.Key))
 	is.True(strings.Contains(printed(t, a, false), "key: "+a.Key))
 	is.True(!strings.Contains(printed(t, &Listing{Entries: f.audit}, true), a.Key))
 }
