Health: learn a target's level before anyone is accused

The entry's expected time is a constant, so ratios lie far from 1. An endpoint's own mean is bounded and the common level moved by little per sample, so the endpoints of a slow model would have looked slow until it had caught up. The first 50 samples of a target now set its level. TestLevelOfATargetIsLearned; the test of probes learns first, as samples before that no longer accuse.

--- a/health/detector.go
+++ b/health/detector.go
@@ -41,8 +41,9 @@
 	units    int
 	suspects int
 	// common is the mean of late of the log ratios, beyond the endpoints' own means.
-	common float64
-	spread spread
+	common  float64
+	samples int
+	spread  spread
 }
 
 // NewDetector returns a detector that knows no endpoint.
@@ -111,19 +112,32 @@
 
 // timed returns the evidence in a sample's time, and learns from it.
 func (d *Detector) timed(u *unit, ratio float64) float64 {
-	x := min(max(math.Log(ratio), -maxRatio), maxRatio)
 	t := u.target
-	x -= t.common
-	off := x - u.mean.value
-	t.common += commonWeight * min(max(off, -maxOffset), maxOffset)
+	x := math.Log(ratio) - t.common
+	off := min(max(x-u.mean.value, -maxOff), maxOff)
+	if !t.follow(off) {
+		return 0
+	}
 	step := timeStep(off, t.spread.value(), math.Log(d.set.Slowdown))
 	if !u.suspect && u.statistic+step < learnBelow {
-		u.mean.learn(x)
+		u.mean.learn(off)
 		t.spread.learn(off)
 	}
 	return step
 }
 
+// follow moves what the target has in common towards a sample that was off by so
+// much, and reports whether the level is known by now.
+func (t *target) follow(off float64) bool {
+	t.samples++
+	if t.samples <= firstSamples {
+		t.common += off / float64(t.samples)
+		return false
+	}
+	t.common += commonWeight * min(max(off, -commonLimit), commonLimit)
+	return true
+}
+
 // accuse adds evidence against an endpoint that is not suspect.
 func (d *Detector) accuse(u *unit, step float64) bool {
 	u.statistic = max(u.statistic+step, 0)
--- a/health/law.go
+++ b/health/law.go
@@ -18,16 +18,21 @@
 	// minSpread and maxSpread bound the learned standard deviation, in nats.
 	minSpread = 0.1
 	maxSpread = 0.6
-	// maxRatio and maxStep bound one sample, in nats, and its share in a statistic.
-	maxRatio = 2.0
-	maxStep  = 4.0
+	// maxOff bounds how far off its mean one sample counts, and maxStep its share in a
+	// statistic, both in nats.
+	maxOff  = 2.0
+	maxStep = 4.0
 	// soundFailures and failingFailures are the shares of requests that fail.
 	soundFailures   = 0.01
 	failingFailures = 0.1
 	// learnBelow is the statistic, in nats, up to which a sample counts as sound.
 	learnBelow = 3.0
-	// commonWeight is the weight of one sample in what a target has in common.
+	// commonWeight is the weight of one sample in what a target has in common, and
+	// commonLimit bounds how far off it counts, in nats. Before firstSamples of a
+	// target its level is not known, and nobody is accused for time.
 	commonWeight = 0.02
+	commonLimit  = 0.5
+	firstSamples = 50
 )
 
 // spread is the standard deviation of sound log ratios about their means. All
@@ -56,9 +61,10 @@
 
 func newMean() mean { return mean{samples: priorSamples} }
 
-func (m *mean) learn(x float64) {
+// learn takes in how far a sample was off the mean.
+func (m *mean) learn(off float64) {
 	m.samples = min(m.samples+1, maxSamples)
-	m.value += (x - m.value) / m.samples
+	m.value += off / m.samples
 	m.value = min(max(m.value, -maxOffset), maxOffset)
 }
 
