--- a/experiment/report.go
+++ b/experiment/report.go
@@ -13,6 +13,8 @@
 	Seeds      []uint64
 	TimeScale  float64
 	TokenScale float64
+	// Partial is set when the experiment was interrupted.
+	Partial bool
 	// First is the time to first token by prompt length class.
 	First []FirstRow
 	// Slowdown is by how much long prompts slow short ones down.
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -34,7 +34,8 @@
 }
 
 // Run runs every part with every variant and seed, one after the other. Variants
-// take turns, so that what disturbs the machine disturbs all of them.
+// take turns, so that what disturbs the machine disturbs all of them. When ctx
+// ends, the report covers the runs that were finished.
 func (x *Experiment) Run(ctx context.Context) (*Report, error) {
 	parts, err := x.parts()
 	if err != nil {
@@ -48,6 +49,11 @@
 			for j := range x.Variants {
 				v := x.Variants[(i+j)%len(x.Variants)]
 				run, err := x.runPart(ctx, v, p, seed)
+				if ctx.Err() != nil {
+					report.Partial = true
+					report.summarize()
+					return report, nil
+				}
 				if err != nil {
 					return nil, errors.Wrapf(err, "part %s, variant %s, seed %d", p.Name, v.Name, seed)
 				}
--- a/experiment/run_test.go
+++ b/experiment/run_test.go
@@ -85,6 +85,22 @@
 	is.Equal(report.Service[0].Checks, Checks{Checked: true})
 }
 
+func TestInterruptedExperimentReportsFinishedRuns(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	v, err := Lookup("random")
+	is.NoErr(err)
+	last := Variant{Name: "last", Start: func(context.Context, *Env) (*System, error) {
+		cancel()
+		return nil, ctx.Err()
+	}}
+	x := &Experiment{Scenario: scenario(t, small), Variants: []Variant{v, last}, Seeds: []uint64{1}, Parts: []string{"all"}}
+	report, err := x.Run(ctx)
+	is.NoErr(err)
+	is.True(report.Partial)
+	is.Equal(len(report.Service), 1)
+}
+
 func TestChoosers(t *testing.T) {
 	list := []*backend{{zone: "a", inUse: 2}, {zone: "b", inUse: 1}, {zone: "a", inUse: 3}}
 	t.Run("round robin", func(t *testing.T) {
--- a/experiment/table.go
+++ b/experiment/table.go
@@ -54,6 +54,9 @@
 	if r.Command != "" {
 		t.row("command: " + r.Command)
 	}
+	if r.Partial {
+		t.row("interrupted: only finished runs are here")
+	}
 	r.firstTable(t)
 	r.slowdownTable(t)
 	r.serviceTable(t)
