--- /dev/null
+++ b/capacity/accounts.go
@@ -0,0 +1,132 @@
+package capacity
+
+import (
+	"fmt"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/dev"
+	"github.com/rosemaryproxy/rosemaryproxy/quota"
+)
+
+const (
+	// configuredAccounts is the number of client accounts behind the active ones.
+	configuredAccounts = 800
+	// requestPause is the time between two requests of an active account, half of
+	// which are let through in time for each heartbeat.
+	requestPause = 500 * time.Millisecond
+)
+
+// withAccounts returns a configuration with n client accounts that have limits.
+func withAccounts(dir string, n int) *config.Document {
+	doc := dev.Small(dir).Bootstrap
+	for i := range n {
+		name := fmt.Sprintf("parish-%04d", i)
+		doc.Accounts[name] = config.Account{
+			Name: name, KeyHashes: []string{dev.HashKey(name)},
+			Limits: config.Limits{RequestsPerSecond: 50, TokensPerSecond: 100_000, Concurrent: 20, HeldBytes: 64 << 20},
+		}
+	}
+	return doc
+}
+
+// configuredAccountsTable measures what the client accounts in the configuration cost
+// an entry that starts.
+func configuredAccountsTable(dir string, o Options) ([]*Table, error) {
+	t := &Table{
+		Name:    "client accounts configured",
+		Method:  "1 replica, 1 entry: the whole configuration as the entry receives it once, time until in force, heap of one copy",
+		X:       "accounts",
+		Columns: []string{"snapshot B", "start ms", "heap KB"},
+	}
+	for _, n := range o.Accounts {
+		if err := configuredRow(filepath.Join(dir, fmt.Sprint(n)), n, t); err != nil {
+			return nil, err
+		}
+	}
+	return []*Table{t}, nil
+}
+
+func configuredRow(dir string, n int, t *Table) error {
+	before := heapBytes()
+	doc := withAccounts(dir, n)
+	heap := heapBytes() - before
+	g, err := startGroup(dir, 1, doc)
+	if err != nil {
+		return err
+	}
+	defer g.stop()
+	// The first entry waits for the replica to lead; the second does not.
+	if err := g.addEntries(1); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := g.addEntries(2); err != nil {
+		return err
+	}
+	took := time.Since(began)
+	runtime.KeepAlive(doc)
+	t.add(float64(n), float64(g.entries[1].snapshotBytes.Load()), milliseconds(took), heap/1024)
+	return nil
+}
+
+// activeAccounts measures what the shares of the client accounts that use an entry
+// cost it.
+func activeAccounts(dir string, o Options) ([]*Table, error) {
+	t := &Table{
+		Name:    "client accounts active at an entry",
+		Method:  "1 replica, 1 entry with requests of so many accounts; processor time of both ends",
+		X:       "accounts",
+		Columns: []string{"sent B/s", "received B/s", "packet B/s", "cpu %"},
+	}
+	g, err := startGroup(dir, 1, withAccounts(dir, configuredAccounts))
+	if err != nil {
+		return nil, err
+	}
+	defer g.stop()
+	if err := g.addEntries(1); err != nil {
+		return nil, err
+	}
+	for _, n := range o.Active {
+		w, err := g.withRequests(n, o.Window)
+		if err != nil {
+			return nil, err
+		}
+		t.add(float64(n), w.perMember(w.sent, 1), w.perMember(w.received, 1), w.perMember(w.packetBytes, 1), w.cores())
+	}
+	return []*Table{t}, nil
+}
+
+// withRequests observes the entry while n client accounts use it.
+func (g *group) withRequests(n int, span time.Duration) (window, error) {
+	stop := make(chan struct{})
+	var requests sync.WaitGroup
+	requests.Go(func() { g.request(n, stop) })
+	defer requests.Wait()
+	defer close(stop)
+	time.Sleep(settleTime)
+	return observe(g.entries, span)
+}
+
+// request lets requests of n accounts through until stop is closed.
+func (g *group) request(n int, stop <-chan struct{}) {
+	entry := g.entries[0]
+	cost := quota.Cost{Tokens: 1000, HeldBytes: 4096}
+	for {
+		doc := entry.client.View().Load()
+		for i := range n {
+			account, ok := doc.Accounts[fmt.Sprintf("parish-%04d", i)]
+			if ok && entry.limits.Take(time.Now(), &account, cost) == nil {
+				entry.limits.Release(time.Now(), account.Name, cost, cost)
+			}
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(requestPause):
+		}
+	}
+}
--- /dev/null
+++ b/capacity/choice.go
@@ -0,0 +1,71 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/dev"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+)
+
+const (
+	// choicePolicy is the policy that entries use unless told otherwise.
+	choicePolicy = "route.predicted"
+	// choicesPerSize is the number of choices timed at each size.
+	choicesPerSize = 200_000
+	// promptTokens is the length of a short prompt.
+	promptTokens = 2_000
+)
+
+// choices measures one choice of endpoint and the memory of the table.
+func choices(_ string, o Options) ([]*Table, error) {
+	t := &Table{
+		Name:    "choice of endpoint",
+		Method:  "route.predicted, short prompts, five availability zones, 200,000 choices a size",
+		X:       "endpoints",
+		Columns: []string{"us a choice", "B allocated a choice", "heap KB"},
+	}
+	for _, n := range o.Endpoints {
+		if err := choiceRow(n, t); err != nil {
+			return nil, err
+		}
+	}
+	return []*Table{t}, nil
+}
+
+func choiceRow(n int, t *Table) error {
+	info, err := kernel.Lookup(choicePolicy)
+	if err != nil {
+		return err
+	}
+	chooser, ok := info.New().(route.Chooser)
+	if !ok {
+		return errors.Errorf("%s is no policy", choicePolicy)
+	}
+	before := heapBytes()
+	table := route.NewTable()
+	now := time.Now()
+	for i := range n {
+		e := endpointOf(i)
+		table.Upsert(now, e)
+		table.SetLoad(e.Name, e.Load, now)
+	}
+	heap := heapBytes() - before
+	view := table.View(dev.SmallModel)
+	allocated, began := allocatedBytes(), time.Now()
+	for i := range choicesPerSize {
+		req := route.Request{
+			Target: dev.SmallModel, Class: route.Short, PromptTokens: promptTokens, Zone: "zone-2", Prefix: uint64(i % 5000),
+		}
+		if _, err := chooser.Choose(now, &req, view); err != nil {
+			return err
+		}
+	}
+	took := time.Since(began)
+	t.add(float64(n),
+		float64(took.Nanoseconds())/1000/choicesPerSize,
+		(allocatedBytes()-allocated)/choicesPerSize, heap/1024)
+	return nil
+}
--- /dev/null
+++ b/capacity/claims.go
@@ -0,0 +1,102 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/dev"
+)
+
+// claimedEndpoint is the endpoint of all claims, addSidecars' first.
+const claimedEndpoint = "worker-0"
+
+// claims measures the commits of claims by 3 replicas with files.
+func claims(dir string, o Options) ([]*Table, error) {
+	t := &Table{
+		Name:    "claims committed",
+		Method:  "3 replicas with synced files, each caller makes one claim after the other; processor time of all parts in this process",
+		X:       "callers",
+		Columns: []string{"claims/s", "p50 ms", "p99 ms", "cpu us a claim"},
+	}
+	g, err := startGroup(dir, 3, dev.Small(dir).Bootstrap)
+	if err != nil {
+		return nil, err
+	}
+	defer g.stop()
+	if err := g.addSidecars(1); err != nil {
+		return nil, err
+	}
+	if err := g.addEntries(1); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	fence := command.Fence{Endpoint: claimedEndpoint, Incarnation: 1}
+	if err := g.sidecars[0].client.Do(ctx, command.NameFence, "fence", fence, nil); err != nil {
+		return nil, err
+	}
+	for _, n := range o.Callers {
+		if err := g.claimRow(ctx, n, o.Window, t); err != nil {
+			return nil, err
+		}
+	}
+	return []*Table{t}, nil
+}
+
+func (g *group) claimRow(ctx context.Context, callers int, span time.Duration, t *Table) error {
+	before, err := processorTime()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	times := make([][]time.Duration, callers)
+	failed := make([]error, callers)
+	var running sync.WaitGroup
+	for i := range callers {
+		running.Go(func() { times[i], failed[i] = g.claimUntil(ctx, fmt.Sprint(callers, "-", i), began.Add(span)) })
+	}
+	running.Wait()
+	took := time.Since(began)
+	after, err := processorTime()
+	for _, e := range failed {
+		if e != nil {
+			err = e
+		}
+	}
+	if err != nil {
+		return err
+	}
+	all := slices.Concat(times...)
+	slices.Sort(all)
+	t.add(float64(callers), float64(len(all))/took.Seconds(),
+		milliseconds(quantile(all, 0.5)), milliseconds(quantile(all, 0.99)),
+		float64((after-before).Microseconds())/float64(len(all)))
+	return nil
+}
+
+// claimUntil makes claims one after the other until the deadline.
+func (g *group) claimUntil(ctx context.Context, prefix string, deadline time.Time) ([]time.Duration, error) {
+	var times []time.Duration
+	for n := 0; time.Now().Before(deadline); n++ {
+		began := time.Now()
+		key := fmt.Sprint(prefix, "-", n)
+		var claimed command.Claimed
+		err := g.entries[0].client.Do(ctx, command.NameClaim, key, command.Claim{
+			Account: dev.SmallAccount, Key: key, Endpoint: claimedEndpoint, Incarnation: 1,
+		}, &claimed)
+		if err != nil {
+			return nil, err
+		}
+		if claimed.Fence == 0 {
+			return nil, errors.Errorf("claim %s got no fencing number", key)
+		}
+		times = append(times, time.Since(began))
+	}
+	return times, nil
+}
--- /dev/null
+++ b/capacity/engine.go
@@ -0,0 +1,101 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/dev"
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+)
+
+const (
+	// pacedPrompt asks the stand-in for one token every tokenPause until release.
+	pacedPrompt = "paced"
+	// tokenPause is the time between two tokens of a paced answer.
+	tokenPause = 100 * time.Millisecond
+	// engineTokens is the stand-in's memory in KV tokens.
+	engineTokens = 1_000_000_000
+)
+
+// plainEngine is a stand-in that costs as little as it can: it writes tokens and
+// computes nothing.
+type plainEngine struct {
+	mu sync.Mutex
+	// released is closed to end the paced answers.
+	released chan struct{}
+}
+
+func newPlainEngine() *plainEngine { return &plainEngine{released: make(chan struct{})} }
+
+// release ends the paced answers that are open.
+func (e *plainEngine) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.released)
+	e.released = make(chan struct{})
+}
+
+func (e *plainEngine) end() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.released
+}
+
+func (e *plainEngine) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engine.PathCompletions, e.complete)
+	mux.HandleFunc("GET "+engine.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, engine.Load{
+			Boot: 1, TotalTokens: engineTokens, FreeTokens: engineTokens, PrefillRate: 1e6, DecodeRate: 1e4,
+			Model: dev.SmallModel, Version: "1",
+		})
+	})
+	mux.HandleFunc("GET "+engine.PathKV, func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, engine.KVList{})
+	})
+	mux.HandleFunc("GET "+engine.PathCacheEvents, func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, engine.CacheEvents{})
+	})
+	mux.HandleFunc("DELETE "+engine.PathRequests+"{id}", func(http.ResponseWriter, *http.Request) {})
+	return mux
+}
+
+func answerJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// complete streams as many tokens as were asked for.
+func (e *plainEngine) complete(w http.ResponseWriter, r *http.Request) {
+	var c engine.Completion
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := http.NewResponseController(w)
+	end := e.end()
+	for i := range c.MaxTokens {
+		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"text\":\"token %d\"}]}\n\n", i)
+		_ = out.Flush()
+		if c.Prompt == pacedPrompt && !pause(r, end) {
+			break
+		}
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// pause waits between two tokens. It reports false when the answer is to end.
+func pause(r *http.Request, end <-chan struct{}) bool {
+	select {
+	case <-time.After(tokenPause):
+		return true
+	case <-end:
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+}
--- /dev/null
+++ b/capacity/path.go
@@ -0,0 +1,189 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/dev"
+	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/internal/loopback"
+)
+
+const (
+	// retryPause is the wait after a refusal; an endpoint that has just started
+	// takes little work at first.
+	retryPause = 20 * time.Millisecond
+	// maxConns bounds the connections that a caller keeps.
+	maxConns = 2000
+)
+
+// target is one way to the same engine.
+type target struct {
+	name  string
+	base  string
+	model string
+}
+
+// path is an engine with three ways to it: direct, by the standard library's reverse
+// proxy, and by an entry and a sidecar.
+type path struct {
+	engine     *plainEngine
+	servers    []*http.Server
+	deployment *dev.Deployment
+	client     *http.Client
+	targets    []target
+}
+
+func startPath(dir string) (*path, error) {
+	p := &path{
+		engine: newPlainEngine(),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConns: maxConns, MaxIdleConnsPerHost: maxConns}},
+	}
+	if err := p.start(dir); err != nil {
+		p.stop()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *path) start(dir string) error {
+	direct, err := p.serve(p.engine.handler())
+	if err != nil {
+		return err
+	}
+	proxy, err := p.serve(reverseProxy(direct))
+	if err != nil {
+		return err
+	}
+	plan := dev.Small(dir)
+	plan.Replicas, plan.Entries = 1, 1
+	plan.Endpoints = []dev.Endpoint{{
+		Name: "scribe-1", Zone: plan.Zones[0], Target: dev.SmallModel, URL: direct.String(),
+		Sidecar: map[string]any{"linger": "1s"}, Engine: map[string]any{},
+	}}
+	if p.deployment, err = dev.Start(plan, hclog.NewNullLogger()); err != nil {
+		return err
+	}
+	p.targets = []target{
+		{"direct", direct.String(), dev.SmallModel},
+		{"reverse proxy", proxy.String(), dev.SmallModel},
+		{"entry and sidecar", "http://" + p.deployment.Files.Entries[0], dev.SmallRoute},
+	}
+	for _, t := range p.targets {
+		if err := p.whole(t, 1); err != nil {
+			return errors.Wrap(err, t.name)
+		}
+	}
+	return nil
+}
+
+func reverseProxy(to *url.URL) http.Handler {
+	return &httputil.ReverseProxy{
+		Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(to) },
+		Transport:     &http.Transport{MaxIdleConns: maxConns, MaxIdleConnsPerHost: maxConns},
+		FlushInterval: -1,
+	}
+}
+
+// serve serves h on a free loopback address until stop.
+func (p *path) serve(h http.Handler) (*url.URL, error) {
+	addrs, err := loopback.Addrs(1)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", addrs[0])
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: settleTimeout}
+	p.servers = append(p.servers, s)
+	go func() { _ = s.Serve(listener) }()
+	return &url.URL{Scheme: "http", Host: addrs[0]}, nil
+}
+
+func (p *path) stop() {
+	p.engine.release()
+	p.client.CloseIdleConnections()
+	if p.deployment != nil {
+		p.deployment.Stop()
+	}
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+}
+
+// open sends a request for a stream of tokens until it is let through.
+func (p *path) open(t target, prompt string, tokens int) (*http.Response, error) {
+	body, err := json.Marshal(engine.Completion{Model: t.model, Prompt: prompt, MaxTokens: tokens, Stream: true})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	deadline := time.Now().Add(settleTimeout)
+	for {
+		res, err := p.post(t, body)
+		if err == nil && res.StatusCode == http.StatusOK {
+			return res, nil
+		}
+		if err == nil {
+			_ = res.Body.Close()
+			err = errors.Errorf("answered %s", res.Status)
+		}
+		if time.Now().After(deadline) {
+			return nil, err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+func (p *path) post(t target, body []byte) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, t.base+engine.PathCompletions, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+dev.SmallKey)
+	return p.client.Do(req)
+}
+
+// whole reads one whole answer.
+func (p *path) whole(t target, tokens int) error {
+	res, err := p.open(t, "short", tokens)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(res.Body)
+	if err == nil && !bytes.HasSuffix(raw, []byte("data: [DONE]\n\n")) {
+		err = errors.New("the answer is not whole")
+	}
+	return errors.Wrap(err, "read answer")
+}
+
+// quantile returns the value below which the part q of the sorted times lies.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+// sortedTimes calls f n times, one after the other, and returns how long each took.
+func sortedTimes(n int, f func() error) ([]time.Duration, error) {
+	times := make([]time.Duration, 0, n)
+	for range n {
+		began := time.Now()
+		if err := f(); err != nil {
+			return nil, err
+		}
+		times = append(times, time.Since(began))
+	}
+	slices.Sort(times)
+	return times, nil
+}
--- /dev/null
+++ b/capacity/relay.go
@@ -0,0 +1,103 @@
+package capacity
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/internal/loopback"
+)
+
+const (
+	// headerBytes is the size of the IP and UDP headers of a packet.
+	headerBytes = 28
+	// maxPacketBytes is the largest packet.
+	maxPacketBytes = 64 << 10
+)
+
+// relay passes the packets of one process to one replica and back, and counts them
+// with their headers.
+type relay struct {
+	addr string
+	// bytes and packets count both directions.
+	bytes, packets atomic.Int64
+
+	inside  *net.UDPConn
+	outside *net.UDPConn
+	running sync.WaitGroup
+	client  atomic.Pointer[net.UDPAddr]
+}
+
+// startRelay relays to the replica at addr until stop.
+func startRelay(addr string) (*relay, error) {
+	addrs, err := loopback.Addrs(1)
+	if err != nil {
+		return nil, err
+	}
+	own, err := net.ResolveUDPAddr("udp", addrs[0])
+	if err != nil {
+		return nil, errors.Wrap(err, "resolve relay")
+	}
+	to, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "resolve replica")
+	}
+	r := &relay{addr: addrs[0]}
+	if r.inside, err = net.ListenUDP("udp", own); err != nil {
+		return nil, errors.Wrap(err, "listen for relay")
+	}
+	if r.outside, err = net.DialUDP("udp", nil, to); err != nil {
+		_ = r.inside.Close()
+		return nil, errors.Wrap(err, "connect relay")
+	}
+	r.running.Go(r.forward)
+	r.running.Go(r.back)
+	return r, nil
+}
+
+func (r *relay) stop() {
+	_ = r.inside.Close()
+	_ = r.outside.Close()
+	r.running.Wait()
+}
+
+func (r *relay) count(n int) {
+	r.bytes.Add(int64(n + headerBytes))
+	r.packets.Add(1)
+}
+
+// forward passes the process's packets on until the relay stops.
+func (r *relay) forward() {
+	packet := make([]byte, maxPacketBytes)
+	for {
+		n, from, err := r.inside.ReadFromUDP(packet)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		r.client.Store(from)
+		r.count(n)
+		_, _ = r.outside.Write(packet[:n])
+	}
+}
+
+// back passes the replica's packets back until the relay stops.
+func (r *relay) back() {
+	packet := make([]byte, maxPacketBytes)
+	for {
+		n, err := r.outside.Read(packet)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		client := r.client.Load()
+		if err != nil || client == nil {
+			continue
+		}
+		r.count(n)
+		_, _ = r.inside.WriteToUDP(packet[:n], client)
+	}
+}
--- /dev/null
+++ b/capacity/sessions.go
@@ -0,0 +1,200 @@
+package capacity
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/dev"
+)
+
+const (
+	// settleTime lets the messages of an opening pass before a window begins.
+	settleTime = 1500 * time.Millisecond
+	// watchedEntries is the number of entries beside the sidecars.
+	watchedEntries = 4
+	// loadingSidecars is the number of sidecars beside the entries.
+	loadingSidecars = 25
+	// changesPerSize is the number of changes made at each size.
+	changesPerSize = 10
+)
+
+// sidecarSessions measures the sessions of sidecars and, at a few entries, what the
+// list of endpoints costs.
+func sidecarSessions(dir string, o Options) ([]*Table, error) {
+	sidecars := &Table{
+		Name:   "sidecar sessions",
+		Method: "3 replicas and 4 entries in this process; processor time and memory are those of both ends and all replicas",
+		X:      "sidecars",
+		Columns: []string{
+			"idle sent B/s", "idle received B/s", "idle received msg/s", "idle cpu %", "loaded sent B/s", "loaded packet B/s", "loaded cpu %", "heap KB", "resident KB",
+		},
+	}
+	entries := &Table{
+		Name:    "endpoints at an entry",
+		Method:  "bytes and messages of one entry's session with control; every load changes each second",
+		X:       "endpoints",
+		Columns: []string{"idle received B/s", "loaded received B/s", "loaded received msg/s", "loaded packets/s", "loaded packet B/s"},
+	}
+	g, err := startGroup(dir, 3, dev.Small(dir).Bootstrap)
+	if err != nil {
+		return nil, err
+	}
+	defer g.stop()
+	if err := g.addEntries(watchedEntries); err != nil {
+		return nil, err
+	}
+	for _, n := range o.Members {
+		if err := g.sidecarRow(n, o.Window, sidecars, entries); err != nil {
+			return nil, err
+		}
+	}
+	return []*Table{sidecars, entries}, nil
+}
+
+func (g *group) sidecarRow(n int, span time.Duration, sidecars, entries *Table) error {
+	g.loading.Store(false)
+	if err := g.addSidecars(n); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	heap := heapBytes()
+	resident, err := residentBytes()
+	if err != nil {
+		return err
+	}
+	idle, idleEntries, err := g.watch(span)
+	if err != nil {
+		return err
+	}
+	g.loading.Store(true)
+	time.Sleep(session.DefaultHeartbeat)
+	loaded, loadedEntries, err := g.watch(span)
+	if err != nil {
+		return err
+	}
+	sidecars.add(float64(n),
+		idle.perMember(idle.sent, n), idle.perMember(idle.received, n), idle.perMember(idle.updates, n), idle.cores(),
+		loaded.perMember(loaded.sent, n), loaded.perMember(loaded.packetBytes, 1), loaded.cores(), heap/1024, resident/1024)
+	count := len(g.entries)
+	entries.add(float64(n),
+		idleEntries.perMember(idleEntries.received, count),
+		loadedEntries.perMember(loadedEntries.received, count), loadedEntries.perMember(loadedEntries.updates, count),
+		loadedEntries.perMember(loadedEntries.packets, 1), loadedEntries.perMember(loadedEntries.packetBytes, 1))
+	return nil
+}
+
+// watch observes the sidecars and the entries over the same span.
+func (g *group) watch(span time.Duration) (sidecars, entries window, err error) {
+	before, err := totals(g.entries)
+	if err != nil {
+		return sidecars, entries, err
+	}
+	if sidecars, err = observe(g.sidecars, span); err != nil {
+		return sidecars, entries, err
+	}
+	after, err := totals(g.entries)
+	return sidecars, after.since(before, sidecars.span), err
+}
+
+// entrySessions measures the sessions of entries and the changes to them.
+func entrySessions(dir string, o Options) ([]*Table, error) {
+	sessions := &Table{
+		Name:    "entry sessions",
+		Method:  "3 replicas and 25 sidecars whose loads change each second, in this process; processor time and memory as above",
+		X:       "entries",
+		Columns: []string{"sent B/s", "received B/s", "received msg/s", "cpu %", "heap KB", "resident KB"},
+	}
+	changes := &Table{
+		Name:    "changes of the configuration",
+		Method:  "10 changes one after the other, from the operator's call until the last entry and sidecar has it",
+		X:       "processes",
+		Columns: []string{"B a process", "median ms", "slowest ms"},
+	}
+	g, err := startGroup(dir, 3, dev.Small(dir).Bootstrap)
+	if err != nil {
+		return nil, err
+	}
+	defer g.stop()
+	g.loading.Store(true)
+	if err := g.addSidecars(loadingSidecars); err != nil {
+		return nil, err
+	}
+	for _, n := range o.Members {
+		if err := g.entryRow(n, o.Window, sessions, changes); err != nil {
+			return nil, err
+		}
+	}
+	return []*Table{sessions, changes}, nil
+}
+
+func (g *group) entryRow(n int, span time.Duration, sessions, changes *Table) error {
+	if err := g.addEntries(n); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	heap := heapBytes()
+	resident, err := residentBytes()
+	if err != nil {
+		return err
+	}
+	w, err := observe(g.entries, span)
+	if err != nil {
+		return err
+	}
+	sessions.add(float64(n),
+		w.perMember(w.sent, n), w.perMember(w.received, n), w.perMember(w.updates, n), w.cores(), heap/1024, resident/1024)
+	return g.changeRow(changes)
+}
+
+func (g *group) changeRow(t *Table) error {
+	all := append(slices.Clone(g.entries), g.sidecars...)
+	operator, done, err := g.deployment.Files.OperatorClient()
+	if err != nil {
+		return err
+	}
+	defer done()
+	bytes := -changeBytes(all)
+	var took []time.Duration
+	for i := range changesPerSize {
+		began := time.Now()
+		revision, err := flipZone(operator, i)
+		if err != nil {
+			return err
+		}
+		if err := awaitRevision(all, revision); err != nil {
+			return err
+		}
+		took = append(took, time.Since(began))
+	}
+	bytes += changeBytes(all)
+	slices.Sort(took)
+	t.add(float64(len(all)),
+		float64(bytes)/float64(changesPerSize*len(all)),
+		milliseconds(took[len(took)/2]), milliseconds(took[len(took)-1]))
+	return nil
+}
+
+func changeBytes(members []*member) (sum int64) {
+	for _, m := range members {
+		sum += m.changeBytes.Load()
+	}
+	return sum
+}
+
+// flipZone takes an availability zone out or in and returns the new revision.
+func flipZone(operator *session.Client, i int) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	states := []config.ZoneState{config.Out, config.In}
+	zone := config.Zone{Name: dev.SmallZones[2], Region: "leon-coast", State: states[i%2]}
+	change := command.Change{Expect: command.AnyRevision, Changes: []config.Change{{Zone: &zone}}}
+	var changed command.Changed
+	err := operator.Do(ctx, command.NameChange, session.NewID(), change, &changed)
+	return changed.Revision, err
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/capacity/streams.go
@@ -0,0 +1,168 @@
+package capacity
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// tokensPerRequest is the length of a short answer.
+	tokensPerRequest = 4
+	// openTokens is more than a paced answer sends in a window.
+	openTokens = 1000
+)
+
+// paths measures requests and open streams on each of the three ways.
+func paths(dir string, o Options) ([]*Table, error) {
+	p, err := startPath(dir)
+	if err != nil {
+		return nil, err
+	}
+	defer p.stop()
+	var tables []*Table
+	for _, t := range p.targets {
+		requests, err := p.requestTable(t, o)
+		if err != nil {
+			return nil, err
+		}
+		tables = append(tables, requests)
+	}
+	for _, t := range p.targets {
+		streams, err := p.streamTable(t, o)
+		if err != nil {
+			return nil, err
+		}
+		tables = append(tables, streams)
+	}
+	return tables, nil
+}
+
+// requestTable measures short answers of one caller, one after the other.
+func (p *path) requestTable(t target, o Options) (*Table, error) {
+	table := &Table{
+		Name:    "requests: " + t.name,
+		Method:  "one caller, one after the other, 4 tokens each; processor time and allocations of all parts in this process, caller and engine included",
+		X:       "requests",
+		Columns: []string{"cpu ms", "allocated KB", "p50 ms", "p99 ms"},
+	}
+	for _, n := range o.Requests {
+		allocated := allocatedBytes()
+		processor, err := processorTime()
+		if err != nil {
+			return nil, err
+		}
+		times, err := sortedTimes(n, func() error { return p.whole(t, tokensPerRequest) })
+		if err != nil {
+			return nil, err
+		}
+		after, err := processorTime()
+		if err != nil {
+			return nil, err
+		}
+		table.add(float64(n), milliseconds(after-processor), (allocatedBytes()-allocated)/1024,
+			milliseconds(quantile(times, 0.5)), milliseconds(quantile(times, 0.99)))
+	}
+	return table, nil
+}
+
+// streamTable measures open answers of 10 tokens a second each.
+func (p *path) streamTable(t target, o Options) (*Table, error) {
+	table := &Table{
+		Name:    "open streams: " + t.name,
+		Method:  "10 tokens a second on each; processor time and memory of all parts in this process, caller and engine included",
+		X:       "streams",
+		Columns: []string{"messages/s", "cpu %", "heap KB", "resident KB"},
+	}
+	s := &streams{path: p, target: t}
+	defer s.close()
+	for _, n := range o.Streams {
+		if err := s.grow(n); err != nil {
+			return nil, err
+		}
+		time.Sleep(settleTime / 3)
+		heap := heapBytes()
+		resident, err := residentBytes()
+		if err != nil {
+			return nil, err
+		}
+		read := s.read.Load()
+		w, err := observe(nil, o.Window)
+		if err != nil {
+			return nil, err
+		}
+		rate := float64(s.read.Load()-read) / w.span.Seconds()
+		table.add(float64(n), rate, w.cores(), heap/1024, resident/1024)
+	}
+	return table, nil
+}
+
+// streams are open answers that are read as they come.
+type streams struct {
+	path    *path
+	target  target
+	open    int
+	read    atomic.Int64
+	reading sync.WaitGroup
+}
+
+// openers is the number of streams that are opened at once.
+const openers = 16
+
+// grow opens streams until there are n.
+func (s *streams) grow(n int) error {
+	missing := make(chan struct{}, n)
+	for ; s.open < n; s.open++ {
+		missing <- struct{}{}
+	}
+	close(missing)
+	failed := make(chan error, openers)
+	for range openers {
+		go func() {
+			for range missing {
+				if err := s.start(); err != nil {
+					failed <- err
+					return
+				}
+			}
+			failed <- nil
+		}()
+	}
+	var err error
+	for range openers {
+		if e := <-failed; e != nil {
+			err = e
+		}
+	}
+	return err
+}
+
+func (s *streams) start() error {
+	res, err := s.path.open(s.target, pacedPrompt, openTokens)
+	if err != nil {
+		return err
+	}
+	s.reading.Go(func() { s.drain(res) })
+	return nil
+}
+
+// drain counts what comes until the answer ends.
+func (s *streams) drain(res *http.Response) {
+	defer func() { _ = res.Body.Close() }()
+	part := make([]byte, 1024)
+	for {
+		n, err := res.Body.Read(part)
+		if n > 0 {
+			s.read.Add(1)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (s *streams) close() {
+	s.path.engine.release()
+	s.reading.Wait()
+}
--- /dev/null
+++ b/capacity/window.go
@@ -0,0 +1,62 @@
+package capacity
+
+import "time"
+
+// window is what a group spent over a span of time.
+type window struct {
+	span      time.Duration
+	processor time.Duration
+	// sent and received are the bytes, and updates the messages received, of all
+	// members that were asked for.
+	sent, received, updates int64
+	// packets and packetBytes count both directions of the member with a relay.
+	packets, packetBytes int64
+}
+
+// observe watches the members for span.
+func observe(members []*member, span time.Duration) (window, error) {
+	before, err := totals(members)
+	if err != nil {
+		return window{}, err
+	}
+	began := time.Now()
+	time.Sleep(span)
+	after, err := totals(members)
+	return after.since(before, time.Since(began)), err
+}
+
+// since returns what was spent after the earlier totals, over span.
+func (w window) since(before window, span time.Duration) window {
+	return window{
+		span:        span,
+		processor:   w.processor - before.processor,
+		sent:        w.sent - before.sent,
+		received:    w.received - before.received,
+		updates:     w.updates - before.updates,
+		packets:     w.packets - before.packets,
+		packetBytes: w.packetBytes - before.packetBytes,
+	}
+}
+
+func totals(members []*member) (window, error) {
+	processor, err := processorTime()
+	w := window{processor: processor}
+	for _, m := range members {
+		w.sent += m.traffic.Sent.Load()
+		w.received += m.traffic.Received.Load()
+		w.updates += m.updates.Load()
+		if m.relay != nil {
+			w.packets += m.relay.packets.Load()
+			w.packetBytes += m.relay.bytes.Load()
+		}
+	}
+	return w, err
+}
+
+// perMember returns a total as a rate a second and member.
+func (w window) perMember(total int64, members int) float64 {
+	return float64(total) / w.span.Seconds() / float64(members)
+}
+
+// cores returns the processor time as a part of one core, in percent.
+func (w window) cores() float64 { return 100 * w.processor.Seconds() / w.span.Seconds() }
