--- a/capacity/choice.go
+++ b/capacity/choice.go
@@ -55,11 +55,12 @@
 	heap := heapBytes() - before
 	view := table.View(dev.SmallModel)
 	allocated, began := allocatedBytes(), time.Now()
+	req := &route.Request{}
 	for i := range choicesPerSize {
-		req := route.Request{
+		*req = route.Request{
 			Target: dev.SmallModel, Class: route.Short, PromptTokens: promptTokens, Zone: "zone-2", Prefix: uint64(i % 5000),
 		}
-		if _, err := chooser.Choose(now, &req, view); err != nil {
+		if _, err := chooser.Choose(now, req, view); err != nil {
 			return err
 		}
 	}
--- a/capacity/engine.go
+++ b/capacity/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -71,7 +72,11 @@
 // complete streams as many tokens as were asked for.
 func (e *plainEngine) complete(w http.ResponseWriter, r *http.Request) {
 	var c engine.Completion
-	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(body, &c)
+	}
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/capacity/path.go
+++ b/capacity/path.go
@@ -23,6 +23,8 @@
 	// retryPause is the wait after a refusal; an endpoint that has just started
 	// takes little work at first.
 	retryPause = 20 * time.Millisecond
+	// answerDeadline leaves time for a paced answer, however slow the engine seems.
+	answerDeadline = 10 * time.Minute
 	// maxConns bounds the connections that a caller keeps.
 	maxConns = 2000
 )
@@ -67,6 +69,9 @@
 	}
 	plan := dev.Small(dir)
 	plan.Replicas, plan.Entries = 1, 1
+	scribe := plan.Bootstrap.Routes[dev.SmallRoute]
+	scribe.Deadline = answerDeadline
+	plan.Bootstrap.Routes[dev.SmallRoute] = scribe
 	plan.Endpoints = []dev.Endpoint{{
 		Name: "scribe-1", Zone: plan.Zones[0], Target: dev.SmallModel, URL: direct.String(),
 		Sidecar: map[string]any{"linger": "1s"}, Engine: map[string]any{},
@@ -135,8 +140,7 @@
 			return res, nil
 		}
 		if err == nil {
-			_ = res.Body.Close()
-			err = errors.Errorf("answered %s", res.Status)
+			err = refusal(res)
 		}
 		if time.Now().After(deadline) {
 			return nil, err
@@ -145,6 +149,16 @@
 	}
 }
 
+// refusal returns an answer that is no success as an error.
+func refusal(res *http.Response) error {
+	defer func() { _ = res.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(res.Body, 1024))
+	if err != nil {
+		return errors.Wrap(err, "read refusal")
+	}
+	return errors.Errorf("answered %s: %s", res.Status, raw)
+}
+
 func (p *path) post(t target, body []byte) (*http.Response, error) {
 	req, err := http.NewRequest(http.MethodPost, t.base+engine.PathCompletions, bytes.NewReader(body))
 	if err != nil {
--- a/capacity/run.go
+++ b/capacity/run.go
@@ -24,7 +24,8 @@
 	Streams []int
 	// Requests are numbers of short requests, one after the other.
 	Requests []int
-	// Window is the time for which bytes and processor time are counted.
+	// Window is the time for which bytes and processor time are counted; with
+	// changing loads it is twice as long.
 	Window time.Duration
 }
 
@@ -38,7 +39,7 @@
 		Callers:   []int{1, 4, 16, 64},
 		Streams:   []int{100, 200, 400, 800},
 		Requests:  []int{100, 200, 400, 800},
-		Window:    3 * time.Second,
+		Window:    2 * time.Second,
 	}
 }
 
--- a/capacity/sessions.go
+++ b/capacity/sessions.go
@@ -13,7 +13,7 @@
 
 const (
 	// settleTime lets the messages of an opening pass before a window begins.
-	settleTime = 1500 * time.Millisecond
+	settleTime = time.Second
 	// watchedEntries is the number of entries beside the sidecars.
 	watchedEntries = 4
 	// loadingSidecars is the number of sidecars beside the entries.
@@ -72,7 +72,7 @@
 	}
 	g.loading.Store(true)
 	time.Sleep(session.DefaultHeartbeat)
-	loaded, loadedEntries, err := g.watch(span)
+	loaded, loadedEntries, err := g.watch(2 * span)
 	if err != nil {
 		return err
 	}
@@ -110,7 +110,7 @@
 	}
 	changes := &Table{
 		Name:    "changes of the configuration",
-		Method:  "10 changes one after the other, from the operator's call until the last entry and sidecar has it",
+		Method:  "10 changes of a client account one after the other, from the operator's call until the last entry and sidecar has it",
 		X:       "processes",
 		Columns: []string{"B a process", "median ms", "slowest ms"},
 	}
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	w, err := observe(g.entries, span)
+	w, err := observe(g.entries, 2*span)
 	if err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 	var took []time.Duration
 	for i := range changesPerSize {
 		began := time.Now()
-		revision, err := flipZone(operator, i)
+		revision, err := changeLimit(operator, 10+i)
 		if err != nil {
 			return err
 		}
@@ -185,13 +185,14 @@
 	return sum
 }
 
-// flipZone takes an availability zone out or in and returns the new revision.
-func flipZone(operator *session.Client, i int) (uint64, error) {
+// changeLimit changes a limit of a client account and returns the new revision.
+func changeLimit(operator *session.Client, concurrent int) (uint64, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
-	states := []config.ZoneState{config.Out, config.In}
-	zone := config.Zone{Name: dev.SmallZones[2], Region: "leon-coast", State: states[i%2]}
-	change := command.Change{Expect: command.AnyRevision, Changes: []config.Change{{Zone: &zone}}}
+	account := config.Account{
+		Name: dev.SmallAccount, KeyHashes: []string{dev.HashKey(dev.SmallKey)}, Limits: config.Limits{Concurrent: concurrent},
+	}
+	change := command.Change{Expect: command.AnyRevision, Changes: []config.Change{{Account: &account}}}
 	var changed command.Changed
 	err := operator.Do(ctx, command.NameChange, session.NewID(), change, &changed)
 	return changed.Revision, err
--- a/capacity/streams.go
+++ b/capacity/streams.go
@@ -1,17 +1,20 @@
 package capacity
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
 	// tokensPerRequest is the length of a short answer.
 	tokensPerRequest = 4
 	// openTokens is more than a paced answer sends in a window.
-	openTokens = 1000
+	openTokens = 400
 )
 
 // paths measures requests and open streams on each of the three ways.
@@ -45,7 +48,7 @@
 		Name:    "requests: " + t.name,
 		Method:  "one caller, one after the other, 4 tokens each; processor time and allocations of all parts in this process, caller and engine included",
 		X:       "requests",
-		Columns: []string{"cpu ms", "allocated KB", "p50 ms", "p99 ms"},
+		Columns: []string{"cpu ms", "allocated KB", "p50 ms", "p99 ms", "broken"},
 	}
 	for _, n := range o.Requests {
 		allocated := allocatedBytes()
@@ -53,7 +56,15 @@
 		if err != nil {
 			return nil, err
 		}
-		times, err := sortedTimes(n, func() error { return p.whole(t, tokensPerRequest) })
+		broken := 0
+		times, err := sortedTimes(n, func() error {
+			err := p.whole(t, tokensPerRequest)
+			if errors.Is(err, io.ErrUnexpectedEOF) {
+				broken++
+				return nil
+			}
+			return err
+		})
 		if err != nil {
 			return nil, err
 		}
@@ -62,7 +73,7 @@
 			return nil, err
 		}
 		table.add(float64(n), milliseconds(after-processor), (allocatedBytes()-allocated)/1024,
-			milliseconds(quantile(times, 0.5)), milliseconds(quantile(times, 0.99)))
+			milliseconds(quantile(times, 0.5)), milliseconds(quantile(times, 0.99)), float64(broken))
 	}
 	return table, nil
 }
