--- a/capacity/claims.go
+++ b/capacity/claims.go
@@ -89,7 +89,8 @@
 func (g *group) claimUntil(ctx context.Context, prefix string, deadline time.Time) (times []time.Duration, refused int64, err error) {
 	for n := 0; time.Now().Before(deadline); n++ {
 		began := time.Now()
-		key := fmt.Sprint(prefix, "-", n)
+		// Keys that carry no time are kept for good and so are bounded in number.
+		key := fmt.Sprintf("%d-%s-%d", began.UnixMilli(), prefix, n)
 		var claimed command.Claimed
 		err := g.entries[0].client.Do(ctx, command.NameClaim, key, command.Claim{
 			Account: dev.SmallAccount, Key: key, Endpoint: claimedEndpoint, Incarnation: 1,
