--- a/capacity/accounts.go
+++ b/capacity/accounts.go
@@ -26,7 +26,7 @@
 	for i := range n {
 		name := fmt.Sprintf("parish-%04d", i)
 		doc.Accounts[name] = config.Account{
-			Name: name, KeyHashes: []string{dev.HashKey(name)},
+			Name: name, KeyHashes: []string{config.HashKey(name)},
 			Limits: config.Limits{RequestsPerSecond: 50, TokensPerSecond: 100_000, Concurrent: 20, HeldBytes: 64 << 20},
 		}
 	}
--- a/capacity/sessions.go
+++ b/capacity/sessions.go
@@ -190,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	account := config.Account{
-		Name: dev.SmallAccount, KeyHashes: []string{dev.HashKey(dev.SmallKey)}, Limits: config.Limits{Concurrent: concurrent},
+		Name: dev.SmallAccount, KeyHashes: []string{config.HashKey(dev.SmallKey)}, Limits: config.Limits{Concurrent: concurrent},
 	}
 	change := command.Change{Expect: command.AnyRevision, Changes: []config.Change{{Account: &account}}}
 	var changed command.Changed
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -95,6 +95,9 @@
 	if quarantine.Status(answer.Status) == quarantine.Convicted {
 		return nil, nil
 	}
+	if answer.RetryAfter > c.deadline.Sub(e.clock.Now()) {
+		return nil, verdict.Refuse(verdict.ReasonQuarantined, answer.RetryAfter, "this request was in flight whenever endpoints fell and waits for more to be known")
+	}
 	select {
 	case <-ctx.Done():
 	case <-e.clock.After(min(answer.RetryAfter, permitRetry)):
@@ -122,7 +125,9 @@
 	for c.alone && verdict.IsReason(err, verdict.ReasonEndpointBusy) && e.pause(ctx, aloneEvery) {
 		err = e.attempt(ctx, c, e.fleet.again(c, t), a)
 	}
-	if !lostEndpoint(err) {
+	// A run whose end is not certain may still bring the endpoint down; its permit
+	// lapses by itself.
+	if err == nil || verdict.From(err).Verdict == verdict.NotRun {
 		e.returnPermit(c, p, err == nil)
 	}
 	return true, err
--- a/replica/driver.go
+++ b/replica/driver.go
@@ -113,6 +113,7 @@
 // view is what other goroutines see.
 type view struct {
 	status  Status
+	last    uint64
 	members []MemberStatus
 }
 
@@ -299,6 +300,10 @@
 // Status implements Node.
 func (r *Replica) Status() Status { return r.view.Load().status }
 
+// LastIndex returns the index of the last entry in the log, which may still be
+// undecided.
+func (r *Replica) LastIndex() uint64 { return r.view.Load().last }
+
 // Members returns the members in the latest membership known here.
 func (r *Replica) Members() []MemberStatus { return r.view.Load().members }
 
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -299,7 +299,7 @@
 func (r *Replica) publish() {
 	c := r.core
 	applied := c.membershipAt(c.log.applied)
-	v := &view{status: Status{
+	v := &view{last: c.log.last(), status: Status{
 		ID:       c.id,
 		Term:     c.term,
 		Leader:   c.leader,
