Bound the age that an endpoint's load is charged for

An endpoint whose load does not change is not reported again, and the choice charged the age of its load without a bound: 52 s predicted for an idle worker. Ruled out by the log: queue, held bytes and the sidecar. The age now counts for 2 s at most, and not for services. TestUnchangedLoadDoesNotGrowOld fails without the bound.

--- a/route/predicted.go
+++ b/route/predicted.go
@@ -31,6 +31,9 @@
 	// exposure is the work in seconds that other entries are expected to send to an
 	// endpoint in a second. The report does not hold it yet.
 	exposure = 0.7
+	// oldestExposed bounds the age that is charged for: an endpoint whose load does
+	// not change is not reported again, however long that lasts.
+	oldestExposed = 2 * time.Second
 	// tolerated is by how much the wait at an endpoint may be over its prediction
 	// before the sidecar turns the prompt away, in prefill time.
 	tolerated = 150 * time.Millisecond
--- a/route/predicted_test.go
+++ b/route/predicted_test.go
@@ -358,3 +358,22 @@
 	is.Equal(len(h.slots), 64)
 	is.True(h.find(10_000) != nil)
 }
+
+// TestUnchangedLoadDoesNotGrowOld: nothing is reported of idle endpoints for an
+// hour, because nothing changes. The prediction may not grow with that.
+func TestUnchangedLoadDoesNotGrowOld(t *testing.T) {
+	zones := []string{"x", "y", "z"}
+	for _, service := range []bool{false, true} {
+		is := is.New(t)
+		table := NewTable()
+		for _, zone := range zones {
+			e := announce("in-"+zone, zone)
+			e.Service = service
+			table.Upsert(start, e)
+		}
+		for _, zone := range zones {
+			_, choice := choose(t, NewPredicted(1), table, after(3600), &Request{PromptTokens: 1, Zone: zone})
+			is.True(choice.Predicted <= oldestExposed)
+		}
+	}
+}
--- a/route/search.go
+++ b/route/search.go
@@ -178,8 +178,8 @@
 	work := ahead + float64(s.req.PromptTokens)
 	cost := work / e.prefillRate() * float64(time.Second)
 	cost += float64(e.requests()) * float64(runningCost)
-	if e.Rank < s.exposed {
-		cost += exposure * float64(max(s.now.Sub(e.LoadAt), 0))
+	if e.Rank < s.exposed && !e.Service {
+		cost += exposure * float64(min(max(s.now.Sub(e.LoadAt), 0), oldestExposed))
 	}
 	if e.Zone != s.req.Zone {
 		cost += float64(s.policy.Spill)
