Keep the request's body open while the answer comes, and renew by polls only without a leader

TestAnEngineMayAnswerBeforeItHasTheWholeBody fails before and passes after. Cause of TestSecondSidecarTakesTheFirstOnesPlace failing since a replica tells its last index: a replaced sidecar renewed its permission by polls.

--- a/control/session/client.go
+++ b/control/session/client.go
@@ -129,6 +129,14 @@
 // Fresh reports whether the process may send and take new work.
 func (c *Client) Fresh() bool { return c.Permission().Left > 0 }
 
+// Renewed reports whether control itself renewed the permission, so that no newer
+// process has taken this one's place.
+func (c *Client) Renewed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.permission.Renewed(c.options.Clock.Now())
+}
+
 // MayServe reports whether the process may take idempotent work.
 func (c *Client) MayServe() bool {
 	return c.Fresh() || (c.options.ServeStale && c.view.Revision() > 0)
--- a/control/session/poll.go
+++ b/control/session/poll.go
@@ -88,12 +88,17 @@
 
 // proves reports whether the process was current when the poll began. When all
 // replicas of the settings have stopped there is nobody left to accept an order.
+// While there is a leader, only control itself renews permissions: it may have
+// stopped to renew this one, because a newer process took this one's place.
 func (r *pollRound) proves(ours uint64, replicas int) bool {
 	if len(r.stopped) == replicas {
 		return true
 	}
 	var poll lease.Poll
 	for _, s := range r.standings {
+		if s.Leader != 0 {
+			return false
+		}
 		poll.Add(lease.Standing{Replica: s.ID, Voters: s.Voters, Revision: s.Revision, Settled: s.Settled})
 		for i, addr := range s.Addrs {
 			if slices.Contains(r.stopped, addr) {
--- a/control/session/session_test.go
+++ b/control/session/session_test.go
@@ -270,6 +270,11 @@
 	}
 }
 
+func leads(s command.ReplicaStanding) command.ReplicaStanding {
+	s.Leader = 1
+	return s
+}
+
 func TestStoppedReplicasProveOnlyToAPermissionThatHasNotLapsed(t *testing.T) {
 	addrs := []string{"a", "b", "c"}
 	living := func(revision uint64) command.ReplicaStanding {
@@ -287,6 +292,7 @@
 		"two cut off":                 {true, []command.ReplicaStanding{living(2)}, nil, false},
 		"one stopped and two cut off": {true, nil, []string{"b"}, false},
 		"the living one knows more":   {true, []command.ReplicaStanding{living(3)}, []string{"b", "c"}, false},
+		"there is a leader":           {true, []command.ReplicaStanding{leads(living(2))}, []string{"b", "c"}, false},
 		"the permission has lapsed":   {false, []command.ReplicaStanding{living(2)}, []string{"b", "c"}, false},
 		"all stopped, lapsed":         {false, nil, addrs, false},
 	}
--- a/lease/permission.go
+++ b/lease/permission.go
@@ -21,6 +21,8 @@
 	margin time.Duration
 	sent   []heartbeat
 	until  time.Time
+	// renewed is until when control itself renewed the permission.
+	renewed time.Time
 }
 
 type heartbeat struct {
@@ -51,6 +53,7 @@
 			continue
 		}
 		p.extend(h.at.Add(p.span - p.margin))
+		p.renewed = h.at.Add(p.span - p.margin)
 		p.sent = append(p.sent[:0], p.sent[i+1:]...)
 		return
 	}
@@ -69,6 +72,10 @@
 	return max(0, p.until.Sub(now))
 }
 
+// Renewed reports whether control itself renewed the permission. That proves also
+// that no newer process has taken this one's place, which peers and polls do not.
+func (p *Permission) Renewed(now time.Time) bool { return now.Before(p.renewed) }
+
 // Fresh reports whether the permission holds at now.
 func (p *Permission) Fresh(now time.Time) bool { return now.Before(p.until) }
 
--- a/sidecar/connect.go
+++ b/sidecar/connect.go
@@ -28,6 +28,9 @@
 // Permission returns the proof that Config is current.
 func (c *coordinator) Permission(time.Time) wire.Permission { return c.client.Permission() }
 
+// Renewed reports whether control itself renewed the permission.
+func (c *coordinator) Renewed() bool { return c.client.Renewed() }
+
 // Offer returns the permission as a statement to an entry.
 func (c *coordinator) Offer(peer string) wire.Permission { return c.client.Offer(peer) }
 
--- a/sidecar/contract_test.go
+++ b/sidecar/contract_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -40,19 +41,41 @@
 func (f *fakeControl) Config() *config.Document                           { return f.doc }
 func (f *fakeControl) Permission(time.Time) wire.Permission               { return f.permission }
 func (f *fakeControl) Offer(string) wire.Permission                       { return f.permission }
+func (f *fakeControl) Renewed() bool                                      { return f.permission.Left > 0 }
 func (f *fakeControl) Learn(string, wire.Permission)                      {}
 func (f *fakeControl) Announce(wire.Endpoint)                             {}
 func (f *fakeControl) Do(context.Context, string, string, any, any) error { return nil }
 
 // fakeStream is an entry that sends the given messages and keeps what it gets.
 type fakeStream struct {
-	ctx  context.Context
-	in   chan wire.Message
+	ctx context.Context
+	in  chan wire.Message
+
+	mu   sync.Mutex
 	sent []wire.Message
 }
 
+func (s *fakeStream) Send(m wire.Message) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent = append(s.sent, m)
+	return nil
+}
+
+// sentHeads returns the heads of answers sent so far.
+func (s *fakeStream) sentHeads() []*wire.Head {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var heads []*wire.Head
+	for _, m := range s.sent {
+		if h, ok := m.(*wire.Head); ok {
+			heads = append(heads, h)
+		}
+	}
+	return heads
+}
+
 func (s *fakeStream) Peer() wire.Peer                 { return wire.Peer{Name: "entry-1", Role: wire.RoleEntry} }
-func (s *fakeStream) Send(m wire.Message) error       { s.sent = append(s.sent, m); return nil }
 func (s *fakeStream) SetDeadline(time.Time) error     { return nil }
 func (s *fakeStream) SetSendDeadline(time.Time) error { return nil }
 func (s *fakeStream) CloseSend() error                { return nil }
@@ -173,6 +196,43 @@
 	}
 }
 
+// An engine may answer before it has read the whole body. The rest of the body still
+// has to reach it.
+func TestAnEngineMayAnswerBeforeItHasTheWholeBody(t *testing.T) {
+	is := is.New(t)
+	answered := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex()
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		_ = control.Flush()
+		close(answered)
+		body, err := io.ReadAll(r.Body)
+		if err == nil && len(body) == 4 {
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		}
+	}))
+	defer srv.Close()
+	s := newSidecar(t, srv.URL, false)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	st := &fakeStream{ctx: ctx, in: make(chan wire.Message, 2)}
+	d := dispatch()
+	d.BodyBytes = 4
+	st.in <- &wire.Body{Data: []byte("{ ")}
+	go func() {
+		<-answered
+		for len(st.sentHeads()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		st.in <- &wire.Body{Data: []byte(" }"), Last: true}
+	}()
+	s.run(st, d)
+	_, whole := last(t, st.sent).(*wire.End)
+	is.True(whole)
+}
+
 func TestAnEngineThatTakesNoConnectionHasNotRunTheRequest(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -111,8 +111,11 @@
 func (x *exchange) relay() error {
 	body, feed := io.Pipe()
 	go x.receive(feed)
+	// The body stays open for as long as the answer comes: an endpoint may answer
+	// before it has read the whole body, and net/http breaks the connection of a
+	// body that fails.
+	defer func() { _ = body.CloseWithError(io.ErrClosedPipe) }()
 	res, err := x.s.engine.call(x.ctx, x.d, body)
-	_ = body.CloseWithError(io.ErrClosedPipe)
 	if err != nil {
 		return x.callFailed(err)
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -59,6 +59,9 @@
 	Config() *config.Document
 	// Permission returns the proof that Config is current.
 	Permission(now time.Time) wire.Permission
+	// Renewed reports whether control itself renewed the permission, so that no
+	// newer sidecar has taken this one's place.
+	Renewed() bool
 	// Offer returns the permission as a statement to the entry called peer, and
 	// Learn takes in such a statement of the entry.
 	Offer(peer string) wire.Permission
