--- a/capacity/accounts.go
+++ b/capacity/accounts.go
@@ -68,6 +68,9 @@
 		return err
 	}
 	took := time.Since(began)
+	if err := g.entries[1].awaitSnapshot(); err != nil {
+		return err
+	}
 	runtime.KeepAlive(doc)
 	t.add(float64(n), float64(g.entries[1].snapshotBytes.Load()), milliseconds(took), heap/1024)
 	return nil
@@ -108,7 +111,7 @@
 	defer requests.Wait()
 	defer close(stop)
 	time.Sleep(settleTime)
-	return observe(g.entries, span)
+	return observe(g.entries, 2*span)
 }
 
 // request lets requests of n accounts through until stop is closed.
--- a/capacity/group.go
+++ b/capacity/group.go
@@ -213,3 +213,16 @@
 	}
 	return nil
 }
+
+// awaitSnapshot waits until the size of the whole configuration is known, which is
+// a moment after the member has it.
+func (m *member) awaitSnapshot() error {
+	deadline := time.Now().Add(settleTimeout)
+	for m.snapshotBytes.Load() == 0 {
+		if time.Now().After(deadline) {
+			return errors.New("no configuration was received")
+		}
+		time.Sleep(settlePause)
+	}
+	return nil
+}
--- a/capacity/run.go
+++ b/capacity/run.go
@@ -25,8 +25,8 @@
 	Streams []int
 	// Requests are numbers of short requests, one after the other.
 	Requests []int
-	// Window is the time for which bytes and processor time are counted; with
-	// changing loads it is twice as long.
+	// Window is the time for which bytes and processor time are counted; where
+	// messages are few and large it is twice as long.
 	Window time.Duration
 }
 
