--- a/dev/dev.go
+++ b/dev/dev.go
@@ -63,6 +63,8 @@
 	Control map[string]any
 	// LogLevel is the level of every process.
 	LogLevel string
+	// Metrics gives every process an operator address.
+	Metrics bool
 	// EntryAddrs are the entries' addresses; empty takes free ones.
 	EntryAddrs []string
 }
@@ -75,6 +77,8 @@
 	Control []string
 	// Operator is the identity of rosemaryctl.
 	Operator *settings.TLS
+	// Metrics are the operator addresses by process, where the plan asks for them.
+	Metrics map[string]string
 	// Stands are the base URLs of the stand-ins by endpoint.
 	Stands map[string]string
 }
@@ -82,7 +86,7 @@
 // Settings makes keys and the settings of every process of the plan. A stand-in
 // is a process of its own, called like its endpoint with "-standin".
 func (p *Plan) Settings() (*Files, error) {
-	f := &Files{Settings: map[string]*settings.File{}, Stands: map[string]string{}}
+	f := &Files{Settings: map[string]*settings.File{}, Stands: map[string]string{}, Metrics: map[string]string{}}
 	keys := filepath.Join(p.Dir, "keys")
 	authority, err := openAuthority(keys)
 	if err != nil {
@@ -172,6 +176,15 @@
 		}
 	}
 	b.files.Settings[name] = f
+	if !b.plan.Metrics {
+		return nil
+	}
+	addr, err := loopback.Addrs(1)
+	if err != nil {
+		return err
+	}
+	f.Operator = settings.Addr(addr[0])
+	b.files.Metrics[name] = addr[0]
 	return nil
 }
 
--- /dev/null
+++ b/e2e/freeze_test.go
@@ -0,0 +1,82 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/dev"
+)
+
+// metric reads one metric of a process from its operator address.
+func (s *system) metric(name, metric string) float64 {
+	s.t.Helper()
+	res, err := http.Get("http://" + s.files.Metrics[name] + "/metrics")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	for lines := bufio.NewScanner(res.Body); lines.Scan(); {
+		key, value, ok := strings.Cut(lines.Text(), " ")
+		if ok && key == metric {
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			return v
+		}
+	}
+	return 0
+}
+
+// freeze stops a process without ending it, and thaw lets it go on.
+func (s *system) freeze(name string) { _ = s.procs[name].Process.Signal(syscall.SIGSTOP) }
+func (s *system) thaw(name string)   { _ = s.procs[name].Process.Signal(syscall.SIGCONT) }
+
+// order changes a zone as an operator.
+func (s *system) order(zone string, state config.ZoneState) error {
+	client, done, err := s.files.OperatorClient()
+	if err != nil {
+		return err
+	}
+	defer done()
+	return client.Do(context.Background(), command.NameChange, session.NewID(), command.Change{
+		Expect:  command.AnyRevision,
+		Changes: []config.Change{{Zone: &config.Zone{Name: zone, Region: "leon-coast", State: state}}},
+	}, nil)
+}
+
+// A sidecar and a replica are frozen while their zone is taken out, and thaw after
+// that. The sidecar has to notice by itself that it may not go by what it knew.
+func TestFrozenProcessesThawIntoAZoneThatIsOut(t *testing.T) {
+	is := is.New(t)
+	p := dev.Small("")
+	p.Metrics = true
+	s := newSystem(t, p)
+	for _, entry := range s.files.Entries {
+		s.until("entry serves", func() bool { return prompt(entry, "hello", false).whole(false) })
+	}
+	c := s.startCallers(6)
+	c.more(30)
+	s.until("the endpoint has work", func() bool { return s.metric("scribe-1", "sidecar_granted_total") > 0 })
+	s.freeze("scribe-1")
+	s.freeze("control-1")
+	is.NoErr(s.order(dev.SmallZones[0], config.Out))
+	s.thaw("control-1")
+	s.thaw("scribe-1")
+	before := s.metric("scribe-1", "sidecar_granted_total")
+	c.more(60)
+	is.Equal(s.metric("scribe-1", "sidecar_granted_total"), before)
+	is.NoErr(s.order(dev.SmallZones[0], config.In))
+	s.until("the endpoint has work again", func() bool { return s.metric("scribe-1", "sidecar_granted_total") > before })
+	c.end()
+}
