--- a/control/session/client.go
+++ b/control/session/client.go
@@ -126,6 +126,9 @@
 // View is the process's configuration.
 func (c *Client) View() *config.View { return c.view }
 
+// Config returns the newest configuration known.
+func (c *Client) Config() *config.Document { return c.view.Load() }
+
 // Fresh reports whether the process may send and take new work.
 func (c *Client) Fresh() bool { return c.Permission().Left > 0 }
 
--- a/dev/show.go
+++ b/dev/show.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"text/tabwriter"
 
-	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/operator"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
@@ -19,17 +18,14 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	pool, err := wire.NewPool(id, wire.PoolOptions{}, &wire.Traffic{})
-	if err != nil {
-		return nil, nil, err
-	}
+	dialer := session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
 	c, err := session.New(session.Options{
 		Node:     settings.Node{Name: "operator"},
 		Role:     wire.RoleOperator,
 		Replicas: f.Control,
-		Opener:   pool,
+		Opener:   dialer,
 	})
-	return c, pool.Close, err
+	return c, dialer.Close, err
 }
 
 // showWhatRuns writes what "rosemaryctl show endpoints" shows.
@@ -39,14 +35,13 @@
 		return err
 	}
 	defer done()
-	var view command.View
-	if err := client.Do(ctx, command.NameView, session.NewID(), nil, &view); err != nil {
+	const statement = "show endpoints"
+	result, err := operator.NewSession(client, kernel.SystemClock{}).Execute(ctx, statement)
+	if err != nil {
 		return err
 	}
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "\nENDPOINT\tZONE\tTARGET\tADDRESS\tFREE TOKENS")
-	for _, e := range view.Endpoints {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\n", e.Name, e.Zone, e.Target, e.Addr, e.Load.FreeTokens)
+	if _, err := io.WriteString(w, "\n$ rosemaryctl "+statement+"\n"); err != nil {
+		return err
 	}
-	return t.Flush()
+	return operator.Write(w, result, false)
 }
--- a/entry/contract_test.go
+++ b/entry/contract_test.go
@@ -28,10 +28,10 @@
 // fakeControl is a Coordinator with fixed answers and without a quorum.
 type fakeControl struct{ doc *config.Document }
 
-func (f *fakeControl) Config() *config.Document      { return f.doc }
-func (f *fakeControl) Offer(string) wire.Permission  { return wire.Permission{} }
-func (f *fakeControl) Learn(string, wire.Permission) {}
-func (f *fakeControl) Demand()                       {}
+func (f *fakeControl) Config() *config.Document           { return f.doc }
+func (f *fakeControl) Offer(string) wire.Permission       { return wire.Permission{} }
+func (f *fakeControl) Learn(string, wire.Permission) bool { return false }
+func (f *fakeControl) Announce()                          {}
 func (f *fakeControl) Do(context.Context, string, string, any, any) error {
 	return verdict.Refuse(verdict.ReasonNoQuorum, time.Second, "no quorum")
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,11 +68,11 @@
 	// Offer returns the proof that Config is current as a statement to the sidecar
 	// called peer, and Learn takes in such a statement of the sidecar.
 	Offer(peer string) wire.Permission
-	Learn(peer string, p wire.Permission)
+	Learn(peer string, p wire.Permission) bool
 	// Claim asks for the right to run a call once. Its error says NotRun.
 	Claim(ctx context.Context, id string, claim command.Claim) (command.Claimed, error)
-	// Demand asks control at once for the shares of limits that are wanted.
-	Demand()
+	// Announce sends a heartbeat at once, with the demand for shares of limits.
+	Announce()
 	// Do sends a command to control's leader and decodes the answer into out.
 	Do(ctx context.Context, name, id string, body, out any) error
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -136,7 +136,7 @@
 	if now.UnixNano()-last < int64(demandEvery) || !e.asked.CompareAndSwap(last, now.UnixNano()) {
 		return
 	}
-	e.control.Demand()
+	e.control.Announce()
 }
 
 // unlimit ends the booking, with the tokens that the request really took.
--- a/settings/types.go
+++ b/settings/types.go
@@ -61,6 +61,15 @@
 	return Addr(s), nil
 }
 
+// Addrs returns the addresses as strings.
+func Addrs(in []Addr) []string {
+	out := make([]string, len(in))
+	for i, a := range in {
+		out[i] = string(a)
+	}
+	return out
+}
+
 // Node says who a process is and where it stands.
 type Node struct {
 	// Name is unique among the processes of a deployment.
--- a/sidecar/connect.go
+++ b/sidecar/connect.go
@@ -3,18 +3,17 @@
 import (
 	"context"
 	"sync"
-	"time"
 
-	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
-// coordinator is the Coordinator over a session with control.
+// coordinator is the Coordinator over a session with control. It keeps what the
+// next heartbeat announces.
 type coordinator struct {
-	client *session.Client
+	*session.Client
 
 	mu        sync.Mutex
 	announced wire.Endpoint
@@ -22,21 +21,6 @@
 
 var _ Coordinator = (*coordinator)(nil)
 
-// Config returns the newest configuration known.
-func (c *coordinator) Config() *config.Document { return c.client.View().Load() }
-
-// Permission returns the proof that Config is current.
-func (c *coordinator) Permission(time.Time) wire.Permission { return c.client.Permission() }
-
-// Renewed reports whether control itself renewed the permission.
-func (c *coordinator) Renewed() bool { return c.client.Renewed() }
-
-// Offer returns the permission as a statement to an entry.
-func (c *coordinator) Offer(peer string) wire.Permission { return c.client.Offer(peer) }
-
-// Learn takes in the statement of an entry.
-func (c *coordinator) Learn(peer string, p wire.Permission) { c.client.Learn(peer, p) }
-
 // Announce replaces what control knows about the endpoint. Control hears of it
 // with the next heartbeat, at once when the endpoint leaves or starts anew.
 func (c *coordinator) Announce(e wire.Endpoint) {
@@ -45,7 +29,7 @@
 	c.announced = e
 	c.mu.Unlock()
 	if urgent {
-		c.client.Announce()
+		c.Client.Announce()
 	}
 }
 
@@ -56,20 +40,15 @@
 	return &e
 }
 
-// Do sends a command to control's leader.
-func (c *coordinator) Do(ctx context.Context, name, id string, body, out any) error {
-	return c.client.Do(ctx, name, id, body, out)
-}
-
 // connect prepares the session with control.
 func (s *Sidecar) connect(h *kernel.Host) error {
 	dialer := session.NewDialer(s.id, wire.PoolOptions{}, s.traffic)
 	c := &coordinator{announced: s.announcement()}
 	var err error
-	c.client, err = session.New(session.Options{
+	c.Client, err = session.New(session.Options{
 		Node:     h.Node,
 		Role:     wire.RoleSidecar,
-		Replicas: addresses(s.Settings.Control),
+		Replicas: settings.Addrs(s.Settings.Control),
 		Opener:   dialer,
 		Clock:    h.Clock,
 		Log:      h.Log,
@@ -82,15 +61,7 @@
 	s.control = c
 	s.session = func(ctx context.Context) error {
 		defer dialer.Close()
-		return c.client.Run(ctx)
+		return c.Client.Run(ctx)
 	}
 	return nil
 }
-
-func addresses(in []settings.Addr) []string {
-	out := make([]string, len(in))
-	for i, a := range in {
-		out[i] = string(a)
-	}
-	return out
-}
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -61,7 +61,7 @@
 		return nil, verdict.Refuse(verdict.ReasonDeadline, 0, "the deadline has passed")
 	}
 	s.control.Learn(owner, d.Permission)
-	err := permitted(s.control.Config(), s.control.Permission(now), s.node.Name, s.node.Zone)
+	err := permitted(s.control.Config(), s.control.Permission(), s.node.Name, s.node.Zone)
 	if err != nil {
 		return nil, err
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -58,14 +58,14 @@
 	// Config returns the newest configuration known.
 	Config() *config.Document
 	// Permission returns the proof that Config is current.
-	Permission(now time.Time) wire.Permission
+	Permission() wire.Permission
 	// Renewed reports whether control itself renewed the permission, so that no
 	// newer sidecar has taken this one's place.
 	Renewed() bool
 	// Offer returns the permission as a statement to the entry called peer, and
 	// Learn takes in such a statement of the entry.
 	Offer(peer string) wire.Permission
-	Learn(peer string, p wire.Permission)
+	Learn(peer string, p wire.Permission) bool
 	// Announce replaces what control knows about the endpoint.
 	Announce(e wire.Endpoint)
 	// Do sends a command to control's leader and decodes the answer into out.
