--- a/dev/crash_test.go
+++ b/dev/crash_test.go
@@ -47,7 +47,7 @@
 	for _, entry := range d.Files.Entries {
 		until(t, "the crashing request is refused", func() bool {
 			r := crashing(entry)
-			return r.status == http.StatusUnprocessableEntity && r.verdict == "not_run"
+			return r.status == http.StatusUnprocessableEntity && r.verdict == "may_have_run"
 		})
 	}
 	l.more(t, 30)
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -66,11 +66,13 @@
 	alone  bool
 }
 
-// checkQuarantine refuses a request that is known to crash endpoints.
+// checkQuarantine refuses a request that is known to crash endpoints. This sending
+// has not run, but its content has: to the caller that sends it again the answer
+// must not say that the request has not run.
 func (e *Entry) checkQuarantine(c *call) (quarantine.Status, error) {
 	status := e.suspects.status(e.clock.Now(), c.digest)
 	if status == quarantine.Convicted {
-		return status, verdict.Refuse(verdict.ReasonQuarantined, 0, "this request brought endpoints down and is not run any more")
+		return status, verdict.Uncertain(verdict.ReasonQuarantined, 0, "this request brought endpoints down and is not run any more")
 	}
 	return status, nil
 }
@@ -96,7 +98,7 @@
 		return nil, nil
 	}
 	if answer.RetryAfter > c.deadline.Sub(e.clock.Now()) {
-		return nil, verdict.Refuse(verdict.ReasonQuarantined, answer.RetryAfter, "this request was in flight whenever endpoints fell and waits for more to be known")
+		return nil, verdict.Uncertain(verdict.ReasonQuarantined, answer.RetryAfter, "this request was in flight whenever endpoints fell and waits for more to be known")
 	}
 	select {
 	case <-ctx.Done():
