--- a/entry/contract_test.go
+++ b/entry/contract_test.go
@@ -105,6 +105,8 @@
 	}
 	e.log, e.clock, e.node, e.traffic = h.Log, h.Clock, h.Node, &wire.Traffic{}
 	e.budget, e.limits, e.suspects, e.watch = stream.NewBudget(e.Held), session.NewLimits(), newSuspects(), newWatch()
+	e.background = kernel.NewPool(1, 1)
+	t.Cleanup(func() { _ = e.background.Close(context.Background()) })
 	e.control, e.pool, e.fleet = &fakeControl{doc: doc}, &fakeSidecars{script: sc}, fleet
 	e.metrics = newMetrics(h.Metrics, e)
 	load := wire.Load{FreeTokens: 9000, CapacityTokens: 9000, PrefillRate: 1e6, DecodeRate: 1e6, RampTokens: -1}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,6 +36,10 @@
 	sidecarUnused  = 15 * time.Second
 	// demandEvery is the least time between two demands ahead of a heartbeat.
 	demandEvery = 200 * time.Millisecond
+	// Bounds of what is done in the background.
+	backgroundWorkers = 4
+	backgroundDepth   = 256
+	backgroundTimeout = 5 * time.Second
 	// stopTimeout bounds a planned stop; a request has its own deadline before.
 	stopTimeout = 10 * time.Minute
 )
@@ -104,6 +108,8 @@
 	limits  *session.Limits
 	// suspects are requests that were in flight when an endpoint fell.
 	suspects *suspects
+	// background does what no caller waits for.
+	background *kernel.Pool
 	// watch looks for endpoints that fail slowly.
 	watch   *watch
 	keys    keyring
@@ -161,6 +167,7 @@
 	e.limits = session.NewLimits()
 	e.suspects = newSuspects()
 	e.watch = newWatch()
+	e.background = kernel.NewPool(backgroundWorkers, backgroundDepth)
 	e.pool, err = wire.NewPool(id, wire.PoolOptions{
 		StreamWindow: answerWindowBytes,
 		KeepAlive:    sidecarPing,
@@ -220,12 +227,30 @@
 	case err = <-failed:
 		_ = e.server.Close()
 	}
+	e.finishBackground()
 	stop()
 	tasks.Wait()
 	e.pool.Close()
 	return errors.Wrap(err, "serve callers")
 }
 
+// later has a task done that no caller waits for, or does it now when there are
+// too many.
+func (e *Entry) later(task func()) {
+	if err := e.background.Submit(task); err != nil {
+		task()
+	}
+}
+
+// finishBackground waits for the tasks that are left.
+func (e *Entry) finishBackground() {
+	ctx, cancel := context.WithTimeout(context.Background(), backgroundTimeout)
+	defer cancel()
+	if err := e.background.Close(ctx); err != nil {
+		e.log.Warn("background tasks left", "error", err)
+	}
+}
+
 // drain stops without cutting a request.
 func (e *Entry) drain() error {
 	e.stopping.Store(true)
--- a/entry/suspect.go
+++ b/entry/suspect.go
@@ -130,7 +130,8 @@
 	// A run whose end is not certain may still bring the endpoint down; its permit
 	// lapses by itself.
 	if err == nil || verdict.From(err).Verdict == verdict.NotRun {
-		e.returnPermit(c, p, err == nil)
+		whole := err == nil
+		e.later(func() { e.returnPermit(c, p, whole) })
 	}
 	return true, err
 }
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 
@@ -59,6 +60,22 @@
 	is.NoErr(Check(f))
 }
 
+func TestPoolRunsWhatItTookBeforeItCloses(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(1, 2)
+	release := make(chan struct{})
+	ran := make(chan int, 3)
+	is.NoErr(p.Submit(func() { <-release; ran <- 1 }))
+	for p.Submit(func() { ran <- 2 }) == nil { // until worker and queue are full
+	}
+	is.Equal(p.Submit(func() {}), ErrPoolFull)
+	close(release)
+	is.NoErr(p.Close(context.Background()))
+	is.Equal(<-ran, 1)
+	is.Equal(<-ran, 2)
+	is.True(p.Submit(func() {}) != nil)
+}
+
 func TestLoadAllKeepsDefaults(t *testing.T) {
 	is := is.New(t)
 	f := &settings.File{Plugins: map[string]json.RawMessage{"test.sample": json.RawMessage(`{}`)}}
