--- a/entry/connect.go
+++ b/entry/connect.go
@@ -13,7 +13,7 @@
 
 // connect prepares the session with control.
 func (e *Entry) connect(h *kernel.Host, id *wire.Identity) error {
-	dialer := session.NewDialer(id, wire.PoolOptions{}, e.traffic)
+	dialer := session.NewDialer(id, wire.PoolOptions{}, e.controlTraffic)
 	client, err := session.New(session.Options{
 		Node:     h.Node,
 		Role:     wire.RoleEntry,
--- a/entry/contract_test.go
+++ b/entry/contract_test.go
@@ -103,7 +103,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.log, e.clock, e.node, e.traffic = h.Log, h.Clock, h.Node, &wire.Traffic{}
+	e.log, e.clock, e.node = h.Log, h.Clock, h.Node
+	e.traffic, e.controlTraffic = &wire.Traffic{}, &wire.Traffic{}
 	e.budget, e.limits, e.suspects, e.watch = stream.NewBudget(e.Held), session.NewLimits(), newSuspects(), newWatch()
 	e.background = kernel.NewPool(1, 1)
 	t.Cleanup(func() { _ = e.background.Close(context.Background()) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,16 +96,18 @@
 type Entry struct {
 	Settings
 
-	log     hclog.Logger
-	clock   kernel.Clock
-	node    settings.Node
-	traffic *wire.Traffic
-	pool    dialer
-	control Coordinator
-	session func(ctx context.Context) error
-	fleet   *dispatcher
-	budget  *stream.Budget
-	limits  *session.Limits
+	log   hclog.Logger
+	clock kernel.Clock
+	node  settings.Node
+	// traffic counts the bytes to and from sidecars, controlTraffic those of control.
+	traffic        *wire.Traffic
+	controlTraffic *wire.Traffic
+	pool           dialer
+	control        Coordinator
+	session        func(ctx context.Context) error
+	fleet          *dispatcher
+	budget         *stream.Budget
+	limits         *session.Limits
 	// suspects are requests that were in flight when an endpoint fell.
 	suspects *suspects
 	// background does what no caller waits for.
@@ -158,7 +160,7 @@
 		return err
 	}
 	e.log, e.clock, e.node = h.Log, h.Clock, h.Node
-	e.traffic = &wire.Traffic{}
+	e.traffic, e.controlTraffic = &wire.Traffic{}, &wire.Traffic{}
 	e.budget = stream.NewBudget(e.Held)
 	e.fleet, err = newDispatcher(h, e.Policy)
 	if err != nil {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -36,8 +36,8 @@
 		_, peak := e.budget.Held()
 		return float64(peak)
 	})
-	set.NewGauge("entry_sent_bytes", func() float64 { return float64(e.traffic.Sent.Load()) })
-	set.NewGauge("entry_received_bytes", func() float64 { return float64(e.traffic.Received.Load()) })
+	e.traffic.Register(set, "entry_requests")
+	e.controlTraffic.Register(set, "entry_control")
 	set.NewGauge("entry_revision", func() float64 { return float64(e.control.Config().Revision) })
 	return m
 }
--- a/sidecar/connect.go
+++ b/sidecar/connect.go
@@ -42,7 +42,7 @@
 
 // connect prepares the session with control.
 func (s *Sidecar) connect(h *kernel.Host) error {
-	dialer := session.NewDialer(s.id, wire.PoolOptions{}, s.traffic)
+	dialer := session.NewDialer(s.id, wire.PoolOptions{}, s.controlTraffic)
 	c := &coordinator{announced: s.announcement()}
 	var err error
 	c.Client, err = session.New(session.Options{
--- a/sidecar/contract_test.go
+++ b/sidecar/contract_test.go
@@ -99,7 +99,7 @@
 	s.log, s.clock = hclog.NewNullLogger(), kernel.SystemClock{}
 	s.node = settings.Node{Name: endpointName, Zone: zoneName}
 	s.control = &fakeControl{doc: doc, permission: wire.Permission{Revision: 3, Left: time.Second}}
-	s.traffic = &wire.Traffic{}
+	s.traffic, s.controlTraffic = &wire.Traffic{}, &wire.Traffic{}
 	s.budget = stream.NewBudget(s.Held)
 	s.engine = newEngineClient(url)
 	s.gate = newGate(endpointName, 7, service)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -24,8 +24,8 @@
 	})
 	set.NewGauge("sidecar_running", func() float64 { return float64(s.gate.load(s.clock.Now()).Running) })
 	set.NewGauge("sidecar_free_tokens", func() float64 { return float64(s.gate.load(s.clock.Now()).FreeTokens) })
-	set.NewGauge("sidecar_sent_bytes", func() float64 { return float64(s.traffic.Sent.Load()) })
-	set.NewGauge("sidecar_received_bytes", func() float64 { return float64(s.traffic.Received.Load()) })
+	s.traffic.Register(set, "sidecar_requests")
+	s.controlTraffic.Register(set, "sidecar_control")
 	return &sidecarMetrics{
 		set:  set,
 		got:  set.NewCounter("sidecar_granted_total"),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -76,19 +76,21 @@
 type Sidecar struct {
 	Settings
 
-	log     hclog.Logger
-	clock   kernel.Clock
-	node    settings.Node
-	id      *wire.Identity
-	traffic *wire.Traffic
-	server  *wire.Server
-	control Coordinator
-	session func(ctx context.Context) error
-	gate    *gate
-	orders  *orders
-	budget  *stream.Budget
-	engine  *engineClient
-	metrics *sidecarMetrics
+	log   hclog.Logger
+	clock kernel.Clock
+	node  settings.Node
+	id    *wire.Identity
+	// traffic counts the bytes to and from entries, controlTraffic those of control.
+	traffic        *wire.Traffic
+	controlTraffic *wire.Traffic
+	server         *wire.Server
+	control        Coordinator
+	session        func(ctx context.Context) error
+	gate           *gate
+	orders         *orders
+	budget         *stream.Budget
+	engine         *engineClient
+	metrics        *sidecarMetrics
 }
 
 var (
@@ -124,7 +126,7 @@
 		return err
 	}
 	s.log, s.clock, s.node, s.id = h.Log, h.Clock, h.Node, id
-	s.traffic = &wire.Traffic{}
+	s.traffic, s.controlTraffic = &wire.Traffic{}, &wire.Traffic{}
 	s.budget = stream.NewBudget(s.Held)
 	s.engine = newEngineClient(s.Settings.Endpoint)
 	s.gate = newGate(h.Node.Name, newIncarnation(h.Clock.Now()), s.Service)
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 )
@@ -74,6 +75,12 @@
 	Received atomic.Int64
 }
 
+// Register adds the counts to set, as "<name>_sent_bytes" and "<name>_received_bytes".
+func (t *Traffic) Register(set *metrics.Set, name string) {
+	set.NewGauge(name+"_sent_bytes", func() float64 { return float64(t.Sent.Load()) })
+	set.NewGauge(name+"_received_bytes", func() float64 { return float64(t.Received.Load()) })
+}
+
 type stream struct {
 	q       *quic.Stream
 	peer    Peer
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"os"
 	"testing"
 	"time"
 
@@ -57,6 +58,31 @@
 	is.NoErr(<-served)
 }
 
+// Files that are replaced count for the next connection, without a restart.
+func TestIdentityTakesUpRotatedKeys(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	ca, err := NewAuthority(dir)
+	is.NoErr(err)
+	files, err := ca.Issue(dir, "entry-1", RoleEntry)
+	is.NoErr(err)
+	id, err := LoadIdentity(files)
+	is.NoErr(err)
+	old, _ := id.current()
+	_, err = ca.Issue(dir, "entry-1", RoleEntry)
+	is.NoErr(err)
+	later := time.Now().Add(time.Minute) // file times may be as coarse as a second
+	is.NoErr(os.Chtimes(files.Cert, later, later))
+	id.checked = time.Time{}
+	rotated, _ := id.current()
+	is.True(!bytes.Equal(old.Certificate[0], rotated.Certificate[0]))
+
+	is.NoErr(os.WriteFile(files.Cert, []byte("half a fi"), 0o600))
+	id.checked = time.Time{}
+	kept, _ := id.current()
+	is.Equal(kept, rotated) // a file in the middle of its replacement changes nothing
+}
+
 func TestReadMessageRefusesDamagedFrames(t *testing.T) {
 	var whole bytes.Buffer
 	if _, err := WriteMessage(&whole, &End{Chunks: 3, Bytes: 9}); err != nil {
