One place for which endpoints a full list leaves out; drop a field that nobody set

The dispatcher and the watch for slow endpoints each compared a full list with what they had. Dispatch.ResumeFrom was read by the sidecar and set by nobody; its number 17 stays unused.

--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/admit"
@@ -33,7 +34,9 @@
 		d.table.Remove(name)
 	}
 	if reset {
-		d.keep(endpoints)
+		for _, name := range unlisted(d.table.Names(), endpoints) {
+			d.table.Remove(name)
+		}
 	}
 	for _, e := range endpoints {
 		d.forgetCache(&e)
@@ -66,17 +69,13 @@
 	observer.Served(d.clock.Now(), e.Zone, e.Name, c.want.Prefix)
 }
 
-// keep removes the endpoints that are not listed.
-func (d *dispatcher) keep(endpoints []wire.Endpoint) {
+// unlisted returns the names that are not among the endpoints.
+func unlisted(names []string, endpoints []wire.Endpoint) []string {
 	listed := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
 		listed[e.Name] = true
 	}
-	for _, name := range d.table.Names() {
-		if !listed[name] {
-			d.table.Remove(name)
-		}
-	}
+	return slices.DeleteFunc(names, func(name string) bool { return listed[name] })
 }
 
 // setSuspect takes over whether the endpoint is taken for failing.
--- a/entry/health.go
+++ b/entry/health.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +53,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if u.Reset {
-		w.keep(u.Endpoints)
+		for _, name := range unlisted(slices.Collect(maps.Keys(w.joined)), u.Endpoints) {
+			w.leave(name)
+		}
 	}
 	for _, name := range u.Gone {
 		w.leave(name)
@@ -64,19 +68,6 @@
 	}
 }
 
-// keep drops the endpoints that are not listed.
-func (w *watch) keep(endpoints []wire.Endpoint) {
-	listed := make(map[string]bool, len(endpoints))
-	for _, e := range endpoints {
-		listed[e.Name] = true
-	}
-	for name := range w.joined {
-		if !listed[name] {
-			w.leave(name)
-		}
-	}
-}
-
 func (w *watch) leave(name string) {
 	delete(w.joined, name)
 	w.detector.Leave(name)
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -222,7 +222,7 @@
 	tail := newTail(res)
 	go x.pull(buffer, tail, res)
 	var seq uint64
-	offset := x.d.ResumeFrom
+	var offset int64
 	for {
 		part, err := buffer.Read(x.ctx)
 		if errors.Is(err, io.EOF) {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -80,8 +80,6 @@
 	Claim *Claim `cbor:"15,keyasint,omitempty"`
 	// Incarnation is the endpoint's incarnation that the entry chose.
 	Incarnation uint64 `cbor:"16,keyasint"`
-	// ResumeFrom is the count of output bytes that the caller already has.
-	ResumeFrom int64 `cbor:"17,keyasint,omitempty"`
 	// Alone asks the sidecar to run the attempt with no other in flight.
 	Alone bool `cbor:"18,keyasint,omitempty"`
 	// MaxPending is the most prompt tokens that may wait for prefill before this
