--- a/cmd/rosemary-control/main.go
+++ b/cmd/rosemary-control/main.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/rosemaryproxy/rosemaryproxy/cli"
 	_ "github.com/rosemaryproxy/rosemaryproxy/control"
+	_ "github.com/rosemaryproxy/rosemaryproxy/platform"
 )
 
 func main() {
--- a/config/change.go
+++ b/config/change.go
@@ -18,6 +18,7 @@
 	DropRoute    string        `json:"drop_route,omitempty" cbor:"7,keyasint,omitempty"`
 	DropAccount  string        `json:"drop_account,omitempty" cbor:"8,keyasint,omitempty"`
 	DropEndpoint string        `json:"drop_endpoint,omitempty" cbor:"9,keyasint,omitempty"`
+	Publication  *Publication  `json:"publication,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // EndpointRule takes one endpoint in or out, whatever its zone's state.
@@ -66,6 +67,8 @@
 		delete(d.Accounts, c.DropAccount)
 	case c.DropEndpoint != "":
 		delete(d.Endpoints, c.DropEndpoint)
+	case c.Publication != nil:
+		d.Publication = c.Publication
 	}
 }
 
--- a/config/check.go
+++ b/config/check.go
@@ -88,6 +88,8 @@
 		k.dropAccount(c.DropAccount)
 	case c.DropEndpoint != "":
 		known(k, k.before.Endpoints, "rule for endpoint", c.DropEndpoint)
+	case c.Publication != nil:
+		k.publication(*c.Publication)
 	}
 }
 
@@ -96,6 +98,7 @@
 	for _, set := range []bool{
 		c.Zone != nil, c.Model != nil, c.Route != nil, c.Account != nil, c.Endpoint != nil,
 		c.DropModel != "", c.DropRoute != "", c.DropAccount != "", c.DropEndpoint != "",
+		c.Publication != nil,
 	} {
 		if set {
 			n++
@@ -104,6 +107,16 @@
 	return n
 }
 
+// publication refuses to go back: the highest version that was accepted is in force.
+func (k *checker) publication(p Publication) {
+	if held := k.before.Published(); p.Version <= held {
+		k.fault("publication %d does not follow on version %d", p.Version, held)
+	}
+	if len(p.Content) == 0 {
+		k.fault("publication %d is empty", p.Version)
+	}
+}
+
 func known[V any](k *checker, m map[string]V, kind, name string) {
 	if _, ok := m[name]; !ok {
 		k.fault("unknown %s %q", kind, name)
--- a/config/clone.go
+++ b/config/clone.go
@@ -15,6 +15,8 @@
 		Routes:    cloneMap(d.Routes),
 		Accounts:  cloneMap(d.Accounts),
 		Endpoints: cloneMap(d.Endpoints),
+
+		Publication: d.Publication,
 	}
 }
 
@@ -74,6 +76,9 @@
 	for _, name := range sortedKeys(d.Endpoints) {
 		changes = append(changes, Change{Endpoint: &EndpointRule{Name: name, State: d.Endpoints[name]}})
 	}
+	if d.Publication != nil {
+		changes = append(changes, Change{Publication: d.Publication})
+	}
 	return changes
 }
 
--- a/config/document.go
+++ b/config/document.go
@@ -90,6 +90,26 @@
 	Routes    map[string]Route     `json:"routes" cbor:"4,keyasint"`
 	Accounts  map[string]Account   `json:"accounts" cbor:"5,keyasint"`
 	Endpoints map[string]ZoneState `json:"endpoints,omitempty" cbor:"6,keyasint,omitempty"`
+	// Publication is what an operator published last; nil before the first.
+	Publication *Publication `json:"publication,omitempty" cbor:"7,keyasint,omitempty"`
+}
+
+// Publication is a whole description of a deployment in the operator's own format
+// and under the operator's own number. Control keeps it as it came; the processes
+// that serve callers read it.
+type Publication struct {
+	// Version is the operator's number; the highest is in force.
+	Version uint64 `json:"version" cbor:"1,keyasint"`
+	// Content is the description, compressed with gzip.
+	Content []byte `json:"content" cbor:"2,keyasint"`
+}
+
+// Published returns the version in force, or 0 when nothing was published.
+func (d *Document) Published() uint64 {
+	if d.Publication == nil {
+		return 0
+	}
+	return d.Publication.Version
 }
 
 // NewDocument returns the empty document at revision 0.
--- a/control/command/command.go
+++ b/control/command/command.go
@@ -18,6 +18,8 @@
 const (
 	// NameChange takes Change and answers Changed. Operators only.
 	NameChange = "change"
+	// NamePublish takes Publish and answers Changed. Operators and control only.
+	NamePublish = "publish"
 	// NameView takes nothing and answers View. Operators only.
 	NameView = "view"
 	// NameHistory takes History and answers Audit. Operators only.
@@ -54,6 +56,15 @@
 	Expect uint64 `cbor:"1,keyasint"`
 	// Changes take effect together or not at all.
 	Changes []config.Change `cbor:"2,keyasint"`
+	// Prompt has the change answered as soon as it is accepted, without the wait
+	// until every permission that does not know it has lapsed.
+	Prompt bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Publish asks to put a publication in force. One that is not newer than what is in
+// force changes nothing and is accepted: its sender may have missed the answer.
+type Publish struct {
+	Publication config.Publication `cbor:"1,keyasint"`
 }
 
 // Changed is the answer to an accepted Change.
--- a/control/commands.go
+++ b/control/commands.go
@@ -35,7 +35,8 @@
 }
 
 var commands = map[string]access{
-	command.NameChange:  {roles: []wire.Role{wire.RoleOperator}, propose: true},
+	command.NameChange:  {roles: []wire.Role{wire.RoleOperator, wire.RoleControl}, propose: true},
+	command.NamePublish: {roles: []wire.Role{wire.RoleOperator, wire.RoleControl}, propose: true},
 	command.NameOrder:   {roles: []wire.Role{wire.RoleOperator}, propose: true},
 	command.NameFence:   {roles: []wire.Role{wire.RoleSidecar}, propose: true},
 	command.NameClaim:   {roles: []wire.Role{wire.RoleEntry}, propose: true, frequent: true},
@@ -43,7 +44,7 @@
 	command.NameSuspect: {roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar}, propose: true},
 	command.NamePermit:  {roles: []wire.Role{wire.RoleEntry}, propose: true},
 	command.NameEnded:   {roles: []wire.Role{wire.RoleEntry}, propose: true},
-	command.NameMember:  {roles: []wire.Role{wire.RoleOperator}, change: true},
+	command.NameMember:  {roles: []wire.Role{wire.RoleOperator, wire.RoleControl}, change: true},
 	command.NameView:    {roles: []wire.Role{wire.RoleOperator}},
 	command.NameHistory: {roles: []wire.Role{wire.RoleOperator}},
 	command.NameInForce: {roles: []wire.Role{wire.RoleOperator}},
--- a/control/control.go
+++ b/control/control.go
@@ -56,6 +56,11 @@
 	// Replicas are the addresses of the replicas that the group starts with, by
 	// number. The group keeps later changes itself.
 	Replicas map[string]settings.Addr `json:"replicas" validate:"required_with=ID"`
+	// Steward has the group keep its own membership: disks that are new join through
+	// Seeds, and members whose disk is gone are removed. Otherwise operators do it.
+	Steward bool `json:"steward,omitempty"`
+	// Seeds are addresses of replicas that a new disk asks to let it join.
+	Seeds []settings.Addr `json:"seeds,omitempty"`
 	// Bootstrap is a JSON file with the first configuration; it counts only while
 	// there is none.
 	Bootstrap string `json:"bootstrap,omitempty"`
@@ -91,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	id, err := wire.LoadIdentity(h.TLS)
+	id, err := wire.OpenIdentity(h.TLS, h.Node.Name, wire.RoleControl)
 	if err != nil {
 		return err
 	}
@@ -128,6 +133,7 @@
 		barriers:  newBarriers(),
 		clock:     h.Clock,
 		log:       h.Log,
+		name:      h.Node.Name,
 		span:      p.Lease.Std(),
 		bootstrap: bootstrap,
 		table:     newTable(h.Clock.Now(), p.Grace.Std()),
@@ -224,6 +230,9 @@
 	defer context.AfterFunc(work, func() { _ = p.liveness.Close() })()
 	s.running.Go(func() { s.runSweeps(work) })
 	s.running.Go(func() { s.runReports(work) })
+	if p.Steward {
+		s.running.Go(func() { s.runSteward(work, settings.Addrs(p.Seeds)) })
+	}
 	err := p.listener.Serve(work)
 	stop()
 	if replicaErr := <-fault; replicaErr != nil {
--- a/control/members.go
+++ b/control/members.go
@@ -16,6 +16,8 @@
 	memberAdd     = "add"
 	memberPromote = "promote"
 	memberRemove  = "remove"
+	// memberJoin is what a replica asks for itself.
+	memberJoin = "join"
 )
 
 // changer is a replica whose membership can be changed.
@@ -44,6 +46,8 @@
 		err = node.Promote(ctx, id)
 	case memberRemove:
 		err = node.Remove(ctx, id)
+	case memberJoin:
+		err = s.join(ctx, node, id, m.Addr)
 	default:
 		err = errors.Errorf("unknown action %q: want add, promote or remove", m.Action)
 		return refused(verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err))
--- a/control/report.go
+++ b/control/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -137,7 +138,7 @@
 	for _, s := range m.Sessions {
 		r.sessions[s.Key] = s
 		if s.Endpoint != nil {
-			t.list.announce(now, *s.Endpoint)
+			t.announceReported(now, *s.Endpoint)
 		}
 	}
 	for _, key := range m.Closed {
@@ -156,6 +157,17 @@
 	}
 }
 
+// announceReported enters an endpoint that another replica reported.
+func (t *table) announceReported(now time.Time, e wire.Endpoint) {
+	if e.Direct {
+		e = t.list.keepLeaving(e)
+		if t.list.takenOver(&e) {
+			return
+		}
+	}
+	t.list.announce(now, e)
+}
+
 // lentRemote passes shares to the session of an entry, which the leader lent.
 func (t *table) lentRemote(m *sharesReport) {
 	t.mu.Lock()
@@ -181,19 +193,22 @@
 		told.sessions = map[string]sessionReport{}
 		told.demands = map[string]uint64{}
 	}
-	for key, s := range t.sessions {
-		r := s.report(key)
+	news := func(key string, r sessionReport) {
 		if old, ok := told.sessions[key]; !ok || !sameReport(&old, &r) {
 			m.Sessions = append(m.Sessions, r)
 			told.sessions[key] = r
 		}
+	}
+	t.registrationReports(news)
+	for key, s := range t.sessions {
+		news(key, s.report(key))
 		if toLeader && s.role == wire.RoleEntry && s.seq > told.demands[key] {
 			m.Demands = append(m.Demands, demandReport{Process: s.hello.Name, Seq: s.seq, Wanted: s.demand})
 			told.demands[key] = s.seq
 		}
 	}
 	for key := range told.sessions {
-		if _, ok := t.sessions[key]; !ok {
+		if !t.reports(key) {
 			m.Closed = append(m.Closed, key)
 			delete(told.sessions, key)
 			delete(told.demands, key)
@@ -202,6 +217,14 @@
 	return m
 }
 
+// reports says whether the session or registration is here.
+func (t *table) reports(key string) bool {
+	if name, ok := strings.CutPrefix(key, roleEndpoint+"/"); ok && t.registered[name] != nil {
+		return true
+	}
+	return t.sessions[key] != nil
+}
+
 func (s *peerSession) report(key string) sessionReport {
 	return sessionReport{
 		Key: key, Name: s.hello.Name, Role: s.hello.Role, Region: s.hello.Region, Zone: s.hello.Zone,
--- a/control/server.go
+++ b/control/server.go
@@ -30,6 +30,8 @@
 	lender    *lender
 	clock     kernel.Clock
 	log       hclog.Logger
+	// name is the process's own.
+	name string
 	// running counts the goroutines of the server.
 	running sync.WaitGroup
 	// span is how long a heartbeat's echo permits a process to work.
--- a/control/session.go
+++ b/control/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,6 +51,8 @@
 	orders    uint64
 	suspects  uint64
 	leader    string
+	replicas  []string
+	entries   int
 	any       bool
 }
 
@@ -175,6 +178,7 @@
 	})
 	if ses.role != wire.RoleSidecar {
 		news = s.addEndpoints(u, t) || news
+		news = s.addGroup(u, t) || news
 	}
 	if !news {
 		return nil
@@ -238,6 +242,18 @@
 	return true
 }
 
+// addGroup adds where the replicas are and how many entries there are.
+func (s *Server) addGroup(u *wire.Update, t *told) bool {
+	news := false
+	if replicas := s.memberAddrs(); !slices.Equal(replicas, t.replicas) {
+		u.Replicas, t.replicas, news = replicas, replicas, true
+	}
+	if entries := s.table.entries(s.clock.Now()); entries != t.entries {
+		u.Entries, t.entries, news = entries, entries, true
+	}
+	return news
+}
+
 // addEndpoints adds the changes of the endpoint list. Until the list has settled
 // after the replica's start it may lack endpoints that still have to announce
 // themselves here, so it is not yet sent as the whole list.
--- a/control/session/client.go
+++ b/control/session/client.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,6 +84,9 @@
 	// that was restarted come after those from before.
 	seq    uint64
 	leader string
+	// replicas are the addresses to try: those of the options and those that control
+	// named last.
+	replicas []string
 	// leaderAddr is the replica that last answered as leader.
 	leaderAddr string
 }
@@ -120,6 +124,7 @@
 		permission: lease.NewPermission(o.Lease, o.Lease/marginParts),
 		exchange:   lease.NewExchange(o.Clock.Now(), rand.Uint64()),
 		seq:        uint64(o.Clock.Now().UnixMilli()),
+		replicas:   o.Replicas,
 	}, nil
 }
 
@@ -212,11 +217,12 @@
 	var polling sync.WaitGroup
 	defer polling.Wait()
 	polling.Go(func() { c.runPolls(ctx) })
-	next := rand.IntN(len(c.options.Replicas))
+	next := rand.IntN(len(c.known()))
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		addr := c.options.Replicas[next]
-		next = (next + 1) % len(c.options.Replicas)
+		replicas := c.known()
+		addr := replicas[next%len(replicas)]
+		next++
 		renewed, err := c.session(ctx, addr)
 		if ctx.Err() != nil {
 			return nil
@@ -232,6 +238,27 @@
 	return nil
 }
 
+// known returns the replicas' addresses.
+func (c *Client) known() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replicas
+}
+
+// Replace has the client try these replicas first from now on, in the order given,
+// and those of its options after them.
+func (c *Client) Replace(replicas []string) {
+	all := slices.Clone(replicas)
+	for _, addr := range c.options.Replicas {
+		if !slices.Contains(all, addr) {
+			all = append(all, addr)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replicas = all
+}
+
 // wait waits for half to the whole of d, so that processes which lost the same
 // replica do not come back all at once.
 func (c *Client) wait(ctx context.Context, d time.Duration) {
--- a/control/session/do.go
+++ b/control/session/do.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// Exchange sends one command to the process at addr and returns its answer. A
+// connection on which no answer came is dropped.
+func Exchange(ctx context.Context, dialer Dropper, addr string, command *wire.Command) (*wire.Answer, error) {
+	stream, err := dialer.Open(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Abort()
+	defer context.AfterFunc(ctx, stream.Abort)()
+	answer, err := exchange(stream, command)
+	if err != nil {
+		dialer.Drop(addr)
+	}
+	return answer, err
+}
+
 func exchange(stream wire.Stream, command *wire.Command) (*wire.Answer, error) {
 	if err := stream.Send(command); err != nil {
 		return nil, errors.Wrap(err, "send command")
@@ -164,10 +180,10 @@
 	first := c.leaderAddr
 	c.mu.Unlock()
 	if first == "" {
-		return c.options.Replicas
+		return c.known()
 	}
 	out := []string{first}
-	for _, addr := range c.options.Replicas {
+	for _, addr := range c.known() {
 		if addr != first {
 			out = append(out, addr)
 		}
--- a/control/session/poll.go
+++ b/control/session/poll.go
@@ -36,14 +36,15 @@
 	unbroken := c.Permission().Left > 0
 	ctx, cancel := context.WithTimeout(ctx, c.options.Lease/2)
 	defer cancel()
-	answers := make(chan polled, len(c.options.Replicas))
-	for _, addr := range c.options.Replicas {
+	replicas := c.known()
+	answers := make(chan polled, len(replicas))
+	for _, addr := range replicas {
 		go func() { answers <- c.ask(ctx, addr) }()
 	}
 	var round pollRound
-	for range c.options.Replicas {
+	for range replicas {
 		round.add(<-answers, unbroken)
-		if round.proves(c.view.Revision(), len(c.options.Replicas)) {
+		if round.proves(c.view.Revision(), len(replicas)) {
 			c.proven(began)
 			return
 		}
--- a/control/session/run.go
+++ b/control/session/run.go
@@ -159,6 +159,9 @@
 		c.permission.Echoed(u.Echo)
 	}
 	c.mu.Unlock()
+	if len(u.Replicas) > 0 {
+		c.Replace(u.Replicas)
+	}
 	if c.options.Limits != nil {
 		c.options.Limits.grant(c.options.Clock.Now(), u.Shares)
 	}
--- a/control/state/change.go
+++ b/control/state/change.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/config"
@@ -32,22 +33,51 @@
 	if c.Expect != command.AnyRevision && c.Expect != m.doc.Revision {
 		return refuse(m.conflict(c.Expect))
 	}
-	if err := m.doc.Check(c.Changes); err != nil {
+	return m.revise(e, c.Changes)
+}
+
+// revise checks the changes and makes them the next revision.
+func (m *Machine) revise(e *Entry, changes []config.Change) *wire.Answer {
+	if err := m.doc.Check(changes); err != nil {
 		return refuse(badRequest(err))
 	}
 	next := m.doc.Clone()
-	revised := config.Revised{Revision: next.Revision + 1, Changes: c.Changes}
+	revised := config.Revised{Revision: next.Revision + 1, Changes: changes}
 	if err := next.Apply(revised); err != nil {
 		return refuse(internal(err))
 	}
 	m.doc = next
 	m.keepRevised(revised)
 	m.keepAudit(command.AuditEntry{
-		Revision: revised.Revision, Who: e.Who, When: m.time(), ID: e.ID, Changes: c.Changes,
+		Revision: revised.Revision, Who: e.Who, When: m.time(), ID: e.ID, Changes: withoutContent(changes),
 	})
 	return accept(command.Changed{Revision: revised.Revision})
 }
 
+// publish puts a publication in force unless a version as high is.
+func (m *Machine) publish(e *Entry) *wire.Answer {
+	var p command.Publish
+	if err := wire.Unmarshal(e.Body, &p); err != nil {
+		return refuse(badRequest(err))
+	}
+	if p.Publication.Version <= m.doc.Published() {
+		return accept(command.Changed{Revision: m.doc.Revision})
+	}
+	return m.revise(e, []config.Change{{Publication: &p.Publication}})
+}
+
+// withoutContent leaves the content of publications out of the audit listing, which
+// keeps thousands of entries.
+func withoutContent(changes []config.Change) []config.Change {
+	out := slices.Clone(changes)
+	for i := range out {
+		if p := out[i].Publication; p != nil {
+			out[i].Publication = &config.Publication{Version: p.Version}
+		}
+	}
+	return out
+}
+
 // conflict tells the loser of a race who won it.
 func (m *Machine) conflict(expect uint64) *verdict.Refusal {
 	for _, a := range m.audit {
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -104,6 +104,8 @@
 		return m.bootstrap(e)
 	case command.NameChange:
 		return m.change(e)
+	case command.NamePublish:
+		return m.publish(e)
 	case command.NameOrder:
 		return m.order(e)
 	case command.NameFence:
--- /dev/null
+++ b/control/steward.go
@@ -0,0 +1,200 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/replica"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+const (
+	// stewardInterval is the time between two looks at the membership.
+	stewardInterval = 250 * time.Millisecond
+	// joinInterval is the time between two requests to join.
+	joinInterval = 500 * time.Millisecond
+	// leaderMissed is after how long without a leader a replica asks to join: it may
+	// have been removed while it was away.
+	leaderMissed = 2 * time.Second
+	// voterLost is after how long a silent voter is removed, if enough others are left.
+	voterLost = 8 * time.Second
+	// minVoters is the number of voters below which no silent one is removed: with
+	// two, both would be needed.
+	minVoters = 3
+)
+
+// steward keeps the membership of the group in order where no operator does: disks
+// that are new ask to join, and members whose disk is gone are removed.
+type steward struct {
+	// seeds are addresses to ask when no leader is known.
+	seeds []string
+	// missing is since when a voter has not been whole, as seen by the leader.
+	missing map[replica.ID]time.Time
+	// led is when a leader was last known, and asked when joining was last asked for.
+	led, asked time.Time
+}
+
+// runSteward works until ctx ends.
+func (s *Server) runSteward(ctx context.Context, seeds []string) {
+	w := &steward{seeds: seeds, missing: map[replica.ID]time.Time{}, led: s.clock.Now()}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.clock.After(stewardInterval):
+		}
+		now := s.clock.Now()
+		status := s.node.Status()
+		if status.Leader != 0 {
+			w.led = now
+		}
+		switch {
+		case status.Leader == status.ID:
+			s.tend(ctx, w, now)
+		case w.wantsToJoin(now, status.ID, s.members()):
+			w.asked = now
+			s.askToJoin(ctx, w, status.ID)
+		default:
+			clear(w.missing)
+		}
+	}
+}
+
+// wantsToJoin reports whether the replica is no member, or may be none any more.
+func (w *steward) wantsToJoin(now time.Time, self replica.ID, members []replica.MemberStatus) bool {
+	if now.Sub(w.asked) < joinInterval {
+		return false
+	}
+	for _, m := range members {
+		if m.ID == self {
+			return now.Sub(w.led) > leaderMissed
+		}
+	}
+	return true
+}
+
+// askToJoin asks every known replica until one passes the request to the leader.
+func (s *Server) askToJoin(ctx context.Context, w *steward, self replica.ID) {
+	raw, err := wire.Marshal(&command.Member{Action: memberJoin, ID: uint64(self), Addr: s.transport.self()})
+	if err != nil {
+		s.log.Error("request to join not made", "error", err)
+		return
+	}
+	c := &wire.Command{ID: session.NewID(), Name: command.NameMember, Body: raw}
+	for _, addr := range w.addrs(s) {
+		bounded, cancel := context.WithTimeout(ctx, forwardTimeout)
+		answer, err := session.Exchange(bounded, s.transport.dialer, addr, c)
+		if err == nil && answer.Leader != "" {
+			answer, err = session.Exchange(bounded, s.transport.dialer, answer.Leader, c)
+		}
+		cancel()
+		if err == nil && answer.Leader == "" && answer.Refused == nil {
+			s.log.Info("replica joins the group", "id", uint64(self), "asked", addr)
+			return
+		}
+	}
+}
+
+// addrs lists the other replicas that may know the leader.
+func (w *steward) addrs(s *Server) []string {
+	self := s.transport.self()
+	seen := map[string]bool{self: true}
+	var out []string
+	for _, addr := range append(s.memberAddrs(), w.seeds...) {
+		if addr != "" && !seen[addr] {
+			seen[addr] = true
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+// tend promotes learners that hold everything and removes voters that stay away
+// while enough others are left. One step at a time; a step that fails is tried again.
+func (s *Server) tend(ctx context.Context, w *steward, now time.Time) {
+	members := s.members()
+	voters, whole := 0, 0
+	for _, m := range members {
+		if m.Voter {
+			voters++
+		}
+		if m.Voter && m.Whole {
+			whole++
+		}
+		if m.Whole || m.ID == s.node.Status().ID {
+			delete(w.missing, m.ID)
+		} else if _, ok := w.missing[m.ID]; !ok {
+			w.missing[m.ID] = now
+		}
+	}
+	for _, m := range members {
+		if step := s.stepFor(w, now, m, voters, whole); step != "" {
+			s.changeMember(ctx, step, m.ID)
+			return
+		}
+	}
+}
+
+// stepFor says what is to be done with a member: "" for nothing.
+func (s *Server) stepFor(w *steward, now time.Time, m replica.MemberStatus, voters, whole int) string {
+	since, missing := w.missing[m.ID]
+	lost := missing && now.Sub(since) > voterLost
+	switch {
+	case !m.Voter && m.Whole:
+		return memberPromote
+	case !m.Voter && lost:
+		return memberRemove
+	case m.Voter && lost && voters > minVoters && whole >= minVoters:
+		return memberRemove
+	}
+	return ""
+}
+
+func (s *Server) changeMember(ctx context.Context, action string, id replica.ID) {
+	node, ok := s.node.(changer)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	err := node.Remove
+	if action == memberPromote {
+		err = node.Promote
+	}
+	if err := err(ctx, id); err != nil {
+		s.log.Warn("membership not changed", "action", action, "replica", uint64(id), "error", err)
+		return
+	}
+	s.log.Info("membership changed", "action", action, "replica", uint64(id))
+}
+
+// join adds a replica that asked for it. A member with another disk at the same
+// address is removed first: a process has one disk, so the earlier one is gone.
+func (s *Server) join(ctx context.Context, node changer, id replica.ID, addr string) error {
+	for _, m := range s.members() {
+		if m.ID == id {
+			return nil
+		}
+	}
+	for _, m := range s.members() {
+		if m.Addr != addr {
+			continue
+		}
+		if err := node.Remove(ctx, m.ID); err != nil {
+			return err
+		}
+		s.log.Info("membership changed", "action", memberRemove, "replica", uint64(m.ID), "reason", "another disk at its address")
+	}
+	s.transport.learn([]replica.MemberStatus{{Member: replica.Member{ID: id, Addr: addr}}})
+	return node.AddLearner(ctx, id, addr)
+}
+
+func (s *Server) memberAddrs() []string {
+	var out []string
+	for _, m := range s.members() {
+		out = append(out, m.Addr)
+	}
+	return out
+}
--- a/control/table.go
+++ b/control/table.go
@@ -21,7 +21,9 @@
 	sessions map[string]*peerSession
 	// remotes holds what the other replicas report of their sessions.
 	remotes map[replica.ID]*remote
-	list    *directory
+	// registered holds the direct endpoints that announced themselves here.
+	registered map[string]*registration
+	list       *directory
 }
 
 // newTable returns an empty table. An endpoint that is silent for grace is
@@ -29,7 +31,7 @@
 func newTable(now time.Time, grace time.Duration) *table {
 	return &table{
 		started: now, grace: grace, sessions: map[string]*peerSession{},
-		remotes: map[replica.ID]*remote{}, list: newDirectory(),
+		remotes: map[replica.ID]*remote{}, registered: map[string]*registration{}, list: newDirectory(),
 	}
 }
 
@@ -190,6 +192,7 @@
 	t.mu.Lock()
 	deadline := now.Add(-t.grace)
 	gone := t.list.expire(deadline)
+	t.forgetRegistrations(deadline)
 	var silent []*peerSession
 	for _, s := range t.sessions {
 		if s.heard.Before(deadline) {
@@ -227,12 +230,25 @@
 	}
 	for _, r := range t.remotes {
 		for _, s := range r.sessions {
-			out = append(out, s.process(now.Sub(r.heard)))
+			if s.Role != roleEndpoint {
+				out = append(out, s.process(now.Sub(r.heard)))
+			}
 		}
 	}
 	return sortProcesses(out)
 }
 
+// entries counts the entries that have a session with any replica.
+func (t *table) entries(now time.Time) int {
+	n := 0
+	for _, p := range t.processes(now) {
+		if p.Role == string(wire.RoleEntry) {
+			n++
+		}
+	}
+	return n
+}
+
 // sortProcesses sorts by name and keeps, of a process that changed its replica,
 // the session that was heard last.
 func sortProcesses(list []command.Process) []command.Process {
@@ -268,7 +284,7 @@
 			continue
 		}
 		for _, s := range r.sessions {
-			if s.Revision < revision {
+			if s.Role != roleEndpoint && s.Revision < revision {
 				out = append(out, s.process(now.Sub(r.heard)))
 			}
 		}
--- a/control/transport.go
+++ b/control/transport.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// self returns the address that the replica told the others.
+func (t *transport) self() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.start.Addr
+}
+
 func (t *transport) addr(id replica.ID) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- /dev/null
+++ b/costmodel/engine.go
@@ -0,0 +1,58 @@
+// Package costmodel predicts how long an engine that batches continuously takes for
+// its work, from the figures that its operator publishes.
+package costmodel
+
+import (
+	"math"
+	"time"
+)
+
+// Engine describes one kind of engine.
+type Engine struct {
+	// Slots is how many requests run at once.
+	Slots int
+	// MemoryTokens is the KV memory.
+	MemoryTokens int64
+	// Step is the time of one token step without any request.
+	Step time.Duration
+	// StepPerSequence is added to a step for each request that is writing.
+	StepPerSequence time.Duration
+	// StepPerContext is added for each thousand tokens of context of each of them.
+	StepPerContext time.Duration
+	// ReadPerSecond is the speed of prefill in tokens, without attention.
+	ReadPerSecond float64
+	// PerMegapair is the time for a million pairs of a prompt token and an earlier one.
+	PerMegapair time.Duration
+	// Chunk is the most prompt tokens read in a step.
+	Chunk int
+	// Stride is how many steps an engine takes in a row while requests write.
+	Stride int
+	// Hop is added to a step of a request whose prompt is spread over engines.
+	Hop time.Duration
+	// Stall is after how long work is cut off that waits for an engine that is gone.
+	Stall time.Duration
+}
+
+// Read returns the time that one engine takes to read a prompt alone.
+func (e *Engine) Read(tokens int) time.Duration {
+	if e.ReadPerSecond <= 0 {
+		return 0
+	}
+	n := float64(tokens)
+	linear := n / e.ReadPerSecond * float64(time.Second)
+	pairs := n * n / 2 / 1e6 * float64(e.PerMegapair)
+	return time.Duration(linear + pairs)
+}
+
+// Share returns what each of the engines takes that read a prompt together.
+func (e *Engine) Share(tokens, engines int) time.Duration {
+	return e.Read(tokens) / time.Duration(max(engines, 1))
+}
+
+// Engines returns how many engines bring the share of each down to limit.
+func (e *Engine) Engines(tokens int, limit time.Duration) int {
+	if limit <= 0 {
+		return 1
+	}
+	return max(1, int(math.Ceil(float64(e.Read(tokens))/float64(limit))))
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -155,7 +155,7 @@
 
 // Provision opens the entry's address and its session with control.
 func (e *Entry) Provision(h *kernel.Host) error {
-	id, err := wire.LoadIdentity(h.TLS)
+	id, err := wire.OpenIdentity(h.TLS, h.Node.Name, wire.RoleEntry)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/gateway/events.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// event is one whole event of a stream, as it came.
+type event struct {
+	raw []byte
+	id  string
+}
+
+// eventReader splits a stream into whole events.
+type eventReader struct {
+	r *bufio.Reader
+}
+
+func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
+
+// next returns the next event. It returns io.EOF at an end between two events and
+// io.ErrUnexpectedEOF within one.
+func (e *eventReader) next() (event, error) {
+	var ev event
+	for {
+		line, err := e.r.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			err = nil
+		}
+		ev.raw = append(ev.raw, line...)
+		switch {
+		case errors.Is(err, io.EOF) && len(ev.raw) > 0:
+			return ev, io.ErrUnexpectedEOF
+		case err != nil:
+			return ev, err
+		case len(ev.raw) > maxEventBytes:
+			return ev, errors.Errorf("an event is over %d bytes", maxEventBytes)
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			ev.id = string(bytes.TrimSpace(value))
+		}
+		if len(text) == 0 && line[len(line)-1] == '\n' {
+			return ev, nil
+		}
+	}
+}
+
+// more reports whether bytes of a further event are there already.
+func (e *eventReader) more() bool { return e.r.Buffered() > 0 }
+
+// seen reports whether an event with this id came before the one called last. Ids
+// that are no numbers are never taken for seen.
+func seen(id, last string) bool {
+	n, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	m, err := strconv.ParseInt(last, 10, 64)
+	return err == nil && n <= m
+}
--- /dev/null
+++ b/gateway/log.go
@@ -0,0 +1,13 @@
+package gateway
+
+import "github.com/hashicorp/go-hclog"
+
+// logger adds the same keys to each line.
+type logger struct {
+	log    hclog.Logger
+	fields []any
+}
+
+func (l logger) Info(event string, args ...any)  { l.log.Info(event, append(l.fields, args...)...) }
+func (l logger) Warn(event string, args ...any)  { l.log.Warn(event, append(l.fields, args...)...) }
+func (l logger) Debug(event string, args ...any) { l.log.Debug(event, append(l.fields, args...)...) }
--- /dev/null
+++ b/gateway/perform.go
@@ -0,0 +1,438 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+const (
+	// minFirstPatience is the least wait for a stream's first event before another
+	// endpoint is tried.
+	minFirstPatience = 600 * time.Millisecond
+	// readPatience is how many times the predicted reading a stream is waited for.
+	readPatience = 3
+	// plainPatience is how many times its target a repeatable call is waited for.
+	plainPatience = 2
+	// pausePatience is how many of the pauses that callers want a stream is waited for,
+	// within the bounds.
+	pausePatience = 4
+	minPause      = 600 * time.Millisecond
+	maxPause      = 1500 * time.Millisecond
+	// maxSends bounds the endpoints that may turn a request away.
+	maxSends = 4
+	// retryAfterLoss is when a request that found no endpoint is worth another try.
+	retryAfterLoss = 300 * time.Millisecond
+	// maxAnswerBytes bounds an answer that is held until it is whole.
+	maxAnswerBytes = 8 << 20
+	// shortTarget separates urgent prompts from others of the same priority.
+	shortTarget = 500 * time.Millisecond
+)
+
+// errSilent cancels an attempt whose endpoint says nothing for too long.
+var errSilent = errors.New("the endpoint says nothing")
+
+// perform sends the request to endpoints until one answers or nothing more is allowed.
+func (c *call) perform(ctx context.Context) error {
+	c.g.retries.requested(c.started, c.service.Name)
+	for {
+		a, end, err := c.g.assign(&c.want)
+		if err != nil {
+			return c.orUncertain(err)
+		}
+		err = c.attempt(ctx, a)
+		end()
+		if err == nil || ctx.Err() != nil {
+			return c.orInterrupted(ctx, err)
+		}
+		r := verdict.From(err)
+		if !c.mayTryAgain(r) {
+			return c.orUncertain(r)
+		}
+		c.log().Info("request sent again", "reason", string(r.Reason), "verdict", r.Verdict.String(), "detail", r.Detail,
+			"left", c.end.Sub(c.g.clock.Now()))
+	}
+}
+
+// mayTryAgain decides on another endpoint after one that failed.
+func (c *call) mayTryAgain(r *verdict.Refusal) bool {
+	if r.Verdict != verdict.NotRun && (c.route.Kind == Once || c.runs >= max(c.route.MaxEndpoints, 1)) {
+		return false
+	}
+	if c.sends >= maxSends {
+		return false
+	}
+	if r.Reason == verdict.ReasonUnreachable {
+		// Nothing arrived at an endpoint.
+		return true
+	}
+	return c.g.retries.take(c.g.clock.Now(), c.service.Name, c.g.entries.Load())
+}
+
+// orUncertain keeps a refusal true: once an endpoint may have run a request that runs
+// at most once, nothing later proves the contrary.
+func (c *call) orUncertain(err error) error {
+	r := verdict.From(err)
+	if r.Verdict == verdict.NotRun && c.runs > 0 {
+		return verdict.Uncertain(r.Reason, r.RetryAfter, "%s", r.Detail)
+	}
+	if r.Verdict == verdict.NotRun && r.RetryAfter == 0 {
+		return verdict.Refuse(r.Reason, retryAfterLoss, "%s", r.Detail)
+	}
+	return r
+}
+
+// orInterrupted says how a request ended whose time is over or whose caller went.
+func (c *call) orInterrupted(ctx context.Context, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case c.r.Context().Err() != nil:
+		return errCallerGone
+	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return err
+	case c.runs == 0:
+		return verdict.Refuse(verdict.ReasonDeadline, retryAfterLoss, "no endpoint took the request in time")
+	}
+	return verdict.Uncertain(verdict.ReasonDeadline, 0, "the time is over at endpoint %s", c.endpoint)
+}
+
+// assign chooses endpoints and books the request on them.
+func (g *Gateway) assign(r *assign.Request) (*assign.Assignment, func(), error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	a, err := g.fleet.Choose(now, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	end := g.fleet.Start(now, r, a)
+	return a, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		end()
+	}, nil
+}
+
+// attempt carries the request to its endpoint and the answer back.
+func (c *call) attempt(ctx context.Context, a *assign.Assignment) error {
+	c.endpoint = a.First.Name
+	c.want.Tried = append(c.want.Tried, a.First.Name)
+	c.sends++
+	c.g.metrics.sent("attempt")
+	c.log().Info("request placed", "addr", a.First.Addr, "zone", a.First.Zone, "helpers", len(a.Helpers), "considered", a.Considered,
+		"prompt_tokens", c.PromptTokens, "predicted", a.Read, "left", c.end.Sub(c.g.clock.Now()))
+	helpers, free, err := c.reserve(ctx, a)
+	defer free()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := c.newPatience(cancel)
+	defer patience.stop()
+	patience.wait(c.firstPatience(a))
+	res, err := c.g.http.RoundTrip(c.outgoing(ctx, a, helpers))
+	if err != nil {
+		return c.failed(ctx, a, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	return c.take(ctx, a, res, patience)
+}
+
+// outgoing is the request as the endpoint gets it.
+func (c *call) outgoing(ctx context.Context, a *assign.Assignment, helpers []Helper) *http.Request {
+	header := c.r.Header.Clone()
+	for _, name := range connectionHeaders(header) {
+		header.Del(name)
+	}
+	header.Del("Authorization")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	c.g.dialect.Write(header, &Dispatch{
+		Instance: a.First.Name, Account: c.account, Deadline: c.end.Sub(c.g.clock.Now()), Urgency: c.urgency(),
+		Helpers: helpers, LastEvent: c.LastEvent,
+	})
+	out := (&http.Request{
+		Method: c.r.Method, Host: c.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL:           &url.URL{Scheme: "http", Host: a.First.Addr, Opaque: c.r.RequestURI},
+		ContentLength: int64(len(c.body)),
+	}).WithContext(ctx)
+	if len(c.body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(c.body))
+	}
+	return out
+}
+
+// urgency ranks the request at the engine by its route's priority, and short prompts
+// before long ones.
+func (c *call) urgency() int {
+	u := 2 * c.route.Priority
+	if c.priority != nil {
+		u = 2 * *c.priority
+	}
+	if c.route.Target > shortTarget {
+		u++
+	}
+	return min(u, 9)
+}
+
+// connectionHeaders lists the headers that concern one connection only.
+func connectionHeaders(h http.Header) []string {
+	names := []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Content-Length"}
+	for _, v := range h["Connection"] {
+		for _, name := range strings.Split(v, ",") {
+			names = append(names, strings.TrimSpace(name))
+		}
+	}
+	return names
+}
+
+// failed says what a call without an answer means.
+func (c *call) failed(ctx context.Context, a *assign.Assignment, err error) error {
+	var dial *dialError
+	if errors.As(err, &dial) {
+		c.distrust(a.First.Name, "not reached", err)
+		return verdict.Refuse(verdict.ReasonUnreachable, retryAfterLoss, "endpoint %s takes no connection", a.First.Name)
+	}
+	c.runs++
+	return c.broken(ctx, a, err)
+}
+
+// broken says what an answer means that did not come whole.
+func (c *call) broken(ctx context.Context, a *assign.Assignment, err error) error {
+	if c.r.Context().Err() != nil {
+		return errCallerGone
+	}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return verdict.Uncertain(verdict.ReasonDeadline, 0, "the time is over at endpoint %s", a.First.Name)
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	c.distrust(a.First.Name, "broke off", err)
+	return verdict.Uncertain(verdict.ReasonEndpointLost, retryAfterLoss, "endpoint %s: %v", a.First.Name, err)
+}
+
+// distrust leaves an endpoint alone for a while.
+func (c *call) distrust(name, what string, err error) {
+	c.g.mu.Lock()
+	span := c.g.fleet.Failed(c.g.clock.Now(), name)
+	c.g.mu.Unlock()
+	c.log().Warn("endpoint distrusted", "suspect", name, "what", what, "for", span, "error", err)
+}
+
+// take judges the head of the answer and passes the rest on.
+func (c *call) take(ctx context.Context, a *assign.Assignment, res *http.Response, p *patience) error {
+	outcome, at := c.g.dialect.Judge(res, c.ID)
+	switch outcome {
+	case NotRun, Misdirected:
+		return c.turnedAway(a, outcome, at, res.StatusCode)
+	case Alien:
+		c.runs++
+		return c.broken(ctx, a, errors.Errorf("an answer with status %d that is none to this request", res.StatusCode))
+	}
+	c.runs++
+	if res.StatusCode >= http.StatusInternalServerError && c.route.Kind == Repeatable && !c.committed {
+		if c.runs < c.route.MaxEndpoints && c.g.retries.take(c.g.clock.Now(), c.service.Name, c.g.entries.Load()) {
+			// Taken from the budget here, because without it this answer is passed on.
+			c.log().Info("request sent again", "reason", "status", "status", res.StatusCode)
+			return c.again(ctx, a)
+		}
+	}
+	if res.StatusCode < http.StatusMultipleChoices && c.route.Stream {
+		return c.relay(ctx, a, res, p)
+	}
+	return c.pass(ctx, a, res)
+}
+
+// again performs the request at another endpoint in place of a bad answer.
+func (c *call) again(ctx context.Context, _ *assign.Assignment) error {
+	a, end, err := c.g.assign(&c.want)
+	if err != nil {
+		return c.orUncertain(err)
+	}
+	defer end()
+	return c.attempt(ctx, a)
+}
+
+// turnedAway notes what an endpoint says that has not run the request.
+func (c *call) turnedAway(a *assign.Assignment, outcome Outcome, at string, status int) error {
+	name := a.First.Name
+	c.g.mu.Lock()
+	if at != "" {
+		if other, ok := c.g.fleet.FindAddr(at); ok {
+			name = other
+		}
+	}
+	if outcome == NotRun && name == a.First.Name {
+		c.g.fleet.Full(c.g.clock.Now(), name)
+	}
+	c.g.mu.Unlock()
+	if outcome == Misdirected || name != a.First.Name {
+		c.distrust(name, "turned away", errors.Errorf("status %d", status))
+		c.want.Tried = append(c.want.Tried, name)
+	}
+	return verdict.Refuse(verdict.ReasonEndpointBusy, retryAfterLoss, "endpoint %s turned the request away with status %d", name, status)
+}
+
+// pass hands an answer on once it is whole.
+func (c *call) pass(ctx context.Context, a *assign.Assignment, res *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if err != nil {
+		return c.broken(ctx, a, err)
+	}
+	if len(body) > maxAnswerBytes {
+		return verdict.Uncertain(verdict.ReasonTooLarge, 0, "the answer of endpoint %s is over %d bytes", a.First.Name, maxAnswerBytes)
+	}
+	if c.committed {
+		return verdict.Uncertain(verdict.ReasonStreamBroken, 0, "endpoint %s did not resume the stream: status %d", a.First.Name, res.StatusCode)
+	}
+	if promises(res.StatusCode) {
+		return verdict.Uncertain(verdict.ReasonEngineError, 0, "endpoint %s answered %d without saying that it has not run the request", a.First.Name, res.StatusCode)
+	}
+	if res.StatusCode < http.StatusInternalServerError {
+		c.served(a)
+	}
+	c.commit(res)
+	return c.write(body)
+}
+
+// promises reports whether a status tells callers that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func (c *call) served(a *assign.Assignment) {
+	c.g.mu.Lock()
+	defer c.g.mu.Unlock()
+	c.g.fleet.Served(a.First.Name)
+}
+
+// commit shows the caller the head of the answer.
+func (c *call) commit(res *http.Response) {
+	c.committed = true
+	for _, name := range connectionHeaders(res.Header) {
+		if name != "Content-Length" {
+			res.Header.Del(name)
+		}
+	}
+	h := c.w.Header()
+	for name, values := range res.Header {
+		h[name] = values
+	}
+	c.w.WriteHeader(res.StatusCode)
+}
+
+func (c *call) write(data []byte) error {
+	control := http.NewResponseController(c.w)
+	if err := control.SetWriteDeadline(c.g.clock.Now().Add(writeTimeout)); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	if _, err := c.w.Write(data); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	return nil
+}
+
+// relay passes a stream on, event by event.
+func (c *call) relay(ctx context.Context, a *assign.Assignment, res *http.Response, p *patience) error {
+	events := newEventReader(res.Body)
+	for {
+		ev, err := events.next()
+		if errors.Is(err, io.EOF) {
+			if !c.committed {
+				c.commit(res)
+			}
+			return nil
+		}
+		if err != nil {
+			return c.broken(ctx, a, err)
+		}
+		p.wait(c.pausePatience())
+		if err := c.deliver(res, a, ev, events.more()); err != nil {
+			return err
+		}
+	}
+}
+
+// deliver passes one event on, unless the caller has it already.
+func (c *call) deliver(res *http.Response, a *assign.Assignment, ev event, more bool) error {
+	if ev.id != "" && c.LastEvent != "" && seen(ev.id, c.LastEvent) {
+		return nil
+	}
+	if !c.committed {
+		c.served(a)
+		c.commit(res)
+	}
+	if err := c.write(ev.raw); err != nil {
+		return err
+	}
+	c.delivered++
+	if ev.id != "" {
+		c.LastEvent = ev.id
+	}
+	if more {
+		return nil
+	}
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	return nil
+}
+
+// firstPatience is how long the endpoint may take for its first word. Zero is as long
+// as the caller waits: a request that runs once is not tried elsewhere.
+func (c *call) firstPatience(a *assign.Assignment) time.Duration {
+	switch {
+	case c.route.Kind == Once:
+		return 0
+	case c.route.Stream:
+		return max(c.route.Target+readPatience*a.Read, minFirstPatience)
+	}
+	return plainPatience * c.route.Target
+}
+
+// pausePatience is how long a stream may pause before it is resumed elsewhere.
+func (c *call) pausePatience() time.Duration {
+	if c.route.Kind == Once {
+		return 0
+	}
+	return min(max(pausePatience*c.route.Pause, minPause), maxPause)
+}
+
+// patience cancels an attempt whose endpoint is silent for too long.
+type patience struct {
+	timer *time.Timer
+}
+
+func (c *call) newPatience(cancel context.CancelCauseFunc) *patience {
+	p := &patience{timer: time.AfterFunc(time.Hour, func() { cancel(errSilent) })}
+	return p
+}
+
+// wait gives the endpoint so long from now on; zero is without end.
+func (p *patience) wait(d time.Duration) {
+	if d <= 0 {
+		p.timer.Stop()
+		return
+	}
+	p.timer.Reset(d)
+}
+
+func (p *patience) stop() { p.timer.Stop() }
--- /dev/null
+++ b/gateway/retries.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// RetryLimits bound the requests that reach endpoints once more: in any Window at
+// most Ratio of the requests and Extra, over all entries together.
+type RetryLimits struct {
+	Ratio  float64
+	Extra  int
+	Window time.Duration
+}
+
+// retryBudget is this entry's part of the limits, for each service. Its lock is
+// "gateway.retries" of kernel.LockOrder.
+type retryBudget struct {
+	limits RetryLimits
+
+	mu       sync.Mutex
+	services map[string]*spending
+}
+
+// spending is the requests and repeats of one service within the window.
+type spending struct {
+	requests []time.Time
+	repeats  []time.Time
+}
+
+func newRetryBudget(l RetryLimits) *retryBudget {
+	return &retryBudget{limits: l, services: map[string]*spending{}}
+}
+
+func (b *retryBudget) service(name string) *spending {
+	s := b.services[name]
+	if s == nil {
+		s = &spending{}
+		b.services[name] = s
+	}
+	return s
+}
+
+// requested counts a request of a caller.
+func (b *retryBudget) requested(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	s.requests = append(since(s.requests, now.Add(-b.limits.Window)), now)
+}
+
+// take spends a repeat if the part of one of so many entries allows it.
+func (b *retryBudget) take(now time.Time, service string, entries int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.service(service)
+	from := now.Add(-b.limits.Window)
+	s.requests, s.repeats = since(s.requests, from), since(s.repeats, from)
+	allowed := b.limits.Ratio*float64(len(s.requests)) + float64(b.limits.Extra)/float64(max(entries, 1))
+	if float64(len(s.repeats)+1) > allowed {
+		return false
+	}
+	s.repeats = append(s.repeats, now)
+	return true
+}
+
+// since drops the times before from; the times rise.
+func since(times []time.Time, from time.Time) []time.Time {
+	i := 0
+	for i < len(times) && times[i].Before(from) {
+		i++
+	}
+	return times[i:]
+}
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -151,10 +151,18 @@
 func Main(program string, f *settings.File) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
 	h := NewHost(f, NewLogger(program, f.Log).With("node", f.Node.Name))
 	if err := h.LoadAll(f); err != nil {
 		return err
 	}
+	go func() {
+		for range hangUp {
+			h.Log.Info("settings not read again", "reason", "they are in force from the next start")
+		}
+	}()
 	h.Log.Info("process started", "program", program, "zone", f.Node.Zone)
 	err := h.Run(ctx)
 	h.Log.Info("process stopped", "program", program)
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -11,6 +11,8 @@
 	"session.Dialer",
 	"config.View",
 	"entry.table",
+	"gateway.fleet",
+	"gateway.retries",
 	"entry.suspects",
 	"entry.watch",
 	"sidecar.orders",
--- a/settings/types.go
+++ b/settings/types.go
@@ -83,14 +83,22 @@
 // TLS names the files of a process's identity. The files are read again when
 // they change, so that keys rotate without a restart.
 type TLS struct {
+	// Trust says whom the process believes. With "authority", the default, peers show
+	// certificates of the deployment's authority. With "network" everybody who reaches
+	// the process's port is believed, and connections are encrypted only: it is for
+	// platforms that hand out no secrets and keep that network to the deployment.
+	Trust string `json:"trust,omitempty" validate:"omitempty,oneof=authority network"`
 	// CA is the PEM file of the deployment's certificate authority.
-	CA string `json:"ca" validate:"required"`
+	CA string `json:"ca,omitempty" validate:"required_unless=Trust network"`
 	// Cert is the PEM file of the process's certificate chain.
-	Cert string `json:"cert" validate:"required"`
+	Cert string `json:"cert,omitempty" validate:"required_unless=Trust network"`
 	// Key is the PEM file of the process's private key.
-	Key string `json:"key" validate:"required"`
+	Key string `json:"key,omitempty" validate:"required_unless=Trust network"`
 }
 
+// TrustNetwork is the value of TLS.Trust that believes everybody.
+const TrustNetwork = "network"
+
 // Log sets the process's log.
 type Log struct {
 	// Level is one of "debug", "info", "warn" and "error".
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -62,10 +62,7 @@
 func inWords(f validator.FieldError, present bool) string {
 	switch f.Tag() {
 	case "required":
-		if present {
-			return "must not be empty"
-		}
-		return "is missing"
+		return missing(present)
 	case "oneof":
 		return fmt.Sprintf("want one of %s, got %q", strings.ReplaceAll(f.Param(), " ", ", "), fmt.Sprint(f.Value()))
 	case "min", "gte":
@@ -83,6 +80,9 @@
 	case "gtfield", "gtefield", "ltfield", "ltefield", "nefield", "eqfield":
 		return fmt.Sprintf("does not fit the setting %s beside it", f.Param())
 	}
+	if f.Tag() == "required_unless" {
+		return missing(present)
+	}
 	if strings.HasPrefix(f.Tag(), "required_") {
 		return "is missing beside " + f.Param()
 	}
@@ -99,3 +99,11 @@
 	}
 	return fmt.Sprintf("want %s %s, got %v", relation, f.Param(), f.Value())
 }
+
+// missing says whether a required setting is absent or empty.
+func missing(present bool) string {
+	if present {
+		return "must not be empty"
+	}
+	return "is missing"
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -121,7 +121,7 @@
 
 // Provision opens the sidecar's address and its session with control.
 func (s *Sidecar) Provision(h *kernel.Host) error {
-	id, err := wire.LoadIdentity(h.TLS)
+	id, err := wire.OpenIdentity(h.TLS, h.Node.Name, wire.RoleSidecar)
 	if err != nil {
 		return err
 	}
--- a/wire/authority.go
+++ b/wire/authority.go
@@ -4,6 +4,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -116,6 +117,23 @@
 	return files, writePEM(files.Cert, "CERTIFICATE", der, pemFileMode)
 }
 
+// selfSigned makes a certificate that only names its holder.
+func selfSigned(name string, role Role) (*tls.Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "make key")
+	}
+	template, err := newTemplate(name, role, certificateLife)
+	if err != nil {
+		return nil, err
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "sign certificate")
+	}
+	return &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, nil
+}
+
 func newTemplate(name string, role Role, life time.Duration) (*x509.Certificate, error) {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
 	if err != nil {
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -40,6 +40,7 @@
 // Identity is a process's certificate and the authority it trusts. It reads its
 // files again when they change, so that keys rotate without a restart.
 type Identity struct {
+	// files is nil for an identity that believes everybody.
 	files *settings.TLS
 
 	mu      sync.Mutex
@@ -49,6 +50,19 @@
 	pool    *x509.CertPool
 }
 
+// OpenIdentity returns the identity that the settings ask for. One that trusts the
+// network is made anew at each start, under the name and role that are given.
+func OpenIdentity(s *settings.TLS, name string, role Role) (*Identity, error) {
+	if s == nil || s.Trust != settings.TrustNetwork {
+		return LoadIdentity(s)
+	}
+	cert, err := selfSigned(name, role)
+	if err != nil {
+		return nil, err
+	}
+	return &Identity{cert: cert}, nil
+}
+
 // LoadIdentity reads the identity's files.
 func LoadIdentity(files *settings.TLS) (*Identity, error) {
 	if files == nil {
@@ -92,6 +106,9 @@
 // current returns the certificate and pool in force. Files that cannot be read
 // in the middle of a rotation leave the old ones in force.
 func (id *Identity) current() (*tls.Certificate, *x509.CertPool) {
+	if id.files == nil {
+		return id.cert, nil
+	}
 	id.mu.Lock()
 	defer id.mu.Unlock()
 	if now := time.Now(); now.Sub(id.checked) > reloadInterval {
@@ -110,6 +127,9 @@
 		if len(state.PeerCertificates) == 0 {
 			return errors.New("peer sent no certificate")
 		}
+		if id.files == nil {
+			return nil
+		}
 		_, pool := id.current()
 		inter := x509.NewCertPool()
 		for _, c := range state.PeerCertificates[1:] {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -193,6 +193,12 @@
 	// Service is set for a plain service rather than a model engine.
 	Service bool `cbor:"11,keyasint,omitempty" json:"service,omitempty"`
 	Load    Load `cbor:"12,keyasint" json:"load"`
+	// Direct is set for an endpoint without a sidecar: Addr is its own address.
+	Direct bool `cbor:"13,keyasint,omitempty" json:"direct,omitempty"`
+	// Slots is how many requests a direct endpoint runs at once.
+	Slots int `cbor:"14,keyasint,omitempty" json:"slots,omitempty"`
+	// Cold is set while a direct endpoint says that it bears little work.
+	Cold bool `cbor:"15,keyasint,omitempty" json:"cold,omitempty"`
 }
 
 // Hello opens a session of an entry or sidecar with control.
@@ -260,6 +266,10 @@
 	// Quarantine are whole lists and count where Judged is set.
 	Suspects []uint64 `cbor:"12,keyasint,omitempty"`
 	Judged   bool     `cbor:"13,keyasint,omitempty"`
+	// Replicas are the addresses of control's replicas; empty when unchanged.
+	Replicas []string `cbor:"14,keyasint,omitempty"`
+	// Entries is how many entries have a session with any replica; zero when unchanged.
+	Entries int `cbor:"15,keyasint,omitempty"`
 }
 
 // Order tells a sidecar what to do with its engine.
