Share placements among entries and keep short prompts apart from long ones

Ruled out: lack of endpoints; the windows without long prompts had 99% in time. Change: entries tell one another what they place; short prompts fill endpoints in one order, long ones are read by groups of the others.

--- /dev/null
+++ b/assign/fleet.go
@@ -0,0 +1,243 @@
+package assign
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
+)
+
+// Endpoint is a member of the fleet.
+type Endpoint struct {
+	Name        string
+	Service     string
+	Addr        string
+	Zone        string
+	Incarnation uint64
+	Slots       int
+	// Leaving endpoints and those of an availability zone that is out take nothing new.
+	Leaving bool
+	Cold    bool
+}
+
+// Part is one endpoint's part of a request.
+type Part struct {
+	Endpoint string
+	// Tokens is the memory that the request takes there.
+	Tokens int64
+}
+
+// Booking is the work that one request puts on endpoints.
+type Booking struct {
+	// First runs the request, and Helpers read parts of its prompt.
+	First   Part
+	Helpers []Part
+	// Read is how long each of them reads.
+	Read time.Duration
+	// Short is set for a prompt that one endpoint reads alone within a short pause.
+	Short bool
+}
+
+// bookingKey names a booking: the entry that made it and its number there.
+type bookingKey struct {
+	owner string
+	id    uint64
+}
+
+// member is an endpoint and the work that entries have given it.
+type member struct {
+	Endpoint
+	// rank orders the endpoints in the same way at every entry.
+	rank uint64
+	// running counts requests that it runs, and short those of them with short prompts.
+	running, short int
+	// helping counts the groups in which it only reads.
+	helping int
+	tokens  int64
+	// readUntil is when the prompts given to it are read.
+	readUntil time.Time
+	failures  int
+	// distrusted is until when it is left alone after failures.
+	distrusted time.Time
+	// sent are the times of this entry's requests in the last second.
+	sent []time.Time
+}
+
+// Fleet is the endpoints and their load, as far as the entries tell one another.
+type Fleet struct {
+	members  map[string]*member
+	out      map[string]bool
+	bookings map[bookingKey]*Booking
+}
+
+// NewFleet returns an empty fleet.
+func NewFleet() *Fleet {
+	return &Fleet{members: map[string]*member{}, out: map[string]bool{}, bookings: map[bookingKey]*Booking{}}
+}
+
+// Update enters an endpoint. One that started anew has no load and no failures.
+func (f *Fleet) Update(e Endpoint) {
+	m, ok := f.members[e.Name]
+	if ok && m.Incarnation == e.Incarnation && m.Addr == e.Addr {
+		m.Endpoint = e
+		return
+	}
+	f.members[e.Name] = &member{Endpoint: e, rank: xxhash.Sum64String(e.Name)}
+	for key, b := range f.bookings {
+		if b.names(e.Name) {
+			// What the earlier incarnation held is gone.
+			delete(f.bookings, key)
+			f.add(b, -1, e.Name)
+		}
+	}
+}
+
+// names reports whether the booking is on the endpoint.
+func (b *Booking) names(endpoint string) bool {
+	return b.First.Endpoint == endpoint || slices.ContainsFunc(b.Helpers, func(p Part) bool { return p.Endpoint == endpoint })
+}
+
+// Remove drops an endpoint.
+func (f *Fleet) Remove(name string) { delete(f.members, name) }
+
+// Keep drops all endpoints but those named.
+func (f *Fleet) Keep(names map[string]bool) {
+	for name := range f.members {
+		if !names[name] {
+			delete(f.members, name)
+		}
+	}
+}
+
+// SetOut says which availability zones take no new work.
+func (f *Fleet) SetOut(zones map[string]bool) { f.out = zones }
+
+// Book enters the work of a request that the entry called owner placed; this entry
+// itself is "".
+func (f *Fleet) Book(now time.Time, owner string, id uint64, b *Booking) {
+	key := bookingKey{owner, id}
+	if _, ok := f.bookings[key]; ok {
+		return
+	}
+	f.bookings[key] = b
+	f.add(b, 1, "")
+	for _, p := range append([]Part{b.First}, b.Helpers...) {
+		if m := f.members[p.Endpoint]; m != nil {
+			m.read(now, b.Read)
+		}
+	}
+	if m := f.members[b.First.Endpoint]; m != nil && owner == "" {
+		m.sent = append(m.sent, now)
+	}
+}
+
+// End takes a booking back. One that is not there was taken back before.
+func (f *Fleet) End(owner string, id uint64) {
+	key := bookingKey{owner, id}
+	if b, ok := f.bookings[key]; ok {
+		delete(f.bookings, key)
+		f.add(b, -1, "")
+	}
+}
+
+// Forget takes back all bookings of an entry that is gone or out of reach.
+func (f *Fleet) Forget(owner string) {
+	for key, b := range f.bookings {
+		if key.owner == owner {
+			delete(f.bookings, key)
+			f.add(b, -1, "")
+		}
+	}
+}
+
+// add adds a booking to its endpoints' loads, or takes it off with sign -1, but for
+// the endpoint called except.
+func (f *Fleet) add(b *Booking, sign int, except string) {
+	if m := f.members[b.First.Endpoint]; m != nil && b.First.Endpoint != except {
+		m.running += sign
+		m.tokens += int64(sign) * b.First.Tokens
+		if b.Short {
+			m.short += sign
+		}
+	}
+	for _, p := range b.Helpers {
+		if m := f.members[p.Endpoint]; m != nil && p.Endpoint != except {
+			m.helping += sign
+			m.tokens += int64(sign) * p.Tokens
+		}
+	}
+}
+
+func (m *member) read(now time.Time, share time.Duration) {
+	if m.readUntil.Before(now) {
+		m.readUntil = now
+	}
+	m.readUntil = m.readUntil.Add(share)
+}
+
+// wait is the reading that is ahead of a new prompt.
+func (m *member) wait(now time.Time) time.Duration { return max(0, m.readUntil.Sub(now)) }
+
+// free is the memory that may still be given out.
+func (m *member) free(e *costmodel.Engine) int64 {
+	return int64(float64(e.MemoryTokens)*memoryPart) - m.tokens
+}
+
+// mayTake bounds the requests to an endpoint that may be cold without a word.
+func (m *member) mayTake(now time.Time, perSecond float64) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	m.sent = slices.DeleteFunc(m.sent, func(t time.Time) bool { return now.Sub(t) >= time.Second })
+	return float64(len(m.sent)+1) <= max(perSecond, 1)
+}
+
+// Served notes that an endpoint answered.
+func (f *Fleet) Served(name string) {
+	if m := f.members[name]; m != nil {
+		m.failures = 0
+	}
+}
+
+// Failed notes that an endpoint failed and returns for how long it is left alone.
+func (f *Fleet) Failed(now time.Time, name string) time.Duration {
+	m := f.members[name]
+	if m == nil {
+		return 0
+	}
+	span := min(firstDistrust<<min(m.failures, maxDoublings), maxDistrust)
+	m.failures++
+	m.distrusted = now.Add(span)
+	return span
+}
+
+// Full notes that an endpoint had no room.
+func (f *Fleet) Full(now time.Time, name string) {
+	if m := f.members[name]; m != nil {
+		m.readUntil = now.Add(max(m.wait(now), fullPause))
+	}
+}
+
+// FindAddr returns the name of the endpoint at an address.
+func (f *Fleet) FindAddr(addr string) (string, bool) {
+	for name, m := range f.members {
+		if m.Addr == addr {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// byRank compares endpoints by their order, which all entries share.
+func byRank(a, b *member) int {
+	switch {
+	case a.rank < b.rank:
+		return -1
+	case a.rank > b.rank:
+		return 1
+	}
+	return strings.Compare(a.Name, b.Name)
+}
--- a/control/report.go
+++ b/control/report.go
@@ -42,6 +42,7 @@
 	Zone     string         `cbor:"5,keyasint"`
 	Revision uint64         `cbor:"6,keyasint"`
 	Endpoint *wire.Endpoint `cbor:"7,keyasint,omitempty"`
+	Addr     string         `cbor:"8,keyasint,omitempty"`
 }
 
 type demandReport struct {
@@ -228,7 +229,7 @@
 func (s *peerSession) report(key string) sessionReport {
 	return sessionReport{
 		Key: key, Name: s.hello.Name, Role: s.hello.Role, Region: s.hello.Region, Zone: s.hello.Zone,
-		Revision: s.revision, Endpoint: s.endpoint,
+		Revision: s.revision, Endpoint: s.endpoint, Addr: s.hello.Addr,
 	}
 }
 
--- a/control/session.go
+++ b/control/session.go
@@ -52,7 +52,7 @@
 	suspects  uint64
 	leader    string
 	replicas  []string
-	entries   int
+	entries   []string
 	any       bool
 }
 
@@ -242,13 +242,13 @@
 	return true
 }
 
-// addGroup adds where the replicas are and how many entries there are.
+// addGroup adds where the replicas are and where the entries meet.
 func (s *Server) addGroup(u *wire.Update, t *told) bool {
 	news := false
 	if replicas := s.memberAddrs(); !slices.Equal(replicas, t.replicas) {
 		u.Replicas, t.replicas, news = replicas, replicas, true
 	}
-	if entries := s.table.entries(s.clock.Now()); entries != t.entries {
+	if entries := s.table.entries(); !slices.Equal(entries, t.entries) {
 		u.Entries, t.entries, news = entries, entries, true
 	}
 	return news
--- a/control/session/client.go
+++ b/control/session/client.go
@@ -59,6 +59,8 @@
 	// Endpoint returns what a sidecar announces; nil for other roles. It is
 	// called for each heartbeat.
 	Endpoint func() *wire.Endpoint
+	// Addr is where an entry listens for other entries; empty for others.
+	Addr string
 	// Limits is an entry's part of the client accounts' limits; nil for others.
 	Limits *Limits
 	// OnUpdate is called for each update, in order, after the view and the
--- a/control/session/run.go
+++ b/control/session/run.go
@@ -50,7 +50,7 @@
 	o := &c.options
 	h := &wire.Hello{
 		Role: string(o.Role), Name: o.Node.Name, Region: o.Node.Region, Zone: o.Node.Zone,
-		Revision: c.view.Revision(),
+		Revision: c.view.Revision(), Addr: o.Addr,
 	}
 	if o.Endpoint != nil {
 		h.Endpoint = o.Endpoint()
--- a/control/table.go
+++ b/control/table.go
@@ -238,15 +238,25 @@
 	return sortProcesses(out)
 }
 
-// entries counts the entries that have a session with any replica.
-func (t *table) entries(now time.Time) int {
-	n := 0
-	for _, p := range t.processes(now) {
-		if p.Role == string(wire.RoleEntry) {
-			n++
+// entries lists the addresses of the entries that have a session with any replica.
+func (t *table) entries() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, s := range t.sessions {
+		if s.hello.Addr != "" {
+			out = append(out, s.hello.Addr)
+		}
+	}
+	for _, r := range t.remotes {
+		for _, s := range r.sessions {
+			if s.Addr != "" {
+				out = append(out, s.Addr)
+			}
 		}
 	}
-	return n
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 // sortProcesses sorts by name and keeps, of a process that changed its replica,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -42,6 +41,8 @@
 	Ready  settings.Addr
 	// ReadyPath answers 200 while new connections are welcome, else 503.
 	ReadyPath string
+	// Peers is the address for the other entries.
+	Peers settings.Addr
 	// Control lists addresses of control's replicas.
 	Control []settings.Addr
 	// Lease is for how long the configuration is believed without a word from control.
@@ -78,6 +79,13 @@
 	deployment atomic.Pointer[Deployment]
 	entries    atomic.Int64
 	tickets    atomic.Uint64
+	// bookings are told to the other entries, which reach this one at peers.
+	bookings *bookings
+	peers    *wire.Server
+	// running counts the streams to other entries; work ends them.
+	running sync.WaitGroup
+	work    context.Context
+	stop    context.CancelFunc
 
 	// mu is "gateway.fleet" of kernel.LockOrder.
 	mu    sync.Mutex
@@ -88,7 +96,7 @@
 func New(s Settings, d Dialect, m Memory) *Gateway {
 	return &Gateway{
 		Settings: s, dialect: d, memory: m,
-		fleet: assign.NewFleet(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		fleet: assign.NewFleet(), bookings: newBookings(),
 	}
 }
 
@@ -100,18 +108,22 @@
 	}
 	g.log, g.clock, g.node = h.Log, h.Clock, h.Node
 	g.entries.Store(1)
+	g.work, g.stop = context.WithCancel(context.Background())
 	g.retries = newRetryBudget(g.Retries)
 	g.metrics = newMetrics(h.Metrics)
 	g.http = newTransport()
 	g.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
 	g.client, err = session.New(session.Options{
 		Node: h.Node, Role: wire.RoleEntry, Replicas: settings.Addrs(g.Control), Opener: g.dialer,
-		Lease: g.Lease, Heartbeat: g.Lease / heartbeatsPerLease,
+		Addr: string(g.Peers), Lease: g.Lease, Heartbeat: g.Lease / heartbeatsPerLease,
 		Clock: h.Clock, Log: h.Log, OnUpdate: g.update,
 	})
 	if err != nil {
 		return err
 	}
+	if g.peers, err = wire.Listen(string(g.Peers), id, &wire.Traffic{}, g.hearPeer); err != nil {
+		return err
+	}
 	if g.listener, err = net.Listen("tcp", string(g.Listen)); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
@@ -153,8 +165,9 @@
 
 // update takes over what the session brought.
 func (g *Gateway) update(u *wire.Update) {
-	if u.Entries > 0 {
-		g.entries.Store(int64(u.Entries))
+	if len(u.Entries) > 0 {
+		g.entries.Store(int64(len(u.Entries)))
+		g.meet(g.work, u.Entries)
 	}
 	doc := g.client.Config()
 	if u.Snapshot != nil || len(u.Changes) > 0 {
@@ -215,11 +228,11 @@
 
 // Run serves until ctx ends; then requests in flight finish within the grace time.
 func (g *Gateway) Run(ctx context.Context) error {
-	work, stop := context.WithCancel(context.Background())
-	defer stop()
-	failed := make(chan error, 3)
+	defer g.stop()
+	failed := make(chan error, 4)
 	var tasks sync.WaitGroup
-	tasks.Go(func() { failed <- g.client.Run(work) })
+	tasks.Go(func() { failed <- g.client.Run(g.work) })
+	tasks.Go(func() { failed <- g.peers.Serve(g.work) })
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, s := range []struct {
 		server   *http.Server
@@ -239,8 +252,9 @@
 	}
 	_ = g.server.Close()
 	_ = ready.Close()
-	stop()
+	g.stop()
 	tasks.Wait()
+	g.running.Wait()
 	g.dialer.Close()
 	return errors.Wrap(err, "serve callers")
 }
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+const (
+	// bookingInterval is the least time between two messages to a peer, so that a burst
+	// travels as one.
+	bookingInterval = 5 * time.Millisecond
+	// bookingBeat is the longest time between two messages, and bookingSilence that
+	// after which a peer's bookings are dropped: it may be gone.
+	bookingBeat    = time.Second
+	bookingSilence = 3 * time.Second
+	// peerRetry is the wait before a peer is tried again.
+	peerRetry = 300 * time.Millisecond
+	// peerOpenTimeout bounds the opening of a stream to a peer.
+	peerOpenTimeout = time.Second
+)
+
+// bookings are this entry's placements in force. Every change is passed on to the
+// other entries, so that all choose by the same loads. Its lock is "gateway.bookings"
+// of kernel.LockOrder.
+type bookings struct {
+	mu      sync.Mutex
+	next    uint64
+	current map[uint64]*wire.Booking
+	peers   map[string]*peerQueue
+}
+
+// peerQueue is what one peer has not been told yet.
+type peerQueue struct {
+	cancel context.CancelFunc
+	begun  []uint64
+	ended  []uint64
+	// wake has one place.
+	wake chan struct{}
+}
+
+func newBookings() *bookings {
+	return &bookings{current: map[uint64]*wire.Booking{}, peers: map[string]*peerQueue{}}
+}
+
+// begin numbers a booking and has the peers told.
+func (b *bookings) begin(a *assign.Booking) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next++
+	b.current[b.next] = toWire(b.next, a)
+	b.tell(func(q *peerQueue) { q.begun = append(q.begun, b.next) })
+	return b.next
+}
+
+// end has the peers told that a booking is over.
+func (b *bookings) end(id uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.current, id)
+	b.tell(func(q *peerQueue) { q.ended = append(q.ended, id) })
+}
+
+func (b *bookings) tell(note func(*peerQueue)) {
+	for _, q := range b.peers {
+		note(q)
+		select {
+		case q.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// news returns what the peer has not been told, or everything at the start of a stream.
+func (b *bookings) news(q *peerQueue, all bool) *wire.Bookings {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := &wire.Bookings{Whole: all, Ended: q.ended}
+	if all {
+		for _, one := range b.current {
+			m.Begun = append(m.Begun, *one)
+		}
+	} else {
+		for _, id := range q.begun {
+			if one := b.current[id]; one != nil {
+				m.Begun = append(m.Begun, *one)
+			}
+		}
+	}
+	q.begun, q.ended = nil, nil
+	return m
+}
+
+func toWire(id uint64, b *assign.Booking) *wire.Booking {
+	out := &wire.Booking{ID: id, Read: b.Read, Short: b.Short, First: wire.BookedPart(b.First)}
+	for _, p := range b.Helpers {
+		out.Helpers = append(out.Helpers, wire.BookedPart(p))
+	}
+	return out
+}
+
+func fromWire(b *wire.Booking) *assign.Booking {
+	out := &assign.Booking{Read: b.Read, Short: b.Short, First: assign.Part(b.First)}
+	for _, p := range b.Helpers {
+		out.Helpers = append(out.Helpers, assign.Part(p))
+	}
+	return out
+}
+
+// meet starts telling new peers and stops telling those that are gone.
+func (g *Gateway) meet(ctx context.Context, addrs []string) {
+	b := g.bookings
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listed := map[string]bool{}
+	for _, addr := range addrs {
+		if addr == string(g.Peers) || addr == "" {
+			continue
+		}
+		listed[addr] = true
+		if b.peers[addr] == nil {
+			bounded, cancel := context.WithCancel(ctx)
+			q := &peerQueue{cancel: cancel, wake: make(chan struct{}, 1)}
+			b.peers[addr] = q
+			g.running.Go(func() { g.runPeer(bounded, addr, q) })
+		}
+	}
+	for addr, q := range b.peers {
+		if !listed[addr] {
+			q.cancel()
+			delete(b.peers, addr)
+		}
+	}
+}
+
+// runPeer keeps a stream to a peer until ctx ends.
+func (g *Gateway) runPeer(ctx context.Context, addr string, q *peerQueue) {
+	for ctx.Err() == nil {
+		if err := g.tellPeer(ctx, addr, q); err != nil && ctx.Err() == nil {
+			g.log.Debug("stream to entry ended", "addr", addr, "error", err)
+			g.dialer.Drop(addr)
+		}
+		select {
+		case <-ctx.Done():
+		case <-g.clock.After(peerRetry):
+		}
+	}
+}
+
+func (g *Gateway) tellPeer(ctx context.Context, addr string, q *peerQueue) error {
+	bounded, cancel := context.WithTimeout(ctx, peerOpenTimeout)
+	stream, err := g.dialer.Open(bounded, addr)
+	cancel()
+	if err != nil {
+		return err
+	}
+	defer stream.Abort()
+	defer context.AfterFunc(ctx, stream.Abort)()
+	for first := true; ; first = false {
+		if err := stream.SetSendDeadline(g.clock.Now().Add(bookingSilence)); err != nil {
+			return errors.Wrap(err, "set deadline of bookings")
+		}
+		if err := stream.Send(g.bookings.news(q, first)); err != nil {
+			return errors.Wrap(err, "send bookings")
+		}
+		select {
+		case <-stream.Context().Done():
+			return errors.New("the peer closed the stream")
+		case <-g.clock.After(bookingInterval):
+		}
+		select {
+		case <-stream.Context().Done():
+			return errors.New("the peer closed the stream")
+		case <-q.wake:
+		case <-g.clock.After(bookingBeat):
+		}
+	}
+}
+
+// hearPeer takes in what another entry tells, until its stream ends.
+func (g *Gateway) hearPeer(stream wire.Stream) {
+	peer := stream.Peer()
+	if peer.Role != wire.RoleEntry {
+		g.log.Warn("stream refused", "peer", peer.Name, "role", string(peer.Role))
+		return
+	}
+	g.log.Info("entry met", "peer", peer.Name)
+	defer func() {
+		g.mu.Lock()
+		g.fleet.Forget(peer.Name)
+		g.mu.Unlock()
+		g.log.Info("entry lost", "peer", peer.Name)
+	}()
+	for {
+		if err := stream.SetDeadline(g.clock.Now().Add(bookingSilence)); err != nil {
+			return
+		}
+		m, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		b, ok := m.(*wire.Bookings)
+		if !ok {
+			g.log.Warn("stream refused", "peer", peer.Name, "message", m.Kind())
+			return
+		}
+		g.takeBookings(peer.Name, b)
+	}
+}
+
+func (g *Gateway) takeBookings(owner string, b *wire.Bookings) {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if b.Whole {
+		g.fleet.Forget(owner)
+	}
+	for i := range b.Begun {
+		g.fleet.Book(now, owner, b.Begun[i].ID, fromWire(&b.Begun[i]))
+	}
+	for _, id := range b.Ended {
+		g.fleet.End(owner, id)
+	}
+}
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -115,11 +115,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	end := g.fleet.Start(now, r, a)
+	id := g.bookings.begin(&a.Booking)
+	g.fleet.Book(now, "", id, &a.Booking)
 	return a, func() {
+		g.bookings.end(id)
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		end()
+		g.fleet.End("", id)
 	}, nil
 }
 
@@ -130,7 +132,7 @@
 	c.sends++
 	c.g.metrics.sent("attempt")
 	c.log().Info("request placed", "addr", a.First.Addr, "zone", a.First.Zone, "helpers", len(a.Helpers), "considered", a.Considered,
-		"prompt_tokens", c.PromptTokens, "predicted", a.Read, "left", c.end.Sub(c.g.clock.Now()))
+		"prompt_tokens", c.PromptTokens, "predicted", a.Ahead, "left", c.end.Sub(c.g.clock.Now()))
 	helpers, free, err := c.reserve(ctx, a)
 	defer free()
 	if err != nil {
@@ -403,7 +405,7 @@
 	case c.route.Kind == Once:
 		return 0
 	case c.route.Stream:
-		return max(c.route.Target+readPatience*a.Read, minFirstPatience)
+		return max(c.route.Target+readPatience*a.Ahead, minFirstPatience)
 	}
 	return plainPatience * c.route.Target
 }
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -34,13 +34,13 @@
 			go c.release(t)
 		}
 	}
-	for _, h := range a.Helpers {
-		t := ticket{Helper: Helper{Addr: h.Endpoint.Addr}, tokens: h.Tokens}
+	for i, h := range a.Helpers {
+		t := ticket{Helper: Helper{Addr: h.Addr}, tokens: a.Booking.Helpers[i].Tokens}
 		if t.tokens > 0 {
 			t.Ticket = fmt.Sprintf("%s-%d", c.g.node.Name, c.g.tickets.Add(1))
 			held = append(held, t)
 			if err := c.g.memory.Reserve(t.Addr, t.Ticket, t.tokens, ticketHold); err != nil {
-				return nil, free, c.noMemory(h, err)
+				return nil, free, c.noMemory(h.Name, t.tokens, err)
 			}
 		}
 		helpers = append(helpers, t.Helper)
@@ -51,13 +51,13 @@
 	return helpers, free, nil
 }
 
-func (c *call) noMemory(h assign.Ticket, err error) error {
+func (c *call) noMemory(name string, tokens int64, err error) error {
 	c.g.mu.Lock()
-	c.g.fleet.Full(c.g.clock.Now(), h.Endpoint.Name)
+	c.g.fleet.Full(c.g.clock.Now(), name)
 	c.g.mu.Unlock()
-	c.want.Tried = append(c.want.Tried, h.Endpoint.Name)
-	c.log().Info("memory not set aside", "helper", h.Endpoint.Name, "tokens", h.Tokens, "error", err)
-	return verdict.Refuse(verdict.ReasonEndpointMemory, retryAfterLoss, "endpoint %s has no memory for %d tokens", h.Endpoint.Name, h.Tokens)
+	c.want.Tried = append(c.want.Tried, name)
+	c.log().Info("memory not set aside", "helper", name, "tokens", tokens, "error", err)
+	return verdict.Refuse(verdict.ReasonEndpointMemory, retryAfterLoss, "endpoint %s has no memory for %d tokens", name, tokens)
 }
 
 // renew keeps the memory set aside until ctx ends.
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -13,6 +13,7 @@
 	"entry.table",
 	"gateway.fleet",
 	"gateway.retries",
+	"gateway.bookings",
 	"entry.suspects",
 	"entry.watch",
 	"sidecar.orders",
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -26,6 +26,7 @@
 	KindCommand
 	KindAnswer
 	KindReplica
+	KindBookings
 )
 
 // Message is a typed message with a fixed kind.
@@ -211,6 +212,8 @@
 	Revision uint64 `cbor:"5,keyasint"`
 	// Endpoint is set by a sidecar.
 	Endpoint *Endpoint `cbor:"6,keyasint,omitempty"`
+	// Addr is where an entry listens for other entries; empty for others.
+	Addr string `cbor:"7,keyasint,omitempty"`
 }
 
 // Heartbeat renews a session's lease. Control echoes Seq once it knows that its
@@ -268,8 +271,9 @@
 	Judged   bool     `cbor:"13,keyasint,omitempty"`
 	// Replicas are the addresses of control's replicas; empty when unchanged.
 	Replicas []string `cbor:"14,keyasint,omitempty"`
-	// Entries is how many entries have a session with any replica; zero when unchanged.
-	Entries int `cbor:"15,keyasint,omitempty"`
+	// Entries are the addresses at which entries with a session listen for one another;
+	// empty when unchanged.
+	Entries []string `cbor:"15,keyasint,omitempty"`
 }
 
 // Order tells a sidecar what to do with its engine.
@@ -299,6 +303,31 @@
 	Leader string `cbor:"3,keyasint,omitempty"`
 }
 
+// Bookings tells another entry which work this one has placed on endpoints.
+type Bookings struct {
+	// Whole is set when Begun is all that is in force.
+	Whole bool      `cbor:"1,keyasint,omitempty"`
+	Begun []Booking `cbor:"2,keyasint,omitempty"`
+	Ended []uint64  `cbor:"3,keyasint,omitempty"`
+}
+
+// Booking is the work of one request.
+type Booking struct {
+	ID uint64 `cbor:"1,keyasint"`
+	// First runs the request; Helpers read parts of its prompt.
+	First   BookedPart   `cbor:"2,keyasint"`
+	Helpers []BookedPart `cbor:"3,keyasint,omitempty"`
+	// Read is how long each of them reads.
+	Read  time.Duration `cbor:"4,keyasint,omitempty"`
+	Short bool          `cbor:"5,keyasint,omitempty"`
+}
+
+// BookedPart is one endpoint's part of a request, with the memory that it takes.
+type BookedPart struct {
+	Endpoint string `cbor:"1,keyasint"`
+	Tokens   int64  `cbor:"2,keyasint,omitempty"`
+}
+
 // Replica carries one message of the consensus protocol.
 type Replica struct {
 	Group string `cbor:"1,keyasint"`
@@ -320,6 +349,7 @@
 func (*Command) Kind() Kind   { return KindCommand }
 func (*Answer) Kind() Kind    { return KindAnswer }
 func (*Replica) Kind() Kind   { return KindReplica }
+func (*Bookings) Kind() Kind  { return KindBookings }
 
 // newMessage returns an empty message of the kind, or nil for an unknown one.
 func newMessage(k Kind) Message {
@@ -352,6 +382,8 @@
 		return &Answer{}
 	case KindReplica:
 		return &Replica{}
+	case KindBookings:
+		return &Bookings{}
 	}
 	return nil
 }
