Let requests wait at the entry for memory and readers, spread by class and account

Cause: long prompts were refused for want of memory while tries that failed left phantom reading behind; silent endpoints were judged by one request alone. Change: the product's queue holds what does not fit yet; bookings that end unread are taken back; an endpoint that serves others counts as busy, not gone; writers of long answers are apart from readers.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -34,6 +34,14 @@
 	fillPart = 0.8
 	// busyReading is the reading ahead above which a short prompt rather goes elsewhere.
 	busyReading = 80 * time.Millisecond
+	// writerPart is the part of an endpoint's slots that answers to long prompts fill
+	// before they go on to another endpoint.
+	writerPart = 0.4
+	// holders is how many helpers share a prompt's memory: each costs two orders.
+	holders = 3
+	// holdBack is the reading ahead above which a request waits here rather than at the
+	// endpoint: what waits here can still be served elsewhere or overtaken.
+	holdBack = 350 * time.Millisecond
 	// minLong is the part of the endpoints that long prompts may use however many
 	// short ones there are: one in so many.
 	minLong = 5
@@ -76,8 +84,8 @@
 // need is the memory that the request takes in the end.
 func (r *Request) need() int64 { return int64(r.PromptTokens + r.OutputTokens) }
 
-// short reports whether one endpoint reads the prompt alone.
-func (r *Request) short() bool { return r.Engine.Read(r.PromptTokens) <= shortLimit }
+// Short reports whether one endpoint reads the prompt alone.
+func (r *Request) Short() bool { return r.Engine.Read(r.PromptTokens) <= shortLimit }
 
 // Assignment is who serves a request.
 type Assignment struct {
@@ -101,13 +109,25 @@
 		return nil, verdict.Refuse(verdict.ReasonNoEndpoint, retryWhenBusy, "no endpoint of %s can take the request", r.Service)
 	}
 	slices.SortFunc(all, byRank)
+	var a *Assignment
+	var err error
 	switch {
 	case r.Engine == nil || r.PromptTokens == 0:
 		return alone(now, r, all, least(now, r, all)), nil
-	case r.short():
-		return alone(now, r, all, fill(now, r, all)), nil
+	case r.Short():
+		a = alone(now, r, all, fill(now, r, all))
+	default:
+		if a, err = f.group(now, r, all); err != nil {
+			return nil, err
+		}
+	}
+	if ahead := a.Ahead - a.Booking.Read; ahead > holdBack {
+		return nil, verdict.Refuse(verdict.ReasonOverloaded, ahead, "endpoints of %s read for %v yet", r.Service, ahead)
 	}
-	return f.group(now, r, all)
+	if m := f.members[a.First.Name]; m.Slots > 0 && m.running >= m.Slots {
+		return nil, verdict.Refuse(verdict.ReasonOverloaded, retryWhenBusy, "all slots of %s are taken", r.Service)
+	}
+	return a, nil
 }
 
 // able lists the endpoints that may get the request: trusted ones only, or any.
@@ -158,7 +178,7 @@
 // short prompt and reads nothing long. When all are busy it is the least busy one.
 func fill(now time.Time, r *Request, all []*member) *member {
 	for _, m := range all {
-		room := float64(m.running) < fillPart*float64(m.Slots) && m.free(r.Engine) >= r.need()
+		room := float64(m.running) < fillPart*float64(m.Slots) && m.free(now, r.Engine) >= r.need()
 		if room && m.wait(now) < busyReading && !m.Cold {
 			return m
 		}
@@ -166,67 +186,89 @@
 	return least(now, r, all)
 }
 
-// group places a long prompt on the endpoint with the most memory of those that serve
-// no short prompts, and lets others of them read parts of it. Memory that the first
-// one lacks is set aside at helpers.
+// group places a long prompt: one endpoint writes its answer, and others read parts of
+// the prompt and hold its memory. Endpoints that read without writing lose no time to
+// the steps of streams, so the writers of long answers share a few endpoints.
 func (f *Fleet) group(now time.Time, r *Request, all []*member) (*Assignment, error) {
-	lane := longLane(all)
-	slices.SortStableFunc(lane, func(a, b *member) int { return cmp.Compare(a.wait(now), b.wait(now)) })
-	first := slices.MaxFunc(lane, func(a, b *member) int { return cmp.Compare(a.free(r.Engine), b.free(r.Engine)) })
-	lacking := max(0, r.need()-max(0, first.free(r.Engine)))
-	engines := min(r.Engine.Engines(r.PromptTokens, shareLimit), 1+MaxHelpers)
+	first := writer(now, r, all)
+	readers := longLane(all, first)
+	slices.SortStableFunc(readers, func(a, b *member) int { return cmp.Compare(a.wait(now), b.wait(now)) })
+	engines := min(r.Engine.Engines(r.PromptTokens, shareLimit), 1+MaxHelpers, 1+len(readers))
 	a := &Assignment{First: first.Endpoint, Considered: len(all)}
-	members := []*member{first}
-	candidates := lane
+	chosen := append([]*member{first}, readers[:engines-1]...)
+	parts, lacking := hold(now, r, chosen)
 	if lacking > 0 {
 		// Any memory is better than none.
-		candidates = append(slices.Clone(lane), without(all, lane)...)
-	}
-	for _, m := range candidates {
-		enough := len(members) >= engines && lacking == 0
-		if enough || len(a.Helpers) == MaxHelpers {
-			break
-		}
-		if m == first || r.Engine.Slots > 0 && m.helping >= r.Engine.Slots {
-			continue
-		}
-		p := Part{Endpoint: m.Name}
-		if room := m.free(r.Engine); lacking > 0 && room > 0 {
-			p.Tokens = min(lacking, room)
-			lacking -= p.Tokens
-		}
-		members = append(members, m)
-		a.Helpers = append(a.Helpers, m.Endpoint)
-		a.Booking.Helpers = append(a.Booking.Helpers, p)
+		rest := without(all, chosen)
+		slices.SortStableFunc(rest, func(a, b *member) int { return cmp.Compare(b.free(now, r.Engine), a.free(now, r.Engine)) })
+		chosen = append(chosen, rest[:min(len(rest), 1+MaxHelpers-len(chosen))]...)
+		parts, lacking = hold(now, r, chosen)
 	}
 	if lacking > 0 {
 		return nil, verdict.Refuse(verdict.ReasonEndpointMemory, retryWhenBusy, "%d of %d tokens find no memory at %d endpoints of %s",
 			lacking, r.need(), len(all), r.Service)
 	}
-	a.Booking.First = Part{Endpoint: first.Name, Tokens: r.need() - set(a.Booking.Helpers)}
-	a.Booking.Read = r.Engine.Share(r.PromptTokens, len(members))
-	for _, m := range members {
+	a.Booking = Booking{First: parts[0], Helpers: parts[1:], Read: r.Engine.Share(r.PromptTokens, len(chosen))}
+	for i, m := range chosen {
+		if i > 0 {
+			a.Helpers = append(a.Helpers, m.Endpoint)
+		}
 		a.Ahead = max(a.Ahead, m.wait(now)+a.Booking.Read)
 	}
 	return a, nil
 }
 
-// set is the memory that is set aside at helpers.
-func set(parts []Part) int64 {
-	var n int64
-	for _, p := range parts {
-		n += p.Tokens
+// writer returns the endpoint that writes the answer to a long prompt: the last one, in
+// the order of all entries, that writes few others and reads little.
+func writer(now time.Time, r *Request, all []*member) *member {
+	limit := max(1, int(writerPart*float64(r.Engine.Slots)))
+	for _, m := range slices.Backward(all) {
+		if m.short == 0 && m.running < limit && m.wait(now) < busyReading {
+			return m
+		}
+	}
+	lane := longLane(all, nil)
+	return slices.MinFunc(lane, func(a, b *member) int { return cmp.Compare(a.cost(now, r), b.cost(now, r)) })
+}
+
+// hold spreads the memory of a prompt over the helpers in even parts, at holders at
+// most, and leaves the output and what finds no room to the first endpoint.
+func hold(now time.Time, r *Request, chosen []*member) (parts []Part, lacking int64) {
+	parts = make([]Part, len(chosen))
+	for i, m := range chosen {
+		parts[i].Endpoint = m.Name
+	}
+	lacking = int64(r.PromptTokens)
+	helpers := len(chosen) - 1
+	if helpers > 0 {
+		even := lacking/int64(min(helpers, holders)) + 1
+		for _, least := range []int64{even, 0} {
+			for i, m := range chosen[1:] {
+				room := m.free(now, r.Engine) - parts[i+1].Tokens
+				if room < max(least, 1) || lacking == 0 || least > 0 && parts[i+1].Tokens > 0 {
+					continue
+				}
+				n := min(lacking, room)
+				if least > 0 {
+					n = min(n, even)
+				}
+				parts[i+1].Tokens += n
+				lacking -= n
+			}
+		}
 	}
-	return n
+	own := min(lacking, max(0, chosen[0].free(now, r.Engine)-int64(r.OutputTokens)))
+	parts[0].Tokens = own + int64(r.OutputTokens)
+	return parts, lacking - own
 }
 
-// longLane returns the endpoints that run no short prompts, and at least the last few
-// in the order of all entries.
-func longLane(all []*member) []*member {
+// longLane returns the endpoints but first that run no short prompts, and at least the
+// last few in the order of all entries.
+func longLane(all []*member, first *member) []*member {
 	atLeast := max(1, len(all)/minLong)
 	var lane []*member
 	for i, m := range all {
-		if m.short == 0 || i >= len(all)-atLeast {
+		if m != first && (m.short == 0 || i >= len(all)-atLeast) {
 			lane = append(lane, m)
 		}
 	}
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -62,6 +62,10 @@
 	failures  int
 	// distrusted is until when it is left alone after failures.
 	distrusted time.Time
+	// heard is when it last gave this entry a sign of life.
+	heard time.Time
+	// fullUntil is until when its memory counts as given out, after it said so.
+	fullUntil time.Time
 	// sent are the times of this entry's requests in the last second.
 	sent []time.Time
 }
@@ -134,12 +138,23 @@
 	}
 }
 
-// End takes a booking back. One that is not there was taken back before.
-func (f *Fleet) End(owner string, id uint64) {
+// End takes a booking back. One that is not there was taken back before. Unread is set
+// when its prompt has not been read and will not be.
+func (f *Fleet) End(owner string, id uint64, unread bool) {
 	key := bookingKey{owner, id}
-	if b, ok := f.bookings[key]; ok {
-		delete(f.bookings, key)
-		f.add(b, -1, "")
+	b, ok := f.bookings[key]
+	if !ok {
+		return
+	}
+	delete(f.bookings, key)
+	f.add(b, -1, "")
+	if !unread {
+		return
+	}
+	for _, p := range append([]Part{b.First}, b.Helpers...) {
+		if m := f.members[p.Endpoint]; m != nil {
+			m.readUntil = m.readUntil.Add(-b.Read)
+		}
 	}
 }
 
@@ -182,7 +197,10 @@
 func (m *member) wait(now time.Time) time.Duration { return max(0, m.readUntil.Sub(now)) }
 
 // free is the memory that may still be given out.
-func (m *member) free(e *costmodel.Engine) int64 {
+func (m *member) free(now time.Time, e *costmodel.Engine) int64 {
+	if now.Before(m.fullUntil) {
+		return 0
+	}
 	return int64(float64(e.MemoryTokens)*memoryPart) - m.tokens
 }
 
@@ -195,10 +213,24 @@
 	return float64(len(m.sent)+1) <= max(perSecond, 1)
 }
 
-// Served notes that an endpoint answered.
-func (f *Fleet) Served(name string) {
+// Heard notes a sign of life of an endpoint.
+func (f *Fleet) Heard(now time.Time, name string) {
 	if m := f.members[name]; m != nil {
 		m.failures = 0
+		m.heard = now
+	}
+}
+
+// HeardSince reports whether an endpoint gave a sign of life after from.
+func (f *Fleet) HeardSince(from time.Time, name string) bool {
+	m := f.members[name]
+	return m != nil && m.heard.After(from)
+}
+
+// MemoryFull notes that an endpoint had no memory to set aside.
+func (f *Fleet) MemoryFull(now time.Time, name string) {
+	if m := f.members[name]; m != nil {
+		m.fullUntil = now.Add(fullPause)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/queue"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
@@ -52,6 +53,9 @@
 	// DrainDelay is how long the listener stays open after that order, so that the
 	// balancer sends new connections elsewhere.
 	DrainDelay time.Duration
+	// TicketHold is for how long memory is set aside at endpoints without a renewal, and
+	// so stays set aside when this process dies.
+	TicketHold time.Duration
 	// Retries bounds the requests that reach endpoints once more, over all entries.
 	Retries RetryLimits
 }
@@ -90,13 +94,16 @@
 	// mu is "gateway.fleet" of kernel.LockOrder.
 	mu    sync.Mutex
 	fleet *assign.Fleet
+	// queues hold the requests that wait for an endpoint, by service.
+	queues map[string]queue.Waiting
+	nextID uint64
 }
 
 // New returns a gateway that speaks the dialect.
 func New(s Settings, d Dialect, m Memory) *Gateway {
 	return &Gateway{
 		Settings: s, dialect: d, memory: m,
-		fleet: assign.NewFleet(), bookings: newBookings(),
+		fleet: assign.NewFleet(), bookings: newBookings(), queues: map[string]queue.Waiting{},
 	}
 }
 
@@ -224,6 +231,7 @@
 	if u.Reset {
 		g.fleet.Keep(names)
 	}
+	g.drainQueues(g.clock.Now())
 }
 
 // Run serves until ctx ends; then requests in flight finish within the grace time.
@@ -233,6 +241,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { failed <- g.client.Run(g.work) })
 	tasks.Go(func() { failed <- g.peers.Serve(g.work) })
+	tasks.Go(func() { g.runQueues(g.work) })
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, s := range []struct {
 		server   *http.Server
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -46,6 +46,8 @@
 	priority *int
 	body     []byte
 	started  time.Time
+	// sent is when the last attempt began.
+	sent time.Time
 	// end is when the caller's answer is due.
 	end time.Time
 	// want is what the choice of endpoint depends on.
@@ -53,6 +55,8 @@
 	// runs counts the endpoints that may have run the request, and sends those that it
 	// was sent to.
 	runs, sends int
+	// reserved counts the tries in which no memory could be set aside.
+	reserved int
 	// committed is set once the caller has seen a status.
 	committed bool
 	// delivered counts the events that were passed on.
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -40,6 +40,7 @@
 	cancel context.CancelFunc
 	begun  []uint64
 	ended  []uint64
+	unread []uint64
 	// wake has one place.
 	wake chan struct{}
 }
@@ -59,11 +60,17 @@
 }
 
 // end has the peers told that a booking is over.
-func (b *bookings) end(id uint64) {
+func (b *bookings) end(id uint64, unread bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.current, id)
-	b.tell(func(q *peerQueue) { q.ended = append(q.ended, id) })
+	b.tell(func(q *peerQueue) {
+		if unread {
+			q.unread = append(q.unread, id)
+		} else {
+			q.ended = append(q.ended, id)
+		}
+	})
 }
 
 func (b *bookings) tell(note func(*peerQueue)) {
@@ -80,7 +87,7 @@
 func (b *bookings) news(q *peerQueue, all bool) *wire.Bookings {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m := &wire.Bookings{Whole: all, Ended: q.ended}
+	m := &wire.Bookings{Whole: all, Ended: q.ended, Unread: q.unread}
 	if all {
 		for _, one := range b.current {
 			m.Begun = append(m.Begun, *one)
@@ -92,7 +99,7 @@
 			}
 		}
 	}
-	q.begun, q.ended = nil, nil
+	q.begun, q.ended, q.unread = nil, nil, nil
 	return m
 }
 
@@ -224,6 +231,10 @@
 		g.fleet.Book(now, owner, b.Begun[i].ID, fromWire(&b.Begun[i]))
 	}
 	for _, id := range b.Ended {
-		g.fleet.End(owner, id)
+		g.fleet.End(owner, id, false)
+	}
+	for _, id := range b.Unread {
+		g.fleet.End(owner, id, true)
 	}
+	g.drainQueues(now)
 }
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,13 +24,14 @@
 	readPatience = 3
 	// plainPatience is how many times its target a repeatable call is waited for.
 	plainPatience = 2
-	// pausePatience is how many of the pauses that callers want a stream is waited for,
-	// within the bounds.
+	// pausePatience is how many of the pauses that callers want a stream is waited for:
+	// half of the time after which they give up.
 	pausePatience = 4
 	minPause      = 600 * time.Millisecond
-	maxPause      = 1500 * time.Millisecond
 	// maxSends bounds the endpoints that may turn a request away.
 	maxSends = 4
+	// maxReserves bounds the tries to set memory aside.
+	maxReserves = 10
 	// retryAfterLoss is when a request that found no endpoint is worth another try.
 	retryAfterLoss = 300 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is held until it is whole.
@@ -45,12 +47,12 @@
 func (c *call) perform(ctx context.Context) error {
 	c.g.retries.requested(c.started, c.service.Name)
 	for {
-		a, end, err := c.g.assign(&c.want)
+		p, err := c.g.place(ctx, c)
 		if err != nil {
-			return c.orUncertain(err)
+			return c.orInterrupted(ctx, c.orUncertain(err))
 		}
-		err = c.attempt(ctx, a)
-		end()
+		err = c.attempt(ctx, p.Assignment)
+		p.end(c.delivered == 0)
 		if err == nil || ctx.Err() != nil {
 			return c.orInterrupted(ctx, err)
 		}
@@ -68,6 +70,11 @@
 	if r.Verdict != verdict.NotRun && (c.route.Kind == Once || c.runs >= max(c.route.MaxEndpoints, 1)) {
 		return false
 	}
+	if r.Reason == verdict.ReasonEndpointMemory {
+		// Nothing was sent.
+		c.reserved++
+		return c.reserved < maxReserves
+	}
 	if c.sends >= maxSends {
 		return false
 	}
@@ -106,30 +113,10 @@
 	return verdict.Uncertain(verdict.ReasonDeadline, 0, "the time is over at endpoint %s", c.endpoint)
 }
 
-// assign chooses endpoints and books the request on them.
-func (g *Gateway) assign(r *assign.Request) (*assign.Assignment, func(), error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.clock.Now()
-	a, err := g.fleet.Choose(now, r)
-	if err != nil {
-		return nil, nil, err
-	}
-	id := g.bookings.begin(&a.Booking)
-	g.fleet.Book(now, "", id, &a.Booking)
-	return a, func() {
-		g.bookings.end(id)
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.fleet.End("", id)
-	}, nil
-}
-
 // attempt carries the request to its endpoint and the answer back.
 func (c *call) attempt(ctx context.Context, a *assign.Assignment) error {
 	c.endpoint = a.First.Name
-	c.want.Tried = append(c.want.Tried, a.First.Name)
-	c.sends++
+	c.sent = c.g.clock.Now()
 	c.g.metrics.sent("attempt")
 	c.log().Info("request placed", "addr", a.First.Addr, "zone", a.First.Zone, "helpers", len(a.Helpers), "considered", a.Considered,
 		"prompt_tokens", c.PromptTokens, "predicted", a.Ahead, "left", c.end.Sub(c.g.clock.Now()))
@@ -138,9 +125,12 @@
 	if err != nil {
 		return err
 	}
+	c.want.Tried = append(c.want.Tried, a.First.Name)
+	c.sends++
+	c.sent = c.g.clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := c.newPatience(cancel)
+	patience := c.newPatience(a.First.Name, cancel)
 	defer patience.stop()
 	patience.wait(c.firstPatience(a))
 	res, err := c.g.http.RoundTrip(c.outgoing(ctx, a, helpers))
@@ -261,12 +251,12 @@
 
 // again performs the request at another endpoint in place of a bad answer.
 func (c *call) again(ctx context.Context, _ *assign.Assignment) error {
-	a, end, err := c.g.assign(&c.want)
+	p, err := c.g.place(ctx, c)
 	if err != nil {
-		return c.orUncertain(err)
+		return c.orInterrupted(ctx, c.orUncertain(err))
 	}
-	defer end()
-	return c.attempt(ctx, a)
+	defer p.end(false)
+	return c.attempt(ctx, p.Assignment)
 }
 
 // turnedAway notes what an endpoint says that has not run the request.
@@ -305,7 +295,7 @@
 		return verdict.Uncertain(verdict.ReasonEngineError, 0, "endpoint %s answered %d without saying that it has not run the request", a.First.Name, res.StatusCode)
 	}
 	if res.StatusCode < http.StatusInternalServerError {
-		c.served(a)
+		c.heard(a)
 	}
 	c.commit(res)
 	return c.write(body)
@@ -320,10 +310,10 @@
 	return false
 }
 
-func (c *call) served(a *assign.Assignment) {
+func (c *call) heard(a *assign.Assignment) {
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
-	c.g.fleet.Served(a.First.Name)
+	c.g.fleet.Heard(c.g.clock.Now(), a.First.Name)
 }
 
 // commit shows the caller the head of the answer.
@@ -367,6 +357,7 @@
 			return c.broken(ctx, a, err)
 		}
 		p.wait(c.pausePatience())
+		c.heard(a)
 		if err := c.deliver(res, a, ev, events.more()); err != nil {
 			return err
 		}
@@ -379,8 +370,10 @@
 		return nil
 	}
 	if !c.committed {
-		c.served(a)
 		c.commit(res)
+		now := c.g.clock.Now()
+		c.log().Info("stream begun", "took", now.Sub(c.started), "predicted", a.Ahead, "waited", now.Sub(c.sent),
+			"prompt_tokens", c.PromptTokens, "helpers", len(a.Helpers))
 	}
 	if err := c.write(ev.raw); err != nil {
 		return err
@@ -404,6 +397,9 @@
 	switch {
 	case c.route.Kind == Once:
 		return 0
+	case c.route.Stream && len(a.Helpers) > 0:
+		// Engines end what waits for a helper that is gone, so silence means work.
+		return max(c.route.Target+readPatience*a.Ahead, minFirstPatience) + c.service.Engine.Stall
 	case c.route.Stream:
 		return max(c.route.Target+readPatience*a.Ahead, minFirstPatience)
 	}
@@ -415,21 +411,39 @@
 	if c.route.Kind == Once {
 		return 0
 	}
-	return min(max(pausePatience*c.route.Pause, minPause), maxPause)
+	return max(pausePatience*c.route.Pause, minPause)
 }
 
-// patience cancels an attempt whose endpoint is silent for too long.
+// patience cancels an attempt whose endpoint is silent for too long. An endpoint that
+// gave other requests signs of life meanwhile is busy rather than gone, and gets the
+// same time a few times more.
 type patience struct {
-	timer *time.Timer
+	c        *call
+	endpoint string
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer
+
+	// mu guards the fields below; it is held for no other lock.
+	mu    sync.Mutex
+	span  time.Duration
+	since time.Time
+	more  int
 }
 
-func (c *call) newPatience(cancel context.CancelCauseFunc) *patience {
-	p := &patience{timer: time.AfterFunc(time.Hour, func() { cancel(errSilent) })}
+// busyExtensions is how often a busy endpoint gets more time.
+const busyExtensions = 4
+
+func (c *call) newPatience(endpoint string, cancel context.CancelCauseFunc) *patience {
+	p := &patience{c: c, endpoint: endpoint, cancel: cancel}
+	p.timer = time.AfterFunc(time.Hour, p.expired)
 	return p
 }
 
 // wait gives the endpoint so long from now on; zero is without end.
 func (p *patience) wait(d time.Duration) {
+	p.mu.Lock()
+	p.span, p.since, p.more = d, p.c.g.clock.Now(), busyExtensions
+	p.mu.Unlock()
 	if d <= 0 {
 		p.timer.Stop()
 		return
@@ -437,4 +451,24 @@
 	p.timer.Reset(d)
 }
 
+func (p *patience) expired() {
+	p.mu.Lock()
+	span, since := p.span, p.since
+	p.more--
+	more := p.more >= 0
+	p.since = p.c.g.clock.Now()
+	p.mu.Unlock()
+	if more && p.c.g.heardSince(since, p.endpoint) {
+		p.timer.Reset(span)
+		return
+	}
+	p.cancel(errSilent)
+}
+
 func (p *patience) stop() { p.timer.Stop() }
+
+func (g *Gateway) heardSince(from time.Time, endpoint string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.HeardSince(from, endpoint)
+}
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -9,24 +9,28 @@
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
-const (
-	// ticketHold is for how long memory is set aside without a renewal: less than what
-	// endpoints may be left with after an entry died.
-	ticketHold = 3 * time.Second
-	// ticketRenewal is the time between renewals while the request runs.
-	ticketRenewal = time.Second
-)
+// renewalPart is the part of a hold after which it is renewed.
+const renewalPart = 0.6
 
 // ticket is memory that was set aside at a helper.
 type ticket struct {
 	Helper
-	tokens int64
+	endpoint string
+	tokens   int64
 }
 
 // reserve sets aside the memory that the assignment asks for. The returned function
 // frees it, and is never nil.
 func (c *call) reserve(ctx context.Context, a *assign.Assignment) (helpers []Helper, free func(), err error) {
 	var held []ticket
+	for i, h := range a.Helpers {
+		t := ticket{Helper: Helper{Addr: h.Addr}, endpoint: h.Name, tokens: a.Booking.Helpers[i].Tokens}
+		if t.tokens > 0 {
+			t.Ticket = fmt.Sprintf("%s-%d", c.g.node.Name, c.g.tickets.Add(1))
+			held = append(held, t)
+		}
+		helpers = append(helpers, t.Helper)
+	}
 	renewing, stop := context.WithCancel(ctx)
 	free = func() {
 		stop()
@@ -34,30 +38,34 @@
 			go c.release(t)
 		}
 	}
-	for i, h := range a.Helpers {
-		t := ticket{Helper: Helper{Addr: h.Addr}, tokens: a.Booking.Helpers[i].Tokens}
-		if t.tokens > 0 {
-			t.Ticket = fmt.Sprintf("%s-%d", c.g.node.Name, c.g.tickets.Add(1))
-			held = append(held, t)
-			if err := c.g.memory.Reserve(t.Addr, t.Ticket, t.tokens, ticketHold); err != nil {
-				return nil, free, c.noMemory(h.Name, t.tokens, err)
-			}
+	if len(held) == 0 {
+		return helpers, free, nil
+	}
+	failed := make(chan error, len(held))
+	for _, t := range held {
+		go func() { failed <- c.g.memory.Reserve(t.Addr, t.Ticket, t.tokens, c.g.TicketHold) }()
+	}
+	for range held {
+		if reserveErr := <-failed; reserveErr != nil {
+			err = reserveErr
 		}
-		helpers = append(helpers, t.Helper)
 	}
-	if len(held) > 0 {
-		go c.renew(renewing, held)
+	if err != nil {
+		return nil, free, c.noMemory(a, held, err)
 	}
+	go c.renew(renewing, held)
 	return helpers, free, nil
 }
 
-func (c *call) noMemory(name string, tokens int64, err error) error {
+// noMemory has the endpoints left alone for a moment: one of them had no memory.
+func (c *call) noMemory(a *assign.Assignment, held []ticket, err error) error {
 	c.g.mu.Lock()
-	c.g.fleet.Full(c.g.clock.Now(), name)
+	for _, t := range held {
+		c.g.fleet.MemoryFull(c.g.clock.Now(), t.endpoint)
+	}
 	c.g.mu.Unlock()
-	c.want.Tried = append(c.want.Tried, name)
-	c.log().Info("memory not set aside", "helper", name, "tokens", tokens, "error", err)
-	return verdict.Refuse(verdict.ReasonEndpointMemory, retryAfterLoss, "endpoint %s has no memory for %d tokens", name, tokens)
+	c.log().Info("memory not set aside", "helpers", len(held), "tokens", c.PromptTokens, "error", err)
+	return verdict.Refuse(verdict.ReasonEndpointMemory, retryAfterLoss, "no memory for %d tokens beside endpoint %s", c.PromptTokens, a.First.Name)
 }
 
 // renew keeps the memory set aside until ctx ends.
@@ -66,10 +74,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.g.clock.After(ticketRenewal):
+		case <-c.g.clock.After(time.Duration(renewalPart * float64(c.g.TicketHold))):
 		}
 		for _, t := range held {
-			if err := c.g.memory.Reserve(t.Addr, t.Ticket, t.tokens, ticketHold); err != nil && ctx.Err() == nil {
+			if err := c.g.memory.Reserve(t.Addr, t.Ticket, t.tokens, c.g.TicketHold); err != nil && ctx.Err() == nil {
 				c.log().Warn("memory not renewed", "ticket", t.Ticket, "addr", t.Addr, "error", err)
 			}
 		}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -309,6 +309,8 @@
 	Whole bool      `cbor:"1,keyasint,omitempty"`
 	Begun []Booking `cbor:"2,keyasint,omitempty"`
 	Ended []uint64  `cbor:"3,keyasint,omitempty"`
+	// Unread are ended too, before their prompts were read.
+	Unread []uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Booking is the work of one request.
