--- a/assign/assign.go
+++ b/assign/assign.go
@@ -197,11 +197,13 @@
 	a := &Assignment{First: first.Endpoint, Considered: len(all)}
 	chosen := append([]*member{first}, readers[:engines-1]...)
 	parts, lacking := hold(now, r, chosen)
-	if lacking > 0 {
-		// Any memory is better than none.
-		rest := without(all, chosen)
-		slices.SortStableFunc(rest, func(a, b *member) int { return cmp.Compare(b.free(now, r.Engine), a.free(now, r.Engine)) })
-		chosen = append(chosen, rest[:min(len(rest), 1+MaxHelpers-len(chosen))]...)
+	rest := without(readers, chosen)
+	if r.need() > r.Engine.MemoryTokens*int64(1+len(readers)) {
+		// It fits only where short prompts run, too.
+		rest = without(all, chosen)
+	}
+	for ; lacking > 0 && len(rest) > 0 && len(chosen) <= MaxHelpers; rest = rest[1:] {
+		chosen = append(chosen, rest[0])
 		parts, lacking = hold(now, r, chosen)
 	}
 	if lacking > 0 {
