Writers of long answers do not read for others; silent engines are asked first

Change: only endpoints that write nothing read for others; a silent engine is asked for its report and left at once when it does not answer; tickets whose orders got no answer are released repeatedly.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -191,7 +191,7 @@
 // the steps of streams, so the writers of long answers share a few endpoints.
 func (f *Fleet) group(now time.Time, r *Request, all []*member) (*Assignment, error) {
 	first := writer(now, r, all)
-	readers := longLane(all, first)
+	readers := pureReaders(longLane(all, first))
 	slices.SortStableFunc(readers, func(a, b *member) int { return cmp.Compare(a.wait(now), b.wait(now)) })
 	engines := min(r.Engine.Engines(r.PromptTokens, shareLimit), 1+MaxHelpers, 1+len(readers))
 	a := &Assignment{First: first.Endpoint, Considered: len(all)}
@@ -277,6 +277,17 @@
 	return lane
 }
 
+// pureReaders returns the endpoints of the lane that write nothing. Engines read parts
+// for others ahead of their own prompts, so a writer that also helps keeps its own
+// callers waiting for as long as others come. When all write, all are returned.
+func pureReaders(lane []*member) []*member {
+	pure := slices.DeleteFunc(slices.Clone(lane), func(m *member) bool { return m.running > 0 })
+	if len(pure) == 0 {
+		return lane
+	}
+	return pure
+}
+
 // without returns the members of all that are not in some.
 func without(all, some []*member) []*member {
 	return slices.DeleteFunc(slices.Clone(all), func(m *member) bool { return slices.Contains(some, m) })
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -181,8 +181,10 @@
 	Judge(res *http.Response, id string) (outcome Outcome, at string)
 }
 
-// Memory sets aside memory of engines.
-type Memory interface {
+// Engines asks engines for what is no request.
+type Engines interface {
+	// Alive reports whether an engine answers at all, which takes it no slot.
+	Alive(addr string) bool
 	// Reserve sets tokens aside under the name ticket for a time, or renews that.
 	Reserve(addr, ticket string, tokens int64, hold time.Duration) error
 	// Release ends the reservation.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,7 +64,7 @@
 type Gateway struct {
 	Settings
 	dialect Dialect
-	memory  Memory
+	engines Engines
 
 	log     hclog.Logger
 	clock   kernel.Clock
@@ -100,9 +100,9 @@
 }
 
 // New returns a gateway that speaks the dialect.
-func New(s Settings, d Dialect, m Memory) *Gateway {
+func New(s Settings, d Dialect, e Engines) *Gateway {
 	return &Gateway{
-		Settings: s, dialect: d, memory: m,
+		Settings: s, dialect: d, engines: e,
 		fleet: assign.NewFleet(), bookings: newBookings(), queues: map[string]queue.Waiting{},
 	}
 }
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,17 +16,6 @@
 )
 
 const (
-	// minFirstPatience is the least wait for a stream's first event before another
-	// endpoint is tried.
-	minFirstPatience = 600 * time.Millisecond
-	// readPatience is how many times the predicted reading a stream is waited for.
-	readPatience = 3
-	// plainPatience is how many times its target a repeatable call is waited for.
-	plainPatience = 2
-	// pausePatience is how many of the pauses that callers want a stream is waited for:
-	// half of the time after which they give up.
-	pausePatience = 4
-	minPause      = 600 * time.Millisecond
 	// maxSends bounds the endpoints that may turn a request away.
 	maxSends = 4
 	// maxReserves bounds the tries to set memory aside.
@@ -40,9 +28,6 @@
 	shortTarget = 500 * time.Millisecond
 )
 
-// errSilent cancels an attempt whose endpoint says nothing for too long.
-var errSilent = errors.New("the endpoint says nothing")
-
 // perform sends the request to endpoints until one answers or nothing more is allowed.
 func (c *call) perform(ctx context.Context) error {
 	c.g.retries.requested(c.started, c.service.Name)
@@ -130,7 +115,7 @@
 	c.sent = c.g.clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := c.newPatience(a.First.Name, cancel)
+	patience := c.newPatience(a.First, cancel)
 	defer patience.stop()
 	patience.wait(c.firstPatience(a))
 	res, err := c.g.http.RoundTrip(c.outgoing(ctx, a, helpers))
@@ -390,85 +375,3 @@
 	}
 	return nil
 }
-
-// firstPatience is how long the endpoint may take for its first word. Zero is as long
-// as the caller waits: a request that runs once is not tried elsewhere.
-func (c *call) firstPatience(a *assign.Assignment) time.Duration {
-	switch {
-	case c.route.Kind == Once:
-		return 0
-	case c.route.Stream && len(a.Helpers) > 0:
-		// Engines end what waits for a helper that is gone, so silence means work.
-		return max(c.route.Target+readPatience*a.Ahead, minFirstPatience) + c.service.Engine.Stall
-	case c.route.Stream:
-		return max(c.route.Target+readPatience*a.Ahead, minFirstPatience)
-	}
-	return plainPatience * c.route.Target
-}
-
-// pausePatience is how long a stream may pause before it is resumed elsewhere.
-func (c *call) pausePatience() time.Duration {
-	if c.route.Kind == Once {
-		return 0
-	}
-	return max(pausePatience*c.route.Pause, minPause)
-}
-
-// patience cancels an attempt whose endpoint is silent for too long. An endpoint that
-// gave other requests signs of life meanwhile is busy rather than gone, and gets the
-// same time a few times more.
-type patience struct {
-	c        *call
-	endpoint string
-	cancel   context.CancelCauseFunc
-	timer    *time.Timer
-
-	// mu guards the fields below; it is held for no other lock.
-	mu    sync.Mutex
-	span  time.Duration
-	since time.Time
-	more  int
-}
-
-// busyExtensions is how often a busy endpoint gets more time.
-const busyExtensions = 4
-
-func (c *call) newPatience(endpoint string, cancel context.CancelCauseFunc) *patience {
-	p := &patience{c: c, endpoint: endpoint, cancel: cancel}
-	p.timer = time.AfterFunc(time.Hour, p.expired)
-	return p
-}
-
-// wait gives the endpoint so long from now on; zero is without end.
-func (p *patience) wait(d time.Duration) {
-	p.mu.Lock()
-	p.span, p.since, p.more = d, p.c.g.clock.Now(), busyExtensions
-	p.mu.Unlock()
-	if d <= 0 {
-		p.timer.Stop()
-		return
-	}
-	p.timer.Reset(d)
-}
-
-func (p *patience) expired() {
-	p.mu.Lock()
-	span, since := p.span, p.since
-	p.more--
-	more := p.more >= 0
-	p.since = p.c.g.clock.Now()
-	p.mu.Unlock()
-	if more && p.c.g.heardSince(since, p.endpoint) {
-		p.timer.Reset(span)
-		return
-	}
-	p.cancel(errSilent)
-}
-
-func (p *patience) stop() { p.timer.Stop() }
-
-func (g *Gateway) heardSince(from time.Time, endpoint string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.fleet.HeardSince(from, endpoint)
-}
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -3,20 +3,38 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
-// renewalPart is the part of a hold after which it is renewed.
-const renewalPart = 0.6
+const (
+	// renewalPart is the part of a hold after which it is renewed.
+	renewalPart = 0.6
+	// releaseTries is how often a ticket is released whose orders got no answer: some
+	// seconds, in which engines may still carry them out.
+	releaseTries = 10
+	releaseRetry = 600 * time.Millisecond
+)
 
 // ticket is memory that was set aside at a helper.
 type ticket struct {
 	Helper
 	endpoint string
 	tokens   int64
+	// uncertain is set once an order about the ticket got no answer.
+	uncertain *atomic.Bool
+}
+
+// reserve sets the memory aside, or renews that.
+func (t *ticket) reserve(e Engines, hold time.Duration) error {
+	err := e.Reserve(t.Addr, t.Ticket, t.tokens, hold)
+	if err != nil {
+		t.uncertain.Store(true)
+	}
+	return err
 }
 
 // reserve sets aside the memory that the assignment asks for. The returned function
@@ -24,7 +42,7 @@
 func (c *call) reserve(ctx context.Context, a *assign.Assignment) (helpers []Helper, free func(), err error) {
 	var held []ticket
 	for i, h := range a.Helpers {
-		t := ticket{Helper: Helper{Addr: h.Addr}, endpoint: h.Name, tokens: a.Booking.Helpers[i].Tokens}
+		t := ticket{Helper: Helper{Addr: h.Addr}, endpoint: h.Name, tokens: a.Booking.Helpers[i].Tokens, uncertain: &atomic.Bool{}}
 		if t.tokens > 0 {
 			t.Ticket = fmt.Sprintf("%s-%d", c.g.node.Name, c.g.tickets.Add(1))
 			held = append(held, t)
@@ -43,7 +61,7 @@
 	}
 	failed := make(chan error, len(held))
 	for _, t := range held {
-		go func() { failed <- c.g.memory.Reserve(t.Addr, t.Ticket, t.tokens, c.g.TicketHold) }()
+		go func() { failed <- t.reserve(c.g.engines, c.g.TicketHold) }()
 	}
 	for range held {
 		if reserveErr := <-failed; reserveErr != nil {
@@ -77,16 +95,25 @@
 		case <-c.g.clock.After(time.Duration(renewalPart * float64(c.g.TicketHold))):
 		}
 		for _, t := range held {
-			if err := c.g.memory.Reserve(t.Addr, t.Ticket, t.tokens, c.g.TicketHold); err != nil && ctx.Err() == nil {
+			if err := t.reserve(c.g.engines, c.g.TicketHold); err != nil && ctx.Err() == nil {
 				c.log().Warn("memory not renewed", "ticket", t.Ticket, "addr", t.Addr, "error", err)
 			}
 		}
 	}
 }
 
-// release gives the memory back. One that cannot be asked keeps it until the hold ends.
+// release gives the memory back. An order that got no answer may be carried out later,
+// even after newer ones, so that after one the release is repeated for a while.
 func (c *call) release(t ticket) {
-	if err := c.g.memory.Release(t.Addr, t.Ticket); err != nil {
-		c.log().Warn("memory not released", "ticket", t.Ticket, "addr", t.Addr, "error", err)
+	for try := range releaseTries {
+		err := c.g.engines.Release(t.Addr, t.Ticket)
+		if err == nil && !t.uncertain.Load() {
+			return
+		}
+		if err != nil {
+			t.uncertain.Store(true)
+			c.log().Warn("memory not released", "ticket", t.Ticket, "addr", t.Addr, "try", try, "error", err)
+		}
+		<-c.g.clock.After(releaseRetry)
 	}
 }
