Groups read only on idle endpoints and are sized by the pauses beside them

Change: parts go to idle readers only, the rest waits at the entry; a group's share follows the pause that callers accept.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -20,7 +20,19 @@
 const (
 	// shareLimit is the reading of a group's member that hardly delays the streams
 	// beside it.
-	shareLimit = 100 * time.Millisecond
+	shareLimit = 75 * time.Millisecond
+	// sharePart is the part of a pause that callers accept which a group's reading takes,
+	// and leastPart the most that is taken when endpoints are busy: the endpoint that
+	// writes reads its part between the events of other answers.
+	sharePart = 0.12
+	leastPart = 0.35
+	// idleReading is the reading ahead at which an endpoint counts as idle: a new part
+	// goes ahead of it.
+	idleReading = 15 * time.Millisecond
+	// overdueAfter is how long after its time a prompt that is not answered counts as
+	// being read still, and overdueFor when it is given up as a measure.
+	overdueAfter = 150 * time.Millisecond
+	overdueFor   = 1500 * time.Millisecond
 	// shortLimit is the reading of a prompt that counts as short. Callers of short
 	// prompts accept pauses of a quarter of a second.
 	shortLimit = 160 * time.Millisecond
@@ -76,6 +88,11 @@
 	Zone string
 	// Engine describes the service's engines; nil for plain services.
 	Engine *costmodel.Engine
+	// Pause is the longest pause between events that callers want.
+	Pause time.Duration
+	// Waited is how long the request has waited, and Patience after how long any place
+	// will do.
+	Waited, Patience time.Duration
 	// ColdPerSecond is what a cold endpoint may get from this process in a second;
 	// zero is no bound.
 	ColdPerSecond float64
@@ -189,13 +206,21 @@
 // group places a long prompt: one endpoint writes its answer, and others read parts of
 // the prompt and hold its memory. Endpoints that read without writing lose no time to
 // the steps of streams, so the writers of long answers share a few endpoints.
+//
+// An engine reads the part that came last first. A part that waits at an engine may
+// therefore wait for as long as others come, so only idle endpoints get one.
 func (f *Fleet) group(now time.Time, r *Request, all []*member) (*Assignment, error) {
 	first := writer(now, r, all)
 	readers := pureReaders(longLane(all, first))
-	slices.SortStableFunc(readers, func(a, b *member) int { return cmp.Compare(a.wait(now), b.wait(now)) })
-	engines := min(r.Engine.Engines(r.PromptTokens, shareLimit), 1+MaxHelpers, 1+len(readers))
-	a := &Assignment{First: first.Endpoint, Considered: len(all)}
-	chosen := append([]*member{first}, readers[:engines-1]...)
+	late := f.overdue(now)
+	idle := slices.DeleteFunc(slices.Clone(readers), func(m *member) bool { return late[m.Name] || m.wait(now) > idleReading })
+	engines := r.engines(1+len(idle), 1+len(readers))
+	if engines == 0 {
+		return nil, verdict.Refuse(verdict.ReasonOverloaded, retryWhenBusy, "%d of %d endpoints of %s are free to read %d tokens",
+			len(idle), len(readers), r.Service, r.PromptTokens)
+	}
+	slices.Reverse(idle)
+	chosen := append([]*member{first}, idle[:engines-1]...)
 	parts, lacking := hold(now, r, chosen)
 	rest := without(readers, chosen)
 	if r.need() > r.Engine.MemoryTokens*int64(1+len(readers)) {
@@ -210,6 +235,7 @@
 		return nil, verdict.Refuse(verdict.ReasonEndpointMemory, retryWhenBusy, "%d of %d tokens find no memory at %d endpoints of %s",
 			lacking, r.need(), len(all), r.Service)
 	}
+	a := &Assignment{First: first.Endpoint, Considered: len(all)}
 	a.Booking = Booking{First: parts[0], Helpers: parts[1:], Read: r.Engine.Share(r.PromptTokens, len(chosen))}
 	for i, m := range chosen {
 		if i > 0 {
@@ -220,6 +246,22 @@
 	return a, nil
 }
 
+// engines returns how many of the idle endpoints read the prompt, or 0 to wait for
+// more: enough to delay the writer little, or at least not beyond what callers accept.
+// The longer the request has waited, the fewer will do.
+func (r *Request) engines(idle, lane int) int {
+	most := min(lane, 1+MaxHelpers)
+	want := min(r.Engine.Engines(r.PromptTokens, max(shareLimit, time.Duration(sharePart*float64(r.Pause)))), most)
+	least := min(r.Engine.Engines(r.PromptTokens, max(shareLimit, time.Duration(leastPart*float64(r.Pause)))), most)
+	if r.Patience > 0 {
+		least = int(float64(least) * (1 - float64(r.Waited)/float64(r.Patience)))
+	}
+	if idle < least {
+		return 0
+	}
+	return min(want, idle)
+}
+
 // writer returns the endpoint that writes the answer to a long prompt: the last one, in
 // the order of all entries, that writes few others and reads little.
 func writer(now time.Time, r *Request, all []*member) *member {
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -39,6 +39,10 @@
 	Read time.Duration
 	// Short is set for a prompt that one endpoint reads alone within a short pause.
 	Short bool
+
+	// due is when the prompt should be read, and done is set once its answer began.
+	due  time.Time
+	done bool
 }
 
 // bookingKey names a booking: the entry that made it and its number there.
@@ -128,9 +132,11 @@
 	}
 	f.bookings[key] = b
 	f.add(b, 1, "")
+	b.due = now
 	for _, p := range append([]Part{b.First}, b.Helpers...) {
 		if m := f.members[p.Endpoint]; m != nil {
 			m.read(now, b.Read)
+			b.due = later(b.due, m.readUntil)
 		}
 	}
 	if m := f.members[b.First.Endpoint]; m != nil && owner == "" {
@@ -186,6 +192,35 @@
 	}
 }
 
+// Begun notes that the answer to a request has begun, so that its prompt is read.
+func (f *Fleet) Begun(owner string, id uint64) {
+	if b, ok := f.bookings[bookingKey{owner, id}]; ok {
+		b.done = true
+	}
+}
+
+// overdue returns the endpoints that still read what they should have read by now.
+func (f *Fleet) overdue(now time.Time) map[string]bool {
+	late := map[string]bool{}
+	for _, b := range f.bookings {
+		past := now.Sub(b.due)
+		if b.done || past < overdueAfter || past > overdueFor {
+			continue
+		}
+		for _, p := range b.Helpers {
+			late[p.Endpoint] = true
+		}
+	}
+	return late
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (m *member) read(now time.Time, share time.Duration) {
 	if m.readUntil.Before(now) {
 		m.readUntil = now
--- a/costmodel/engine.go
+++ b/costmodel/engine.go
@@ -41,7 +41,8 @@
 	n := float64(tokens)
 	linear := n / e.ReadPerSecond * float64(time.Second)
 	pairs := n * n / 2 / 1e6 * float64(e.PerMegapair)
-	return time.Duration(linear + pairs)
+	steps := n / float64(max(e.Chunk, 1)) * float64(e.Step)
+	return time.Duration(linear + pairs + steps)
 }
 
 // Share returns what each of the engines takes that read a prompt together.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -22,6 +22,8 @@
 	bearer = "Bearer "
 	// defaultTimeout bounds a request when neither its route nor its caller does.
 	defaultTimeout = 30 * time.Second
+	// anyPart is the part of its caller's time after which a request takes any place.
+	anyPart = 0.4
 	// retryWhenStale is when an entry without permission is worth another try.
 	retryWhenStale = 500 * time.Millisecond
 	// retryJitter spreads the return of refused callers: the most that is added.
@@ -61,7 +63,9 @@
 	committed bool
 	// delivered counts the events that were passed on.
 	delivered int
-	endpoint  string
+	// placed is the attempt in progress.
+	placed   *placement
+	endpoint string
 }
 
 // serve takes one request to its final answer.
@@ -105,7 +109,7 @@
 	c.service = d.pick(c.route)
 	c.want = assign.Request{
 		Service: c.service.Name, Engine: c.service.Engine, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
-		Zone: c.g.node.Zone, ColdPerSecond: c.service.ColdPerSecond / float64(max(c.g.entries.Load(), 1)),
+		Zone: c.g.node.Zone, Pause: c.route.Pause, Patience: time.Duration(anyPart * float64(c.timeout())), ColdPerSecond: c.service.ColdPerSecond / float64(max(c.g.entries.Load(), 1)),
 	}
 	return c.readBody(d.MaxBodyBytes)
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -41,6 +41,8 @@
 	begun  []uint64
 	ended  []uint64
 	unread []uint64
+	// answered are those whose answers began.
+	answered []uint64
 	// wake has one place.
 	wake chan struct{}
 }
@@ -73,6 +75,13 @@
 	})
 }
 
+// answered has the peers told that an answer has begun.
+func (b *bookings) answered(id uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tell(func(q *peerQueue) { q.answered = append(q.answered, id) })
+}
+
 func (b *bookings) tell(note func(*peerQueue)) {
 	for _, q := range b.peers {
 		note(q)
@@ -87,7 +96,7 @@
 func (b *bookings) news(q *peerQueue, all bool) *wire.Bookings {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m := &wire.Bookings{Whole: all, Ended: q.ended, Unread: q.unread}
+	m := &wire.Bookings{Whole: all, Ended: q.ended, Unread: q.unread, Answered: q.answered}
 	if all {
 		for _, one := range b.current {
 			m.Begun = append(m.Begun, *one)
@@ -99,7 +108,7 @@
 			}
 		}
 	}
-	q.begun, q.ended, q.unread = nil, nil, nil
+	q.begun, q.ended, q.unread, q.answered = nil, nil, nil, nil
 	return m
 }
 
@@ -230,6 +239,9 @@
 	for i := range b.Begun {
 		g.fleet.Book(now, owner, b.Begun[i].ID, fromWire(&b.Begun[i]))
 	}
+	for _, id := range b.Answered {
+		g.fleet.Begun(owner, id)
+	}
 	for _, id := range b.Ended {
 		g.fleet.End(owner, id, false)
 	}
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			return c.orInterrupted(ctx, c.orUncertain(err))
 		}
-		err = c.attempt(ctx, p.Assignment)
+		err = c.attempt(ctx, p)
 		p.end(c.delivered == 0)
 		if err == nil || ctx.Err() != nil {
 			return c.orInterrupted(ctx, err)
@@ -99,7 +99,9 @@
 }
 
 // attempt carries the request to its endpoint and the answer back.
-func (c *call) attempt(ctx context.Context, a *assign.Assignment) error {
+func (c *call) attempt(ctx context.Context, placed *placement) error {
+	a := placed.Assignment
+	c.placed = placed
 	c.endpoint = a.First.Name
 	c.sent = c.g.clock.Now()
 	c.g.metrics.sent("attempt")
@@ -241,7 +243,7 @@
 		return c.orInterrupted(ctx, c.orUncertain(err))
 	}
 	defer p.end(false)
-	return c.attempt(ctx, p.Assignment)
+	return c.attempt(ctx, p)
 }
 
 // turnedAway notes what an endpoint says that has not run the request.
@@ -356,6 +358,7 @@
 	}
 	if !c.committed {
 		c.commit(res)
+		c.placed.answered()
 		now := c.g.clock.Now()
 		c.log().Info("stream begun", "took", now.Sub(c.started), "predicted", a.Ahead, "waited", now.Sub(c.sent),
 			"prompt_tokens", c.PromptTokens, "helpers", len(a.Helpers))
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -15,7 +15,7 @@
 const (
 	// drainInterval is how often waiting requests are looked at when nothing else
 	// happens: endpoints get on with their reading meanwhile.
-	drainInterval = 20 * time.Millisecond
+	drainInterval = 10 * time.Millisecond
 	// waitPart is the part of its caller's time that a request waits at most.
 	waitPart = 0.5
 )
@@ -156,7 +156,9 @@
 		var a *assign.Assignment
 		item, ok := q.Pop(now, func(i *queue.Item) bool {
 			var err error
-			a, err = g.fleet.Choose(now, &i.Value.(*waiter).c.want)
+			c := i.Value.(*waiter).c
+			c.want.Waited = now.Sub(c.started)
+			a, err = g.fleet.Choose(now, &c.want)
 			return err == nil
 		})
 		if !ok {
@@ -181,3 +183,12 @@
 	p.g.fleet.End("", p.id, unread)
 	p.g.drainQueues(p.g.clock.Now())
 }
+
+// answered notes that the answer has begun, so that the endpoints have read the prompt.
+func (p *placement) answered() {
+	p.g.bookings.answered(p.id)
+	p.g.mu.Lock()
+	defer p.g.mu.Unlock()
+	p.g.fleet.Begun("", p.id)
+	p.g.drainQueues(p.g.clock.Now())
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -311,6 +311,8 @@
 	Ended []uint64  `cbor:"3,keyasint,omitempty"`
 	// Unread are ended too, before their prompts were read.
 	Unread []uint64 `cbor:"4,keyasint,omitempty"`
+	// Answered are bookings whose prompts are read.
+	Answered []uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Booking is the work of one request.
