One entry places the long prompts of all, and timely requests go first

Cause: entries took the same idle endpoints at the same moment, eight at a time after a huge prompt; under overload the order of arrival made everything late.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -288,6 +288,24 @@
 	}
 }
 
+// Assignment rebuilds an assignment that another entry made. It reports false when an
+// endpoint is not known here.
+func (f *Fleet) Assignment(b *Booking) (*Assignment, bool) {
+	first := f.members[b.First.Endpoint]
+	if first == nil {
+		return nil, false
+	}
+	a := &Assignment{First: first.Endpoint, Booking: *b}
+	for _, p := range b.Helpers {
+		m := f.members[p.Endpoint]
+		if m == nil {
+			return nil, false
+		}
+		a.Helpers = append(a.Helpers, m.Endpoint)
+	}
+	return a, true
+}
+
 // FindAddr returns the name of the endpoint at an address.
 func (f *Fleet) FindAddr(addr string) (string, bool) {
 	for name, m := range f.members {
--- a/costmodel/engine.go
+++ b/costmodel/engine.go
@@ -57,3 +57,12 @@
 	}
 	return max(1, int(math.Ceil(float64(e.Read(tokens))/float64(limit))))
 }
+
+// Expected returns how long a prompt takes until its first token at idle engines, of
+// which so many read it together.
+func (e *Engine) Expected(tokens, engines int) time.Duration {
+	return e.Share(tokens, engines) + 2*e.pass()
+}
+
+// pass is the time of the steps that an engine takes in a row while requests write.
+func (e *Engine) pass() time.Duration { return time.Duration(max(e.Stride, 1)) * e.Step }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
-	"github.com/rosemaryproxy/rosemaryproxy/queue"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
@@ -86,6 +85,8 @@
 	// bookings are told to the other entries, which reach this one at peers.
 	bookings *bookings
 	peers    *wire.Server
+	// placer is the entry that places long prompts.
+	placer *placer
 	// running counts the streams to other entries; work ends them.
 	running sync.WaitGroup
 	work    context.Context
@@ -95,7 +96,7 @@
 	mu    sync.Mutex
 	fleet *assign.Fleet
 	// queues hold the requests that wait for an endpoint, by service.
-	queues map[string]queue.Waiting
+	queues map[string]*queues
 	nextID uint64
 }
 
@@ -103,7 +104,7 @@
 func New(s Settings, d Dialect, e Engines) *Gateway {
 	return &Gateway{
 		Settings: s, dialect: d, engines: e,
-		fleet: assign.NewFleet(), bookings: newBookings(), queues: map[string]queue.Waiting{},
+		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{},
 	}
 }
 
@@ -128,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	if g.peers, err = wire.Listen(string(g.Peers), id, &wire.Traffic{}, g.hearPeer); err != nil {
+	if g.peers, err = wire.Listen(string(g.Peers), id, &wire.Traffic{}, g.servePeer); err != nil {
 		return err
 	}
 	if g.listener, err = net.Listen("tcp", string(g.Listen)); err != nil {
@@ -175,6 +176,7 @@
 	if len(u.Entries) > 0 {
 		g.entries.Store(int64(len(u.Entries)))
 		g.meet(g.work, u.Entries)
+		g.placer.list(u.Entries)
 	}
 	doc := g.client.Config()
 	if u.Snapshot != nil || len(u.Changes) > 0 {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -51,16 +51,22 @@
 	return &bookings{current: map[uint64]*wire.Booking{}, peers: map[string]*peerQueue{}}
 }
 
-// begin numbers a booking and has the peers told.
-func (b *bookings) begin(a *assign.Booking) uint64 {
+// number returns a number for a booking.
+func (b *bookings) number() uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.next++
-	b.current[b.next] = toWire(b.next, a)
-	b.tell(func(q *peerQueue) { q.begun = append(q.begun, b.next) })
 	return b.next
 }
 
+// begin has the peers told of a booking.
+func (b *bookings) begin(id uint64, a *assign.Booking) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current[id] = toWire(id, a)
+	b.tell(func(q *peerQueue) { q.begun = append(q.begun, id) })
+}
+
 // end has the peers told that a booking is over.
 func (b *bookings) end(id uint64, unread bool) {
 	b.mu.Lock()
@@ -198,13 +204,33 @@
 	}
 }
 
-// hearPeer takes in what another entry tells, until its stream ends.
-func (g *Gateway) hearPeer(stream wire.Stream) {
+// servePeer serves one stream of another entry by its first message.
+func (g *Gateway) servePeer(stream wire.Stream) {
 	peer := stream.Peer()
 	if peer.Role != wire.RoleEntry {
 		g.log.Warn("stream refused", "peer", peer.Name, "role", string(peer.Role))
 		return
 	}
+	if err := stream.SetDeadline(g.clock.Now().Add(bookingSilence)); err != nil {
+		return
+	}
+	m, err := stream.Recv()
+	if err != nil {
+		return
+	}
+	switch m := m.(type) {
+	case *wire.Bookings:
+		g.hearPeer(stream, m)
+	case *wire.Place:
+		g.placeFor(stream, m)
+	default:
+		g.log.Warn("stream refused", "peer", peer.Name, "message", m.Kind())
+	}
+}
+
+// hearPeer takes in what another entry tells, until its stream ends.
+func (g *Gateway) hearPeer(stream wire.Stream, first *wire.Bookings) {
+	peer := stream.Peer()
 	g.log.Info("entry met", "peer", peer.Name)
 	defer func() {
 		g.mu.Lock()
@@ -212,7 +238,8 @@
 		g.mu.Unlock()
 		g.log.Info("entry lost", "peer", peer.Name)
 	}()
-	for {
+	for b := first; ; {
+		g.takeBookings(peer.Name, b)
 		if err := stream.SetDeadline(g.clock.Now().Add(bookingSilence)); err != nil {
 			return
 		}
@@ -220,12 +247,11 @@
 		if err != nil {
 			return
 		}
-		b, ok := m.(*wire.Bookings)
-		if !ok {
+		var ok bool
+		if b, ok = m.(*wire.Bookings); !ok {
 			g.log.Warn("stream refused", "peer", peer.Name, "message", m.Kind())
 			return
 		}
-		g.takeBookings(peer.Name, b)
 	}
 }
 
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -20,6 +20,24 @@
 	waitPart = 0.5
 )
 
+// queues are the requests that wait for endpoints of one service. Short prompts and long
+// ones use different endpoints, and do not wait for one another.
+type queues struct {
+	short, long queue.Waiting
+}
+
+func newQueues() *queues {
+	return &queues{short: queue.NewAim(queue.DefaultSettings()), long: queue.NewAim(queue.DefaultSettings())}
+}
+
+// of returns the queue of a request.
+func (q *queues) of(r *assign.Request) queue.Waiting {
+	if classOf(r) == route.Short {
+		return q.short
+	}
+	return q.long
+}
+
 // placement is an assignment that is booked.
 type placement struct {
 	*assign.Assignment
@@ -27,59 +45,101 @@
 	id uint64
 }
 
-// waiter is a call in a queue.
+// waiter is a request that wants endpoints.
 type waiter struct {
-	id uint64
-	c  *call
+	want *assign.Request
+	// owner is the entry that asks, "" for this one, and booking its number there.
+	owner   string
+	booking uint64
+	account string
+	// since is when the request came, startBy when it has to start to be in time, and
+	// giveUp when it stops waiting.
+	since, startBy, giveUp time.Time
+	// queued is its number in the queue.
+	queued uint64
 	// result has one place and gets one outcome.
 	result chan outcome
 }
 
 // outcome ends a wait.
 type outcome struct {
-	placed *placement
-	err    error
+	assignment *assign.Assignment
+	err        error
+}
+
+// newWaiter returns the call's wish for endpoints.
+func (c *call) newWaiter() *waiter {
+	return &waiter{
+		want: &c.want, booking: c.g.bookings.number(), account: c.account, since: c.started, startBy: c.startBy(),
+		giveUp: c.started.Add(time.Duration(waitPart * float64(c.end.Sub(c.started)))), result: make(chan outcome, 1),
+	}
+}
+
+// startBy is when the call has to be sent to be answered in the time that its caller
+// wants, if endpoints are idle.
+func (c *call) startBy() time.Time {
+	at := c.started.Add(c.route.Target)
+	if c.service.Engine != nil {
+		at = at.Add(-c.service.Engine.Expected(c.PromptTokens, 1+assign.MaxHelpers))
+	}
+	return at
 }
 
 // place chooses endpoints for the call and books them, after waiting for its turn.
 func (g *Gateway) place(ctx context.Context, c *call) (*placement, error) {
-	w, p, err := g.enter(c)
-	if w == nil {
-		return p, err
+	w := c.newWaiter()
+	if classOf(w.want) != route.Short {
+		if p, err := g.placeAtPeer(ctx, w); p != nil || err != nil {
+			return p, err
+		}
+	}
+	a, err := g.wait(ctx, w)
+	if err != nil {
+		return nil, err
 	}
+	g.bookings.begin(w.booking, &a.Booking)
+	return &placement{Assignment: a, g: g, id: w.booking}, nil
+}
+
+// wait returns the endpoints for the request once they are booked here.
+func (g *Gateway) wait(ctx context.Context, w *waiter) (*assign.Assignment, error) {
+	g.enter(w)
 	select {
 	case o := <-w.result:
-		return o.placed, o.err
+		return o.assignment, o.err
 	case <-ctx.Done():
 		return nil, g.leave(ctx, w)
 	}
 }
 
-// enter places the call at once, refuses it, or gives it a place in the queue.
-func (g *Gateway) enter(c *call) (*waiter, *placement, error) {
+// enter places the request at once, refuses it, or gives it a place in the queue.
+func (g *Gateway) enter(w *waiter) {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := g.queue(c.service.Name)
-	class := classOf(&c.want)
-	a, err := g.fleet.Choose(now, &c.want)
-	if err == nil && q.Tokens(class) == 0 {
-		return nil, g.book(now, a), nil
-	}
-	if err != nil && !worthWaiting(verdict.From(err).Reason) {
-		return nil, nil, err
+	q := g.queue(w.want.Service).of(w.want)
+	w.want.Waited = now.Sub(w.since)
+	a, err := g.fleet.Choose(now, w.want)
+	switch {
+	case err == nil && q.Len() == 0:
+		g.fleet.Book(now, w.owner, w.booking, &a.Booking)
+		w.result <- outcome{assignment: a}
+		return
+	case err != nil && !worthWaiting(verdict.From(err).Reason):
+		w.result <- outcome{err: err}
+		return
 	}
 	g.nextID++
-	w := &waiter{id: g.nextID, c: c, result: make(chan outcome, 1)}
+	w.queued = g.nextID
 	err = q.Push(now, queue.Item{
-		ID: w.id, Account: c.account, Class: class, Tokens: max(1, c.PromptTokens+c.OutputTokens),
-		GiveUp: c.started.Add(time.Duration(waitPart * float64(c.end.Sub(c.started)))), Value: w,
+		ID: w.queued, Account: w.account, Class: classOf(w.want), Tokens: max(1, w.want.PromptTokens+w.want.OutputTokens),
+		StartBy: w.startBy, GiveUp: w.giveUp, Value: w,
 	})
 	if err != nil {
-		return nil, nil, err
+		w.result <- outcome{err: err}
+		return
 	}
 	g.drainQueue(now, q)
-	return w, nil, nil
 }
 
 // classOf returns the length class of a request: one that an endpoint reads alone is
@@ -96,15 +156,15 @@
 	return r == verdict.ReasonOverloaded || r == verdict.ReasonEndpointMemory
 }
 
-// leave takes a call whose time is over or whose caller went out of the queue.
+// leave takes a request whose time is over or whose caller went out of the queue.
 func (g *Gateway) leave(ctx context.Context, w *waiter) error {
 	g.mu.Lock()
-	g.queue(w.c.service.Name).Remove(w.id)
-	g.mu.Unlock()
+	defer g.mu.Unlock()
+	g.queue(w.want.Service).of(w.want).Remove(w.queued)
 	select {
 	case o := <-w.result:
-		if o.placed != nil {
-			o.placed.end(true)
+		if o.assignment != nil {
+			g.fleet.End(w.owner, w.booking, true)
 		}
 	default:
 	}
@@ -114,11 +174,11 @@
 	return errCallerGone
 }
 
-// queue returns the queue of a service. The caller holds the lock.
-func (g *Gateway) queue(service string) queue.Waiting {
+// queue returns the queues of a service. The caller holds the lock.
+func (g *Gateway) queue(service string) *queues {
 	q, ok := g.queues[service]
 	if !ok {
-		q = queue.New(queue.DefaultSettings())
+		q = newQueues()
 		g.queues[service] = q
 	}
 	return q
@@ -141,7 +201,8 @@
 // drainQueues places what waits and fits. The caller holds the lock.
 func (g *Gateway) drainQueues(now time.Time) {
 	for _, q := range g.queues {
-		g.drainQueue(now, q)
+		g.drainQueue(now, q.short)
+		g.drainQueue(now, q.long)
 	}
 }
 
@@ -156,25 +217,20 @@
 		var a *assign.Assignment
 		item, ok := q.Pop(now, func(i *queue.Item) bool {
 			var err error
-			c := i.Value.(*waiter).c
-			c.want.Waited = now.Sub(c.started)
-			a, err = g.fleet.Choose(now, &c.want)
+			w := i.Value.(*waiter)
+			w.want.Waited = now.Sub(w.since)
+			a, err = g.fleet.Choose(now, w.want)
 			return err == nil
 		})
 		if !ok {
 			return
 		}
-		item.Value.(*waiter).result <- outcome{placed: g.book(now, a)}
+		w := item.Value.(*waiter)
+		g.fleet.Book(now, w.owner, w.booking, &a.Booking)
+		w.result <- outcome{assignment: a}
 	}
 }
 
-// book enters an assignment and has the other entries told. The caller holds the lock.
-func (g *Gateway) book(now time.Time, a *assign.Assignment) *placement {
-	id := g.bookings.begin(&a.Booking)
-	g.fleet.Book(now, "", id, &a.Booking)
-	return &placement{Assignment: a, g: g, id: id}
-}
-
 // end takes the booking back. Unread is set when the prompt was not read.
 func (p *placement) end(unread bool) {
 	p.g.bookings.end(p.id, unread)
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -14,6 +14,7 @@
 	"gateway.fleet",
 	"gateway.retries",
 	"gateway.bookings",
+	"gateway.placer",
 	"entry.suspects",
 	"entry.watch",
 	"sidecar.orders",
--- /dev/null
+++ b/queue/aim.go
@@ -0,0 +1,106 @@
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/route"
+)
+
+// Aim orders requests by when they have to start to be answered in the time that their
+// callers want. The load that it answers is more work than the endpoints can do: in
+// order of arrival everything would wait until it is late. So a request that is late
+// already stands back behind all that can still be in time, until there are none.
+type Aim struct {
+	set   Settings
+	book  book
+	items []*node
+}
+
+var _ Waiting = (*Aim)(nil)
+
+// NewAim returns an empty queue. Of the settings it uses MaxItems and Probes.
+func NewAim(s Settings) *Aim {
+	s.Probes = max(s.Probes, leastProbes)
+	return &Aim{set: s, book: newBook()}
+}
+
+// Push implements Waiting.
+func (q *Aim) Push(_ time.Time, item Item) error {
+	if len(q.items) >= q.set.MaxItems {
+		return refuseFull(len(q.items))
+	}
+	n := &node{item: item}
+	at, _ := slices.BinarySearchFunc(q.items, n, byStart)
+	q.items = slices.Insert(q.items, at, n)
+	q.book.add(n)
+	return nil
+}
+
+// byStart compares requests by when they have to start, and equal ones by age.
+func byStart(a, b *node) int {
+	if c := a.item.StartBy.Compare(b.item.StartBy); c != 0 {
+		return c
+	}
+	if a.item.ID < b.item.ID {
+		return -1
+	}
+	return 1
+}
+
+// Pop implements Waiting. Requests that are late are asked only when nothing else
+// waits, those first that are given up first.
+func (q *Aim) Pop(now time.Time, fits func(*Item) bool) (Item, bool) {
+	timely, _ := slices.BinarySearchFunc(q.items, now, func(n *node, now time.Time) int {
+		if n.item.StartBy.Before(now) {
+			return -1
+		}
+		return 1
+	})
+	asked := q.items[timely:]
+	if len(asked) == 0 {
+		asked = slices.Clone(q.items)
+		slices.SortStableFunc(asked, func(a, b *node) int { return a.item.GiveUp.Compare(b.item.GiveUp) })
+	}
+	for _, n := range asked[:min(len(asked), q.set.Probes)] {
+		if fits(&n.item) {
+			q.remove(n)
+			return n.item, true
+		}
+	}
+	return Item{}, false
+}
+
+// Remove implements Waiting.
+func (q *Aim) Remove(id uint64) (Item, bool) {
+	n := q.book.byID[id]
+	if n == nil {
+		return Item{}, false
+	}
+	q.remove(n)
+	return n.item, true
+}
+
+func (q *Aim) remove(n *node) {
+	q.book.remove(n)
+	at := slices.Index(q.items, n)
+	q.items = slices.Delete(q.items, at, at+1)
+}
+
+// Expire implements Waiting.
+func (q *Aim) Expire(now time.Time, buf []Dropped) []Dropped {
+	for n := q.book.due(now); n != nil; n = q.book.due(now) {
+		q.remove(n)
+		buf = append(buf, Dropped{Item: n.item, Refusal: refuseExpired()})
+	}
+	return buf
+}
+
+// Len implements Waiting.
+func (q *Aim) Len() int { return len(q.items) }
+
+// Tokens implements Waiting.
+func (q *Aim) Tokens(class route.Class) int64 { return q.book.tokens[class] }
+
+// Share implements Waiting: the classes share one order.
+func (q *Aim) Share(route.Class) float64 { return 1 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -23,6 +23,9 @@
 	Class   route.Class
 	// Tokens is the work of the request: its prompt and output tokens.
 	Tokens int
+	// StartBy is when the request has to start to be answered in the time that its caller
+	// wants; only Aim looks at it.
+	StartBy time.Time
 	// GiveUp is when the request can no longer finish in time if it is still waiting.
 	GiveUp time.Time
 	// Value is the caller's own.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -27,6 +27,8 @@
 	KindAnswer
 	KindReplica
 	KindBookings
+	KindPlace
+	KindPlaced
 )
 
 // Message is a typed message with a fixed kind.
@@ -332,6 +334,39 @@
 	Tokens   int64  `cbor:"2,keyasint,omitempty"`
 }
 
+// Place asks the entry that places long prompts for endpoints. Its sender closes the
+// stream to withdraw.
+type Place struct {
+	// Booking is the number that the sender gives to the booking.
+	Booking      uint64   `cbor:"1,keyasint"`
+	Service      string   `cbor:"2,keyasint"`
+	Account      string   `cbor:"3,keyasint,omitempty"`
+	PromptTokens int      `cbor:"4,keyasint"`
+	OutputTokens int      `cbor:"5,keyasint"`
+	Tried        []string `cbor:"6,keyasint,omitempty"`
+	// Pause is the longest pause between events that the caller wants.
+	Pause time.Duration `cbor:"7,keyasint,omitempty"`
+	// Waited is how long the request has waited, StartIn when it has to start to be in
+	// time, and GiveUpIn when it is given up.
+	Waited   time.Duration `cbor:"8,keyasint,omitempty"`
+	StartIn  time.Duration `cbor:"9,keyasint"`
+	GiveUpIn time.Duration `cbor:"10,keyasint"`
+	// Patience is after how long any endpoints will do.
+	Patience time.Duration `cbor:"11,keyasint,omitempty"`
+}
+
+// Placed answers Place: first, and now and then while the request waits, with Waiting
+// set; at the end with a booking or a refusal.
+type Placed struct {
+	Waiting bool     `cbor:"1,keyasint,omitempty"`
+	Booking *Booking `cbor:"2,keyasint,omitempty"`
+	Refused *Refused `cbor:"3,keyasint,omitempty"`
+	// Ahead is the predicted time until the prompt is read, and Considered how many
+	// endpoints could have served the request.
+	Ahead      time.Duration `cbor:"4,keyasint,omitempty"`
+	Considered int           `cbor:"5,keyasint,omitempty"`
+}
+
 // Replica carries one message of the consensus protocol.
 type Replica struct {
 	Group string `cbor:"1,keyasint"`
@@ -354,6 +389,8 @@
 func (*Answer) Kind() Kind    { return KindAnswer }
 func (*Replica) Kind() Kind   { return KindReplica }
 func (*Bookings) Kind() Kind  { return KindBookings }
+func (*Place) Kind() Kind     { return KindPlace }
+func (*Placed) Kind() Kind    { return KindPlaced }
 
 // newMessage returns an empty message of the kind, or nil for an unknown one.
 func newMessage(k Kind) Message {
@@ -388,6 +425,10 @@
 		return &Replica{}
 	case KindBookings:
 		return &Bookings{}
+	case KindPlace:
+		return &Place{}
+	case KindPlaced:
+		return &Placed{}
 	}
 	return nil
 }
