Sessions with control move on before the permission has lapsed

Change: a client goes on after two heartbeats without a renewal, to members first; requests wait up to 0.8 s for the permission; peers that control does not list for a moment are kept; short prompts avoid endpoints that are overdue.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -132,7 +132,7 @@
 	case r.Engine == nil || r.PromptTokens == 0:
 		return alone(now, r, all, least(now, r, all)), nil
 	case r.Short():
-		a = alone(now, r, all, fill(now, r, all))
+		a = alone(now, r, all, f.fill(now, r, all))
 	default:
 		if a, err = f.group(now, r, all); err != nil {
 			return nil, err
@@ -193,10 +193,11 @@
 
 // fill returns the first endpoint, in the order of all entries, that has room for a
 // short prompt and reads nothing long. When all are busy it is the least busy one.
-func fill(now time.Time, r *Request, all []*member) *member {
+func (f *Fleet) fill(now time.Time, r *Request, all []*member) *member {
+	late := f.overdue(now)
 	for _, m := range all {
 		room := float64(m.running) < fillPart*float64(m.Slots) && m.free(now, r.Engine) >= r.need()
-		if room && m.wait(now) < busyReading && !m.Cold {
+		if room && m.wait(now) < busyReading && !m.Cold && !late[m.Name] && m.running == m.short {
 			return m
 		}
 	}
--- a/control/session/client.go
+++ b/control/session/client.go
@@ -51,6 +51,10 @@
 	// permits work. Lease must be control's own setting or less.
 	Heartbeat time.Duration
 	Lease     time.Duration
+	// Silence is after how long without a renewal the client goes on to another
+	// replica. By default it is the lease; a shorter one finds another before the
+	// permission has lapsed.
+	Silence time.Duration
 	// ServeStale lets MayServe hold while the permission has lapsed and control
 	// cannot be reached: an availability zone that is taken out meanwhile may then
 	// get new work from this process. It is for deployments that weigh service over
@@ -86,9 +90,8 @@
 	// that was restarted come after those from before.
 	seq    uint64
 	leader string
-	// replicas are the addresses to try: those of the options and those that control
-	// named last.
-	replicas []string
+	// members are the addresses that control named last.
+	members []string
 	// leaderAddr is the replica that last answered as leader.
 	leaderAddr string
 }
@@ -110,6 +113,9 @@
 	if o.Lease <= o.Heartbeat {
 		return nil, errors.Errorf("lease of %v is not longer than the heartbeat of %v", o.Lease, o.Heartbeat)
 	}
+	if o.Silence == 0 {
+		o.Silence = o.Lease
+	}
 	if o.Stopped == nil {
 		o.Stopped = connectionRefused
 	}
@@ -126,7 +132,6 @@
 		permission: lease.NewPermission(o.Lease, o.Lease/marginParts),
 		exchange:   lease.NewExchange(o.Clock.Now(), rand.Uint64()),
 		seq:        uint64(o.Clock.Now().UnixMilli()),
-		replicas:   o.Replicas,
 	}, nil
 }
 
@@ -219,12 +224,14 @@
 	var polling sync.WaitGroup
 	defer polling.Wait()
 	polling.Go(func() { c.runPolls(ctx) })
-	next := rand.IntN(len(c.known()))
+	order := c.spread()
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		replicas := c.known()
-		addr := replicas[next%len(replicas)]
-		next++
+		if len(order) == 0 {
+			order = c.spread()
+		}
+		addr := order[0]
+		order = order[1:]
 		renewed, err := c.session(ctx, addr)
 		if ctx.Err() != nil {
 			return nil
@@ -233,6 +240,7 @@
 		c.drop(addr)
 		if renewed {
 			backoff = minBackoff
+			order = slices.DeleteFunc(c.spread(), func(a string) bool { return a == addr })
 		}
 		c.wait(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
@@ -240,25 +248,37 @@
 	return nil
 }
 
-// known returns the replicas' addresses.
+// known returns the replicas' addresses in the order in which to try them: the members
+// that control named last, and then the other ones of the options, which may be out of
+// date.
 func (c *Client) known() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.replicas
+	members, rest := c.replicas()
+	return append(members, rest...)
 }
 
-// Replace has the client try these replicas first from now on, in the order given,
-// and those of its options after them.
-func (c *Client) Replace(replicas []string) {
-	all := slices.Clone(replicas)
-	for _, addr := range c.options.Replicas {
-		if !slices.Contains(all, addr) {
-			all = append(all, addr)
-		}
+// spread returns the same addresses, in random order among the members and among the
+// others, so that the processes do not all go to the same replica.
+func (c *Client) spread() []string {
+	members, rest := c.replicas()
+	for _, addrs := range [][]string{members, rest} {
+		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	}
+	return append(members, rest...)
+}
+
+func (c *Client) replicas() (members, rest []string) {
+	c.mu.Lock()
+	members = slices.Clone(c.members)
+	c.mu.Unlock()
+	rest = slices.DeleteFunc(slices.Clone(c.options.Replicas), func(a string) bool { return slices.Contains(members, a) })
+	return members, rest
+}
+
+// learn takes over the members that control named.
+func (c *Client) learn(members []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.replicas = all
+	c.members = slices.Clone(members)
 }
 
 // wait waits for half to the whole of d, so that processes which lost the same
--- a/control/session/run.go
+++ b/control/session/run.go
@@ -32,7 +32,7 @@
 }
 
 func (c *Client) open(ctx context.Context, addr string) (wire.Stream, error) {
-	bounded, cancel := context.WithTimeout(ctx, openTimeout)
+	bounded, cancel := context.WithTimeout(ctx, min(openTimeout, c.options.Silence))
 	defer cancel()
 	stream, err := c.options.Opener.Open(bounded, addr)
 	if err != nil {
@@ -111,7 +111,7 @@
 				}
 			}
 		}
-		if silent := c.options.Clock.Now().Sub(lastEcho); silent > c.options.Lease {
+		if silent := c.options.Clock.Now().Sub(lastEcho); silent > c.options.Silence {
 			return renewed, errors.Errorf("permission not renewed for %v", silent.Round(time.Millisecond))
 		}
 	}
@@ -160,7 +160,7 @@
 	}
 	c.mu.Unlock()
 	if len(u.Replicas) > 0 {
-		c.Replace(u.Replicas)
+		c.learn(u.Replicas)
 	}
 	if c.options.Limits != nil {
 		c.options.Limits.grant(c.options.Clock.Now(), u.Shares)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,7 +123,7 @@
 	g.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
 	g.client, err = session.New(session.Options{
 		Node: h.Node, Role: wire.RoleEntry, Replicas: settings.Addrs(g.Control), Opener: g.dialer,
-		Addr: string(g.Peers), Lease: g.Lease, Heartbeat: g.Lease / heartbeatsPerLease,
+		Addr: string(g.Peers), Lease: g.Lease, Heartbeat: g.Lease / heartbeatsPerLease, Silence: 2 * g.Lease / heartbeatsPerLease,
 		Clock: h.Clock, Log: h.Log, OnUpdate: g.update,
 	})
 	if err != nil {
@@ -174,9 +174,9 @@
 // update takes over what the session brought.
 func (g *Gateway) update(u *wire.Update) {
 	if len(u.Entries) > 0 {
-		g.entries.Store(int64(len(u.Entries)))
-		g.meet(g.work, u.Entries)
-		g.placer.list(u.Entries)
+		all := g.meet(g.work, u.Entries)
+		g.entries.Store(int64(len(all)))
+		g.placer.list(all)
 	}
 	doc := g.client.Config()
 	if u.Snapshot != nil || len(u.Changes) > 0 {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -26,6 +26,9 @@
 	anyPart = 0.4
 	// retryWhenStale is when an entry without permission is worth another try.
 	retryWhenStale = 500 * time.Millisecond
+	// staleWait bounds the wait for the permission, looked at every staleLook.
+	staleWait = 800 * time.Millisecond
+	staleLook = 20 * time.Millisecond
 	// retryJitter spreads the return of refused callers: the most that is added.
 	retryJitter = 300 * time.Millisecond
 	// writeTimeout ends a request whose caller takes nothing for so long.
@@ -85,13 +88,13 @@
 
 // prepare finds the route, the account and the service, and reads the body.
 func (c *call) prepare() error {
-	d := c.g.deployment.Load()
+	d := c.g.awaitDeployment(c.r.Context())
 	if d == nil {
 		return verdict.Refuse(verdict.ReasonStale, retryWhenStale, "the entry has no configuration yet")
 	}
 	c.route = d.Route(hostOf(c.r.Host), c.r.URL.Path)
 	keyed := len(d.Accounts) > 0 && (c.route == nil || !c.route.Anonymous)
-	if keyed && !c.g.client.Fresh() {
+	if keyed && !c.awaitPermission() {
 		return verdict.Refuse(verdict.ReasonStale, retryWhenStale, "the entry's permission has lapsed at revision %d", c.g.client.Config().Revision)
 	}
 	key, _ := strings.CutPrefix(c.r.Header.Get("Authorization"), bearer)
@@ -114,6 +117,28 @@
 	return c.readBody(d.MaxBodyBytes)
 }
 
+// awaitPermission waits a little for the permission to be renewed: after the loss of a
+// replica it comes back sooner than a refused caller.
+func (c *call) awaitPermission() bool {
+	limit := c.g.clock.Now().Add(staleWait)
+	for !c.g.client.Fresh() {
+		if c.g.clock.Now().After(limit) || c.r.Context().Err() != nil {
+			return false
+		}
+		<-c.g.clock.After(staleLook)
+	}
+	return true
+}
+
+// awaitDeployment waits as long for the first configuration.
+func (g *Gateway) awaitDeployment(ctx context.Context) *Deployment {
+	limit := g.clock.Now().Add(staleWait)
+	for g.deployment.Load() == nil && g.clock.Now().Before(limit) && ctx.Err() == nil {
+		<-g.clock.After(staleLook)
+	}
+	return g.deployment.Load()
+}
+
 func hostOf(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	// after which a peer's bookings are dropped: it may be gone.
 	bookingBeat    = time.Second
 	bookingSilence = 3 * time.Second
+	// unlistedFor is how long a peer is kept that control does not list.
+	unlistedFor = 10 * time.Second
 	// peerRetry is the wait before a peer is tried again.
 	peerRetry = 300 * time.Millisecond
 	// peerOpenTimeout bounds the opening of a stream to a peer.
@@ -38,6 +41,8 @@
 // peerQueue is what one peer has not been told yet.
 type peerQueue struct {
 	cancel context.CancelFunc
+	// listed is when control last listed the peer.
+	listed time.Time
 	begun  []uint64
 	ended  []uint64
 	unread []uint64
@@ -134,30 +139,38 @@
 	return out
 }
 
-// meet starts telling new peers and stops telling those that are gone.
-func (g *Gateway) meet(ctx context.Context, addrs []string) {
+// meet starts telling new peers and stops telling those that are gone. A replica of
+// control that has just started lists few entries, so one that is not listed is kept
+// for a while. It returns the addresses of all entries, this one among them.
+func (g *Gateway) meet(ctx context.Context, addrs []string) []string {
+	now := g.clock.Now()
 	b := g.bookings
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	listed := map[string]bool{}
 	for _, addr := range addrs {
 		if addr == string(g.Peers) || addr == "" {
 			continue
 		}
-		listed[addr] = true
-		if b.peers[addr] == nil {
+		q := b.peers[addr]
+		if q == nil {
 			bounded, cancel := context.WithCancel(ctx)
-			q := &peerQueue{cancel: cancel, wake: make(chan struct{}, 1)}
+			q = &peerQueue{cancel: cancel, wake: make(chan struct{}, 1)}
 			b.peers[addr] = q
 			g.running.Go(func() { g.runPeer(bounded, addr, q) })
 		}
+		q.listed = now
 	}
+	all := []string{string(g.Peers)}
 	for addr, q := range b.peers {
-		if !listed[addr] {
+		if now.Sub(q.listed) > unlistedFor {
 			q.cancel()
 			delete(b.peers, addr)
+			continue
 		}
+		all = append(all, addr)
 	}
+	slices.Sort(all)
+	return all
 }
 
 // runPeer keeps a stream to a peer until ctx ends.
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -32,7 +32,7 @@
 func (p *placer) list(addrs []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.addrs, p.silent = addrs, map[string]time.Time{}
+	p.addrs = addrs
 }
 
 // addr returns the entry to ask, "" before any is known.
@@ -50,6 +50,9 @@
 func (p *placer) missed(now time.Time, addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.silent == nil {
+		p.silent = map[string]time.Time{}
+	}
 	p.silent[addr] = now
 }
 
