--- /dev/null
+++ b/assign/assign_test.go
@@ -0,0 +1,247 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+var t0 = time.Date(2026, 12, 3, 20, 0, 0, 0, time.UTC)
+
+func engineModel() *costmodel.Engine {
+	return &costmodel.Engine{
+		Slots: 16, MemoryTokens: 232_000, Step: 1020 * time.Microsecond, ReadPerSecond: 206_000,
+		PerMegapair: 138 * time.Microsecond, Chunk: 2048, Stride: 43,
+	}
+}
+
+// fleetOf returns a fleet of engines in three zones.
+func fleetOf(n int) *Fleet {
+	f := NewFleet()
+	for i := range n {
+		f.Update(Endpoint{
+			Name: fmt.Sprintf("engine-%02d", i), Service: "scribe", Addr: fmt.Sprintf("10.0.0.%d:80", i), Zone: fmt.Sprintf("zone-%d", i%3), Slots: 16, Incarnation: 1,
+		})
+	}
+	return f
+}
+
+func prompt(tokens int) *Request {
+	return &Request{Service: "scribe", PromptTokens: tokens, OutputTokens: 1400, Zone: "zone-0", Engine: engineModel(), Pause: time.Second}
+}
+
+// booker places requests one after the other.
+type booker struct {
+	t  *testing.T
+	f  *Fleet
+	id uint64
+}
+
+func (b *booker) place(now time.Time, r *Request) *Assignment {
+	b.t.Helper()
+	a, err := b.f.Choose(now, r)
+	if err != nil {
+		b.t.Fatalf("%d tokens not placed: %v", r.PromptTokens, err)
+	}
+	b.id++
+	b.f.Book(now, "", b.id, &a.Booking)
+	return a
+}
+
+func TestShortPromptsFillEndpointsInOneOrder(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(18)
+	b := &booker{t: t, f: f}
+	used := map[string]int{}
+	for i := range 24 {
+		// Far enough apart that the reading of one does not stand in the way of the next.
+		used[b.place(t0.Add(time.Duration(i)*50*time.Millisecond), prompt(5_000)).First.Name]++
+	}
+	is.Equal(len(used), 2) // two endpoints of twelve or thirteen rather than 18 of one or two
+}
+
+func TestLongPromptIsReadByOthersThanItsWriter(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(18)
+	b := &booker{t: t, f: f}
+	short := b.place(t0, prompt(5_000))
+	long := b.place(t0, prompt(133_000))
+	is.True(len(long.Helpers) >= 8)
+	is.True(long.Booking.Read <= 200*time.Millisecond) // of 1.9 s alone
+	held := long.Booking.First.Tokens
+	for i, h := range long.Helpers {
+		is.True(h.Name != long.First.Name)
+		is.True(h.Name != short.First.Name) // its stream would pause
+		held += long.Booking.Helpers[i].Tokens
+	}
+	is.True(held >= 133_000+1400)
+	is.True(long.Booking.First.Tokens < 20_000) // the writer's memory is for many answers
+}
+
+func TestNextLongPromptWaitsForIdleReaders(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(18)
+	b := &booker{t: t, f: f}
+	first := b.place(t0, prompt(300_000))
+	_, err := f.Choose(t0, prompt(300_000))
+	is.True(verdict.IsReason(err, verdict.ReasonOverloaded)) // parts that wait at an engine starve
+	b.place(t0.Add(first.Booking.Read), prompt(300_000))
+}
+
+func TestEndpointsThatAreOverdueAreNotIdle(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(18)
+	b := &booker{t: t, f: f}
+	a := b.place(t0, prompt(300_000))
+	late := t0.Add(a.Booking.Read + overdueAfter)
+	_, err := f.Choose(late, prompt(300_000))
+	is.True(verdict.IsReason(err, verdict.ReasonOverloaded))
+	f.Begun("", b.id)
+	b.place(late, prompt(300_000))
+}
+
+func TestPromptLargerThanAnEndpointIsHeldByHelpers(t *testing.T) {
+	is := is.New(t)
+	a, err := fleetOf(18).Choose(t0, prompt(600_000))
+	is.NoErr(err)
+	var tokens int64
+	for _, p := range append(a.Booking.Helpers, a.Booking.First) {
+		is.True(p.Tokens <= 232_000)
+		tokens += p.Tokens
+	}
+	is.True(tokens >= 600_000)
+}
+
+func TestLongPromptsWaitForMemoryRatherThanDisturbShortOnes(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(10)
+	b := &booker{t: t, f: f}
+	now := t0
+	for i := range 90 {
+		now = t0.Add(time.Duration(i) * 40 * time.Millisecond)
+		b.place(now, prompt(5_000))
+	}
+	r := prompt(450_000)
+	r.Waited, r.Patience = time.Second, 2*time.Second
+	shorts := map[string]bool{}
+	for _, m := range f.members {
+		shorts[m.Name] = m.short > 0
+	}
+	a, err := f.Choose(now.Add(time.Second), r)
+	if err != nil {
+		is.True(verdict.IsReason(err, verdict.ReasonEndpointMemory) || verdict.IsReason(err, verdict.ReasonOverloaded))
+		return
+	}
+	disturbed := 0
+	for _, h := range a.Helpers {
+		if shorts[h.Name] {
+			disturbed++
+		}
+	}
+	is.True(disturbed <= 10/minLong)
+}
+
+func TestWhoMayBeChosen(t *testing.T) {
+	tests := map[string]struct {
+		change func(f *Fleet, r *Request)
+		served bool
+	}{
+		"all good":                      {func(*Fleet, *Request) {}, true},
+		"no endpoint of the service":    {func(_ *Fleet, r *Request) { r.Service = "desk" }, false},
+		"every zone out":                {func(f *Fleet, _ *Request) { f.SetOut(map[string]bool{"zone-0": true, "zone-1": true}) }, false},
+		"one zone out":                  {func(f *Fleet, _ *Request) { f.SetOut(map[string]bool{"zone-0": true}) }, true},
+		"all tried":                     {func(_ *Fleet, r *Request) { r.Tried = []string{"engine-00", "engine-01"} }, false},
+		"all distrusted":                {func(f *Fleet, _ *Request) { f.Failed(t0, "engine-00"); f.Failed(t0, "engine-01") }, true}, // better than none
+		"all leaving":                   {func(f *Fleet, _ *Request) { leave(f, "engine-00"); leave(f, "engine-01") }, false},
+		"gone":                          {func(f *Fleet, _ *Request) { f.Remove("engine-00"); f.Remove("engine-01") }, false},
+		"not in the newest list of all": {func(f *Fleet, _ *Request) { f.Keep(map[string]bool{}) }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, r := fleetOf(2), prompt(5_000)
+			test.change(f, r)
+			_, err := f.Choose(t0, r)
+			is.Equal(err == nil, test.served)
+			if err != nil {
+				is.Equal(verdict.From(err).Verdict, verdict.NotRun)
+			}
+		})
+	}
+}
+
+func leave(f *Fleet, name string) {
+	e := f.members[name].Endpoint
+	e.Leaving = true
+	f.Update(e)
+}
+
+func TestDistrustedEndpointsGetWorkBack(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(2)
+	span := f.Failed(t0, "engine-00")
+	is.Equal(f.Failed(t0, "engine-00"), 2*span) // in a row
+	for range 10 {
+		a, err := f.Choose(t0, prompt(5_000))
+		is.NoErr(err)
+		is.Equal(a.First.Name, "engine-01")
+	}
+	f.Heard(t0, "engine-00")
+	is.Equal(f.Failed(t0, "engine-00"), span) // a sign of life starts anew
+}
+
+func TestColdEndpointsGetNoMoreThanTheirPart(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(1)
+	b := &booker{t: t, f: f}
+	r := prompt(1_000)
+	r.ColdPerSecond = 4
+	for range 4 {
+		b.place(t0, r)
+	}
+	_, err := f.Choose(t0.Add(999*time.Millisecond), r)
+	is.True(err != nil)
+	b.place(t0.Add(time.Second), r)
+}
+
+func TestBookingsOfOtherEntriesCount(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(1)
+	a, err := f.Choose(t0, prompt(20_000))
+	is.NoErr(err)
+	m := f.members["engine-00"]
+	f.Book(t0, "entry-2", 7, &a.Booking)
+	f.Book(t0, "entry-2", 7, &a.Booking) // told twice
+	is.Equal(m.running, 1)
+	is.Equal(m.wait(t0), a.Booking.Read)
+	f.End("entry-2", 7, true)
+	f.End("entry-2", 7, true)
+	is.Equal(m.running, 0)
+	is.Equal(m.tokens, int64(0))
+	is.Equal(m.wait(t0), time.Duration(0)) // what was not read is no longer ahead
+	f.Book(t0, "entry-2", 8, &a.Booking)
+	f.Forget("entry-2")
+	is.Equal(m.running, 0)
+}
+
+func TestEndpointThatStartsAnewHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(3)
+	b := &booker{t: t, f: f}
+	a := b.place(t0, prompt(133_000))
+	is.Equal(len(a.Helpers), 2)
+	e := f.members[a.Helpers[0].Name].Endpoint
+	e.Incarnation++
+	f.Update(e)
+	is.Equal(f.members[e.Name].helping, 0)
+	f.End("", b.id, false)
+	for _, m := range f.members {
+		is.Equal(m.running+m.helping, 0)
+		is.Equal(m.tokens, int64(0))
+	}
+}
--- /dev/null
+++ b/costmodel/engine_test.go
@@ -0,0 +1,51 @@
+package costmodel
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// published is the engine of both deployments, without the steps between chunks.
+func published() *Engine {
+	return &Engine{ReadPerSecond: 206_000, PerMegapair: 138 * time.Microsecond}
+}
+
+func TestReadingTimes(t *testing.T) {
+	tests := map[int]time.Duration{ // tokens, with figures worked out by hand
+		5_000:   26 * time.Millisecond,
+		24_000:  156 * time.Millisecond,
+		45_000:  358 * time.Millisecond,
+		110_000: 1369 * time.Millisecond,
+		133_000: 1866 * time.Millisecond,
+		160_000: 2543 * time.Millisecond,
+		232_000: 4840 * time.Millisecond,
+		600_000: 27_753 * time.Millisecond,
+	}
+	for tokens, want := range tests {
+		got := published().Read(tokens)
+		if diff := got - want; diff < -2*time.Millisecond || diff > 2*time.Millisecond {
+			t.Errorf("reading of %d tokens: %v, want %v", tokens, got, want)
+		}
+	}
+}
+
+func TestStepsBetweenChunksTakeTime(t *testing.T) {
+	is := is.New(t)
+	e := published()
+	e.Chunk, e.Step = 2048, time.Millisecond
+	is.Equal(e.Read(20480)-published().Read(20480), 10*time.Millisecond)
+}
+
+func TestEnginesBringTheShareDownToTheLimit(t *testing.T) {
+	is := is.New(t)
+	e := published()
+	for _, tokens := range []int{1_000, 45_000, 133_000, 600_000} {
+		n := e.Engines(tokens, 100*time.Millisecond)
+		is.True(e.Share(tokens, n) <= 100*time.Millisecond)
+		is.True(n == 1 || e.Share(tokens, n-1) > 100*time.Millisecond)
+	}
+	is.Equal(e.Engines(600_000, 0), 1) // no limit
+	is.Equal((&Engine{}).Read(1000), time.Duration(0))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,18 @@
 	Retries RetryLimits
 }
 
+// coordinator is what a gateway needs of its session with control.
+type coordinator interface {
+	// Run keeps the session until ctx ends.
+	Run(ctx context.Context) error
+	// Fresh reports whether the configuration is known to be current.
+	Fresh() bool
+	// Config returns the newest configuration known.
+	Config() *config.Document
+}
+
+var _ coordinator = (*session.Client)(nil)
+
 // Gateway serves callers.
 type Gateway struct {
 	Settings
@@ -68,7 +80,7 @@
 	log     hclog.Logger
 	clock   kernel.Clock
 	node    settings.Node
-	client  *session.Client
+	client  coordinator
 	dialer  *session.Dialer
 	http    *http.Transport
 	retries *retryBudget
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,563 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
+)
+
+// plain is a small dialect for tests.
+type plain struct{}
+
+func (plain) Decode([]byte) (*Deployment, error) { return &Deployment{}, nil }
+
+func (plain) Read(h http.Header) Request {
+	r := Request{ID: h.Get("Id"), LastEvent: h.Get("Last")}
+	r.PromptTokens, _ = strconv.Atoi(h.Get("Tokens"))
+	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
+		r.Deadline = time.Duration(ms) * time.Millisecond
+	}
+	return r
+}
+
+func (plain) Write(h http.Header, d *Dispatch) {
+	h.Set("Instance", d.Instance)
+	h.Set("Account", d.Account)
+	h.Set("Last", d.LastEvent)
+	h.Set("Wait", strconv.FormatInt(d.Deadline.Milliseconds(), 10))
+}
+
+func (plain) Judge(res *http.Response, id string) (Outcome, string) {
+	switch {
+	case res.Header.Get("Id") != id:
+		return Alien, ""
+	case res.StatusCode == http.StatusMisdirectedRequest:
+		return Misdirected, ""
+	case res.Header.Get("Not-Run") != "":
+		return NotRun, ""
+	}
+	return Answered, ""
+}
+
+// permission is a coordinator whose permission a test sets.
+type permission struct{ lapsed atomic.Bool }
+
+func (s *permission) Run(ctx context.Context) error { <-ctx.Done(); return nil }
+func (s *permission) Fresh() bool                   { return !s.lapsed.Load() }
+func (s *permission) Config() *config.Document      { return config.NewDocument() }
+
+// engineFake answers orders about memory.
+type engineFake struct {
+	mu   sync.Mutex
+	held map[string]int64
+	full bool
+}
+
+func (e *engineFake) Alive(string) bool { return true }
+
+func (e *engineFake) Reserve(addr, ticket string, tokens int64, _ time.Duration) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.full {
+		return fmt.Errorf("endpoint %s has no memory", addr)
+	}
+	e.held[addr+"/"+ticket] = tokens
+	return nil
+}
+
+func (e *engineFake) Release(addr, ticket string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.held, addr+"/"+ticket)
+	return nil
+}
+
+func (e *engineFake) tickets() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.held)
+}
+
+// world is a gateway before endpoints that are HTTP servers of the test.
+type world struct {
+	t       *testing.T
+	g       *Gateway
+	session *permission
+	engines *engineFake
+	url     string
+	// arrivals are what reached endpoints.
+	mu       sync.Mutex
+	arrivals []*http.Request
+}
+
+// newWorld returns a gateway with these endpoints, asked in turn by their load.
+func newWorld(t *testing.T, endpoints ...http.HandlerFunc) *world {
+	t.Helper()
+	w := &world{t: t, session: &permission{}, engines: &engineFake{held: map[string]int64{}}}
+	g := New(Settings{Retries: RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, TicketHold: time.Second}, plain{}, w.engines)
+	g.log, g.clock, g.node = hclog.NewNullLogger(), kernel.SystemClock{}, settings.Node{Name: "entry-1", Zone: "hall"}
+	g.client, g.http, g.metrics = w.session, newTransport(), newMetrics(metrics.NewSet())
+	g.retries = newRetryBudget(g.Retries)
+	g.entries.Store(1)
+	w.g = g
+	g.deployment.Store((&Deployment{
+		Version: 1, MaxBodyBytes: 1000,
+		Services: map[string]*Service{"desk": {Name: "desk"}, "scribe": {Name: "scribe", Engine: &costmodel.Engine{Slots: 8, MemoryTokens: 1000, ReadPerSecond: 1e6}}},
+		Accounts: []Account{{Name: "parish", Keys: []string{"key-1"}}},
+		Routes: []Route{
+			{Name: "seal", Host: "h", Prefix: "/seal/", Kind: Once, Timeout: 2 * time.Second, Target: 100 * time.Millisecond, MaxEndpoints: 1, Services: one("desk")},
+			{Name: "status", Host: "h", Prefix: "/status/", Kind: Repeatable, Timeout: 2 * time.Second, Target: 200 * time.Millisecond, MaxEndpoints: 2, Services: one("desk")},
+			{Name: "open", Host: "h", Prefix: "/open/", Kind: Repeatable, Timeout: 2 * time.Second, MaxEndpoints: 2, Anonymous: true, Services: one("desk")},
+			{Name: "read", Host: "h", Prefix: "/read/", Kind: Repeatable, Stream: true, Timeout: 3 * time.Second, Target: time.Second, Pause: 200 * time.Millisecond, MaxEndpoints: 2, Services: one("scribe")},
+			{Name: "tell", Host: "h", Prefix: "/tell/", Kind: Once, Stream: true, Timeout: 3 * time.Second, Target: time.Second, MaxEndpoints: 1, Services: one("scribe")},
+		},
+	}).Index())
+	for i, handler := range endpoints {
+		s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			w.mu.Lock()
+			w.arrivals = append(w.arrivals, r)
+			w.mu.Unlock()
+			handler(rw, r)
+		}))
+		t.Cleanup(s.Close)
+		for _, service := range []string{"desk", "scribe"} {
+			g.fleet.Update(assign.Endpoint{
+				Name: fmt.Sprintf("%s-%d", service, i+1), Service: service, Addr: strings.TrimPrefix(s.URL, "http://"), Zone: fmt.Sprint("zone-", i), Slots: 8, Incarnation: 1,
+			})
+		}
+	}
+	front := httptest.NewServer(http.HandlerFunc(g.serve))
+	t.Cleanup(front.Close)
+	w.url = front.URL
+	return w
+}
+
+func one(service string) []WeightedService { return []WeightedService{{Name: service, Weight: 1}} }
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// broken is set when the answer did not come whole.
+	broken bool
+}
+
+func (w *world) ask(path string, adjust func(*http.Request)) reply {
+	w.t.Helper()
+	r, err := http.NewRequest(http.MethodPost, w.url+path, strings.NewReader("body"))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Id", "attempt-1")
+	r.Header.Set("Authorization", "Bearer key-1")
+	if adjust != nil {
+		adjust(r)
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{broken: true}
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, header: res.Header, body: string(body), broken: err != nil}
+}
+
+func (w *world) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.arrivals)
+}
+
+// answer is an endpoint that answers with a status and a body.
+func answer(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "seal of "+r.Header.Get("Instance"))
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func crossed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", "another attempt")
+	_, _ = io.WriteString(w, "not yours")
+}
+
+func refusing(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(status)
+	}
+}
+
+// cut promises more than it sends and breaks the connection.
+func cut(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Content-Length", "1000")
+	_, _ = io.WriteString(w, "part")
+	panic(http.ErrAbortHandler)
+}
+
+// reset breaks the connection before it answers.
+func reset(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+func TestAnswersOfEndpoints(t *testing.T) {
+	good := answer(http.StatusOK, "good")
+	tests := map[string]struct {
+		path      string
+		endpoints []http.HandlerFunc
+		status    int
+		body      string // "" is not compared
+		arrivals  int    // 0 is not compared
+	}{
+		"whole":                                {"/seal/1", []http.HandlerFunc{good}, 200, "good", 1},
+		"its own failure":                      {"/seal/1", []http.HandlerFunc{answer(500, "bad")}, 500, "bad", 1},
+		"failure of a repeatable call":         {"/status/1", []http.HandlerFunc{answer(500, "bad"), answer(500, "bad")}, 500, "bad", 2},
+		"other status is passed on":            {"/seal/1", []http.HandlerFunc{answer(418, "tea")}, 418, "tea", 1},
+		"crossed, runs once":                   {"/seal/1", []http.HandlerFunc{crossed, good}, 502, "", 1},
+		"cut, runs once":                       {"/seal/1", []http.HandlerFunc{cut, good}, 502, "", 1},
+		"reset, runs once":                     {"/seal/1", []http.HandlerFunc{reset, good}, 502, "", 1},
+		"busy without its word, runs once":     {"/seal/1", []http.HandlerFunc{answer(503, "busy")}, 502, "", 1},
+		"timeout without its word, runs once":  {"/seal/1", []http.HandlerFunc{answer(408, "late")}, 502, "", 1},
+		"all turn it away":                     {"/seal/1", []http.HandlerFunc{refusing(503), refusing(503)}, 503, "", 2},
+		"another endpoint at the address":      {"/seal/1", []http.HandlerFunc{refusing(421), refusing(421)}, 503, "", 2},
+		"crossed everywhere, repeatable":       {"/status/1", []http.HandlerFunc{crossed, crossed, crossed}, 502, "", 2},
+		"cut everywhere, repeatable":           {"/status/1", []http.HandlerFunc{cut, cut, cut}, 502, "", 2},
+		"no endpoint":                          {"/seal/1", nil, 503, "", 0},
+		"stream that runs once and is no more": {"/tell/1", []http.HandlerFunc{reset, good}, 502, "", 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, test.endpoints...)
+			// The endpoints are tried in the order of the table.
+			for i := range test.endpoints {
+				w.load("desk", i, i)
+				w.load("scribe", i, i)
+			}
+			got := w.ask(test.path, nil)
+			is.Equal(got.status, test.status)
+			if test.body != "" {
+				is.Equal(got.body, test.body)
+				is.True(got.header.Get("Seal") != "")
+			} else {
+				is.Equal(got.header.Get("Seal"), "") // no seal under an answer of ours
+			}
+			if test.arrivals > 0 {
+				is.Equal(w.count(), test.arrivals)
+			}
+			if got.status == http.StatusServiceUnavailable {
+				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(after > 0)
+			}
+		})
+	}
+}
+
+// load puts so many requests on an endpoint.
+func (w *world) load(service string, endpoint, n int) {
+	for i := range n {
+		b := &assign.Booking{First: assign.Part{Endpoint: fmt.Sprintf("%s-%d", service, endpoint+1)}, Short: true}
+		w.g.fleet.Book(time.Now(), "other", uint64(1000*endpoint+i+1), b)
+	}
+}
+
+func TestRepeatableCallsGoToAnotherEndpoint(t *testing.T) {
+	for name, bad := range map[string]http.HandlerFunc{
+		"crossed": crossed, "cut": cut, "reset": reset, "failing": answer(500, "bad"), "turning away": refusing(503),
+		"another at its address": refusing(421), "silent": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, bad, answer(200, "good"))
+			w.load("desk", 1, 5)
+			got := w.ask("/status/1", nil)
+			is.Equal(got.status, 200)
+			is.Equal(got.body, "good")
+			is.Equal(got.header.Get("Seal"), "seal of desk-2")
+		})
+	}
+}
+
+func TestEndpointThatTakesNoConnectionProvesNothingRan(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := l.Addr().String()
+	is.NoErr(l.Close())
+	w.g.fleet.Update(assign.Endpoint{Name: "gone", Service: "desk", Addr: addr, Slots: 1})
+	is.Equal(w.ask("/seal/1", nil).status, 503)
+}
+
+func TestWhatEndpointsAreSent(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, answer(200, "good"))
+	got := w.ask("/seal/a%2Fb?q=1", func(r *http.Request) {
+		r.Header.Set("Wait", "700")
+		r.Header.Set("Account", "forged")
+		r.Header.Set("Keep-Alive", "timeout=5")
+		r.Header.Set("X-Other", "kept")
+	})
+	is.Equal(got.status, 200)
+	sent := w.arrivals[0]
+	is.Equal(sent.RequestURI, "/seal/a%2Fb?q=1")
+	is.Equal(sent.Host, "h")
+	is.Equal(sent.Header.Get("Account"), "parish")
+	is.Equal(sent.Header.Get("Authorization"), "") // the key stays here
+	is.Equal(sent.Header.Get("Keep-Alive"), "")
+	is.Equal(sent.Header.Get("X-Other"), "kept")
+	left, err := strconv.Atoi(sent.Header.Get("Wait"))
+	is.NoErr(err)
+	is.True(left > 0 && left <= 700)
+}
+
+func TestWhoIsTurnedAwayBeforeAnyEndpoint(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		adjust func(*http.Request)
+		lapsed bool
+		status int
+	}{
+		"no key":      {"/seal/1", func(r *http.Request) { r.Header.Del("Authorization") }, false, 401},
+		"unknown key": {"/seal/1", func(r *http.Request) { r.Header.Set("Authorization", "Bearer no") }, false, 401},
+		"no route":    {"/none/1", nil, false, 404},
+		"other host":  {"/seal/1", func(r *http.Request) { r.Host = "other" }, false, 404},
+		"body too long": {"/seal/1", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000))), 2000
+		}, false, 413},
+		"permission lapsed":               {"/seal/1", nil, true, 503},
+		"permission lapsed, unknown key":  {"/seal/1", func(r *http.Request) { r.Header.Set("Authorization", "Bearer no") }, true, 503},
+		"permission lapsed, unknown path": {"/none/1", nil, true, 503},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, answer(200, "good"))
+			w.session.lapsed.Store(test.lapsed)
+			is.Equal(w.ask(test.path, test.adjust).status, test.status)
+			is.Equal(w.count(), 0)
+		})
+	}
+}
+
+func TestAnonymousRoutesNeedNeitherKeyNorPermission(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, answer(200, "good"))
+	w.session.lapsed.Store(true)
+	is.Equal(w.ask("/open/1", func(r *http.Request) { r.Header.Del("Authorization") }).status, 200)
+	is.Equal(w.arrivals[0].Header.Get("Account"), "")
+}
+
+func TestPermissionThatComesBackSoonIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, answer(200, "good"))
+	w.session.lapsed.Store(true)
+	time.AfterFunc(100*time.Millisecond, func() { w.session.lapsed.Store(false) })
+	is.Equal(w.ask("/seal/1", nil).status, 200)
+}
+
+// events is an endpoint that streams events from the one after Last up to total, and
+// does end after the first `whole` of them.
+func events(total, whole int, end func(http.ResponseWriter)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "seal of "+r.Header.Get("Instance"))
+		w.Header().Set("Content-Type", "text/event-stream")
+		last, _ := strconv.Atoi(r.Header.Get("Last"))
+		for i := last + 1; i <= total; i++ {
+			if i-last > whole {
+				end(w)
+				return
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+func allEvents(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func abort(http.ResponseWriter) { panic(http.ErrAbortHandler) }
+
+// abortWithin breaks off in the middle of an event.
+func abortWithin(w http.ResponseWriter) {
+	_, _ = io.WriteString(w, "id: 99\nda")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func endWithin(w http.ResponseWriter) { _, _ = io.WriteString(w, "id: 99\nda") }
+
+func TestStreamsAreResumedAfterTheLastWholeEvent(t *testing.T) {
+	for name, end := range map[string]func(http.ResponseWriter){
+		"broken between events": abort, "broken within an event": abortWithin, "ended within an event": endWithin,
+		"silent": func(http.ResponseWriter) { time.Sleep(8 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, events(9, 4, end), events(9, 9, nil))
+			if name == "silent" {
+				w.g.engines = deaf{w.engines}
+			}
+			w.load("scribe", 1, 7)
+			got := w.ask("/read/1", nil)
+			is.True(!got.broken)
+			is.Equal(got.body, allEvents(1, 9))
+			is.Equal(got.header.Get("Seal"), "seal of scribe-1") // of its first endpoint
+			is.Equal(w.arrivals[1].Header.Get("Last"), "4")
+		})
+	}
+}
+
+// deaf are engines that answer no question.
+type deaf struct{ *engineFake }
+
+func (deaf) Alive(string) bool { return false }
+
+func TestStreamThatCannotBeResumedDoesNotLookWhole(t *testing.T) {
+	tests := map[string]struct {
+		path      string
+		endpoints []http.HandlerFunc
+	}{
+		"runs once":               {"/tell/1", []http.HandlerFunc{events(9, 4, abort), events(9, 9, nil)}},
+		"runs once, ended within": {"/tell/1", []http.HandlerFunc{events(9, 4, endWithin), events(9, 9, nil)}},
+		"every endpoint breaks":   {"/read/1", []http.HandlerFunc{events(9, 4, abort), events(9, 2, abort), events(9, 9, nil)}},
+		"the second one refuses":  {"/read/1", []http.HandlerFunc{events(9, 4, abort), answer(500, "bad")}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, test.endpoints...)
+			for i := range test.endpoints {
+				w.load("scribe", i, i)
+			}
+			got := w.ask(test.path, nil)
+			is.Equal(got.status, 200)
+			is.True(got.broken)
+			is.True(strings.HasPrefix(allEvents(1, 9), got.body)) // no event twice or crossed
+		})
+	}
+}
+
+func TestEventsThatTheCallerHasAreNotRepeated(t *testing.T) {
+	is := is.New(t)
+	// The second endpoint ignores where the stream was broken.
+	again := func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set("Last", "0")
+		events(9, 9, nil)(w, r)
+	}
+	w := newWorld(t, events(9, 4, abort), again)
+	w.load("scribe", 1, 7)
+	got := w.ask("/read/1", nil)
+	is.True(!got.broken)
+	is.Equal(got.body, allEvents(1, 9))
+}
+
+func TestCallerThatGoesFreesTheEndpoint(t *testing.T) {
+	is := is.New(t)
+	gone := make(chan struct{})
+	w := newWorld(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(gone)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	is.True(w.ask("/seal/1", func(r *http.Request) { *r = *r.WithContext(ctx) }).broken)
+	select {
+	case <-gone:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the endpoint still works for a caller that has gone")
+	}
+}
+
+func TestRouteTimeoutEndsARequest(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	got := w.ask("/seal/1", func(r *http.Request) { r.Header.Set("Wait", "300") })
+	is.Equal(got.status, http.StatusGatewayTimeout) // it may have run
+}
+
+func TestMemoryIsGivenBack(t *testing.T) {
+	big := func(r *http.Request) { r.Header.Set("Tokens", "1500") }
+	tests := map[string]struct {
+		first  http.HandlerFunc
+		full   bool
+		status int
+	}{
+		"answered":    {events(3, 3, nil), false, 200},
+		"failed":      {answer(500, "bad"), false, 500},
+		"turned away": {refusing(503), false, 503},
+		"no memory":   {events(3, 3, nil), true, 503},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, test.first, test.first)
+			w.engines.full = test.full
+			// A slow model makes the prompt a long one.
+			w.g.deployment.Load().Services["scribe"].Engine.ReadPerSecond = 5000
+			got := w.ask("/read/1", big)
+			is.Equal(got.status, test.status)
+			for deadline := time.Now().Add(10 * time.Second); w.engines.tickets() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatalf("%d tickets were never released", w.engines.tickets())
+				}
+			}
+		})
+	}
+}
+
+func TestRetriesStayWithinThisEntrysPart(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Unix(0, 0)
+	b := newRetryBudget(RetryLimits{Ratio: 0.2, Extra: 10, Window: 10 * time.Second})
+	for i := range 100 {
+		b.requested(t0.Add(time.Duration(i)*time.Millisecond), "desk")
+	}
+	taken := 0
+	for range 100 {
+		if b.take(t0.Add(time.Second), "desk", 5) {
+			taken++
+		}
+	}
+	is.Equal(taken, 22) // 0.2 of 100 requests and a fifth of 10
+	is.True(!b.take(t0.Add(time.Second), "desk", 5))
+	is.True(b.take(t0.Add(12*time.Second), "desk", 5)) // the window has passed
+}
