Log on standard output, bounded by event and never blocking

Cause: lines went to standard error, waited for their reader, and had no bound. Change: a queue that drops and counts, a bound of lines an event a second with a line about what was left out, one line at start and stop with the error; SIGHUP no longer ends a process.

--- /dev/null
+++ b/control/registry_test.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/replica"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// direct returns an endpoint that registers itself.
+func direct(name, addr string, incarnation uint64, leaving bool) wire.Endpoint {
+	return wire.Endpoint{Name: name, Addr: addr, Incarnation: incarnation, Direct: true, Load: wire.Load{Leaving: leaving}}
+}
+
+// listed returns the endpoints by name.
+func listed(t *table) map[string]wire.Endpoint {
+	out := map[string]wire.Endpoint{}
+	for _, e := range t.endpoints() {
+		out[e.Name] = e
+	}
+	return out
+}
+
+func TestRegistrations(t *testing.T) {
+	const a, b = "10.0.0.1:80", "10.0.0.2:80"
+	type step struct {
+		e        wire.Endpoint
+		sequence uint64
+		taken    bool
+	}
+	tests := map[string]struct {
+		steps   []step
+		leaving map[string]bool // of the endpoints listed at the end
+	}{
+		"ready": {[]step{{direct("i-1", a, 5, false), 1, true}}, map[string]bool{"i-1": false}},
+		"held up on its way": {
+			[]step{{direct("i-1", a, 5, true), 4, true}, {direct("i-1", a, 5, false), 3, false}}, map[string]bool{"i-1": true},
+		},
+		"ready after draining is not believed": {
+			[]step{{direct("i-1", a, 5, true), 4, true}, {direct("i-1", a, 5, false), 5, true}}, map[string]bool{"i-1": true},
+		},
+		"started again under its name": {
+			[]step{{direct("i-1", a, 5, true), 4, true}, {direct("i-1", a, 6, false), 1, true}}, map[string]bool{"i-1": false},
+		},
+		"of the start before": {
+			[]step{{direct("i-1", a, 6, false), 1, true}, {direct("i-1", a, 5, false), 9, false}}, map[string]bool{"i-1": false},
+		},
+		"new one at an address": {
+			[]step{{direct("i-1", a, 5, false), 9, true}, {direct("i-2", a, 6, false), 1, true}}, map[string]bool{"i-2": false},
+		},
+		"old one at an address, late": {
+			[]step{{direct("i-2", a, 6, false), 1, true}, {direct("i-1", a, 5, false), 9, false}}, map[string]bool{"i-2": false},
+		},
+		"two addresses": {
+			[]step{{direct("i-1", a, 5, false), 1, true}, {direct("i-2", b, 6, false), 1, true}}, map[string]bool{"i-1": false, "i-2": false},
+		},
+		"moved to another address": {
+			[]step{{direct("i-1", a, 5, false), 1, true}, {direct("i-1", b, 6, false), 1, true}}, map[string]bool{"i-1": false},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := newTable(start, time.Minute)
+			for i, s := range test.steps {
+				is.Equal(table.register(start.Add(time.Duration(i)*time.Second), s.e, s.sequence), s.taken)
+			}
+			got := map[string]bool{}
+			for n, e := range listed(table) {
+				got[n] = e.Load.Leaving
+			}
+			is.Equal(got, test.leaving)
+		})
+	}
+}
+
+func TestEndpointThatLeftIsNotBroughtBack(t *testing.T) {
+	is := is.New(t)
+	table := newTable(start, time.Minute)
+	is.True(table.register(start, direct("i-1", "10.0.0.1:80", 5, false), 1))
+	table.deregister(start, "i-1", 0)
+	is.True(listed(table)["i-1"].Load.Leaving)
+	table.register(start, direct("i-1", "10.0.0.1:80", 5, false), 2) // a late one
+	is.True(listed(table)["i-1"].Load.Leaving)
+	table.deregister(start, "i-9", 0) // never heard of
+	is.Equal(len(listed(table)), 1)
+}
+
+// TestRegistrationsReachTheOtherReplicas has two replicas, each told of one endpoint.
+func TestRegistrationsReachTheOtherReplicas(t *testing.T) {
+	is := is.New(t)
+	one, two := newTable(start, 5*time.Second), newTable(start, 5*time.Second)
+	told := &reported{}
+	from := newRemote(replica.ID(1), nil)
+	two.link(from)
+	now := start
+	report := func() { two.report(now, from, one.compose(told, false)) }
+	is.True(one.register(now, direct("i-1", "10.0.0.1:80", 5, false), 1))
+	is.True(two.register(now, direct("i-2", "10.0.0.2:80", 5, false), 1))
+	report()
+	is.Equal(len(listed(two)), 2)
+	one.deregister(now, "i-1", 0)
+	report()
+	is.True(listed(two)["i-1"].Load.Leaving)
+	is.Equal(len(two.processes(now)), 0) // no process has a session
+	is.Equal(len(two.lagging(now, 9, time.Second, []replica.ID{1})), 0)
+	now = now.Add(4 * time.Second)
+	one.register(now, direct("i-1", "10.0.0.1:80", 5, true), 3)
+	report()
+	now = now.Add(3 * time.Second)
+	is.Equal(two.sweep(now), []string{"i-2"}) // silent; i-1 was heard by the other replica
+	now = now.Add(3 * time.Second)
+	one.sweep(now)
+	report()
+	two.sweep(now.Add(time.Second))
+	is.Equal(len(listed(two)), 0)
+}
+
+func TestStewardSteps(t *testing.T) {
+	member := func(voter, whole bool) replica.MemberStatus {
+		return replica.MemberStatus{Member: replica.Member{ID: 7, Voter: voter}, Whole: whole}
+	}
+	tests := map[string]struct {
+		m             replica.MemberStatus
+		missing       time.Duration
+		voters, whole int
+		want          string
+	}{
+		"whole voter":                     {member(true, true), 0, 3, 3, ""},
+		"learner that lags":               {member(false, false), time.Second, 3, 3, ""},
+		"learner that is whole":           {member(false, true), 0, 3, 3, memberPromote},
+		"learner that is lost":            {member(false, false), time.Minute, 3, 3, memberRemove},
+		"lost voter of three":             {member(true, false), time.Minute, 3, 2, ""},
+		"lost voter beside its successor": {member(true, false), time.Minute, 4, 3, memberRemove},
+		"voter that is away for a moment": {member(true, false), time.Second, 4, 3, ""},
+		"two of four are lost":            {member(true, false), time.Minute, 4, 2, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &steward{missing: map[replica.ID]time.Time{}}
+			if test.missing > 0 {
+				w.missing[7] = start.Add(-test.missing)
+			}
+			is.New(t).Equal((&Server{}).stepFor(w, start, test.m, test.voters, test.whole), test.want)
+		})
+	}
+}
+
+func TestWhoAsksToJoin(t *testing.T) {
+	is := is.New(t)
+	self := []replica.MemberStatus{{Member: replica.Member{ID: 7, Voter: true}}}
+	w := &steward{led: start}
+	is.True(w.wantsToJoin(start, 7, nil))                                // a new disk
+	is.True(!w.wantsToJoin(start, 7, self))                              // a member with a leader
+	is.True(w.wantsToJoin(start.Add(leaderMissed+time.Second), 7, self)) // it may have been removed
+	w.asked = start
+	is.True(!w.wantsToJoin(start.Add(joinInterval/2), 7, nil))
+}
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -323,3 +323,34 @@
 		})
 	})
 }
+
+func publish(version uint64, content string) command.Publish {
+	return command.Publish{Publication: config.Publication{Version: version, Content: []byte(content)}}
+}
+
+func TestHighestPublicationIsInForce(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	before := l.m.Document().Revision
+	l.must(command.NamePublish, "a", publish(7, "seven"))
+	is.Equal(l.m.Document().Revision, before+1)
+	for id, p := range map[string]command.Publish{"b": publish(7, "other content"), "c": publish(6, "older"), "a": publish(7, "seven")} {
+		l.must(command.NamePublish, id, p) // accepted without effect
+	}
+	is.Equal(l.m.Document().Revision, before+1)
+	is.Equal(string(l.m.Document().Publication.Content), "seven")
+	l.must(command.NamePublish, "d", publish(12, "twelve"))
+	is.Equal(l.m.Document().Published(), uint64(12))
+	is.True(l.apply(command.NamePublish, "e", publish(13, "")).Refused != nil) // empty
+
+	raw, err := l.m.Snapshot()
+	is.NoErr(err)
+	restored := New()
+	is.NoErr(restored.Restore(raw))
+	is.Equal(restored.Document(), l.m.Document())
+	for _, entry := range l.m.Audit(0, 0) {
+		for _, c := range entry.Changes {
+			is.True(c.Publication == nil || c.Publication.Content == nil) // not kept for each
+		}
+	}
+}
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -6,6 +6,8 @@
 	"os"
 	"os/signal"
 	"sort"
+	"strings"
+	"sync"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -42,15 +44,6 @@
 	return &Host{Node: f.Node, TLS: f.TLS, Log: log, Clock: SystemClock{}, Metrics: metrics.NewSet()}
 }
 
-// NewLogger returns the log of a process: one key=value line an event, on standard error.
-func NewLogger(name string, l settings.Log) hclog.Logger {
-	level := hclog.LevelFromString(l.Level)
-	if level == hclog.NoLevel {
-		level = hclog.Info
-	}
-	return hclog.New(&hclog.LoggerOptions{Name: name, Level: level, Output: os.Stderr, TimeFormat: "2006-01-02T15:04:05.000Z07:00"})
-}
-
 // decode creates the plug-in id and decodes its settings.
 func decode(id string, raw json.RawMessage) (any, error) {
 	info, err := Lookup(id)
@@ -151,20 +144,38 @@
 func Main(program string, f *settings.File) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
-	h := NewHost(f, NewLogger(program, f.Log).With("node", f.Node.Name))
+	log := NewLogger(program, f.Log)
+	writing, stopWriting := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { log.Run(writing) })
+	defer running.Wait()
+	defer stopWriting()
+	h := NewHost(f, log.With("node", f.Node.Name))
+	ignoreHangUp(ctx, h.Log)
 	if err := h.LoadAll(f); err != nil {
+		h.Log.Error("process not started", "program", program, "error", err)
 		return err
 	}
+	h.Log.Info("process started", "program", program, "zone", f.Node.Zone, "plugins", strings.Join(sortedIDs(f), ","))
+	err := h.Run(ctx)
+	h.Log.Info("process stopped", "program", program, "error", err)
+	return err
+}
+
+// ignoreHangUp keeps SIGHUP from ending the process. What settings say of a process
+// counts from its next start; what changes while it runs comes from control.
+func ignoreHangUp(ctx context.Context, log hclog.Logger) {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
 	go func() {
-		for range hangUp {
-			h.Log.Info("settings not read again", "reason", "they are in force from the next start")
+		defer signal.Stop(hangUp)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangUp:
+				log.Info("settings not read again", "reason", "they count from the next start")
+			}
 		}
 	}()
-	h.Log.Info("process started", "program", program, "zone", f.Node.Zone)
-	err := h.Run(ctx)
-	h.Log.Info("process stopped", "program", program)
-	return err
 }
