Prompts count as short by the shortest pause that callers of the service accept

Cause: a constant of 160 ms let prompts of 24,000 tokens read beside 13 streams whose callers accept pauses of 250 ms; no constant fits every deployment. Change: the limit is a part of the shortest pause on the service's routes; prompts that need little memory take no tickets.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -33,9 +33,11 @@
 	// being read still, and overdueFor when it is given up as a measure.
 	overdueAfter = 150 * time.Millisecond
 	overdueFor   = 1500 * time.Millisecond
-	// shortLimit is the reading of a prompt that counts as short. Callers of short
-	// prompts accept pauses of a quarter of a second.
-	shortLimit = 160 * time.Millisecond
+	// shortPart is the part of the shortest pause that callers of the service accept which
+	// a prompt may take to read and still count as short, and defaultPause stands in for
+	// that pause where no route names one.
+	shortPart    = 0.3
+	defaultPause = 250 * time.Millisecond
 	// MaxHelpers bounds the helpers of one request, as engines do.
 	MaxHelpers = 16
 	// memoryPart is the part of an engine's memory that is given out; the rest is for
@@ -44,8 +46,9 @@
 	// fillPart is the part of an endpoint's slots that short prompts fill before they
 	// go on to the next endpoint.
 	fillPart = 0.8
-	// busyReading is the reading ahead above which a short prompt rather goes elsewhere.
-	busyReading = 80 * time.Millisecond
+	// ownPart is the part of an engine's memory up to which a prompt is kept by the
+	// endpoint that writes its answer: it is not worth orders to others.
+	ownPart = 0.1
 	// writerPart is the part of an endpoint's slots that answers to long prompts fill
 	// before they go on to another endpoint.
 	writerPart = 0.4
@@ -90,6 +93,8 @@
 	Engine *costmodel.Engine
 	// Pause is the longest pause between events that callers want.
 	Pause time.Duration
+	// ShortestPause is the shortest that callers of any route to the service want.
+	ShortestPause time.Duration
 	// Waited is how long the request has waited, and Patience after how long any place
 	// will do.
 	Waited, Patience time.Duration
@@ -101,8 +106,19 @@
 // need is the memory that the request takes in the end.
 func (r *Request) need() int64 { return int64(r.PromptTokens + r.OutputTokens) }
 
-// Short reports whether one endpoint reads the prompt alone.
-func (r *Request) Short() bool { return r.Engine.Read(r.PromptTokens) <= shortLimit }
+// Short reports whether one endpoint reads the prompt alone: within the same steps as
+// another one of its kind, it delays the streams beside it by less than a pause that
+// their callers accept.
+func (r *Request) Short() bool { return r.Engine.Read(r.PromptTokens) <= r.calm() }
+
+// calm is the reading that streams beside it hardly notice.
+func (r *Request) calm() time.Duration {
+	pause := r.ShortestPause
+	if pause <= 0 {
+		pause = defaultPause
+	}
+	return time.Duration(shortPart * float64(pause))
+}
 
 // Assignment is who serves a request.
 type Assignment struct {
@@ -197,7 +213,7 @@
 	late := f.overdue(now)
 	for _, m := range all {
 		room := float64(m.running) < fillPart*float64(m.Slots) && m.free(now, r.Engine) >= r.need()
-		if room && m.wait(now) < busyReading && !m.Cold && !late[m.Name] && m.running == m.short {
+		if room && m.wait(now) <= r.calm() && !m.Cold && !late[m.Name] && m.running == m.short {
 			return m
 		}
 	}
@@ -268,7 +284,7 @@
 func writer(now time.Time, r *Request, all []*member) *member {
 	limit := max(1, int(writerPart*float64(r.Engine.Slots)))
 	for _, m := range slices.Backward(all) {
-		if m.short == 0 && m.running < limit && m.wait(now) < busyReading {
+		if m.short == 0 && m.running < limit && m.wait(now) <= r.calm() {
 			return m
 		}
 	}
@@ -284,6 +300,11 @@
 		parts[i].Endpoint = m.Name
 	}
 	lacking = int64(r.PromptTokens)
+	first := chosen[0].free(now, r.Engine) - int64(r.OutputTokens)
+	if float64(lacking) <= ownPart*float64(r.Engine.MemoryTokens) && lacking <= first {
+		parts[0].Tokens = r.need()
+		return parts, 0
+	}
 	helpers := len(chosen) - 1
 	if helpers > 0 {
 		even := lacking/int64(min(helpers, holders)) + 1
@@ -302,7 +323,7 @@
 			}
 		}
 	}
-	own := min(lacking, max(0, chosen[0].free(now, r.Engine)-int64(r.OutputTokens)))
+	own := min(lacking, max(0, first))
 	parts[0].Tokens = own + int64(r.OutputTokens)
 	return parts, lacking - own
 }
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -63,6 +63,16 @@
 	Engine *costmodel.Engine
 	// ColdPerSecond is what one cold endpoint bears from all entries; 0 is no bound.
 	ColdPerSecond float64
+
+	// pause is the shortest that callers of any route to the service want.
+	pause time.Duration
+}
+
+// wants notes a pause that callers of a route want; zero is none.
+func (s *Service) wants(pause time.Duration) {
+	if s != nil && pause > 0 && (s.pause == 0 || pause < s.pause) {
+		s.pause = pause
+	}
 }
 
 // Account is a client account and its keys.
@@ -94,6 +104,9 @@
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		d.byHost[r.Host] = append(d.byHost[r.Host], r)
+		for _, s := range r.Services {
+			d.Services[s.Name].wants(r.Pause)
+		}
 	}
 	d.holders = map[string]*Account{}
 	for i := range d.Accounts {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -153,7 +153,7 @@
 	if d := g.deployment.Load(); d == nil || d.Services[m.Service] == nil {
 		answer.Refused = wire.NewRefused(wire.Attempt{}, verdict.Refuse(verdict.ReasonStale, retryWhenStale, "service %q is not known at entry %s", m.Service, g.node.Name))
 	} else {
-		w.want.Engine = d.Services[m.Service].Engine
+		w.want.Engine, w.want.ShortestPause = d.Services[m.Service].Engine, d.Services[m.Service].pause
 		answer = g.waitFor(stream, w)
 	}
 	if answer != nil {
