Entries keep their peers while a replica of control lists few

Change: a peer is dropped when it has been missing from the list for a while and does not listen. Test: TestPeersAreKeptWhileAReplicaListsFew.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,7 +69,17 @@
 	Config() *config.Document
 }
 
-var _ coordinator = (*session.Client)(nil)
+// dialer opens streams to control and to other entries.
+type dialer interface {
+	session.Dropper
+	// Close closes all connections.
+	Close()
+}
+
+var (
+	_ coordinator = (*session.Client)(nil)
+	_ dialer      = (*session.Dialer)(nil)
+)
 
 // Gateway serves callers.
 type Gateway struct {
@@ -81,7 +91,7 @@
 	clock   kernel.Clock
 	node    settings.Node
 	client  coordinator
-	dialer  *session.Dialer
+	dialer  dialer
 	http    *http.Transport
 	retries *retryBudget
 	metrics *gatewayMetrics
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -20,7 +20,7 @@
 	// after which a peer's bookings are dropped: it may be gone.
 	bookingBeat    = time.Second
 	bookingSilence = 3 * time.Second
-	// unlistedFor is how long a peer is kept that control does not list.
+	// unlistedFor is how long a peer is kept that neither listens nor is listed.
 	unlistedFor = 10 * time.Second
 	// peerRetry is the wait before a peer is tried again.
 	peerRetry = 300 * time.Millisecond
@@ -40,12 +40,11 @@
 
 // peerQueue is what one peer has not been told yet.
 type peerQueue struct {
-	cancel context.CancelFunc
-	// listed is when control last listed the peer.
-	listed time.Time
-	begun  []uint64
-	ended  []uint64
-	unread []uint64
+	// unlisted is since when control has not listed the peer; zero while it does.
+	unlisted time.Time
+	begun    []uint64
+	ended    []uint64
+	unread   []uint64
 	// answered are those whose answers began.
 	answered []uint64
 	// wake has one place.
@@ -139,33 +138,29 @@
 	return out
 }
 
-// meet starts telling new peers and stops telling those that are gone. A replica of
-// control that has just started lists few entries, so one that is not listed is kept
-// for a while. It returns the addresses of all entries, this one among them.
+// meet starts telling new peers. A replica of control that has just started lists few
+// entries, so one that is no longer listed is told on for as long as it listens. It
+// returns the addresses of all entries, this one among them.
 func (g *Gateway) meet(ctx context.Context, addrs []string) []string {
 	now := g.clock.Now()
 	b := g.bookings
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, addr := range addrs {
-		if addr == string(g.Peers) || addr == "" {
+		if addr == string(g.Peers) || addr == "" || b.peers[addr] != nil {
 			continue
 		}
-		q := b.peers[addr]
-		if q == nil {
-			bounded, cancel := context.WithCancel(ctx)
-			q = &peerQueue{cancel: cancel, wake: make(chan struct{}, 1)}
-			b.peers[addr] = q
-			g.running.Go(func() { g.runPeer(bounded, addr, q) })
-		}
-		q.listed = now
+		q := &peerQueue{wake: make(chan struct{}, 1)}
+		b.peers[addr] = q
+		g.running.Go(func() { g.runPeer(ctx, addr, q) })
 	}
 	all := []string{string(g.Peers)}
 	for addr, q := range b.peers {
-		if now.Sub(q.listed) > unlistedFor {
-			q.cancel()
-			delete(b.peers, addr)
-			continue
+		switch {
+		case slices.Contains(addrs, addr):
+			q.unlisted = time.Time{}
+		case q.unlisted.IsZero():
+			q.unlisted = now
 		}
 		all = append(all, addr)
 	}
@@ -173,13 +168,16 @@
 	return all
 }
 
-// runPeer keeps a stream to a peer until ctx ends.
+// runPeer keeps a stream to a peer until ctx ends or the peer is gone.
 func (g *Gateway) runPeer(ctx context.Context, addr string, q *peerQueue) {
 	for ctx.Err() == nil {
 		if err := g.tellPeer(ctx, addr, q); err != nil && ctx.Err() == nil {
 			g.log.Debug("stream to entry ended", "addr", addr, "error", err)
 			g.dialer.Drop(addr)
 		}
+		if g.bookings.drop(g.clock.Now(), addr, q) {
+			return
+		}
 		select {
 		case <-ctx.Done():
 		case <-g.clock.After(peerRetry):
@@ -187,6 +185,17 @@
 	}
 }
 
+// drop forgets a peer that does not listen and has not been listed for a while.
+func (b *bookings) drop(now time.Time, addr string, q *peerQueue) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if q.unlisted.IsZero() || now.Sub(q.unlisted) < unlistedFor {
+		return false
+	}
+	delete(b.peers, addr)
+	return true
+}
+
 func (g *Gateway) tellPeer(ctx context.Context, addr string, q *peerQueue) error {
 	bounded, cancel := context.WithTimeout(ctx, peerOpenTimeout)
 	stream, err := g.dialer.Open(bounded, addr)
