--- a/cmd/rosemaryctl/plugins.go
+++ b/cmd/rosemaryctl/plugins.go
@@ -4,6 +4,7 @@
 import (
 	_ "github.com/rosemaryproxy/rosemaryproxy/control"
 	_ "github.com/rosemaryproxy/rosemaryproxy/entry"
+	_ "github.com/rosemaryproxy/rosemaryproxy/platform"
 	_ "github.com/rosemaryproxy/rosemaryproxy/sidecar"
 	_ "github.com/rosemaryproxy/rosemaryproxy/standin"
 )
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -209,7 +209,7 @@
 	r := verdict.From(err)
 	c.g.metrics.ended(string(r.Reason), took)
 	c.log().Info("request refused", "took", took, "verdict", r.Verdict.String(), "reason", string(r.Reason),
-		"retry_after", r.RetryAfter, "detail", r.Detail, "committed", c.committed)
+		"retry_after", r.RetryAfter, "detail", r.Detail, "committed", c.committed, "events", c.delivered)
 	if c.committed {
 		// The end of the connection shows that the answer is not whole.
 		panic(http.ErrAbortHandler)
