--- a/gateway/patience.go
+++ b/gateway/patience.go
@@ -22,15 +22,10 @@
 	// half of the time after which they give up.
 	pausePatience = 4
 	minPause      = 600 * time.Millisecond
-	// aliveInterval is the time between two looks at an engine that is silent.
+	// aliveInterval is the time between two looks at an engine that is silent, and
+	// aliveLooks how often it may be found alive before its silence is too long.
 	aliveInterval = 700 * time.Millisecond
-	// Callers abandon a silent stream after the longest of a fixed time, some times its
-	// target and some times its pause, as the platform's page says. An engine that is
-	// busy rather than gone is left in silencePart of that, so that another one can go on.
-	abandonAfter   = 2 * time.Second
-	abandonTargets = 4
-	abandonPauses  = 8
-	silencePart    = 0.7
+	aliveLooks    = 8
 )
 
 // errSilent cancels an attempt whose endpoint says nothing for too long.
@@ -75,16 +70,10 @@
 	return p
 }
 
-// longestSilence is how long a busy engine may say nothing.
-func (c *call) longestSilence() time.Duration {
-	abandon := max(abandonAfter, abandonTargets*c.route.Target, abandonPauses*c.route.Pause)
-	return time.Duration(silencePart * float64(abandon))
-}
-
 // wait gives the endpoint so long from now on; zero is without end.
 func (p *patience) wait(d time.Duration) {
 	p.mu.Lock()
-	p.looks = int((p.c.longestSilence() - d) / aliveInterval)
+	p.looks = aliveLooks
 	p.mu.Unlock()
 	if d <= 0 {
 		p.timer.Stop()
