Permissions lapse while the VM is suspended; drop figures that nothing reads

Cause: the steady clock stands still while a VM is suspended, so that a process that slept through its lease took work with keys that had been taken away meanwhile. Change: permissions count by the steady clock plus the time suspended. Test: TestPermissionLapsesWhileTheVMIsSuspended, which fails without.

--- a/control/session/client.go
+++ b/control/session/client.go
@@ -70,6 +70,9 @@
 	// OnUpdate is called for each update, in order, after the view and the
 	// permission have taken it in; it may be nil. It must not block.
 	OnUpdate func(*wire.Update)
+	// Suspended returns for how long the VM has been suspended; by default its kernel is
+	// asked.
+	Suspended func() time.Duration
 	// Stopped reports whether the replica at addr has certainly stopped, as opposed
 	// to being cut off; by default the VM's kernel is asked.
 	Stopped func(ctx context.Context, addr string) bool
@@ -78,7 +81,9 @@
 // Client keeps a session with control. All methods are safe for concurrent use.
 type Client struct {
 	options Options
-	view    *config.View
+	// suspended is for how long the VM had been suspended when the client began.
+	suspended time.Duration
+	view      *config.View
 	// announce has one place: it asks for a heartbeat at once.
 	announce chan struct{}
 
@@ -119,20 +124,31 @@
 	if o.Stopped == nil {
 		o.Stopped = connectionRefused
 	}
+	if o.Suspended == nil {
+		o.Suspended = kernel.Suspended
+	}
 	if o.Clock == nil {
 		o.Clock = kernel.SystemClock{}
 	}
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
-	return &Client{
+	c := &Client{
 		options:    o,
+		suspended:  o.Suspended(),
 		view:       config.NewView(),
 		announce:   make(chan struct{}, 1),
 		permission: lease.NewPermission(o.Lease, o.Lease/marginParts),
-		exchange:   lease.NewExchange(o.Clock.Now(), rand.Uint64()),
 		seq:        uint64(o.Clock.Now().UnixMilli()),
-	}, nil
+	}
+	c.exchange = lease.NewExchange(c.now(), rand.Uint64())
+	return c, nil
+}
+
+// now is the time by which permissions count. It goes on while the VM is suspended: a
+// process that slept through its lease must not act on it when it wakes.
+func (c *Client) now() time.Time {
+	return c.options.Clock.Now().Add(c.options.Suspended() - c.suspended)
 }
 
 // View is the process's configuration.
@@ -149,7 +165,7 @@
 func (c *Client) Renewed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.permission.Renewed(c.options.Clock.Now())
+	return c.permission.Renewed(c.now())
 }
 
 // MayServe reports whether the process may take idempotent work.
@@ -161,7 +177,7 @@
 func (c *Client) Permission() wire.Permission {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	left := c.permission.Left(c.options.Clock.Now())
+	left := c.permission.Left(c.now())
 	return wire.Permission{Revision: c.view.Revision(), Left: left}
 }
 
@@ -185,7 +201,7 @@
 	p := c.Permission()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p.Stamp = c.exchange.Stamp(c.options.Clock.Now())
+	p.Stamp = c.exchange.Stamp(c.now())
 	p.Repeat = c.exchange.Repeat(peer)
 	return p
 }
@@ -197,7 +213,7 @@
 	if p.Stamp != 0 {
 		c.exchange.Saw(peer, p.Stamp)
 	}
-	since, ok := c.exchange.Since(c.options.Clock.Now(), p.Repeat)
+	since, ok := c.exchange.Since(c.now(), p.Repeat)
 	c.mu.Unlock()
 	return ok && c.Adopt(since, p)
 }
--- a/control/session/poll.go
+++ b/control/session/poll.go
@@ -32,7 +32,7 @@
 // poll renews the permission if a majority of the replicas prove that the
 // process's configuration was current when the poll began.
 func (c *Client) poll(ctx context.Context) {
-	began := c.options.Clock.Now()
+	began := c.now()
 	unbroken := c.Permission().Left > 0
 	ctx, cancel := context.WithTimeout(ctx, c.options.Lease/2)
 	defer cancel()
--- a/control/session/session_test.go
+++ b/control/session/session_test.go
@@ -340,3 +340,28 @@
 		})
 	}
 }
+
+// TestPermissionLapsesWhileTheVMIsSuspended has a process sleep through its lease: its
+// steady clock stands still meanwhile.
+func TestPermissionLapsesWhileTheVMIsSuspended(t *testing.T) {
+	is := is.New(t)
+	var slept atomic.Int64
+	c, err := New(Options{
+		Replicas: []string{"a"}, Lease: 3 * time.Second, Heartbeat: time.Second,
+		Suspended: func() time.Duration { return time.Duration(slept.Load()) },
+	})
+	is.NoErr(err)
+	renew := func(seq uint64) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.permission.Sent(c.now(), seq)
+		c.permission.Echoed(seq)
+	}
+	renew(1)
+	is.True(c.Fresh())
+	slept.Store(int64(4 * time.Second))
+	is.True(!c.Fresh())
+	is.True(!c.Renewed())
+	renew(2)
+	is.True(c.Fresh()) // it works on
+}
--- a/costmodel/engine.go
+++ b/costmodel/engine.go
@@ -15,10 +15,6 @@
 	MemoryTokens int64
 	// Step is the time of one token step without any request.
 	Step time.Duration
-	// StepPerSequence is added to a step for each request that is writing.
-	StepPerSequence time.Duration
-	// StepPerContext is added for each thousand tokens of context of each of them.
-	StepPerContext time.Duration
 	// ReadPerSecond is the speed of prefill in tokens, without attention.
 	ReadPerSecond float64
 	// PerMegapair is the time for a million pairs of a prompt token and an earlier one.
@@ -27,10 +23,6 @@
 	Chunk int
 	// Stride is how many steps an engine takes in a row while requests write.
 	Stride int
-	// Hop is added to a step of a request whose prompt is spread over engines.
-	Hop time.Duration
-	// Stall is after how long work is cut off that waits for an engine that is gone.
-	Stall time.Duration
 }
 
 // Read returns the time that one engine takes to read a prompt alone.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -114,7 +114,9 @@
 	c.service = d.pick(c.route)
 	c.want = assign.Request{
 		Service: c.service.Name, Engine: c.service.Engine, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
-		Zone: c.g.node.Zone, Pause: c.route.Pause, ShortestPause: c.service.pause, Patience: time.Duration(anyPart * float64(c.timeout())), ColdPerSecond: c.service.ColdPerSecond / float64(max(c.g.entries.Load(), 1)),
+		Zone: c.g.node.Zone, Pause: c.route.Pause, ShortestPause: c.service.pause,
+		Patience:      time.Duration(anyPart * float64(c.timeout())),
+		ColdPerSecond: c.service.ColdPerSecond / float64(max(c.g.entries.Load(), 1)),
 	}
 	return c.readBody(d.MaxBodyBytes)
 }
@@ -217,7 +219,7 @@
 	c.refuse(r)
 }
 
-// fields are the keys of every line about the request.
+// log adds the keys of every line about the request.
 func (c *call) log() logger {
 	route := ""
 	if c.route != nil {
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -114,7 +114,6 @@
 	a := placed.Assignment
 	c.placed = placed
 	c.endpoint = a.First.Name
-	c.sent = c.g.clock.Now()
 	c.g.metrics.sent("attempt")
 	c.log().Info("request placed", "addr", a.First.Addr, "zone", a.First.Zone, "helpers", len(a.Helpers), "considered", a.Considered,
 		"prompt_tokens", c.PromptTokens, "predicted", a.Ahead, "left", c.end.Sub(c.g.clock.Now()))
