Read the configuration after the permission that vouches for it

Cause: a request that waited for the permission to come back was judged by the configuration from before the wait, and the permission is renewed a moment before the publication that came with it is read. Ruled out: the lease itself, which had lapsed in time. Change: permission first, then the deployment, which must be the one that the session knows. Tests, both failing first: TestKeyThatWasTakenAwayDuringTheWaitForPermissionIsRefused, TestPublicationThatIsNotReadYetIsWaitedFor.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -59,11 +59,19 @@
 }
 
 // permission is a coordinator whose permission a test sets.
-type permission struct{ lapsed atomic.Bool }
+type permission struct {
+	lapsed atomic.Bool
+	// published is the version that the session knows.
+	published atomic.Uint64
+}
 
 func (s *permission) Run(ctx context.Context) error { <-ctx.Done(); return nil }
 func (s *permission) Fresh() bool                   { return !s.lapsed.Load() }
-func (s *permission) Config() *config.Document      { return config.NewDocument() }
+func (s *permission) Config() *config.Document {
+	doc := config.NewDocument()
+	doc.Publication = &config.Publication{Version: s.published.Load()}
+	return doc
+}
 
 // engineFake answers orders about memory.
 type engineFake struct {
@@ -389,6 +397,36 @@
 	is.Equal(w.ask("/seal/1", nil).status, 200)
 }
 
+// withoutKeys is a deployment in which the account has lost its key.
+func withoutKeys(d *Deployment, version uint64) *Deployment {
+	next := &Deployment{Version: version, MaxBodyBytes: d.MaxBodyBytes, Services: d.Services, Routes: d.Routes, Accounts: []Account{{Name: "parish"}}}
+	return next.Index()
+}
+
+func TestKeyThatWasTakenAwayDuringTheWaitForPermissionIsRefused(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, answer(200, "good"))
+	w.session.lapsed.Store(true)
+	time.AfterFunc(100*time.Millisecond, func() {
+		w.session.published.Store(2)
+		w.g.deployment.Store(withoutKeys(w.g.deployment.Load(), 2))
+		w.session.lapsed.Store(false)
+	})
+	is.Equal(w.ask("/seal/1", nil).status, 401)
+	is.Equal(w.count(), 0)
+}
+
+// The session renews the permission a moment before the gateway has read the
+// publication that came with it.
+func TestPublicationThatIsNotReadYetIsWaitedFor(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, answer(200, "good"))
+	w.session.published.Store(2)
+	time.AfterFunc(100*time.Millisecond, func() { w.g.deployment.Store(withoutKeys(w.g.deployment.Load(), 2)) })
+	is.Equal(w.ask("/seal/1", nil).status, 401)
+	is.Equal(w.count(), 0)
+}
+
 // events is an endpoint that streams events from the one after Last up to total, and
 // does end after the first `whole` of them.
 func events(total, whole int, end func(http.ResponseWriter)) http.HandlerFunc {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -90,14 +90,14 @@
 
 // prepare finds the route, the account and the service, and reads the body.
 func (c *call) prepare() error {
-	d := c.g.awaitDeployment(c.r.Context())
+	d, fresh := c.awaitDeployment()
 	if d == nil {
 		return verdict.Refuse(verdict.ReasonStale, retryWhenStale, "the entry has no configuration yet")
 	}
 	c.route = d.Route(hostOf(c.r.Host), c.r.URL.Path)
 	keyed := len(d.Accounts) > 0 && (c.route == nil || !c.route.Anonymous)
-	if keyed && !c.awaitPermission() {
-		return verdict.Refuse(verdict.ReasonStale, retryWhenStale, "the entry's permission has lapsed at revision %d", c.g.client.Config().Revision)
+	if keyed && !fresh {
+		return verdict.Refuse(verdict.ReasonStale, retryWhenStale, "the entry's permission has lapsed at version %d", d.Version)
 	}
 	key, _ := strings.CutPrefix(c.r.Header.Get("Authorization"), bearer)
 	account := d.Account(key)
@@ -121,26 +121,27 @@
 	return c.readBody(d.MaxBodyBytes)
 }
 
-// awaitPermission waits a little for the permission to be renewed: after the loss of a
-// replica it comes back sooner than a refused caller.
-func (c *call) awaitPermission() bool {
+// awaitDeployment returns the newest deployment and whether it is known to be current.
+// It waits a little for both: after the loss of a replica the permission comes back
+// sooner than a refused caller. Routes that need no permission are not kept waiting.
+func (c *call) awaitDeployment() (d *Deployment, fresh bool) {
 	limit := c.g.clock.Now().Add(staleWait)
-	for !c.g.client.Fresh() {
-		if c.g.clock.Now().After(limit) || c.r.Context().Err() != nil {
-			return false
+	for {
+		// The permission is asked first: what it vouches for is then in the deployment.
+		fresh = c.g.client.Fresh()
+		published := c.g.client.Config().Published()
+		d = c.g.deployment.Load()
+		fresh = fresh && d != nil && d.Version >= published
+		if fresh || c.g.clock.Now().After(limit) || c.r.Context().Err() != nil {
+			return d, fresh
+		}
+		if d != nil {
+			if route := d.Route(hostOf(c.r.Host), c.r.URL.Path); route != nil && route.Anonymous {
+				return d, false
+			}
 		}
 		<-c.g.clock.After(staleLook)
 	}
-	return true
-}
-
-// awaitDeployment waits as long for the first configuration.
-func (g *Gateway) awaitDeployment(ctx context.Context) *Deployment {
-	limit := g.clock.Now().Add(staleWait)
-	for g.deployment.Load() == nil && g.clock.Now().Before(limit) && ctx.Err() == nil {
-		<-g.clock.After(staleLook)
-	}
-	return g.deployment.Load()
 }
 
 func hostOf(host string) string {
