--- a/control/steward.go
+++ b/control/steward.go
@@ -159,11 +159,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	err := node.Remove
+	change := node.Remove
 	if action == memberPromote {
-		err = node.Promote
+		change = node.Promote
 	}
-	if err := err(ctx, id); err != nil {
+	if err := change(ctx, id); err != nil {
 		s.log.Warn("membership not changed", "action", action, "replica", uint64(id), "error", err)
 		return
 	}
