--- a/assign/assign.go
+++ b/assign/assign.go
@@ -288,8 +288,7 @@
 			return m
 		}
 	}
-	lane := longLane(all, nil)
-	return slices.MinFunc(lane, func(a, b *member) int { return cmp.Compare(a.cost(now, r), b.cost(now, r)) })
+	return least(now, r, longLane(all, nil))
 }
 
 // hold spreads the memory of a prompt over the helpers in even parts, at holders at
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -103,9 +103,12 @@
 	}
 }
 
+// parts lists the parts of all endpoints, the first one's before the others.
+func (b *Booking) parts() []Part { return append([]Part{b.First}, b.Helpers...) }
+
 // names reports whether the booking is on the endpoint.
 func (b *Booking) names(endpoint string) bool {
-	return b.First.Endpoint == endpoint || slices.ContainsFunc(b.Helpers, func(p Part) bool { return p.Endpoint == endpoint })
+	return slices.ContainsFunc(b.parts(), func(p Part) bool { return p.Endpoint == endpoint })
 }
 
 // Remove drops an endpoint.
@@ -133,7 +136,7 @@
 	f.bookings[key] = b
 	f.add(b, 1, "")
 	b.due = now
-	for _, p := range append([]Part{b.First}, b.Helpers...) {
+	for _, p := range b.parts() {
 		if m := f.members[p.Endpoint]; m != nil {
 			m.read(now, b.Read)
 			b.due = later(b.due, m.readUntil)
@@ -157,7 +160,7 @@
 	if !unread {
 		return
 	}
-	for _, p := range append([]Part{b.First}, b.Helpers...) {
+	for _, p := range b.parts() {
 		if m := f.members[p.Endpoint]; m != nil {
 			m.readUntil = m.readUntil.Add(-b.Read)
 		}
--- a/control/registry.go
+++ b/control/registry.go
@@ -28,11 +28,8 @@
 	if old != nil && old.endpoint.Incarnation == e.Incarnation && sequence != 0 && sequence <= old.sequence {
 		return false
 	}
-	e = t.list.keepLeaving(e)
-	if t.list.takenOver(&e) {
-		return false
-	}
-	switch t.list.announce(now, e) {
+	e, what := t.list.announceDirect(now, e)
+	switch what {
 	case outdated:
 		return false
 	case published:
@@ -82,6 +79,17 @@
 	}
 }
 
+// announceDirect notes what a direct endpoint says about itself, here or at another
+// replica, and returns it as it is listed. One whose address a newer endpoint has is
+// outdated.
+func (d *directory) announceDirect(now time.Time, e wire.Endpoint) (wire.Endpoint, announcement) {
+	e = d.keepLeaving(e)
+	if d.takenOver(&e) {
+		return e, outdated
+	}
+	return e, d.announce(now, e)
+}
+
 // keepLeaving keeps an endpoint leaving for the rest of its incarnation.
 func (d *directory) keepLeaving(e wire.Endpoint) wire.Endpoint {
 	old, ok := d.members[e.Name]
--- a/control/report.go
+++ b/control/report.go
@@ -138,8 +138,12 @@
 	before := t.list.version
 	for _, s := range m.Sessions {
 		r.sessions[s.Key] = s
-		if s.Endpoint != nil {
-			t.announceReported(now, *s.Endpoint)
+		switch {
+		case s.Endpoint == nil:
+		case s.Endpoint.Direct:
+			t.list.announceDirect(now, *s.Endpoint)
+		default:
+			t.list.announce(now, *s.Endpoint)
 		}
 	}
 	for _, key := range m.Closed {
@@ -158,17 +162,6 @@
 	}
 }
 
-// announceReported enters an endpoint that another replica reported.
-func (t *table) announceReported(now time.Time, e wire.Endpoint) {
-	if e.Direct {
-		e = t.list.keepLeaving(e)
-		if t.list.takenOver(&e) {
-			return
-		}
-	}
-	t.list.announce(now, e)
-}
-
 // lentRemote passes shares to the session of an entry, which the leader lent.
 func (t *table) lentRemote(m *sharesReport) {
 	t.mu.Lock()
