--- a/control/command/command.go
+++ b/control/command/command.go
@@ -42,7 +42,8 @@
 	NamePermit = "permit"
 	// NameEnded takes Ended and answers nothing. Entries only.
 	NameEnded = "ended"
-	// NameStanding takes nothing and answers ReplicaStanding, from any replica about itself.
+	// NameStanding takes nothing or Asker and answers ReplicaStanding, from any replica
+	// or relay about itself.
 	NameStanding = "standing"
 )
 
@@ -261,7 +262,14 @@
 	Whole bool `cbor:"3,keyasint,omitempty"`
 }
 
-// ReplicaStanding says where one replica stands, for a process that polls a majority.
+// Asker says which process of control asks. A relay that was restarted learns from it
+// where the others are.
+type Asker struct {
+	Addr string `cbor:"1,keyasint"`
+}
+
+// ReplicaStanding says where one replica stands, for a process that polls a majority. A
+// relay has no ID.
 type ReplicaStanding struct {
 	ID     uint64   `cbor:"1,keyasint"`
 	Leader uint64   `cbor:"2,keyasint"`
--- a/control/commands.go
+++ b/control/commands.go
@@ -49,7 +49,7 @@
 	command.NameHistory: {roles: []wire.Role{wire.RoleOperator}},
 	command.NameInForce: {roles: []wire.Role{wire.RoleOperator}},
 	command.NameStanding: {
-		roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar, wire.RoleOperator}, local: true,
+		roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar, wire.RoleOperator, wire.RoleControl}, local: true,
 	},
 }
 
--- a/control/session/do.go
+++ b/control/session/do.go
@@ -17,6 +17,9 @@
 	// does no harm.
 	firstTryTimeout = time.Second
 	maxTryTimeout   = 4 * time.Second
+	// MaxRedirects is the longest way to the leader: a relay names a replica, which
+	// names the leader.
+	MaxRedirects = 2
 	// retryAfter is when it makes sense to send a refused command again.
 	retryAfter = time.Second
 )
@@ -92,13 +95,15 @@
 	return verdict.Refuse(verdict.ReasonNoQuorum, retryAfter, "no leader of control can be reached: %v", d.last)
 }
 
-// follow tries the replica at addr and the leader that it names. It returns nil
-// when there is no final answer.
+// follow tries the process of control at addr and those that it names in turn. It
+// returns nil when there is no final answer.
 func (d *doing) follow(ctx context.Context, addr string) *wire.Answer {
 	answer := d.try(ctx, addr)
-	if answer != nil && answer.Leader != "" && answer.Leader != addr {
-		addr = answer.Leader
-		answer = d.try(ctx, addr)
+	for range MaxRedirects {
+		if answer != nil && answer.Leader != "" && answer.Leader != addr {
+			addr = answer.Leader
+			answer = d.try(ctx, addr)
+		}
 	}
 	if answer == nil || answer.Leader != "" {
 		return nil
--- a/control/session/poll.go
+++ b/control/session/poll.go
@@ -97,6 +97,9 @@
 	}
 	var poll lease.Poll
 	for _, s := range r.standings {
+		if s.ID == 0 {
+			continue // a relay, which holds nothing
+		}
 		if s.Leader != 0 {
 			return false
 		}
--- a/control/steward.go
+++ b/control/steward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
@@ -15,6 +16,8 @@
 	stewardInterval = 250 * time.Millisecond
 	// joinInterval is the time between two requests to join.
 	joinInterval = 500 * time.Millisecond
+	// announceInterval is the time between two words to the seeds that are no members.
+	announceInterval = time.Second
 	// leaderMissed is after how long without a leader a replica asks to join: it may
 	// have been removed while it was away.
 	leaderMissed = 2 * time.Second
@@ -34,6 +37,8 @@
 	missing map[replica.ID]time.Time
 	// led is when a leader was last known, and asked when joining was last asked for.
 	led, asked time.Time
+	// announced is when the seeds were last told of this replica.
+	announced time.Time
 }
 
 // runSteward works until ctx ends.
@@ -59,6 +64,26 @@
 		default:
 			clear(w.missing)
 		}
+		if now.Sub(w.announced) >= announceInterval {
+			w.announced = now
+			s.announce(ctx, w)
+		}
+	}
+}
+
+// announce tells the seeds that are no members that there is a replica here. Relays
+// among them know no other way to the group after all processes were restarted.
+func (s *Server) announce(ctx context.Context, w *steward) {
+	members := s.memberAddrs()
+	for _, addr := range w.seeds {
+		if addr == s.transport.self() || slices.Contains(members, addr) {
+			continue
+		}
+		s.running.Go(func() {
+			if _, err := askStanding(ctx, s.transport.dialer, s.transport.self(), addr); err != nil {
+				s.log.Debug("seed not told of this replica", "seed", addr, "error", err)
+			}
+		})
 	}
 }
 
@@ -86,8 +111,10 @@
 	for _, addr := range w.addrs(s) {
 		bounded, cancel := context.WithTimeout(ctx, forwardTimeout)
 		answer, err := session.Exchange(bounded, s.transport.dialer, addr, c)
-		if err == nil && answer.Leader != "" {
-			answer, err = session.Exchange(bounded, s.transport.dialer, answer.Leader, c)
+		for range session.MaxRedirects {
+			if err == nil && answer.Leader != "" {
+				answer, err = session.Exchange(bounded, s.transport.dialer, answer.Leader, c)
+			}
 		}
 		cancel()
 		if err == nil && answer.Leader == "" && answer.Refused == nil {
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -6,6 +6,7 @@
 var LockOrder = []string{
 	"control.table",
 	"control.store",
+	"control.relay",
 	"session.Client",
 	"session.Limits",
 	"session.Dialer",
--- a/replica/identity.go
+++ b/replica/identity.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -84,6 +86,15 @@
 	return nil
 }
 
+// HasIdentity reports whether the folder belongs to a replica already.
+func HasIdentity(dir string) (bool, error) {
+	_, err := os.Stat(filepath.Join(dir, identityName))
+	if os.IsNotExist(err) {
+		return false, nil
+	}
+	return err == nil, errors.Wrap(err, "replica: look for identity")
+}
+
 // openIdentity returns the disk's identity and gives an empty disk a new one.
 func openIdentity(o *Options) (identity, error) {
 	id, found, err := loadIdentity(o.Disk)
