Refuse requests framed by a length and by chunks, and close their connections

Ruled out: a check in the handler (the header is gone by then); a raw search in what was read (bodies may hold such lines).

Change: package framing follows each caller's connection (request line, header, length or chunks, trailer) and answers 400 with Connection: close. Entry and gateway use it.

Shown by TestTwofoldFramingIsRefusedAndItsConnectionClosed, which without Protect got 200 for the third request, and by table and fuzz tests of the scanner.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/stream"
@@ -187,12 +188,16 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	e.listener = framing.Listen(e.listener)
 	e.server = &http.Server{
 		Handler:           e.handler(),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       boundSocket,
 	}
+	framing.Protect(e.server, func(caller string) {
+		h.Log.Warn("request framed twice refused", "caller", caller)
+	})
 	return nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -157,12 +158,16 @@
 	if g.listener, err = net.Listen("tcp", string(g.Listen)); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
+	g.listener = framing.Listen(g.listener)
 	if g.ready, err = net.Listen("tcp", string(g.Ready)); err != nil {
 		return errors.Wrap(err, "listen for questions of readiness")
 	}
 	g.server = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	framing.Protect(g.server, func(caller string) {
+		g.log.Warn("request framed twice refused", "caller", caller)
+	})
 	return nil
 }
 
