--- a/cli/daemon.go
+++ b/cli/daemon.go
@@ -48,11 +48,7 @@
 		SilenceErrors: true,
 		Args:          cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			f, err := load(file)
-			if err != nil {
-				return err
-			}
-			return kernel.Main(name, f)
+			return kernel.Main(name, file, func() (*settings.File, error) { return load(file) })
 		},
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &UsageError{Err: err} })
--- a/control/control.go
+++ b/control/control.go
@@ -101,6 +101,7 @@
 		return err
 	}
 	p.server = p.newServer(h, id, bootstrap, maps.Clone(replicas))
+	p.SetSeeds(p.Seeds)
 	if err := p.openReplica(h, replicas); err != nil {
 		return err
 	}
@@ -202,6 +203,12 @@
 	return doc, nil
 }
 
+// SetSeeds replaces the addresses that a new disk asks to let it join.
+func (p *Plugin) SetSeeds(seeds []settings.Addr) {
+	addrs := settings.Addrs(seeds)
+	p.server.seeds.Store(&addrs)
+}
+
 // Addr is the address that the daemon listens on.
 func (p *Plugin) Addr() string { return p.listener.Addr() }
 
@@ -231,7 +238,7 @@
 	s.running.Go(func() { s.runSweeps(work) })
 	s.running.Go(func() { s.runReports(work) })
 	if p.Steward {
-		s.running.Go(func() { s.runSteward(work, settings.Addrs(p.Seeds)) })
+		s.running.Go(func() { s.runSteward(work) })
 	}
 	err := p.listener.Serve(work)
 	stop()
--- a/control/relay.go
+++ b/control/relay.go
@@ -29,7 +29,8 @@
 type Relay struct {
 	// Listen is the address at which a replica of this VM would listen.
 	Listen settings.Addr
-	// Seeds are addresses of replicas or relays that are asked first.
+	// Seeds are addresses of replicas or relays that are asked first. SetSeeds changes
+	// them while the relay runs.
 	Seeds []settings.Addr
 
 	log      hclog.Logger
@@ -78,6 +79,13 @@
 	return r.listener.Serve(ctx)
 }
 
+// SetSeeds replaces the seeds.
+func (r *Relay) SetSeeds(seeds []settings.Addr) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Seeds = seeds
+}
+
 // Replica returns the address of a replica that answers, or nothing.
 func (r *Relay) Replica() string {
 	r.mu.Lock()
--- a/control/server.go
+++ b/control/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -36,6 +37,8 @@
 	running sync.WaitGroup
 	// span is how long a heartbeat's echo permits a process to work.
 	span time.Duration
+	// seeds are addresses to ask when no leader is known.
+	seeds atomic.Pointer[[]string]
 	// bootstrap is the first configuration, or nil.
 	bootstrap *config.Document
 }
--- a/control/session/client.go
+++ b/control/session/client.go
@@ -88,7 +88,9 @@
 	announce chan struct{}
 
 	// mu is "session.Client" of kernel.LockOrder.
-	mu         sync.Mutex
+	mu sync.Mutex
+	// replicas are addresses of control that the settings name.
+	replicas   []string
 	permission *lease.Permission
 	exchange   *lease.Exchange
 	// seq numbers the heartbeats. It begins at the time, so that those of a process
@@ -135,6 +137,7 @@
 	}
 	c := &Client{
 		options:    o,
+		replicas:   slices.Clone(o.Replicas),
 		suspended:  o.Suspended(),
 		view:       config.NewView(),
 		announce:   make(chan struct{}, 1),
@@ -268,26 +271,33 @@
 // that control named last, and then the other ones of the options, which may be out of
 // date.
 func (c *Client) known() []string {
-	members, rest := c.replicas()
+	members, rest := c.addrs()
 	return append(members, rest...)
 }
 
 // spread returns the same addresses, in random order among the members and among the
 // others, so that the processes do not all go to the same replica.
 func (c *Client) spread() []string {
-	members, rest := c.replicas()
+	members, rest := c.addrs()
 	for _, addrs := range [][]string{members, rest} {
 		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	}
 	return append(members, rest...)
 }
 
-func (c *Client) replicas() (members, rest []string) {
+func (c *Client) addrs() (members, rest []string) {
 	c.mu.Lock()
-	members = slices.Clone(c.members)
+	members, rest = slices.Clone(c.members), slices.Clone(c.replicas)
 	c.mu.Unlock()
-	rest = slices.DeleteFunc(slices.Clone(c.options.Replicas), func(a string) bool { return slices.Contains(members, a) })
-	return members, rest
+	return members, slices.DeleteFunc(rest, func(a string) bool { return slices.Contains(members, a) })
+}
+
+// SetReplicas replaces the addresses of control that the settings name. A session in
+// progress goes on.
+func (c *Client) SetReplicas(replicas []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replicas = slices.Clone(replicas)
 }
 
 // learn takes over the members that control named.
--- a/control/steward.go
+++ b/control/steward.go
@@ -31,8 +31,6 @@
 // steward keeps the membership of the group in order where no operator does: disks
 // that are new ask to join, and members whose disk is gone are removed.
 type steward struct {
-	// seeds are addresses to ask when no leader is known.
-	seeds []string
 	// missing is since when a voter has not been whole, as seen by the leader.
 	missing map[replica.ID]time.Time
 	// led is when a leader was last known, and asked when joining was last asked for.
@@ -42,8 +40,8 @@
 }
 
 // runSteward works until ctx ends.
-func (s *Server) runSteward(ctx context.Context, seeds []string) {
-	w := &steward{seeds: seeds, missing: map[replica.ID]time.Time{}, led: s.clock.Now()}
+func (s *Server) runSteward(ctx context.Context) {
+	w := &steward{missing: map[replica.ID]time.Time{}, led: s.clock.Now()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -66,16 +64,16 @@
 		}
 		if now.Sub(w.announced) >= announceInterval {
 			w.announced = now
-			s.announce(ctx, w)
+			s.announce(ctx)
 		}
 	}
 }
 
 // announce tells the seeds that are no members that there is a replica here. Relays
 // among them know no other way to the group after all processes were restarted.
-func (s *Server) announce(ctx context.Context, w *steward) {
+func (s *Server) announce(ctx context.Context) {
 	members := s.memberAddrs()
-	for _, addr := range w.seeds {
+	for _, addr := range *s.seeds.Load() {
 		if addr == s.transport.self() || slices.Contains(members, addr) {
 			continue
 		}
@@ -108,7 +106,7 @@
 		return
 	}
 	c := &wire.Command{ID: session.NewID(), Name: command.NameMember, Body: raw}
-	for _, addr := range w.addrs(s) {
+	for _, addr := range s.joinAddrs() {
 		bounded, cancel := context.WithTimeout(ctx, forwardTimeout)
 		answer, err := session.Exchange(bounded, s.transport.dialer, addr, c)
 		for range session.MaxRedirects {
@@ -124,12 +122,12 @@
 	}
 }
 
-// addrs lists the other replicas that may know the leader.
-func (w *steward) addrs(s *Server) []string {
+// joinAddrs lists the other replicas that may know the leader.
+func (s *Server) joinAddrs() []string {
 	self := s.transport.self()
 	seen := map[string]bool{self: true}
 	var out []string
-	for _, addr := range append(s.memberAddrs(), w.seeds...) {
+	for _, addr := range append(s.memberAddrs(), *s.seeds.Load()...) {
 		if addr != "" && !seen[addr] {
 			seen[addr] = true
 			out = append(out, addr)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,8 @@
 	Fresh() bool
 	// Config returns the newest configuration known.
 	Config() *config.Document
+	// SetReplicas replaces the addresses of control that the settings name.
+	SetReplicas(replicas []string)
 }
 
 // dialer opens streams to control and to other entries.
@@ -105,6 +107,8 @@
 	deployment atomic.Pointer[Deployment]
 	entries    atomic.Int64
 	tickets    atomic.Uint64
+	// ticketHold is the TicketHold in force, in nanoseconds.
+	ticketHold atomic.Int64
 	// bookings are told to the other entries, which reach this one at peers.
 	bookings *bookings
 	peers    *wire.Server
@@ -125,10 +129,12 @@
 
 // New returns a gateway that speaks the dialect.
 func New(s Settings, d Dialect, e Engines) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		Settings: s, dialect: d, engines: e,
 		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{},
 	}
+	g.ticketHold.Store(int64(s.TicketHold))
+	return g
 }
 
 // Provision opens the addresses and prepares the session with control.
@@ -171,6 +177,14 @@
 	return nil
 }
 
+// Reconfigure takes over settings that may change while the gateway runs: addresses of
+// control, the hold of memory at endpoints, and the limits of repeats.
+func (g *Gateway) Reconfigure(control []settings.Addr, ticketHold time.Duration, retries RetryLimits) {
+	g.client.SetReplicas(settings.Addrs(control))
+	g.ticketHold.Store(int64(ticketHold))
+	g.retries.limit(retries)
+}
+
 // heartbeatsPerLease is how often the permission is renewed before it would lapse.
 const heartbeatsPerLease = 5
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -67,6 +67,7 @@
 
 func (s *permission) Run(ctx context.Context) error { <-ctx.Done(); return nil }
 func (s *permission) Fresh() bool                   { return !s.lapsed.Load() }
+func (s *permission) SetReplicas([]string)          {}
 func (s *permission) Config() *config.Document {
 	doc := config.NewDocument()
 	doc.Publication = &config.Publication{Version: s.published.Load()}
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -16,9 +16,8 @@
 // retryBudget is this entry's part of the limits, for each service. Its lock is
 // "gateway.retries" of kernel.LockOrder.
 type retryBudget struct {
-	limits RetryLimits
-
 	mu       sync.Mutex
+	limits   RetryLimits
 	services map[string]*spending
 }
 
@@ -41,6 +40,13 @@
 	return s
 }
 
+// limit replaces the limits.
+func (b *retryBudget) limit(l RetryLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = l
+}
+
 // requested counts a request of a caller.
 func (b *retryBudget) requested(now time.Time, service string) {
 	b.mu.Lock()
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -37,6 +37,9 @@
 	return err
 }
 
+// hold is for how long memory is set aside at a time.
+func (g *Gateway) hold() time.Duration { return time.Duration(g.ticketHold.Load()) }
+
 // reserve sets aside the memory that the assignment asks for. The returned function
 // frees it, and is never nil.
 func (c *call) reserve(ctx context.Context, a *assign.Assignment) (helpers []Helper, free func(), err error) {
@@ -61,7 +64,7 @@
 	}
 	failed := make(chan error, len(held))
 	for _, t := range held {
-		go func() { failed <- t.reserve(c.g.engines, c.g.TicketHold) }()
+		go func() { failed <- t.reserve(c.g.engines, c.g.hold()) }()
 	}
 	for range held {
 		if reserveErr := <-failed; reserveErr != nil {
@@ -92,10 +95,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.g.clock.After(time.Duration(renewalPart * float64(c.g.TicketHold))):
+		case <-c.g.clock.After(time.Duration(renewalPart * float64(c.g.hold()))):
 		}
 		for _, t := range held {
-			if err := t.reserve(c.g.engines, c.g.TicketHold); err != nil && ctx.Err() == nil {
+			if err := t.reserve(c.g.engines, c.g.hold()); err != nil && ctx.Err() == nil {
 				c.log().Warn("memory not renewed", "ticket", t.Ticket, "addr", t.Addr, "error", err)
 			}
 		}
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"os"
 	"os/signal"
 	"sort"
 	"strings"
@@ -140,8 +139,14 @@
 	return g.Run()
 }
 
-// Main runs a whole process from its settings file until SIGTERM or SIGINT.
-func Main(program string, f *settings.File) error {
+// Main runs a whole process from its settings file until SIGTERM or SIGINT. The file is
+// read again with read when it changes and at SIGHUP.
+func Main(program, file string, read func() (*settings.File, error)) error {
+	content := fileContent(file)
+	f, err := read()
+	if err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := NewLogger(program, f.Log)
@@ -151,31 +156,14 @@
 	defer running.Wait()
 	defer stopWriting()
 	h := NewHost(f, log.With("node", f.Node.Name))
-	ignoreHangUp(ctx, h.Log)
 	if err := h.LoadAll(f); err != nil {
 		h.Log.Error("process not started", "program", program, "error", err)
 		return err
 	}
 	h.Log.Info("process started", "program", program, "zone", f.Node.Zone, "plugins", strings.Join(sortedIDs(f), ","))
-	err := h.Run(ctx)
+	reloads := &reloader{host: h, log: log, read: read, content: func() string { return fileContent(file) }, current: f, seen: content}
+	running.Go(func() { reloads.run(writing) })
+	err = h.Run(ctx)
 	h.Log.Info("process stopped", "program", program, "error", err)
 	return err
 }
-
-// ignoreHangUp keeps SIGHUP from ending the process. What settings say of a process
-// counts from its next start; what changes while it runs comes from control.
-func ignoreHangUp(ctx context.Context, log hclog.Logger) {
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(hangUp)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hangUp:
-				log.Info("settings not read again", "reason", "they count from the next start")
-			}
-		}
-	}()
-}
--- a/kernel/log.go
+++ b/kernel/log.go
@@ -39,17 +39,21 @@
 
 // NewLog returns the log of a process on out, usually standard output.
 func NewLog(name string, l settings.Log, out io.Writer) *Log {
-	level := hclog.LevelFromString(l.Level)
-	if level == hclog.NoLevel {
-		level = hclog.Info
-	}
 	log := &Log{out: newQueuedWriter(out), limiter: &eventLimiter{events: map[string]*eventCount{}}}
 	log.Logger = hclog.New(&hclog.LoggerOptions{
-		Name: name, Level: level, Output: log.out, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Exclude: log.limiter.exclude,
+		Name: name, Level: levelOf(l), Output: log.out, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Exclude: log.limiter.exclude,
 	})
 	return log
 }
 
+// levelOf returns the least level that is written.
+func levelOf(l settings.Log) hclog.Level {
+	if level := hclog.LevelFromString(l.Level); level != hclog.NoLevel {
+		return level
+	}
+	return hclog.Info
+}
+
 // NewLogger returns the log of a process on standard output.
 func NewLogger(name string, l settings.Log) *Log { return NewLog(name, l, os.Stdout) }
 
