--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// Count returns how many endpoints are known, and how many of them are trusted.
+func (f *Fleet) Count(now time.Time) (known, trusted int) {
+	for _, m := range f.members {
+		if !now.Before(m.distrusted) {
+			trusted++
+		}
+	}
+	return len(f.members), trusted
+}
+
 // SetOut says which availability zones take no new work.
 func (f *Fleet) SetOut(zones map[string]bool) { f.out = zones }
 
--- a/control/control.go
+++ b/control/control.go
@@ -166,6 +166,7 @@
 		return err
 	}
 	p.server.node, p.server.members = p.replica, p.replica.Members
+	p.server.observe(h.Metrics)
 	return nil
 }
 
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,34 @@
+package control
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// observe adds the gauges of the replica and of what it holds.
+func (s *Server) observe(set *metrics.Set) {
+	set.NewGauge("rosemary_control_leads", func() float64 {
+		status := s.node.Status()
+		return boolean(status.Leader == status.ID)
+	})
+	set.NewGauge("rosemary_control_leader_known", func() float64 { return boolean(s.node.Status().Leader != 0) })
+	set.NewGauge("rosemary_control_term", func() float64 { return float64(s.node.Status().Term) })
+	set.NewGauge("rosemary_control_voters", func() float64 {
+		voters := 0
+		for _, m := range s.members() {
+			if m.Voter {
+				voters++
+			}
+		}
+		return float64(voters)
+	})
+	set.NewGauge("rosemary_control_revision", func() float64 { return float64(s.store.document().Revision) })
+	set.NewGauge("rosemary_control_sessions", func() float64 { return float64(s.table.countSessions()) })
+	set.NewGauge("rosemary_control_endpoints", func() float64 { return float64(s.table.countEndpoints()) })
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/control/table.go
+++ b/control/table.go
@@ -321,3 +321,15 @@
 	defer t.mu.Unlock()
 	return t.list.list()
 }
+
+func (t *table) countSessions() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.sessions)
+}
+
+func (t *table) countEndpoints() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.list.members)
+}
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -25,6 +25,14 @@
 	Repeatable
 )
 
+// String names the kind in metrics.
+func (k Kind) String() string {
+	if k == Once {
+		return "once"
+	}
+	return "repeatable"
+}
+
 // Route leads requests to services.
 type Route struct {
 	Name string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 	Config() *config.Document
 	// SetReplicas replaces the addresses of control that the settings name.
 	SetReplicas(replicas []string)
+	// Permission says for how long the configuration is known to be current.
+	Permission() wire.Permission
 }
 
 // dialer opens streams to control and to other entries.
@@ -158,6 +160,7 @@
 	if err != nil {
 		return err
 	}
+	g.observe()
 	if g.peers, err = wire.Listen(string(g.Peers), id, &wire.Traffic{}, g.servePeer); err != nil {
 		return err
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
 // plain is a small dialect for tests.
@@ -68,6 +69,7 @@
 func (s *permission) Run(ctx context.Context) error { <-ctx.Done(); return nil }
 func (s *permission) Fresh() bool                   { return !s.lapsed.Load() }
 func (s *permission) SetReplicas([]string)          {}
+func (s *permission) Permission() wire.Permission   { return wire.Permission{Left: time.Second} }
 func (s *permission) Config() *config.Document {
 	doc := config.NewDocument()
 	doc.Publication = &config.Publication{Version: s.published.Load()}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -78,6 +78,8 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	g.metrics.inFlight.Add(1)
+	defer g.metrics.inFlight.Add(-1)
 	c := &call{g: g, w: w, r: r, started: g.clock.Now(), Request: g.dialect.Read(r.Header)}
 	err := c.prepare()
 	if err == nil {
@@ -200,17 +202,17 @@
 func (c *call) finish(err error) {
 	took := c.g.clock.Now().Sub(c.started)
 	if err == nil {
-		c.g.metrics.ended("answered", took)
+		c.ended("answered", took)
 		c.log().Info("request answered", "took", took, "events", c.delivered)
 		return
 	}
 	if errors.Is(err, errCallerGone) {
-		c.g.metrics.ended("caller_gone", took)
+		c.ended("caller_gone", took)
 		c.log().Info("request abandoned", "took", took, "detail", err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	r := verdict.From(err)
-	c.g.metrics.ended(string(r.Reason), took)
+	c.ended(string(r.Reason), took)
 	c.log().Info("request refused", "took", took, "verdict", r.Verdict.String(), "reason", string(r.Reason),
 		"retry_after", r.RetryAfter, "detail", r.Detail, "committed", c.committed, "events", c.delivered)
 	if c.committed {
@@ -220,6 +222,23 @@
 	c.refuse(r)
 }
 
+// ended counts the request by how it ended.
+func (c *call) ended(outcome string, took time.Duration) {
+	kind := Once
+	if c.route != nil {
+		kind = c.route.Kind
+	}
+	c.g.metrics.ended(outcome, kind, c.class(), took)
+}
+
+// class names the request's length class; it is empty before the service is known.
+func (c *call) class() string {
+	if c.service == nil {
+		return ""
+	}
+	return classOf(&c.want).String()
+}
+
 // log adds the keys of every line about the request.
 func (c *call) log() logger {
 	route := ""
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,25 +2,86 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// gatewayMetrics counts how requests end.
+// gatewayMetrics counts how requests end and what is held meanwhile.
 type gatewayMetrics struct {
 	set *metrics.Set
+	// inFlight are requests that have no final answer yet, and held the tickets of
+	// memory that is set aside.
+	inFlight, held atomic.Int64
+	distrusts      *metrics.Counter
 }
 
-func newMetrics(set *metrics.Set) *gatewayMetrics { return &gatewayMetrics{set: set} }
-
-// ended counts a request by how it ended and measures how long it took.
-func (m *gatewayMetrics) ended(outcome string, took time.Duration) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("rosemary_gateway_requests_total{outcome=%q}", outcome)).Inc()
-	m.set.GetOrCreateHistogram(fmt.Sprintf("rosemary_gateway_request_seconds{outcome=%q}", outcome)).Update(took.Seconds())
+func newMetrics(set *metrics.Set) *gatewayMetrics {
+	m := &gatewayMetrics{set: set, distrusts: set.NewCounter("rosemary_gateway_distrusts_total")}
+	set.NewGauge("rosemary_gateway_requests_in_flight", func() float64 { return float64(m.inFlight.Load()) })
+	set.NewGauge("rosemary_gateway_tickets_held", func() float64 { return float64(m.held.Load()) })
+	return m
 }
 
+// The reasons why something is sent to an endpoint.
+const (
+	sentFirst  = "first"
+	sentAgain  = "again"
+	sentResume = "resume"
+)
+
 // sent counts what was sent to endpoints.
 func (m *gatewayMetrics) sent(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("rosemary_gateway_dispatches_total{reason=%q}", reason)).Inc()
 }
+
+// ended counts a request by how it ended and measures how long it took. The class is
+// empty for a request that was refused before it was known.
+func (m *gatewayMetrics) ended(outcome string, kind Kind, class string, took time.Duration) {
+	labels := fmt.Sprintf("{outcome=%q,kind=%q,class=%q}", outcome, kind, class)
+	m.set.GetOrCreateCounter("rosemary_gateway_requests_total" + labels).Inc()
+	m.set.GetOrCreateHistogram("rosemary_gateway_request_seconds" + labels).Update(took.Seconds())
+}
+
+// begun measures how long a stream's first event took from the caller's side.
+func (m *gatewayMetrics) begun(class string, took time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("rosemary_gateway_first_event_seconds{class=%q}", class)).Update(took.Seconds())
+}
+
+// observe adds the gauges that read the gateway's tables.
+func (g *Gateway) observe() {
+	set := g.metrics.set
+	set.NewGauge("rosemary_gateway_configuration_version", func() float64 {
+		if d := g.deployment.Load(); d != nil {
+			return float64(d.Version)
+		}
+		return 0
+	})
+	set.NewGauge("rosemary_gateway_permission_left_seconds", func() float64 { return g.client.Permission().Left.Seconds() })
+	set.NewGauge("rosemary_gateway_entries", func() float64 { return float64(g.entries.Load()) })
+	for state, count := range map[string]func(known, trusted int) int{
+		"known": func(known, _ int) int { return known }, "trusted": func(_, trusted int) int { return trusted },
+	} {
+		set.NewGauge(fmt.Sprintf("rosemary_gateway_endpoints{state=%q}", state), func() float64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return float64(count(g.fleet.Count(g.clock.Now())))
+		})
+	}
+}
+
+// observeService adds the gauges of a service. The caller holds the lock; metrics are
+// read without it.
+func (g *Gateway) observeService(name string, q *queues) {
+	for class, waiting := range map[string]interface{ Len() int }{"short": q.short, "long": q.long} {
+		g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_waiting{service=%q,class=%q}", name, class), func() float64 {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return float64(waiting.Len())
+		})
+	}
+	g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_retries_left{service=%q}", name), func() float64 {
+		return g.retries.left(g.clock.Now(), name, g.entries.Load())
+	})
+}
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -114,7 +114,6 @@
 	a := placed.Assignment
 	c.placed = placed
 	c.endpoint = a.First.Name
-	c.g.metrics.sent("attempt")
 	c.log().Info("request placed", "addr", a.First.Addr, "zone", a.First.Zone, "helpers", len(a.Helpers), "considered", a.Considered,
 		"prompt_tokens", c.PromptTokens, "predicted", a.Ahead, "left", c.end.Sub(c.g.clock.Now()))
 	helpers, free, err := c.reserve(ctx, a)
@@ -123,6 +122,7 @@
 		return err
 	}
 	c.want.Tried = append(c.want.Tried, a.First.Name)
+	c.g.metrics.sent(c.reason())
 	c.sends++
 	c.sent = c.g.clock.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -138,6 +138,17 @@
 	return c.take(ctx, a, res, patience)
 }
 
+// reason says in metrics why the request is sent.
+func (c *call) reason() string {
+	switch {
+	case c.committed:
+		return sentResume
+	case c.sends > 0:
+		return sentAgain
+	}
+	return sentFirst
+}
+
 // outgoing is the request as the endpoint gets it.
 func (c *call) outgoing(ctx context.Context, a *assign.Assignment, helpers []Helper) *http.Request {
 	header := c.r.Header.Clone()
@@ -219,6 +230,7 @@
 	c.g.mu.Lock()
 	span := c.g.fleet.Failed(c.g.clock.Now(), name)
 	c.g.mu.Unlock()
+	c.g.metrics.distrusts.Inc()
 	c.log().Warn("endpoint distrusted", "suspect", name, "what", what, "for", span, "error", err)
 }
 
@@ -361,6 +373,7 @@
 		c.commit(res)
 		c.placed.answered()
 		now := c.g.clock.Now()
+		c.g.metrics.begun(c.class(), now.Sub(c.started))
 		c.log().Info("stream begun", "took", now.Sub(c.started), "predicted", a.Ahead, "waited", now.Sub(c.sent),
 			"prompt_tokens", c.PromptTokens, "helpers", len(a.Helpers))
 	}
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -60,16 +60,27 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(service)
-	from := now.Add(-b.limits.Window)
-	s.requests, s.repeats = since(s.requests, from), since(s.repeats, from)
-	allowed := b.limits.Ratio*float64(len(s.requests)) + float64(b.limits.Extra)/float64(max(entries, 1))
-	if float64(len(s.repeats)+1) > allowed {
+	if b.leftOf(s, now, entries) < 1 {
 		return false
 	}
 	s.repeats = append(s.repeats, now)
 	return true
 }
 
+// left is how many repeats the part of one of so many entries allows now.
+func (b *retryBudget) left(now time.Time, service string, entries int64) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leftOf(b.service(service), now, entries)
+}
+
+func (b *retryBudget) leftOf(s *spending, now time.Time, entries int64) float64 {
+	from := now.Add(-b.limits.Window)
+	s.requests, s.repeats = since(s.requests, from), since(s.repeats, from)
+	allowed := b.limits.Ratio*float64(len(s.requests)) + float64(b.limits.Extra)/float64(max(entries, 1))
+	return allowed - float64(len(s.repeats))
+}
+
 // since drops the times before from; the times rise.
 func since(times []time.Time, from time.Time) []time.Time {
 	i := 0
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -53,8 +53,10 @@
 		helpers = append(helpers, t.Helper)
 	}
 	renewing, stop := context.WithCancel(ctx)
+	c.g.metrics.held.Add(int64(len(held)))
 	free = func() {
 		stop()
+		c.g.metrics.held.Add(-int64(len(held)))
 		for _, t := range held {
 			go c.release(t)
 		}
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -180,6 +180,7 @@
 	if !ok {
 		q = newQueues()
 		g.queues[service] = q
+		g.observeService(service, q)
 	}
 	return q
 }
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -156,6 +156,7 @@
 	defer running.Wait()
 	defer stopWriting()
 	h := NewHost(f, log.With("node", f.Node.Name))
+	h.Metrics.NewGauge("rosemary_log_lines_left_out", func() float64 { return float64(log.leftOut.Load()) })
 	if err := h.LoadAll(f); err != nil {
 		h.Log.Error("process not started", "program", program, "error", err)
 		return err
--- a/kernel/log.go
+++ b/kernel/log.go
@@ -35,6 +35,8 @@
 	hclog.Logger
 	out     *queuedWriter
 	limiter *eventLimiter
+	// leftOut counts the lines that were not written.
+	leftOut atomic.Int64
 }
 
 // NewLog returns the log of a process on out, usually standard output.
@@ -78,9 +80,11 @@
 
 func (l *Log) report() {
 	for event, n := range l.limiter.taken() {
+		l.leftOut.Add(int64(n))
 		l.Warn("log lines left out", "event", event, "lines", n, "reason", "more than the event may write in a second")
 	}
 	if n := l.out.dropped.Swap(0); n > 0 {
+		l.leftOut.Add(n)
 		l.Warn("log lines left out", "lines", n, "reason", "the reader of the log is slow")
 	}
 }
