Let entries draw on one bound for endpoints that may be cold, and wait rather than refuse

Load pattern: callers are uneven, so one entry gets much more than its part, while an endpoint may be cold without a word and bears few requests a second.

Ruled out: leaving the bound out for endpoints that look warm: a request may reach one that turned cold a moment ago, and the bound counts from then.

Change: entries tell one another what they place; while all that are known do so, the bound counts those placements together. Otherwise each keeps its part. A request for which all endpoints have had theirs waits for the next second instead of being refused. Test: TestEntriesDrawOnOneBoundWhileAllHearOneAnother.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -98,9 +98,10 @@
 	// Waited is how long the request has waited, and Patience after how long any place
 	// will do.
 	Waited, Patience time.Duration
-	// ColdPerSecond is what a cold endpoint may get from this process in a second;
-	// zero is no bound.
-	ColdPerSecond float64
+	// ColdPerSecond is what an endpoint may get in a second while it may be cold; zero is
+	// no bound. It counts what all entries placed there. Where ColdPart is set, not all
+	// of them tell this one what they place, and it is this one's part.
+	ColdPerSecond, ColdPart float64
 }
 
 // need is the memory that the request takes in the end.
@@ -139,7 +140,7 @@
 		all = f.able(now, r, false)
 	}
 	if len(all) == 0 {
-		return nil, verdict.Refuse(verdict.ReasonNoEndpoint, retryWhenBusy, "no endpoint of %s can take the request", r.Service)
+		return nil, f.unable(now, r)
 	}
 	slices.SortFunc(all, byRank)
 	var a *Assignment
@@ -163,6 +164,18 @@
 	return a, nil
 }
 
+// unable says why no endpoint may get the request. Those that only had their part for
+// now are worth waiting for.
+func (f *Fleet) unable(now time.Time, r *Request) error {
+	unbound := *r
+	unbound.ColdPerSecond, unbound.ColdPart = 0, 0
+	if n := len(f.able(now, &unbound, false)); n > 0 {
+		return verdict.Refuse(verdict.ReasonOverloaded, retryWhenBusy, "%d endpoints of %s, which may be cold, have had their %v requests for this second",
+			n, r.Service, max(r.ColdPerSecond, r.ColdPart))
+	}
+	return verdict.Refuse(verdict.ReasonNoEndpoint, retryWhenBusy, "no endpoint of %s can take the request", r.Service)
+}
+
 // able lists the endpoints that may get the request: trusted ones only, or any.
 func (f *Fleet) able(now time.Time, r *Request, trusted bool) []*member {
 	var out []*member
@@ -170,7 +183,7 @@
 		switch {
 		case m.Service != r.Service || m.Leaving || f.out[m.Zone] || slices.Contains(r.Tried, m.Name):
 		case trusted && now.Before(m.distrusted):
-		case !m.mayTake(now, r.ColdPerSecond):
+		case !m.mayTake(now, r):
 		default:
 			out = append(out, m)
 		}
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -205,10 +205,35 @@
 		b.place(t0, r)
 	}
 	_, err := f.Choose(t0.Add(999*time.Millisecond), r)
-	is.True(err != nil)
+	is.Equal(verdict.From(err).Reason, verdict.ReasonOverloaded) // worth waiting for
 	b.place(t0.Add(time.Second), r)
 }
 
+// TestEntriesDrawOnOneBoundWhileAllHearOneAnother has an uneven load: this entry gets
+// nearly all of it. A part of its own would have it refuse beside an idle endpoint.
+func TestEntriesDrawOnOneBoundWhileAllHearOneAnother(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(1)
+	b := &booker{t: t, f: f}
+	r := prompt(1_000)
+	r.ColdPerSecond = 4
+	a, err := f.Choose(t0, r)
+	is.NoErr(err)
+	f.Book(t0, "entry-2", 1, &a.Booking)
+	for range 3 {
+		b.place(t0, r)
+	}
+	_, err = f.Choose(t0, r)
+	is.True(err != nil) // what the other entry placed counts
+	cut := *r
+	cut.ColdPart = 2
+	is.Equal(len(f.able(t0.Add(time.Second), &cut, true)), 1)
+	for range 2 {
+		b.place(t0.Add(time.Second), &cut)
+	}
+	is.Equal(len(f.able(t0.Add(time.Second), &cut, true)), 0) // its own part is used up
+}
+
 func TestBookingsOfOtherEntriesCount(t *testing.T) {
 	is := is.New(t)
 	f := fleetOf(1)
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -70,8 +70,9 @@
 	heard time.Time
 	// fullUntil is until when its memory counts as given out, after it said so.
 	fullUntil time.Time
-	// sent are the times of this entry's requests in the last second.
-	sent []time.Time
+	// sent are the times of this entry's requests in the last second, and placed those of
+	// all entries.
+	sent, placed []time.Time
 }
 
 // Fleet is the endpoints and their load, as far as the entries tell one another.
@@ -152,8 +153,11 @@
 			b.due = later(b.due, m.readUntil)
 		}
 	}
-	if m := f.members[b.First.Endpoint]; m != nil && owner == "" {
-		m.sent = append(m.sent, now)
+	if m := f.members[b.First.Endpoint]; m != nil {
+		m.placed = append(lastSecond(now, m.placed), now)
+		if owner == "" {
+			m.sent = append(lastSecond(now, m.sent), now)
+		}
 	}
 }
 
@@ -253,12 +257,20 @@
 }
 
 // mayTake bounds the requests to an endpoint that may be cold without a word.
-func (m *member) mayTake(now time.Time, perSecond float64) bool {
-	if perSecond <= 0 {
-		return true
+func (m *member) mayTake(now time.Time, r *Request) bool {
+	m.sent, m.placed = lastSecond(now, m.sent), lastSecond(now, m.placed)
+	switch {
+	case r.ColdPart > 0:
+		return float64(len(m.sent)+1) <= max(r.ColdPart, 1)
+	case r.ColdPerSecond > 0:
+		return float64(len(m.placed)+1) <= max(r.ColdPerSecond, 1)
 	}
-	m.sent = slices.DeleteFunc(m.sent, func(t time.Time) bool { return now.Sub(t) >= time.Second })
-	return float64(len(m.sent)+1) <= max(perSecond, 1)
+	return true
+}
+
+// lastSecond drops the times that are a second old; the times rise.
+func lastSecond(now time.Time, times []time.Time) []time.Time {
+	return slices.DeleteFunc(times, func(t time.Time) bool { return now.Sub(t) >= time.Second })
 }
 
 // Heard notes a sign of life of an endpoint.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,8 @@
 	fleet *assign.Fleet
 	// queues hold the requests that wait for an endpoint, by service.
 	queues map[string]*queues
+	// heard counts the streams from each entry that tells this one what it places.
+	heard  map[string]int
 	nextID uint64
 }
 
@@ -133,7 +135,7 @@
 func New(s Settings, d Dialect, e Engines) *Gateway {
 	g := &Gateway{
 		Settings: s, dialect: d, engines: e,
-		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{},
+		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, heard: map[string]int{},
 	}
 	g.ticketHold.Store(int64(s.TicketHold))
 	return g
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -117,9 +117,9 @@
 	c.want = assign.Request{
 		Service: c.service.Name, Engine: c.service.Engine, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
 		Zone: c.g.node.Zone, Pause: c.route.Pause, ShortestPause: c.service.pause,
-		Patience:      time.Duration(anyPart * float64(c.end.Sub(c.started))),
-		ColdPerSecond: c.service.ColdPerSecond / float64(max(c.g.entries.Load(), 1)),
+		Patience: time.Duration(anyPart * float64(c.end.Sub(c.started))),
 	}
+	c.g.boundCold(&c.want, c.service)
 	return c.readBody(d.MaxBodyBytes)
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -250,13 +250,31 @@
 	}
 }
 
+// boundCold sets what an endpoint may get while it may be cold. While every entry that is
+// known tells this one what it places, all draw on one bound; otherwise each has a part
+// of its own, so that those which do not hear one another stay below it together.
+func (g *Gateway) boundCold(r *assign.Request, s *Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.ColdPerSecond, r.ColdPart = s.ColdPerSecond, 0
+	if entries := int(g.entries.Load()); len(g.heard) < entries-1 {
+		r.ColdPart = s.ColdPerSecond / float64(entries)
+	}
+}
+
 // hearPeer takes in what another entry tells, until its stream ends.
 func (g *Gateway) hearPeer(stream wire.Stream, first *wire.Bookings) {
 	peer := stream.Peer()
 	g.log.Info("entry met", "peer", peer.Name)
+	g.mu.Lock()
+	g.heard[peer.Name]++
+	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
 		g.fleet.Forget(peer.Name)
+		if g.heard[peer.Name]--; g.heard[peer.Name] == 0 {
+			delete(g.heard, peer.Name)
+		}
 		g.mu.Unlock()
 		g.log.Info("entry lost", "peer", peer.Name)
 	}()
