Refuse a waiting request before its caller leaves, with the time to come back

Load pattern: bursts in which short prompts find every endpoint reading.

Test: TestWaitingRequestIsRefusedBeforeItsCallerLeaves.

--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -49,6 +49,9 @@
 	Target time.Duration
 	// Pause is the longest pause between events that callers want.
 	Pause time.Duration
+	// Leaves is after how long without an event callers of a stream go away; zero is not
+	// known.
+	Leaves time.Duration
 	// Priority ranks the route; 0 is the most urgent.
 	Priority int
 	Services []WeightedService
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -18,6 +18,9 @@
 	drainInterval = 10 * time.Millisecond
 	// waitPart is the part of its caller's time that a request waits at most.
 	waitPart = 0.5
+	// leavePart is the part of the time after which callers leave a silent stream that a
+	// request waits at most: one that is refused before can come back.
+	leavePart = 0.6
 )
 
 // queues are the requests that wait for endpoints of one service. Short prompts and long
@@ -71,10 +74,19 @@
 func (c *call) newWaiter() *waiter {
 	return &waiter{
 		want: &c.want, booking: c.g.bookings.number(), account: c.account, since: c.started, startBy: c.startBy(),
-		giveUp: c.started.Add(time.Duration(waitPart * float64(c.end.Sub(c.started)))), result: make(chan outcome, 1),
+		giveUp: c.started.Add(c.longestWait()), result: make(chan outcome, 1),
 	}
 }
 
+// longestWait is how long the call may wait for endpoints.
+func (c *call) longestWait() time.Duration {
+	wait := time.Duration(waitPart * float64(c.end.Sub(c.started)))
+	if c.route.Leaves > 0 {
+		wait = min(wait, time.Duration(leavePart*float64(c.route.Leaves)))
+	}
+	return wait
+}
+
 // startBy is when the call has to be sent to be answered in the time that its caller
 // wants, if endpoints are idle.
 func (c *call) startBy() time.Time {
--- /dev/null
+++ b/gateway/waiting_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
+)
+
+// TestWaitingRequestIsRefusedBeforeItsCallerLeaves has all slots taken and a caller that
+// leaves a silent stream long before its deadline.
+func TestWaitingRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, events(3, 3, nil))
+	for i := range 8 {
+		w.g.fleet.Book(time.Now(), "entry-2", uint64(i), &assign.Booking{First: assign.Part{Endpoint: "scribe-1"}, Short: true})
+	}
+	d := *w.g.deployment.Load()
+	for i := range d.Routes {
+		d.Routes[i].Leaves = 300 * time.Millisecond
+	}
+	w.g.deployment.Store(d.Index())
+	got := w.ask("/read/1", func(r *http.Request) { r.Header.Set("Tokens", "10") })
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(w.count(), 0)
+	// With no word on when callers leave it would have waited for half of its 3 s.
+	c := &call{started: time.Unix(0, 0), end: time.Unix(3, 0), route: &Route{}}
+	is.Equal(c.longestWait(), 1500*time.Millisecond)
+	c.route.Leaves = 300 * time.Millisecond
+	is.Equal(c.longestWait(), 180*time.Millisecond)
+}
