Distrust an endpoint that says nothing to a call until its deadline

Ruled out: trying such calls elsewhere (they may have run).

Change: a call whose endpoint was silent for over twice its target until the deadline has the endpoint left alone for a while. TestEndpointThatIsSilentToCallsIsLeftAlone failed before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -604,3 +604,23 @@
 	is.True(!b.take(t0.Add(time.Second), "desk", 5))
 	is.True(b.take(t0.Add(12*time.Second), "desk", 5)) // the window has passed
 }
+
+// TestEndpointThatIsSilentToCallsIsLeftAlone has an endpoint that takes calls and says
+// nothing. A call that runs once cannot be tried elsewhere, but the next ones can.
+func TestEndpointThatIsSilentToCallsIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	silent := make(chan bool)
+	var first atomic.Bool
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if !first.Swap(true) {
+			<-silent
+			return
+		}
+		answer(http.StatusOK, "done")(w, r)
+	}
+	w := newWorld(t, handler, handler)
+	t.Cleanup(func() { close(silent) })
+	got := w.ask("/seal/1", func(r *http.Request) { r.Header.Set("Wait", "300") })
+	is.Equal(got.status, http.StatusGatewayTimeout)
+	is.Equal(w.g.metrics.distrusts.Get(), uint64(1))
+}
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -216,6 +216,9 @@
 		return errCallerGone
 	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		if silent := c.g.clock.Now().Sub(c.sent); c.route.Target > 0 && silent > plainPatience*c.route.Target && c.delivered == 0 {
+			c.distrust(a.First.Name, "silent until the deadline", err)
+		}
 		return verdict.Uncertain(verdict.ReasonDeadline, 0, "the time is over at endpoint %s", a.First.Name)
 	}
 	if cause := context.Cause(ctx); cause != nil {
