Send a short prompt on to the next endpoint when two others wait to be read

Load pattern: short prompts in bursts of 2.5x; they fill endpoints in one order.

Change: fillCalm, half of the reading that streams hardly notice. TestShortPromptsThatComeTogetherGoOn failed with 1.0.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -46,6 +46,9 @@
 	// fillPart is the part of an endpoint's slots that short prompts fill before they
 	// go on to the next endpoint.
 	fillPart = 0.8
+	// fillCalm is the part of the reading that streams hardly notice which may wait at an
+	// endpoint that a short prompt goes to: the prompt is read within the same time.
+	fillCalm = 0.5
 	// ownPart is the part of an engine's memory up to which a prompt is kept by the
 	// endpoint that writes its answer: it is not worth orders to others.
 	ownPart = 0.1
@@ -224,9 +227,10 @@
 // short prompt and reads nothing long. When all are busy it is the least busy one.
 func (f *Fleet) fill(now time.Time, r *Request, all []*member) *member {
 	late := f.overdue(now)
+	calm := time.Duration(fillCalm * float64(r.calm()))
 	for _, m := range all {
 		room := float64(m.running) < fillPart*float64(m.Slots) && m.free(now, r.Engine) >= r.need()
-		if room && m.wait(now) <= r.calm() && !m.Cold && !late[m.Name] && m.running == m.short {
+		if room && m.wait(now) <= calm && !m.Cold && !late[m.Name] && m.running == m.short {
 			return m
 		}
 	}
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -209,6 +209,17 @@
 	b.place(t0.Add(time.Second), r)
 }
 
+// TestShortPromptsThatComeTogetherGoOn has a burst: a prompt that would wait for two others
+// to be read goes to the next endpoint.
+func TestShortPromptsThatComeTogetherGoOn(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(3)
+	b := &booker{t: t, f: f}
+	first := b.place(t0, prompt(5_000)).First.Name
+	is.Equal(b.place(t0, prompt(5_000)).First.Name, first)
+	is.True(b.place(t0, prompt(5_000)).First.Name != first)
+}
+
 // TestEntriesDrawOnOneBoundWhileAllHearOneAnother has an uneven load: this entry gets
 // nearly all of it. A part of its own would have it refuse beside an idle endpoint.
 func TestEntriesDrawOnOneBoundWhileAllHearOneAnother(t *testing.T) {
