--- a/control/relay.go
+++ b/control/relay.go
@@ -65,8 +65,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
-	r.listener, err = wire.Listen(string(r.Listen), id, &wire.Traffic{}, func(s wire.Stream) { r.serve(ctx, s) })
-	return err
+	if r.listener, err = wire.Listen(string(r.Listen), id, &wire.Traffic{}, func(s wire.Stream) { r.serve(ctx, s) }); err != nil {
+		r.dialer.Close()
+		return err
+	}
+	return nil
 }
 
 // Run implements kernel.Runner.
