--- a/kernel/host.go
+++ b/kernel/host.go
@@ -142,6 +142,7 @@
 // Main runs a whole process from its settings file until SIGTERM or SIGINT. The file is
 // read again with read when it changes and at SIGHUP.
 func Main(program, file string, read func() (*settings.File, error)) error {
+	hangUp := notifyHangUp()
 	content := fileContent(file)
 	f, err := read()
 	if err != nil {
@@ -162,7 +163,9 @@
 		return err
 	}
 	h.Log.Info("process started", "program", program, "zone", f.Node.Zone, "plugins", strings.Join(sortedIDs(f), ","))
-	reloads := &reloader{host: h, log: log, read: read, content: func() string { return fileContent(file) }, current: f, seen: content}
+	reloads := &reloader{
+		host: h, log: log, hangUp: hangUp, read: read, content: func() string { return fileContent(file) }, current: f, seen: content,
+	}
 	running.Go(func() { reloads.run(writing) })
 	err = h.Run(ctx)
 	h.Log.Info("process stopped", "program", program, "error", err)
--- a/kernel/reload.go
+++ b/kernel/reload.go
@@ -28,6 +28,9 @@
 type reloader struct {
 	host *Host
 	log  *Log
+	// hangUp gets the signals. It is set up before anything else: a signal that finds
+	// nobody waiting ends the process.
+	hangUp chan os.Signal
 	// read reads and checks the settings file.
 	read func() (*settings.File, error)
 	// content returns what the settings file holds.
@@ -37,16 +40,21 @@
 	seen    string
 }
 
-// run reads the settings again at each SIGHUP and each change of the file, until ctx ends.
-func (r *reloader) run(ctx context.Context) {
+// notifyHangUp returns a channel that gets SIGHUP from now on. It is never taken back: a
+// signal during the end of the process must not end it sooner.
+func notifyHangUp() chan os.Signal {
 	hangUp := make(chan os.Signal, 1)
 	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
+	return hangUp
+}
+
+// run reads the settings again at each SIGHUP and each change of the file, until ctx ends.
+func (r *reloader) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangUp:
+		case <-r.hangUp:
 			r.seen = r.content()
 			r.reload("signal")
 		case <-r.host.Clock.After(settingsInterval):
