Name tickets by the start of their process; give each test process loopback addresses of its own

Cause: tickets were named by VM and a count that began anew with the process; after a kill the new process used the names of the old one, whose requests the engine still ran. Names now hold a number of the start. TestTicketsOfAnEarlierStartAreNotUsedAgain fails for names without it.

Cause: addresses that were free a moment ago come from one range that all test processes draw from. Each process now draws from a loopback IP of its own.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -108,7 +109,9 @@
 	// deployment is the newest publication, nil before the first.
 	deployment atomic.Pointer[Deployment]
 	entries    atomic.Int64
-	tickets    atomic.Uint64
+	// start tells this start of the process from others, and tickets counts within it.
+	start   uint32
+	tickets atomic.Uint64
 	// ticketHold is the TicketHold in force, in nanoseconds.
 	ticketHold atomic.Int64
 	// bookings are told to the other entries, which reach this one at peers.
@@ -134,7 +137,7 @@
 // New returns a gateway that speaks the dialect.
 func New(s Settings, d Dialect, e Engines) *Gateway {
 	g := &Gateway{
-		Settings: s, dialect: d, engines: e,
+		Settings: s, dialect: d, engines: e, start: rand.Uint32(),
 		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, heard: map[string]int{},
 	}
 	g.ticketHold.Store(int64(s.TicketHold))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -624,3 +624,18 @@
 	is.Equal(got.status, http.StatusGatewayTimeout)
 	is.Equal(w.g.metrics.distrusts.Get(), uint64(1))
 }
+
+// TestTicketsOfAnEarlierStartAreNotUsedAgain has a process that was killed: engines may
+// still run its requests, on the memory set aside for them.
+func TestTicketsOfAnEarlierStartAreNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	killed, started := newWorld(t), newWorld(t)
+	is.Equal(killed.g.node.Name, started.g.node.Name)
+	used := map[string]bool{}
+	for range 100 {
+		used[killed.g.newTicket()] = true
+	}
+	for range 100 {
+		is.True(!used[started.g.newTicket()])
+	}
+}
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -37,6 +37,12 @@
 	return err
 }
 
+// newTicket returns a name that no other request uses, also none of an earlier start of
+// this process: an engine may still run those.
+func (g *Gateway) newTicket() string {
+	return fmt.Sprintf("%s-%08x-%d", g.node.Name, g.start, g.tickets.Add(1))
+}
+
 // hold is for how long memory is set aside at a time.
 func (g *Gateway) hold() time.Duration { return time.Duration(g.ticketHold.Load()) }
 
@@ -47,7 +53,7 @@
 	for i, h := range a.Helpers {
 		t := ticket{Helper: Helper{Addr: h.Addr}, endpoint: h.Name, tokens: a.Booking.Helpers[i].Tokens, uncertain: &atomic.Bool{}}
 		if t.tokens > 0 {
-			t.Ticket = fmt.Sprintf("%s-%d", c.g.node.Name, c.g.tickets.Add(1))
+			t.Ticket = c.g.newTicket()
 			held = append(held, t)
 		}
 		helpers = append(helpers, t.Helper)
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 
 	"github.com/pkg/errors"
 )
@@ -34,7 +35,7 @@
 
 func reserve() (addr string, release func(), err error) {
 	for range portTries {
-		addr = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		addr = fmt.Sprintf("%s:%d", ownIP(), firstPort+rand.IntN(ports))
 		if release, err = listen(addr); err == nil {
 			return addr, release, nil
 		}
@@ -42,6 +43,13 @@
 	return "", nil, err
 }
 
+// ownIP returns a loopback address that other processes hardly use: a port is free again
+// between its choice and its use, and tests of many packages run at once.
+func ownIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid>>8&15, pid&255)
+}
+
 func listen(addr string) (func(), error) {
 	stream, err := net.Listen("tcp", addr)
 	if err != nil {
