--- a/control/relay.go
+++ b/control/relay.go
@@ -244,12 +244,5 @@
 	if err != nil {
 		return nil, err
 	}
-	if answer.Refused != nil {
-		return nil, answer.Refused.Refusal()
-	}
-	var s command.ReplicaStanding
-	if err := wire.Unmarshal(answer.Body, &s); err != nil {
-		return nil, err
-	}
-	return &s, nil
+	return session.Standing(answer)
 }
--- a/control/session/poll.go
+++ b/control/session/poll.go
@@ -140,12 +140,24 @@
 	defer stream.Abort()
 	defer context.AfterFunc(ctx, stream.Abort)()
 	answer, err := exchange(stream, &wire.Command{Name: command.NameStanding})
-	if err != nil || answer.Refused != nil {
+	if err != nil {
 		return nil
 	}
-	var s command.ReplicaStanding
-	if wire.Unmarshal(answer.Body, &s) != nil {
+	standing, err := Standing(answer)
+	if err != nil {
 		return nil
 	}
-	return &s
+	return standing
+}
+
+// Standing decodes the answer to command.NameStanding.
+func Standing(answer *wire.Answer) (*command.ReplicaStanding, error) {
+	if answer.Refused != nil {
+		return nil, answer.Refused.Refusal()
+	}
+	var s command.ReplicaStanding
+	if err := wire.Unmarshal(answer.Body, &s); err != nil {
+		return nil, err
+	}
+	return &s, nil
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -60,15 +60,20 @@
 	})
 	set.NewGauge("rosemary_gateway_permission_left_seconds", func() float64 { return g.client.Permission().Left.Seconds() })
 	set.NewGauge("rosemary_gateway_entries", func() float64 { return float64(g.entries.Load()) })
-	for state, count := range map[string]func(known, trusted int) int{
-		"known": func(known, _ int) int { return known }, "trusted": func(_, trusted int) int { return trusted },
-	} {
-		set.NewGauge(fmt.Sprintf("rosemary_gateway_endpoints{state=%q}", state), func() float64 {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			return float64(count(g.fleet.Count(g.clock.Now())))
-		})
-	}
+	set.NewGauge(`rosemary_gateway_endpoints{state="known"}`, func() float64 {
+		known, _ := g.countEndpoints()
+		return float64(known)
+	})
+	set.NewGauge(`rosemary_gateway_endpoints{state="trusted"}`, func() float64 {
+		_, trusted := g.countEndpoints()
+		return float64(trusted)
+	})
+}
+
+func (g *Gateway) countEndpoints() (known, trusted int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Count(g.clock.Now())
 }
 
 // observeService adds the gauges of a service. The caller holds the lock; metrics are
