gateway: log lines tell requests with the same content apart from retries

On-call saw repeats beyond the budget, and no log line connects two requests with the same content or shows by how many entries the retry budget was divided. Lines of failures now carry a hash of account, method, path and body, and retries the number of entries known. No behaviour changes.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
@@ -56,7 +58,10 @@
 	// accountPriority is the priority of the account, nil to use that of the route.
 	accountPriority *int
 	body            []byte
-	started         time.Time
+	// content identifies what endpoints execute: the account, method, path and body.
+	// Requests with the same content differ in ID and deadline only.
+	content uint64
+	started time.Time
 	// sentAt is when the latest attempt was sent.
 	sentAt time.Time
 	// deadline is when the answer to the caller is due.
@@ -209,9 +214,28 @@
 		return errors.Wrap(errCallerGone, err.Error())
 	}
 	c.body = body
+	c.content = contentDigest(c.account, c.r.Method, c.r.RequestURI, body)
 	return errors.Wrap(control.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
 }
 
+// contentDigest returns a hash of what endpoints execute. Lengths separate the fields.
+func contentDigest(account, method, uri string, body []byte) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	for _, field := range []string{account, method, uri} {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+		// Writes to a hash return no error.
+		_, _ = h.Write(length[:])
+		_, _ = h.WriteString(field)
+	}
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+// contentField returns the content digest as it appears in logs.
+func (c *call) contentField() string { return strconv.FormatUint(c.content, 16) }
+
 // finish logs how the request ended and, if err is a refusal, sends it to the caller.
 // After a part of the answer has been sent, it aborts the connection instead.
 func (c *call) finish(err error) {
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -61,7 +61,7 @@
 			return c.adjustVerdict(r)
 		}
 		c.log().Info("request retried", "reason", string(r.Reason), "verdict", r.Verdict.String(), "detail", r.Detail,
-			"left", c.deadline.Sub(c.g.clock.Now()))
+			"content", c.contentField(), "entries", c.g.entries.Load(), "left", c.deadline.Sub(c.g.clock.Now()))
 	}
 }
 
@@ -245,7 +245,7 @@
 	duration := c.g.fleet.MarkFailed(c.g.clock.Now(), name)
 	c.g.mu.Unlock()
 	c.g.metrics.distrusts.Inc()
-	c.log().Warn("endpoint distrusted", "suspect", name, "what", failure, "for", duration, "error", err)
+	c.log().Warn("endpoint distrusted", "suspect", name, "what", failure, "content", c.contentField(), "for", duration, "error", err)
 }
 
 // handleAnswer classifies the head of the answer and forwards the answer to the caller.
