soak: requests that crash endpoints and the retry budget, with tests that fail

The checker counts arrivals after the third crash, innocents refused as quarantined, and repeated arrivals in each window.

Each promise has a planted fault in TestEachBrokenPromiseIsFound.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -27,12 +27,16 @@
 	PromiseDurable      = "nothing acknowledged is lost"
 	PromiseRecovered    = "service comes back after the faults"
 	PromiseGracefulStop = "a planned stop cuts no request"
+	PromiseCrashing     = "a request that crashed three endpoints is not sent on"
+	PromiseInnocent     = "no request is refused for crashes that it did not cause"
+	PromiseRetries      = "retries stay within the budget of all entries"
 )
 
 // Promises lists all promises.
 var Promises = []string{
 	PromiseAtMostOnce, PromiseNotRun, PromiseAnswer, PromiseOrder, PromiseUnaltered, PromiseRoute, PromiseNoRollback, PromiseRevoked,
 	PromiseDrained, PromiseCold, PromiseMemory, PromiseDurable, PromiseRecovered, PromiseGracefulStop,
+	PromiseCrashing, PromiseInnocent, PromiseRetries,
 }
 
 // Bounds holds the time bounds of a deployment's promises.
@@ -48,6 +52,8 @@
 	// Reconnect is the time after a fault within which processes reconnect. Bounds apply
 	// only after it.
 	Reconnect time.Duration
+	// Retries limits repeated arrivals of requests. A zero Window disables the check.
+	Retries RetryBounds
 }
 
 // Request is a request as its caller sent it.
@@ -63,6 +69,10 @@
 	Services map[string]bool
 	// Entry names the entry that the request was sent to.
 	Entry string
+	// Crashes is set if the request crashes each endpoint that runs it. Content then
+	// identifies the requests with the same account, path and body.
+	Crashes bool
+	Content string
 }
 
 // Arrival is a request as an endpoint received it.
@@ -91,6 +101,8 @@
 	Request
 	sent time.Time
 	runs int
+	// arrivals counts the arrivals at endpoints, including those that did not run.
+	arrivals int
 	// answers are the bodies that endpoints sent as answers to the request, by seal.
 	answers map[string][]byte
 	// refused is set when the caller got an answer that states that the request has not
@@ -116,7 +128,11 @@
 	// ackedVersion is the newest acknowledged version, first acknowledged at ackedAt.
 	ackedVersion uint64
 	ackedAt      time.Time
-	findings     []Finding
+	// crashing holds the requests that crash endpoints, by content, and retries the
+	// arrivals by service.
+	crashing map[string]*crashingContent
+	retries  map[string]*arrivalTimes
+	findings []Finding
 	// The counts of the report.
 	sent, served, refusals, broken, runs int
 }
@@ -125,6 +141,7 @@
 func NewChecker(now time.Time, b Bounds) *Checker {
 	return &Checker{
 		bounds: b, start: now, requests: map[string]*trackedRequest{}, revoked: map[string]time.Time{}, drained: map[string]time.Time{},
+		crashing: map[string]*crashingContent{}, retries: map[string]*arrivalTimes{},
 	}
 }
 
@@ -179,6 +196,7 @@
 		c.addFinding(now, PromiseUnaltered, "request %s reached endpoint %s with path %q, account %q, %d bytes of body, key passed %v; sent were %q, %q, %d bytes",
 			a.ID, a.Endpoint, a.Path, a.Account, len(a.Body), a.KeyPassed, r.Path, r.Account, len(r.Body))
 	}
+	c.checkCrashing(now, r, a.Endpoint)
 	r.runs++
 	if r.AtMostOnce && r.runs > 1 {
 		c.addFinding(now, PromiseAtMostOnce, "request %s ran %d times, the last at endpoint %s", a.ID, r.runs, a.Endpoint)
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,7 +12,8 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-var bounds = Bounds{Revoke: 5 * time.Second, Drain: 2 * time.Second, Release: 4 * time.Second, Apply: 2 * time.Second, Reconnect: 3 * time.Second}
+var bounds = Bounds{Revoke: 5 * time.Second, Drain: 2 * time.Second, Release: 4 * time.Second, Apply: 2 * time.Second, Reconnect: 3 * time.Second,
+	Retries: RetryBounds{Ratio: 0.2, Extra: 2, Window: 10 * time.Second}}
 
 // call is a request that must run at most once, and arrival is the same request at an
 // endpoint.
@@ -64,6 +66,12 @@
 		{"no configuration at the end", PromiseDurable, func(c *Checker) { c.Acked(at(0), 5, nil); c.FinalVersion(at(1), 0) }},
 		{"no service afterwards", PromiseRecovered, func(c *Checker) { c.CheckRecovery(at(0), 100, 24) }},
 		{"a planned stop closes a connection", PromiseGracefulStop, func(c *Checker) { c.Ran(at(0), arrival); c.ConnectionClosed(at(1), "a") }},
+		{"a request that crashed three endpoints is sent on", PromiseCrashing, func(c *Checker) {
+			sendCrashing(c, 0, 3)
+			sendCrashing(c, 4*time.Second, maxLateArrivals+1)
+		}},
+		{"an innocent request is refused for crashes", PromiseInnocent, func(c *Checker) { c.Quarantined(at(0), "a") }},
+		{"retries over the budget", PromiseRetries, func(c *Checker) { arriveRepeatedly(c, 1+2+1) }},
 	}
 	found := map[string]bool{}
 	for _, test := range tests {
@@ -85,6 +93,24 @@
 	}
 }
 
+// sendCrashing has n requests with the same content crash an endpoint each.
+func sendCrashing(c *Checker, after time.Duration, n int) {
+	for i := range n {
+		r, now := call, at(after+time.Duration(i))
+		r.ID, r.Key, r.AtMostOnce, r.Crashes, r.Content = fmt.Sprint("crash ", now), "", false, true, "content"
+		c.Sent(now, r)
+		c.Ran(now, arrivalWith(func(a *Arrival) { a.ID, a.Endpoint = r.ID, "i-2" }))
+		c.Crashed(now, r.ID)
+	}
+}
+
+// arriveRepeatedly has one request arrive n times at a service.
+func arriveRepeatedly(c *Checker, n int) {
+	for range n {
+		c.Arrived(at(0), "a", "desk")
+	}
+}
+
 func TestAllowedBehaviorYieldsNoFinding(t *testing.T) {
 	is := is.New(t)
 	c := NewChecker(start, bounds)
@@ -104,6 +130,9 @@
 	c.ConnectionClosed(at(3*time.Second), "again")
 	c.FinalVersion(at(4*time.Second), 6) // newer than acknowledged: a change without an answer may have been applied
 	c.CheckRecovery(at(5*time.Second), 100, 25)
+	sendCrashing(c, 5*time.Second, 5) // before all entries must know of the third crash
+	sendCrashing(c, 9*time.Second, maxLateArrivals)
+	arriveRepeatedly(c, 1+2)
 	is.Equal(len(c.Findings()), 0)
 }
 
--- /dev/null
+++ b/soak/crashing.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// crashesBeforeRefusal is the number of crashes after which a request must be refused.
+	crashesBeforeRefusal = 3
+	// maxLateArrivals is the number of arrivals that are allowed once the crashes must be
+	// known to all entries.
+	maxLateArrivals = 3
+)
+
+// crashingContent is what the checker knows of a request that crashes endpoints.
+type crashingContent struct {
+	crashes int
+	// lastCounted is the time of the crash after which the request must be refused.
+	lastCounted time.Time
+	// arrivals counts all arrivals, and late those that came too late.
+	arrivals, late int
+}
+
+// Crashed records that an endpoint ended while it ran request id.
+func (c *Checker) Crashed(now time.Time, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	content := c.crashing[r.Content]
+	if content == nil {
+		content = &crashingContent{}
+		c.crashing[r.Content] = content
+	}
+	content.crashes++
+	if content.crashes == crashesBeforeRefusal {
+		content.lastCounted = now
+	}
+}
+
+// Crashes returns the number of endpoints that ended under the request with this content, and
+// the number of its arrivals.
+func (c *Checker) Crashes(content string) (crashes, arrivals int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.crashing[content]; known != nil {
+		return known.crashes, known.arrivals
+	}
+	return 0, 0
+}
+
+// checkCrashing checks the arrival of a request whose content has crashed endpoints. The
+// caller holds mu.
+func (c *Checker) checkCrashing(now time.Time, r *trackedRequest, endpoint string) {
+	content := c.crashing[r.Content]
+	if !r.Crashes || content == nil {
+		return
+	}
+	content.arrivals++
+	if content.crashes < crashesBeforeRefusal || now.Sub(content.lastCounted) <= c.bounds.Reconnect || !now.After(c.boundsSuspended) {
+		return
+	}
+	content.late++
+	if content.late > maxLateArrivals {
+		c.addFinding(now, PromiseCrashing, "request %s reached endpoint %s %v after its content had crashed the third; %d endpoints have ended under it",
+			r.ID, endpoint, now.Sub(content.lastCounted), content.crashes)
+	}
+}
+
+// Quarantined records that request id was refused because its content crashes endpoints.
+func (c *Checker) Quarantined(now time.Time, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.requests[id]; r != nil && !r.Crashes {
+		c.addFinding(now, PromiseInnocent, "request %s to %q crashes no endpoint and was refused as if it did", id, r.Path)
+	}
+}
+
+// RetryBounds limits how often requests arrive at a service again: in any Window at most Ratio
+// times the requests that arrived for the first time, plus Extra.
+type RetryBounds struct {
+	Ratio  float64
+	Extra  int
+	Window time.Duration
+}
+
+// arrivalTimes are the times of a service's first and repeated arrivals in the last two windows.
+type arrivalTimes struct{ first, repeated []time.Time }
+
+// Arrived records that request id reached an endpoint of a service, whether it runs or not, and
+// checks the limits on retries.
+func (c *Checker) Arrived(now time.Time, id, service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.bounds.Retries
+	r := c.requests[id]
+	if b.Window == 0 || r == nil {
+		return
+	}
+	s := c.retries[service]
+	if s == nil {
+		s = &arrivalTimes{}
+		c.retries[service] = s
+	}
+	r.arrivals++
+	if r.arrivals == 1 {
+		s.first = append(keepSince(s.first, now.Add(-2*b.Window)), now)
+		return
+	}
+	s.repeated = append(keepSince(s.repeated, now.Add(-b.Window)), now)
+	// Retries may follow the requests that they belong to by up to a window.
+	requests := max(countBetween(s.first, now.Add(-b.Window), now), countBetween(s.first, now.Add(-2*b.Window), now.Add(-b.Window)),
+		countBetween(s.first, now.Add(-3*b.Window/2), now.Add(-b.Window/2)))
+	if allowed := b.Ratio*float64(requests) + float64(b.Extra); float64(len(s.repeated)) > allowed {
+		c.addFinding(now, PromiseRetries, "service %s got %d repeated arrivals in %v; %.0f are allowed for %d requests", service, len(s.repeated), b.Window, allowed, requests)
+	}
+}
+
+// keepSince returns the ascending times that are not before from.
+func keepSince(times []time.Time, from time.Time) []time.Time {
+	i, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	return times[i:]
+}
+
+// countBetween returns how many of the ascending times are in [from, to].
+func countBetween(times []time.Time, from, to time.Time) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	last, found := slices.BinarySearchFunc(times, to, time.Time.Compare)
+	if found {
+		last++
+	}
+	return last - first
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -34,27 +34,58 @@
 
 // Proxy forwards TCP connections to one address, as its link mode permits.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	addr   string
+	target string
 
-	mu    sync.Mutex
-	mode  LinkMode
-	conns map[net.Conn]bool
+	mu sync.Mutex
+	// listener is nil while the proxy is down.
+	listener net.Listener
+	mode     LinkMode
+	conns    map[net.Conn]bool
 }
 
 // NewProxy listens on addr and forwards connections to target.
 func NewProxy(addr, target string) (*Proxy, error) {
+	p := &Proxy{target: target, conns: map[net.Conn]bool{}}
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on proxy address for target %s", target)
 	}
-	p := &Proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
-	go p.accept()
+	p.addr, p.listener = l.Addr().String(), l
+	go p.accept(l)
 	return p, nil
 }
 
 // Addr returns the address that the proxy listens on.
-func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+func (p *Proxy) Addr() string { return p.addr }
+
+// Down refuses new connections and resets all open ones, as when the process at the address
+// has ended.
+func (p *Proxy) Down() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	p.closeConns()
+}
+
+// Up accepts connections again after Down.
+func (p *Proxy) Up() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on proxy address for target %s", p.target)
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
 
 // SetMode changes the link mode. A direction of a connection whose data was once dropped
 // stays silent in all later modes, like a connection that broke without either side
@@ -69,12 +100,7 @@
 }
 
 // Close closes the listener and resets all connections.
-func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closeConns()
-}
+func (p *Proxy) Close() { p.Down() }
 
 // closeConns resets all connections. The caller holds mu.
 func (p *Proxy) closeConns() {
@@ -94,9 +120,9 @@
 	return p.mode
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -113,6 +139,9 @@
 	defer p.closeConn(client)
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
+		if p.currentMode() == LinkSilent {
+			_, _ = io.Copy(io.Discard, client)
+		}
 		return
 	}
 	if !p.track(server) {
