session: one client of the quarantine for every kind of entry

The record of suspect requests and the commands to control move from entry/quarantine.go to control/session/suspects.go, so that the gateway can use them instead of a copy. The lock is listed as session.Suspects.

--- a/entry/connect.go
+++ b/entry/connect.go
@@ -28,6 +28,7 @@
 		return err
 	}
 	e.control = client
+	e.suspects = session.NewSuspects(client, h.Clock)
 	e.session = func(ctx context.Context) error {
 		defer dialer.Close()
 		return client.Run(ctx)
@@ -42,7 +43,7 @@
 		e.dispatcher.updateEndpoints(doc, u.Endpoints, u.Removed, u.Reset)
 		e.healthMonitor.update(u)
 	}
-	e.suspects.update(u)
+	e.suspects.Update(u)
 	if u.Snapshot != nil || len(u.Changes) > 0 {
 		e.dispatcher.applyConfig(doc)
 		e.log.Info("configuration applied", "revision", doc.Revision)
--- a/entry/contract_test.go
+++ b/entry/contract_test.go
@@ -109,10 +109,11 @@
 	}
 	e.log, e.clock, e.node = h.Log, h.Clock, h.Node
 	e.traffic, e.controlTraffic = &wire.Traffic{}, &wire.Traffic{}
-	e.budget, e.quotas, e.suspects, e.healthMonitor = stream.NewBudget(e.Held), session.NewLimits(), newSuspects(), newHealthMonitor()
+	e.budget, e.quotas, e.healthMonitor = stream.NewBudget(e.Held), session.NewLimits(), newHealthMonitor()
 	e.background = kernel.NewPool(1, 1)
 	t.Cleanup(func() { _ = e.background.Close(context.Background()) })
 	e.control, e.pool, e.dispatcher = &fakeControl{doc: doc}, &fakeSidecars{script: sc}, dispatcher
+	e.suspects = session.NewSuspects(e.control, h.Clock)
 	e.metrics = newMetrics(h.Metrics, e)
 	load := wire.Load{FreeTokens: 9000, CapacityTokens: 9000, PrefillRate: 1e6, DecodeRate: 1e6, RampTokens: -1}
 	e.dispatcher.updateEndpoints(doc, []wire.Endpoint{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,7 +122,7 @@
 	budget     *stream.Budget
 	quotas     *session.Limits
 	// suspects tracks requests that were in flight when an endpoint was lost.
-	suspects *suspects
+	suspects *session.Suspects
 	// background runs tasks that no caller waits for.
 	background *kernel.Pool
 	// healthMonitor detects endpoints that fail or slow down.
@@ -181,7 +181,6 @@
 		return err
 	}
 	e.quotas = session.NewLimits()
-	e.suspects = newSuspects()
 	e.healthMonitor = newHealthMonitor()
 	e.background = kernel.NewPool(backgroundWorkers, backgroundQueueSize)
 	e.pool, err = wire.NewPool(id, wire.PoolOptions{
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
-	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
-	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
 const (
-	// quarantineTimeout bounds each command to control about suspect requests.
-	quarantineTimeout = time.Second
 	// idlePollInterval is the delay before another attempt of a request that has to run alone
 	// at an endpoint that is still running other requests.
 	idlePollInterval = 100 * time.Millisecond
@@ -23,48 +18,6 @@
 	maxPermitWait = time.Second
 )
 
-// suspects holds what the entry knows about requests that may crash endpoints. It is safe for
-// concurrent use. kernel.LockOrder lists its lock as "entry.suspects".
-type suspects struct {
-	mu   sync.Mutex
-	view *quarantine.LocalView
-}
-
-// newSuspects returns a record without suspect requests.
-func newSuspects() *suspects { return &suspects{view: quarantine.NewLocalView()} }
-
-// update replaces the lists of suspect and quarantined requests by those in an update from
-// control. It does nothing if the update has none.
-func (s *suspects) update(u *wire.Update) {
-	if !u.HasQuarantine {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.view.Update(u.Suspects, u.Quarantine)
-}
-
-// status returns the quarantine status of the request with the digest.
-func (s *suspects) status(now time.Time, digest uint64) quarantine.Status {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.view.Status(now, digest)
-}
-
-// recordLoss records that an endpoint was lost while the request was in flight there.
-func (s *suspects) recordLoss(now time.Time, digest uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.view.RecordLoss(now, digest)
-}
-
-// recordStatus records the status that control returned for a request.
-func (s *suspects) recordStatus(now time.Time, digest uint64, status uint8) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.view.SetStatus(now, digest, quarantine.Status(status))
-}
-
 // permit is the right to run a suspect request once. Requests that are not suspect need none.
 type permit struct {
 	// holder identifies the attempt to control.
@@ -78,7 +31,7 @@
 // this one may be a retry of it. With the verdict NotRun, the caller would conclude that the
 // first one has not run either.
 func (e *Entry) checkQuarantine(c *call) (quarantine.Status, error) {
-	status := e.suspects.status(e.clock.Now(), c.digest)
+	status := e.suspects.Status(c.digest)
 	if status == quarantine.Convicted {
 		return status, verdict.Uncertain(verdict.ReasonQuarantined, 0, "this request brought endpoints down and is not run any more")
 	}
@@ -90,15 +43,13 @@
 // no error. Before the next attempt, the quarantine is checked again.
 func (e *Entry) takePermit(ctx context.Context, c *call, t *ticket) (*permit, error) {
 	p := &permit{holder: requestID(c) + "-" + strconv.Itoa(int(c.attempts)+1)}
-	var answer command.Permitted
-	err := e.callControl(ctx, command.NamePermit, command.Permit{
+	answer, err := e.suspects.RequestPermit(ctx, command.Permit{
 		Digest: c.digest, Holder: p.holder, Endpoint: t.endpoint.Name, Incarnation: t.endpoint.Incarnation,
 		MaxRunTime: c.deadline.Sub(e.clock.Now()),
-	}, &answer)
+	})
 	if err != nil {
 		return nil, verdict.Refuse(verdict.ReasonNoQuorum, lossRetryAfter, "the request was in flight when an endpoint fell, and control gives no permit: %v", err)
 	}
-	e.suspects.recordStatus(e.clock.Now(), c.digest, answer.Status)
 	if answer.Granted {
 		p.alone = answer.Alone
 		return p, nil
@@ -116,13 +67,6 @@
 	return nil, nil
 }
 
-// callControl sends a command to control and decodes the answer into out.
-func (e *Entry) callControl(ctx context.Context, name string, body, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
-	defer cancel()
-	return e.control.Do(ctx, name, session.NewID(), body, out)
-}
-
 // attemptWithPermit attempts a suspect request under a permit, or releases the ticket if it
 // gets none. It reports whether an attempt was made.
 func (e *Entry) attemptWithPermit(ctx context.Context, c *call, t *ticket, a *answer) (bool, error) {
@@ -159,13 +103,9 @@
 // returnPermit informs control that the attempt ended without a lost endpoint. complete is set
 // if the caller got a complete answer, which clears the request of suspicion.
 func (e *Entry) returnPermit(c *call, p *permit, complete bool) {
-	err := e.callControl(context.Background(), command.NameEnded, command.Ended{Digest: c.digest, Holder: p.holder, Completed: complete}, nil)
+	err := e.suspects.End(context.Background(), command.Ended{Digest: c.digest, Holder: p.holder, Completed: complete})
 	if err != nil {
 		e.log.Warn("permit not returned", c.logFields("error", err)...)
-		return
-	}
-	if complete {
-		e.suspects.recordStatus(e.clock.Now(), c.digest, uint8(quarantine.Clear))
 	}
 }
 
@@ -177,16 +117,14 @@
 // reportLoss informs control that an endpoint was lost with the call in flight. From then on the
 // call needs a permit to run, even if the report does not reach control.
 func (e *Entry) reportLoss(c *call, t *ticket) {
-	e.suspects.recordLoss(e.clock.Now(), c.digest)
-	var answer command.SuspectStatuses
-	err := e.callControl(context.Background(), command.NameSuspect, command.Suspect{
+	e.suspects.RecordLoss(c.digest)
+	statuses, err := e.suspects.Report(context.Background(), command.Suspect{
 		Endpoint: t.endpoint.Name, Incarnation: t.endpoint.Incarnation, Digests: []uint64{c.digest}, Alone: c.alone,
-	}, &answer)
-	if err != nil || len(answer.Statuses) != 1 {
+	})
+	if err != nil || len(statuses) != 1 {
 		e.log.Warn("endpoint loss not reported", c.logFields("endpoint", t.endpoint.Name, "error", err)...)
 		return
 	}
-	e.suspects.recordStatus(e.clock.Now(), c.digest, answer.Statuses[0])
 	e.log.Warn("endpoint lost", c.logFields("endpoint", t.endpoint.Name, "incarnation", t.endpoint.Incarnation,
-		"alone", c.alone, "status", quarantine.Status(answer.Statuses[0]).String())...)
+		"alone", c.alone, "status", statuses[0].String())...)
 }
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -16,7 +16,7 @@
 	"gateway.retries",
 	"gateway.bookings",
 	"gateway.placer",
-	"entry.suspects",
+	"session.Suspects",
 	"entry.watch",
 	"sidecar.orders",
 	"sidecar.gate",
