gateway: a request that crashes endpoints is refused by all entries

Cause: the gateway limited each request by itself, by MaxEndpoints and the retry budget, and forgot it at its end. Nothing connected requests with the same content, and the quarantine of control was in force for endpoints with sidecars only.

Change: a request's content is its account, method, path and body. quarantine.Tracker finds out which contents were in flight when an endpoint ended: its address refuses connections, or a later incarnation has taken its name or address; breaks alone, cut links, silence and planned ends are no evidence. Entries report such ends to control's replicated list, which they now also obey. One loss of a direct endpoint leaves a request clear, so that an ordinary crash costs its other requests nothing; from the second on it needs a permit; convicted ones get 503 (this request has not run) with a long Retry-After. A burst of failures that has one request in common is no outage. Requests lost in an outage get a trial afterwards. A content that was answered lately is not reported, and a complete answer frees one that was convicted without having been the only suspect.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -146,6 +146,12 @@
 	return len(f.members), trusted
 }
 
+// Leaving reports whether an endpoint is leaving.
+func (f *Fleet) Leaving(name string) bool {
+	m := f.members[name]
+	return m != nil && m.Leaving
+}
+
 // SetZonesOut replaces the set of availability zones that are out of service.
 func (f *Fleet) SetZonesOut(zones map[string]bool) { f.zonesOut = zones }
 
--- a/control/command/command.go
+++ b/control/command/command.go
@@ -241,6 +241,8 @@
 	Digests     []uint64 `cbor:"3,keyasint"`
 	// Alone is set if it is certain that no other request was in flight.
 	Alone bool `cbor:"4,keyasint,omitempty"`
+	// Direct is set for an endpoint without a sidecar; see quarantine.MinDirectLosses.
+	Direct bool `cbor:"5,keyasint,omitempty"`
 }
 
 // SuspectStatuses is the answer to Suspect: the quarantine.Status of each digest, in the order of
--- a/control/session/suspects.go
+++ b/control/session/suspects.go
@@ -66,6 +66,31 @@
 	s.view.RecordLoss(now, digest)
 }
 
+// RecordDirectLosses records that a direct endpoint was lost while requests were in flight
+// there, and returns those of them that may have caused it.
+func (s *Suspects) RecordDirectLosses(digests []uint64) (suspects []uint64) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, digest := range digests {
+		if s.view.CompletedLately(now, digest) {
+			continue
+		}
+		s.view.RecordDirectLoss(now, digest)
+		suspects = append(suspects, digest)
+	}
+	return suspects
+}
+
+// RecordCompletion records that a request got a complete answer. It reports whether control has
+// to be informed, because the request is not clear.
+func (s *Suspects) RecordCompletion(digest uint64) (inform bool) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.RecordCompletion(now, digest)
+}
+
 // Report informs control that an endpoint was lost, and returns the status of each request of
 // the report.
 func (s *Suspects) Report(ctx context.Context, report command.Suspect) ([]quarantine.Status, error) {
--- a/control/state/suspect.go
+++ b/control/state/suspect.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"slices"
+
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
@@ -25,10 +27,13 @@
 	if err := wire.Unmarshal(e.Body, &c); err != nil {
 		return refused(badRequest(err))
 	}
+	suspects, convicted := m.Suspects(), m.Quarantine()
 	m.suspects.list.ReportFailure(m.time(), quarantine.FailureReport{
-		Endpoint: c.Endpoint, Incarnation: c.Incarnation, Digests: c.Digests, Alone: c.Alone,
+		Endpoint: c.Endpoint, Incarnation: c.Incarnation, Digests: c.Digests, Alone: c.Alone, Direct: c.Direct,
 	})
-	m.suspects.version++
+	if !slices.Equal(suspects, m.Suspects()) || !slices.Equal(convicted, m.Quarantine()) {
+		m.suspects.version++
+	}
 	statuses := command.SuspectStatuses{}
 	for _, digest := range c.Digests {
 		statuses.Statuses = append(statuses.Statuses, uint8(m.suspects.list.Status(digest)))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
@@ -75,6 +76,7 @@
 	Config() *config.Document
 	// SetReplicas replaces the configured addresses of control's replicas.
 	SetReplicas(replicas []string)
+	session.Commander
 	// Permission returns the lease on the configuration, which states for how long the
 	// configuration is still known to be current.
 	Permission() wire.Permission
@@ -106,6 +108,10 @@
 	http    *http.Transport
 	retries *retryBudget
 	metrics *gatewayMetrics
+	// suspects holds the requests that are suspected of crashing endpoints. lossesPending wakes
+	// the task that reports lost endpoints; it has a buffer of one.
+	suspects      *session.Suspects
+	lossesPending chan struct{}
 
 	listener net.Listener
 	ready    net.Listener
@@ -119,6 +125,8 @@
 	// numbers the tickets within it.
 	startID   uint32
 	ticketSeq atomic.Uint64
+	// permitSeq numbers the holders of permits.
+	permitSeq atomic.Uint64
 	// ticketTTL is the current TicketTTL in nanoseconds; Reconfigure may change it.
 	ticketTTL atomic.Int64
 	// bookings holds the placements of this entry, which are sent to the other entries.
@@ -137,6 +145,8 @@
 	// mu guards the fields below. It is "gateway.fleet" of kernel.LockOrder.
 	mu    sync.Mutex
 	fleet *assign.Fleet
+	// losses finds out under which requests endpoints ended.
+	losses *quarantine.Tracker
 	// queues holds the requests that wait for an endpoint, by service.
 	queues map[string]*queues
 	// bookingStreams counts the open streams over which other entries send their
@@ -149,6 +159,7 @@
 func New(s Settings, d Dialect, e EngineClient) *Gateway {
 	g := &Gateway{
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(),
+		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1),
 		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{},
 	}
 	g.ticketTTL.Store(int64(s.TicketTTL))
@@ -176,6 +187,7 @@
 	if err != nil {
 		return err
 	}
+	g.suspects = session.NewSuspects(g.client, h.Clock)
 	g.registerGauges()
 	if g.peers, err = wire.Listen(string(g.Peers), id, &wire.Traffic{}, g.servePeer); err != nil {
 		return err
@@ -240,6 +252,7 @@
 		g.placer.setAddrs(all)
 	}
 	doc := g.client.Config()
+	g.suspects.Update(u)
 	if u.Snapshot != nil || len(u.Changes) > 0 {
 		g.configure(doc)
 	}
@@ -285,6 +298,11 @@
 			Name: e.Name, Service: e.Target, Addr: e.Addr, Zone: e.Zone, Incarnation: e.Incarnation,
 			Slots: e.Slots, Leaving: e.Load.Leaving, Cold: e.Cold,
 		})
+		if e.Load.Leaving {
+			g.losses.Leaving(e.Name)
+		} else {
+			g.losses.Started(quarantine.Instance{Endpoint: e.Name, Addr: e.Addr, Incarnation: e.Incarnation})
+		}
 		g.log.Info("endpoint announced", "endpoint", e.Name, "service", e.Target, "addr", e.Addr, "zone", e.Zone,
 			"incarnation", e.Incarnation, "leaving", e.Load.Leaving, "cold", e.Cold)
 	}
@@ -295,6 +313,7 @@
 	if u.Reset {
 		g.fleet.RetainOnly(names)
 	}
+	g.wakeLossReports()
 	g.placeQueued(g.clock.Now())
 }
 
@@ -307,6 +326,7 @@
 	tasks.Go(func() { failed <- g.client.Run(g.background) })
 	tasks.Go(func() { failed <- g.peers.Serve(g.background) })
 	tasks.Go(func() { g.pollQueues(g.background) })
+	tasks.Go(func() { g.reportLosses(g.background) })
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	for _, s := range []struct {
 		server   *http.Server
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,9 +20,11 @@
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -70,6 +72,9 @@
 func (s *fakeControlClient) Fresh() bool                   { return !s.expired.Load() }
 func (s *fakeControlClient) SetReplicas([]string)          {}
 func (s *fakeControlClient) Permission() wire.Permission   { return wire.Permission{Left: time.Second} }
+func (s *fakeControlClient) Do(context.Context, string, string, any, any) error {
+	return verdict.Refuse(verdict.ReasonNoQuorum, 0, "the test has no control")
+}
 func (s *fakeControlClient) Config() *config.Document {
 	doc := config.NewDocument()
 	doc.Publication = &config.Publication{Version: s.published.Load()}
@@ -129,6 +134,7 @@
 	g.log, g.clock, g.node = hclog.NewNullLogger(), kernel.SystemClock{}, settings.Node{Name: "entry-1", Zone: "hall"}
 	g.client, g.http, g.metrics = w.session, newTransport(), newMetrics(metrics.NewSet())
 	g.retries = newRetryBudget(g.Retries)
+	g.suspects = session.NewSuspects(w.session, g.clock)
 	g.entries.Store(1)
 	w.g = g
 	g.deployment.Store((&Deployment{
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -71,6 +71,13 @@
 	// runs is the number of endpoints that may have executed the request, and sends is
 	// the number of times that it was sent to an endpoint.
 	runs, sends int
+	// permitHolder identifies the permit of the current attempt; empty if it needs none.
+	// interrupted is set once the attempt ended without a complete answer, so that its permit
+	// is returned only when the endpoint proves to be running.
+	permitHolder string
+	interrupted  bool
+	// permitWait is how long to wait before a permit is requested again.
+	permitWait time.Duration
 	// failedReserves counts the attempts that failed to reserve memory.
 	failedReserves int
 	// committed is set once the status has been sent to the caller.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,10 +17,16 @@
 	inFlight, ticketsHeld atomic.Int64
 	// distrusts counts the temporary exclusions of endpoints after failures.
 	distrusts *metrics.Counter
+	// endpointLosses counts the endpoints that were found to have ended under requests, and
+	// lossReports the reports of them to control that control has accepted.
+	endpointLosses, lossReports *metrics.Counter
 }
 
 func newMetrics(set *metrics.Set) *gatewayMetrics {
-	m := &gatewayMetrics{set: set, distrusts: set.NewCounter("rosemary_gateway_distrusts_total")}
+	m := &gatewayMetrics{
+		set: set, distrusts: set.NewCounter("rosemary_gateway_distrusts_total"),
+		endpointLosses: set.NewCounter("rosemary_gateway_endpoint_losses_total"), lossReports: set.NewCounter("rosemary_gateway_loss_reports_total"),
+	}
 	set.NewGauge("rosemary_gateway_requests_in_flight", func() float64 { return float64(m.inFlight.Load()) })
 	set.NewGauge("rosemary_gateway_tickets_held", func() float64 { return float64(m.ticketsHeld.Load()) })
 	return m
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -47,13 +48,16 @@
 func (c *call) runAttempts(ctx context.Context) error {
 	c.g.retries.recordRequest(c.started, c.service.Name)
 	for {
-		p, err := c.g.place(ctx, c)
-		if err != nil {
+		tried, err := c.attemptNext(ctx)
+		switch {
+		case err == nil && !tried:
+			continue
+		case err == nil:
+			c.recordCompletion()
+			return nil
+		case !tried:
 			return c.checkInterrupted(ctx, c.adjustVerdict(err))
-		}
-		err = c.attempt(ctx, p)
-		p.release(c.delivered == 0)
-		if err == nil || ctx.Err() != nil {
+		case ctx.Err() != nil:
 			return c.checkInterrupted(ctx, err)
 		}
 		r := verdict.From(err)
@@ -65,6 +69,39 @@
 	}
 }
 
+// attemptNext waits for endpoints and sends the request there. The result tried reports whether
+// it was sent. If it was not and err is nil, a suspect request has to wait for its permit, and
+// attemptNext has to be called again.
+func (c *call) attemptNext(ctx context.Context) (tried bool, err error) {
+	if err := c.checkQuarantine(); err != nil {
+		return false, err
+	}
+	p, err := c.g.place(ctx, c)
+	if err != nil {
+		return false, err
+	}
+	// The status may have changed while the request waited.
+	err = c.checkQuarantine()
+	if err == nil && c.g.suspects.Status(c.content) == quarantine.Suspect {
+		var granted bool
+		if granted, err = c.takePermit(ctx, p.Assignment); !granted {
+			p.release(true)
+			if err == nil {
+				err = c.awaitPermit(ctx)
+			}
+			return false, err
+		}
+	}
+	if err != nil {
+		p.release(true)
+		return false, err
+	}
+	err = c.attempt(ctx, p)
+	p.release(c.delivered == 0)
+	c.endPermit(err)
+	return true, err
+}
+
 // mayTryAgain reports whether the request may be sent to another endpoint after the
 // failure r.
 func (c *call) mayTryAgain(r *verdict.Refusal) bool {
@@ -140,10 +177,15 @@
 	timer.reset(c.firstEventTimeout(a))
 	res, err := c.g.http.RoundTrip(c.endpointRequest(ctx, a, helpers))
 	if err != nil {
-		return c.handleTransportError(ctx, a, err)
+		err = c.handleTransportError(ctx, a, err)
+	} else {
+		defer func() { _ = res.Body.Close() }()
+		err = c.handleAnswer(ctx, a, res, timer)
+	}
+	if errors.Is(err, errCallerGone) {
+		c.recordInterruption(a, false)
 	}
-	defer func() { _ = res.Body.Close() }()
-	return c.handleAnswer(ctx, a, res, timer)
+	return err
 }
 
 // sendReason returns the reason of the current attempt as a label value for metrics.
@@ -225,6 +267,8 @@
 	if c.r.Context().Err() != nil {
 		return errCallerGone
 	}
+	// A broken connection may be the first sign that the endpoint has ended.
+	c.recordInterruption(a, context.Cause(ctx) == nil)
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		if silentFor := c.g.clock.Now().Sub(c.sentAt); c.route.LatencyTarget > 0 && silentFor > latencyTimeoutFactor*c.route.LatencyTarget && c.delivered == 0 {
 			c.distrust(a.Primary.Name, "silent until the deadline", err)
@@ -280,6 +324,9 @@
 		c.g.fleet.MarkBusy(c.g.clock.Now(), name)
 	}
 	c.g.mu.Unlock()
+	if name != a.Primary.Name {
+		c.recordHelperInterruption(a, name)
+	}
 	if outcome == Misdirected || name != a.Primary.Name {
 		c.distrust(name, "refused the request", errors.Errorf("status %d", status))
 		c.placementRequest.Tried = append(c.placementRequest.Tried, name)
@@ -329,9 +376,11 @@
 
 // markAlive records activity of the primary endpoint.
 func (c *call) markAlive(a *assign.Assignment) {
+	now := c.g.clock.Now()
 	c.g.mu.Lock()
 	defer c.g.mu.Unlock()
-	c.g.fleet.MarkAlive(c.g.clock.Now(), a.Primary.Name)
+	c.g.fleet.MarkAlive(now, a.Primary.Name)
+	c.g.returnPermits(c.g.losses.Active(now, instanceOf(a.Primary)))
 }
 
 // writeHead sends the status and the headers of the answer to the caller.
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+const (
+	// quarantineRetryAfter is the Retry-After of requests that crash endpoints. No earlier copy
+	// of such a request would be sent.
+	quarantineRetryAfter = time.Hour
+	// maxPermitWait is the longest wait before a permit is requested again.
+	maxPermitWait = time.Second
+	// refusalCheckDelay is the time between the two checks if the address of an endpoint
+	// refuses connections. A process that ends may close its connections first.
+	refusalCheckDelay = 100 * time.Millisecond
+	// lossReportRetry is the pause after a report of lost endpoints that control did not
+	// answer, and lossReportTTL is how long such a report is repeated.
+	lossReportRetry = 300 * time.Millisecond
+	lossReportTTL   = time.Minute
+)
+
+// checkQuarantine refuses a request whose content is known to crash endpoints. The verdict is
+// NotRun, because it speaks of this request and not of earlier ones with the same content.
+func (c *call) checkQuarantine() error {
+	if c.g.suspects.Status(c.content) != quarantine.Convicted {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonQuarantined, quarantineRetryAfter, "requests with content %s crash endpoints", c.contentField())
+}
+
+// takePermit asks control for the right to send a suspect request to the placed endpoints. If
+// control does not grant it now, the result is false without an error, and c.permitWait is set.
+func (c *call) takePermit(ctx context.Context, a *assign.Assignment) (granted bool, err error) {
+	holder := fmt.Sprintf("%s-%08x-%d", c.g.node.Name, c.g.startID, c.g.permitSeq.Add(1))
+	left := c.deadline.Sub(c.g.clock.Now())
+	answer, err := c.g.suspects.RequestPermit(ctx, command.Permit{
+		Digest: c.content, Holder: holder, Endpoint: a.Primary.Name, Incarnation: a.Primary.Incarnation, MaxRunTime: left,
+	})
+	if err != nil {
+		return false, verdict.Refuse(verdict.ReasonNoQuorum, defaultRetryAfter, "content %s is suspected of crashing endpoints, and control gives no permit: %v", c.contentField(), err)
+	}
+	c.log().Info("permit requested", "content", c.contentField(), "status", quarantine.Status(answer.Status).String(), "granted", answer.Granted, "retry_after", answer.RetryAfter)
+	switch {
+	case answer.Granted && quarantine.Status(answer.Status) == quarantine.Suspect:
+		c.permitHolder, c.interrupted = holder, false
+	case !answer.Granted && answer.RetryAfter > left:
+		return false, verdict.Refuse(verdict.ReasonSuspect, answer.RetryAfter, "requests with content %s were in flight when endpoints failed", c.contentField())
+	}
+	c.permitWait = min(answer.RetryAfter, maxPermitWait)
+	return answer.Granted, nil
+}
+
+// awaitPermit waits before a permit is requested again.
+func (c *call) awaitPermit(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return verdict.Refuse(verdict.ReasonDeadline, defaultRetryAfter, "no permit for content %s in time", c.contentField())
+	case <-c.g.clock.After(c.permitWait):
+		return nil
+	}
+}
+
+// endPermit returns the permit of an attempt that ended with err, unless its endpoint may have
+// ended too.
+func (c *call) endPermit(err error) {
+	holder := c.permitHolder
+	c.permitHolder = ""
+	if holder == "" || c.interrupted {
+		return
+	}
+	go c.g.endPermit(command.Ended{Digest: c.content, Holder: holder, Completed: err == nil})
+}
+
+// returnPermits returns the permits of interrupted attempts whose endpoint is running.
+func (g *Gateway) returnPermits(released []quarantine.Interruption) {
+	for _, n := range released {
+		go g.endPermit(command.Ended{Digest: n.Digest, Holder: n.Holder})
+	}
+}
+
+// endPermit informs control that an attempt ended without a lost endpoint.
+func (g *Gateway) endPermit(ended command.Ended) {
+	if err := g.suspects.End(context.Background(), ended); err != nil {
+		g.log.Warn("permit not returned", "content", strconv.FormatUint(ended.Digest, 16), "completed", ended.Completed, "error", err)
+	}
+}
+
+// recordCompletion records that the request got a complete answer, which clears its content.
+func (c *call) recordCompletion() {
+	if c.g.suspects.RecordCompletion(c.content) {
+		go c.g.endPermit(command.Ended{Digest: c.content, Completed: true})
+	}
+}
+
+// instanceOf returns the identity of an endpoint's current incarnation.
+func instanceOf(e assign.Endpoint) quarantine.Instance {
+	return quarantine.Instance{Endpoint: e.Name, Addr: e.Addr, Incarnation: e.Incarnation}
+}
+
+// recordInterruption records that the attempt at the assigned endpoints ended without a complete
+// answer. With check set, it is found out at once whether they still accept connections.
+func (c *call) recordInterruption(a *assign.Assignment, check bool) {
+	c.interrupted = true
+	c.interrupt(a.Primary, check)
+	for _, h := range a.Helpers {
+		c.interrupt(h, check)
+	}
+}
+
+// recordHelperInterruption is recordInterruption for the helper that the primary endpoint
+// named as the cause of its refusal.
+func (c *call) recordHelperInterruption(a *assign.Assignment, name string) {
+	for _, h := range a.Helpers {
+		if h.Name == name {
+			c.interrupt(h, true)
+		}
+	}
+}
+
+// interrupt records an interrupted attempt at one endpoint.
+func (c *call) interrupt(e assign.Endpoint, check bool) {
+	at, now := instanceOf(e), c.g.clock.Now()
+	c.g.mu.Lock()
+	c.g.losses.Interrupt(now, at, c.content, c.permitHolder, c.g.fleet.Leaving(e.Name))
+	check = check && c.g.losses.BeginCheck(now, at)
+	c.g.mu.Unlock()
+	c.g.wakeLossReports()
+	if check {
+		go c.g.checkRefusal(at)
+	}
+}
+
+// checkRefusal finds out whether an endpoint has ended: its address then refuses connections.
+func (g *Gateway) checkRefusal(at quarantine.Instance) {
+	if !g.refusesConnections(at.Addr) {
+		<-g.clock.After(refusalCheckDelay)
+		if !g.refusesConnections(at.Addr) {
+			return
+		}
+	}
+	g.mu.Lock()
+	g.losses.End(at)
+	g.mu.Unlock()
+	g.wakeLossReports()
+}
+
+// refusesConnections reports whether the VM of addr is running and no process listens there.
+func (g *Gateway) refusesConnections(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, connectTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// wakeLossReports makes reportLosses look for ended endpoints.
+func (g *Gateway) wakeLossReports() {
+	select {
+	case g.lossesPending <- struct{}{}:
+	default:
+	}
+}
+
+// lossReport is a lost endpoint that is to be reported to control.
+type lossReport struct {
+	command.Suspect
+	found time.Time
+}
+
+// reportLosses reports lost endpoints to control until ctx ends.
+func (g *Gateway) reportLosses(ctx context.Context) {
+	var pending []lossReport
+	for {
+		var retry <-chan time.Time
+		if len(pending) > 0 {
+			retry = g.clock.After(lossReportRetry)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.lossesPending:
+		case <-retry:
+		}
+		pending = g.sendLossReports(ctx, append(pending, g.takeLosses()...))
+	}
+}
+
+// takeLosses returns the reports of endpoints that were found to have ended. A request that was
+// completed lately is not part of them.
+func (g *Gateway) takeLosses() []lossReport {
+	now := g.clock.Now()
+	g.mu.Lock()
+	g.losses.Expire(now)
+	ended := g.losses.TakeEnded()
+	g.mu.Unlock()
+	var out []lossReport
+	for _, e := range ended {
+		suspects := g.suspects.RecordDirectLosses(e.Digests)
+		g.metrics.endpointLosses.Inc()
+		g.log.Warn("endpoint lost", "endpoint", e.Endpoint, "addr", e.Addr, "incarnation", e.Incarnation, "in_flight", len(e.Digests),
+			"reported", len(suspects), "contents", contentList(suspects))
+		if len(suspects) > 0 {
+			out = append(out, lossReport{found: now, Suspect: command.Suspect{
+				Endpoint: e.Endpoint, Incarnation: e.Incarnation, Digests: suspects, Direct: true,
+			}})
+		}
+	}
+	return out
+}
+
+// sendLossReports sends reports to control and returns those that have to be repeated.
+func (g *Gateway) sendLossReports(ctx context.Context, reports []lossReport) (again []lossReport) {
+	for n, r := range reports {
+		statuses, err := g.suspects.Report(ctx, r.Suspect)
+		if err != nil {
+			g.log.Warn("endpoint loss not reported", "endpoint", r.Endpoint, "error", err)
+			now := g.clock.Now()
+			for _, rest := range reports[n:] {
+				if now.Sub(rest.found) < lossReportTTL {
+					again = append(again, rest)
+				}
+			}
+			return again
+		}
+		g.metrics.lossReports.Inc()
+		for i, status := range statuses {
+			if status != quarantine.Clear {
+				g.log.Warn("content suspected of crashing endpoints", "content", strconv.FormatUint(r.Digests[i], 16), "status", status.String(), "endpoint", r.Endpoint)
+			}
+		}
+	}
+	return nil
+}
+
+// maxLoggedContents bounds the contents in one log line.
+const maxLoggedContents = 8
+
+// contentList formats contents for a log line.
+func contentList(digests []uint64) string {
+	var out []byte
+	for i, d := range digests[:min(len(digests), maxLoggedContents)] {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = strconv.AppendUint(out, d, 16)
+	}
+	return string(out)
+}
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -26,6 +26,9 @@
 	if len(r.failures) == 1 && r.failures[0].outage {
 		return Clear
 	}
+	if len(r.failures) < MinDirectLosses && r.failures[0].direct {
+		return Clear
+	}
 	return Suspect
 }
 
@@ -161,8 +164,8 @@
 }
 
 // markOutage checks whether at least BurstFailures endpoints failed within BurstWindow.
-// If so, the cause lies outside the requests, and convictions that rest on these
-// failures are revoked.
+// If so, and no request was in flight in nearly all of them, the cause lies outside the
+// requests, and convictions that rest on these failures are revoked.
 func (l *List) markOutage(now time.Time) {
 	since := now.Add(-l.limits.BurstWindow)
 	first := len(l.failures)
@@ -170,7 +173,7 @@
 		first--
 	}
 	burst := l.failures[first:]
-	if len(burst) < l.limits.BurstFailures {
+	if len(burst) < l.limits.BurstFailures || haveCommonRequest(burst) {
 		return
 	}
 	for _, f := range burst {
@@ -181,6 +184,31 @@
 	}
 }
 
+// haveCommonRequest reports whether a request was in flight in all failures but one at most. Many
+// copies of a crashing request that are sent at once look like an outage otherwise.
+func haveCommonRequest(burst []*failure) bool {
+	for _, f := range burst[:2] {
+		if slices.ContainsFunc(f.digests, func(digest uint64) bool { return isCommon(burst, digest) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// isCommon reports whether at most one of the failures lacks the request.
+func isCommon(burst []*failure, digest uint64) bool {
+	lacking := 0
+	for _, f := range burst {
+		if !slices.Contains(f.digests, digest) {
+			lacking++
+		}
+		if lacking > 1 {
+			return false
+		}
+	}
+	return true
+}
+
 // reviewOutage revokes the convictions of requests in a failure of an outage, if the
 // remaining evidence doesn't suffice.
 func (l *List) reviewOutage(f *failure) {
--- a/quarantine/image.go
+++ b/quarantine/image.go
@@ -45,6 +45,7 @@
 	Holder           uint64 `cbor:"9,keyasint,omitempty"`
 	HasHolder        bool   `cbor:"10,keyasint,omitempty"`
 	HolderDispatched bool   `cbor:"11,keyasint,omitempty"`
+	Direct           bool   `cbor:"12,keyasint,omitempty"`
 }
 
 // Image returns the serializable state of the list.
@@ -63,7 +64,7 @@
 			Endpoint: f.instance.endpoint, Incarnation: f.instance.incarnation, At: toUnixNanos(f.at),
 			Digests: slices.Clone(f.digests), Cleared: slices.Clone(f.cleared),
 			Alone: f.alone, Outage: f.outage, Explained: f.explained,
-			Holder: f.holder, HasHolder: f.hasHolder, HolderDispatched: f.holderDispatched,
+			Holder: f.holder, HasHolder: f.hasHolder, HolderDispatched: f.holderDispatched, Direct: f.direct,
 		})
 	}
 	return img
@@ -83,7 +84,7 @@
 			instance: instance{endpoint: i.Endpoint, incarnation: i.Incarnation}, at: fromUnixNanos(i.At),
 			digests: slices.Clone(i.Digests), cleared: slices.Clone(i.Cleared),
 			alone: i.Alone, outage: i.Outage, explained: i.Explained,
-			holder: i.Holder, hasHolder: i.HasHolder, holderDispatched: i.HolderDispatched,
+			holder: i.Holder, hasHolder: i.HasHolder, holderDispatched: i.HolderDispatched, direct: i.Direct,
 		}
 		l.failures = append(l.failures, f)
 		for _, digest := range f.digests {
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -39,6 +39,8 @@
 	holderDispatched bool
 	// outage is set if the failure is one of BurstFailures within BurstWindow.
 	outage bool
+	// direct is set if the endpoint has no sidecar.
+	direct bool
 	// explained is set while a convicted request is among digests. The failure then
 	// counts against no other request.
 	explained bool
@@ -65,6 +67,7 @@
 func (l *List) ReportFailure(now time.Time, r FailureReport) {
 	l.expire(now)
 	f := l.failure(now, instance{endpoint: r.Endpoint, incarnation: r.Incarnation})
+	f.direct = f.direct || r.Direct
 	for _, digest := range r.Digests {
 		l.addRequest(f, digest)
 	}
@@ -145,14 +148,18 @@
 }
 
 // Completed records that the request ran to a complete answer, which clears it unless
-// it is convicted. It reports whether the list changed.
+// it is convicted as the only suspect of a failure. It reports whether the list changed.
 func (l *List) Completed(now time.Time, digest uint64) bool {
 	l.expire(now)
 	r := l.records[digest]
-	if r == nil || r.convicted {
+	if r == nil || (r.convicted && l.evidence(digest, nil).alone > 0) {
 		return false
 	}
+	failures := r.failures
 	l.clearRequest(digest)
+	for _, f := range failures {
+		l.updateExplained(f)
+	}
 	return true
 }
 
--- a/quarantine/local.go
+++ b/quarantine/local.go
@@ -8,6 +8,10 @@
 	localLossTTL = time.Minute
 	// maxLocalLosses is the most requests that a process treats as suspect on its own.
 	maxLocalLosses = 4096
+	// completionTTL is for how long a complete answer shows that a request does not crash
+	// endpoints, and maxCompletions is the most requests for which it is remembered.
+	completionTTL  = 10 * time.Second
+	maxCompletions = 4096
 )
 
 // LocalView is what one entry or sidecar knows of the status of requests: the lists
@@ -16,14 +20,23 @@
 type LocalView struct {
 	// statuses are the statuses from control.
 	statuses map[uint64]Status
-	// losses maps requests that this process treats as suspect to the end of that
-	// period.
-	losses map[uint64]time.Time
+	losses   map[uint64]localLoss
+	// completions maps requests to the time of their last complete answer.
+	completions map[uint64]time.Time
+}
+
+// localLoss is what a process knows of a request from losses that it saw itself.
+type localLoss struct {
+	// until is the end of the period for which the loss counts.
+	until time.Time
+	// direct is the number of direct endpoints that were lost. It is zero if the loss of an
+	// endpoint with a sidecar, or control, has made the request suspect.
+	direct int
 }
 
 // NewLocalView returns an empty LocalView.
 func NewLocalView() *LocalView {
-	return &LocalView{statuses: map[uint64]Status{}, losses: map[uint64]time.Time{}}
+	return &LocalView{statuses: map[uint64]Status{}, losses: map[uint64]localLoss{}, completions: map[uint64]time.Time{}}
 }
 
 // Update replaces the statuses by those in control's lists.
@@ -40,14 +53,56 @@
 // RecordLoss records that an endpoint failed with the request in flight. The request
 // is suspect immediately, before control has evaluated the failure.
 func (l *LocalView) RecordLoss(now time.Time, digest uint64) {
+	l.addLoss(now, digest, 0)
+}
+
+// RecordDirectLoss records that a direct endpoint failed with the request in flight. Until
+// control has answered, the request is suspect from MinDirectLosses on.
+func (l *LocalView) RecordDirectLoss(now time.Time, digest uint64) {
+	loss, ok := l.losses[digest]
+	switch {
+	case ok && loss.direct == 0 && now.Before(loss.until):
+		l.addLoss(now, digest, 0)
+	case now.Before(loss.until):
+		l.addLoss(now, digest, loss.direct+1)
+	default:
+		l.addLoss(now, digest, 1)
+	}
+}
+
+// addLoss records a loss, unless there are too many.
+func (l *LocalView) addLoss(now time.Time, digest uint64, direct int) {
 	if len(l.losses) >= maxLocalLosses {
 		l.expireLosses(now)
 	}
-	if len(l.losses) < maxLocalLosses {
-		l.losses[digest] = now.Add(localLossTTL)
+	if _, ok := l.losses[digest]; ok || len(l.losses) < maxLocalLosses {
+		l.losses[digest] = localLoss{until: now.Add(localLossTTL), direct: direct}
 	}
 }
 
+// RecordCompletion records a complete answer to a request. It reports whether the request is
+// not clear, so that control has to be informed.
+func (l *LocalView) RecordCompletion(now time.Time, digest uint64) (inform bool) {
+	if len(l.completions) >= maxCompletions {
+		for old, at := range l.completions {
+			if now.Sub(at) > completionTTL {
+				delete(l.completions, old)
+			}
+		}
+	}
+	if _, ok := l.completions[digest]; ok || len(l.completions) < maxCompletions {
+		l.completions[digest] = now
+	}
+	return l.Status(now, digest) != Clear
+}
+
+// CompletedLately reports whether the request got a complete answer within completionTTL. Such a
+// request does not crash endpoints, although one may have failed with a copy of it in flight.
+func (l *LocalView) CompletedLately(now time.Time, digest uint64) bool {
+	at, ok := l.completions[digest]
+	return ok && now.Sub(at) <= completionTTL
+}
+
 // SetStatus sets the status of a request from control's answer to a FailureReport or
 // a PermitRequest. Lists that control sent before the answer may arrive after it, so a
 // request that isn't clear stays suspect for localLossTTL even if they don't include
@@ -67,7 +122,11 @@
 	if status, ok := l.statuses[digest]; ok {
 		return status
 	}
-	if until, ok := l.losses[digest]; ok && now.Before(until) {
+	loss, ok := l.losses[digest]
+	switch {
+	case !ok || !now.Before(loss.until):
+		return Clear
+	case loss.direct == 0 || loss.direct >= MinDirectLosses:
 		return Suspect
 	}
 	return Clear
@@ -75,8 +134,8 @@
 
 // expireLosses removes the losses whose period is over.
 func (l *LocalView) expireLosses(now time.Time) {
-	for digest, until := range l.losses {
-		if !now.Before(until) {
+	for digest, loss := range l.losses {
+		if !now.Before(loss.until) {
 			delete(l.losses, digest)
 		}
 	}
--- a/quarantine/permit.go
+++ b/quarantine/permit.go
@@ -50,8 +50,9 @@
 		return Permit{Status: Suspect, Granted: true, Alone: r.mustRunAlone()}
 	case r.permit.holder != "":
 		return Permit{Status: Suspect, RetryAfter: permitHeldRetryAfter}
-	case r.lostEndpoints() >= MaxLostEndpoints:
-		return Permit{Status: Suspect, RetryAfter: lossLimitRetryAfter}
+	}
+	if wait := l.withheldFor(now, req.Digest); wait > 0 {
+		return Permit{Status: Suspect, RetryAfter: wait}
 	}
 	inst := instance{endpoint: req.Endpoint, incarnation: req.Incarnation}
 	if l.hasPermit(now, inst) {
@@ -61,6 +62,32 @@
 	return Permit{Status: Suspect, Granted: true, Alone: r.mustRunAlone()}
 }
 
+// withheldFor returns how long the request gets no permit, because MaxLostEndpoints may have been
+// lost to it. After losses of direct endpoints in an outage it is tried again once the outage is
+// over: many endpoints may be lost to copies that are sent at once, and to requests that are in
+// flight beside them, before control knows of the first loss. If an endpoint is lost under a
+// permit in another outage, there is no further trial.
+func (l *List) withheldFor(now time.Time, digest uint64) time.Duration {
+	r := l.records[digest]
+	if r.lostEndpoints() < MaxLostEndpoints {
+		return 0
+	}
+	inOutage := 0
+	for _, f := range r.failures {
+		if !f.direct || (f.outage && f.hasHolder && f.holder == digest) {
+			return lossLimitRetryAfter
+		}
+		if f.outage {
+			inOutage++
+		}
+	}
+	if r.lostEndpoints()-inOutage >= MaxLostEndpoints {
+		return lossLimitRetryAfter
+	}
+	last := r.failures[len(r.failures)-1].at
+	return last.Add(l.limits.BurstWindow).Sub(now)
+}
+
 // mustRunAlone reports whether the request may run only while no other request is in
 // flight on the endpoint. After one lost endpoint it may run beside clear requests: a
 // failure makes every request in flight suspect, and few endpoints are idle. After a
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -8,6 +8,9 @@
 // is refused everywhere, and the failures that it took part in no longer count against
 // the other requests in flight. Those stay suspect until a complete answer clears them.
 //
+// An endpoint without a sidecar is called direct. A Tracker finds out which requests were in
+// flight when such an endpoint ended.
+//
 // A request is identified by a digest of its content, so that copies of it that arrive
 // through other entries share one record.
 //
@@ -19,6 +22,11 @@
 // MaxLostEndpoints is the most endpoints that may be lost to one request.
 const MaxLostEndpoints = 3
 
+// MinDirectLosses is the number of direct endpoints that are lost under a request before it
+// becomes suspect. A direct endpoint has no sidecar, and the loss of one makes too many
+// innocent requests wait for permits to be worth what it tells about each of them.
+const MinDirectLosses = 2
+
 // Status says whether and how a request may run.
 type Status uint8
 
@@ -89,6 +97,8 @@
 	// Alone is set if the reporter is certain that no other request was in flight: the
 	// sidecar had only this one, or had admitted the attempt as one that runs alone.
 	Alone bool
+	// Direct is set for a direct endpoint; see MinDirectLosses.
+	Direct bool
 }
 
 // PermitRequest asks for a permit to run a suspect request.
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -103,6 +104,8 @@
 	runs int
 	// arrivals counts the arrivals at endpoints, including those that did not run.
 	arrivals int
+	// endpoints are those that ran the request.
+	endpoints []string
 	// answers are the bodies that endpoints sent as answers to the request, by seal.
 	answers map[string][]byte
 	// refused is set when the caller got an answer that states that the request has not
@@ -131,6 +134,8 @@
 	// crashing holds the requests that crash endpoints, by content, and retries the
 	// arrivals by service.
 	crashing map[string]*crashingContent
+	// ended holds the endpoints whose incarnation has ended.
+	ended    map[string]bool
 	retries  map[string]*arrivalTimes
 	findings []Finding
 	// The counts of the report.
@@ -141,7 +146,7 @@
 func NewChecker(now time.Time, b Bounds) *Checker {
 	return &Checker{
 		bounds: b, start: now, requests: map[string]*trackedRequest{}, revoked: map[string]time.Time{}, drained: map[string]time.Time{},
-		crashing: map[string]*crashingContent{}, retries: map[string]*arrivalTimes{},
+		crashing: map[string]*crashingContent{}, ended: map[string]bool{}, retries: map[string]*arrivalTimes{},
 	}
 }
 
@@ -198,6 +203,7 @@
 	}
 	c.checkCrashing(now, r, a.Endpoint)
 	r.runs++
+	r.endpoints = append(r.endpoints, a.Endpoint)
 	if r.AtMostOnce && r.runs > 1 {
 		c.addFinding(now, PromiseAtMostOnce, "request %s ran %d times, the last at endpoint %s", a.ID, r.runs, a.Endpoint)
 	}
@@ -284,17 +290,25 @@
 }
 
 // ConnectionClosed records that the connection of a completely sent request ended without a
-// complete answer. While time bounds apply, only a planned stop of the entry can cause this,
-// and it is a finding if the request has run.
+// complete answer. While time bounds apply, only a planned stop of the entry and the end of an
+// endpoint can cause this. It is a finding if the request has run only on endpoints that still run.
 func (c *Checker) ConnectionClosed(now time.Time, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.requests[id]
-	if r.runs > 0 && r.sent.After(c.boundsSuspended) && now.After(c.boundsSuspended) {
+	brokenOff := slices.ContainsFunc(r.endpoints, func(endpoint string) bool { return c.ended[endpoint] })
+	if r.runs > 0 && !brokenOff && r.sent.After(c.boundsSuspended) && now.After(c.boundsSuspended) {
 		c.addFinding(now, PromiseGracefulStop, "request %s ran and entry %s closed its connection without an answer", id, r.Entry)
 	}
 }
 
+// EndpointEnded records that an incarnation of an endpoint has ended and broken off its answers.
+func (c *Checker) EndpointEnded(endpoint string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended[endpoint] = true
+}
+
 // Acked records that control acknowledged a configuration, which removes the keys revoked.
 func (c *Checker) Acked(now time.Time, version uint64, revoked []string) {
 	c.mu.Lock()
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -128,6 +128,12 @@
 	c.Sent(at(3*time.Second), again)
 	c.Ran(at(3*time.Second), arrivalWith(func(a *Arrival) { a.ID = "again" })) // within Bounds.Reconnect after the fault
 	c.ConnectionClosed(at(3*time.Second), "again")
+	broken := call
+	broken.ID, broken.Key = "broken", ""
+	c.Sent(at(8*time.Second), broken)
+	c.Ran(at(8*time.Second), arrivalWith(func(a *Arrival) { a.ID, a.Endpoint = "broken", "i-3" }))
+	c.EndpointEnded("i-3")
+	c.ConnectionClosed(at(8*time.Second), "broken")
 	c.FinalVersion(at(4*time.Second), 6) // newer than acknowledged: a change without an answer may have been applied
 	c.CheckRecovery(at(5*time.Second), 100, 25)
 	sendCrashing(c, 5*time.Second, 5) // before all entries must know of the third crash
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -66,6 +66,7 @@
 	ReasonSlowReader         Reason = "slow_reader"
 	ReasonStreamBroken       Reason = "stream_broken"
 	ReasonQuarantined        Reason = "quarantined"
+	ReasonSuspect            Reason = "suspect"
 	ReasonNoQuorum           Reason = "no_quorum"
 	ReasonKeyReused          Reason = "idempotency_key_reused"
 	ReasonKeyExpired         Reason = "idempotency_key_expired"
