gateway: entries that restart have no new share of the extra retries

Cause: the retry window is in each process, and began empty with a whole share of RetryLimits.Extra. An entry that was killed and started in turn spent the share of each start; until the first list of entries it divided by one, and after a replica of control restarted by the few it listed. When an entry left, the others took its share over at once; cut off ones kept theirs.

Change: the number of entries that share Extra is the largest known within a window, an entry has no share for one window and the delay of lists after its start, and none while its configuration may be out of date. Its share by its own requests (Ratio) stays.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,7 +175,7 @@
 	g.log, g.clock, g.node = h.Log, h.Clock, h.Node
 	g.entries.Store(1)
 	g.background, g.stopBackground = context.WithCancel(context.Background())
-	g.retries = newRetryBudget(g.Retries)
+	g.retries = newRetryBudget(g.Retries, h.Clock.Now())
 	g.metrics = newMetrics(h.Metrics)
 	g.http = newTransport()
 	g.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
@@ -249,6 +249,7 @@
 	if len(u.Entries) > 0 {
 		all := g.updatePeers(g.background, u.Entries)
 		g.entries.Store(int64(len(all)))
+		g.retries.recordEntries(g.clock.Now(), int64(len(all)))
 		g.placer.setAddrs(all)
 	}
 	doc := g.client.Config()
@@ -286,6 +287,16 @@
 	g.log.Info("configuration applied", "revision", doc.Revision, "version", doc.PublishedVersion(), "zones_out", len(zonesOut))
 }
 
+// retrySharing returns the number of entries that share the extra retries, or 0 if this entry has
+// no share. An entry whose configuration may be out of date has none, because the other entries
+// may no longer count it.
+func (g *Gateway) retrySharing() int64 {
+	if !g.client.Fresh() {
+		return 0
+	}
+	return g.retries.sharing(g.clock.Now())
+}
+
 // updateEndpoints applies added, changed and removed endpoints.
 func (g *Gateway) updateEndpoints(u *wire.Update) {
 	g.mu.Lock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -133,7 +133,8 @@
 	g := New(Settings{Retries: RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, TicketTTL: time.Second}, testDialect{}, w.engines)
 	g.log, g.clock, g.node = hclog.NewNullLogger(), kernel.SystemClock{}, settings.Node{Name: "entry-1", Zone: "hall"}
 	g.client, g.http, g.metrics = w.session, newTransport(), newMetrics(metrics.NewSet())
-	g.retries = newRetryBudget(g.Retries)
+	g.retries = newRetryBudget(g.Retries, time.Time{})
+	g.retries.recordEntries(time.Time{}, 1)
 	g.suspects = session.NewSuspects(w.session, g.clock)
 	g.entries.Store(1)
 	w.g = g
@@ -609,7 +610,7 @@
 func TestRetriesStayWithinThisEntrysShare(t *testing.T) {
 	is := is.New(t)
 	t0 := time.Unix(0, 0)
-	b := newRetryBudget(RetryLimits{Ratio: 0.2, Extra: 10, Window: 10 * time.Second})
+	b := newRetryBudget(RetryLimits{Ratio: 0.2, Extra: 10, Window: 10 * time.Second}, t0)
 	for i := range 100 {
 		b.recordRequest(t0.Add(time.Duration(i)*time.Millisecond), "desk")
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -96,6 +96,6 @@
 		})
 	}
 	g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_retries_left{service=%q}", name), func() float64 {
-		return g.retries.remaining(g.clock.Now(), name, g.entries.Load())
+		return g.retries.remaining(g.clock.Now(), name, g.retrySharing())
 	})
 }
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -65,7 +65,7 @@
 			return c.adjustVerdict(r)
 		}
 		c.log().Info("request retried", "reason", string(r.Reason), "verdict", r.Verdict.String(), "detail", r.Detail,
-			"content", c.contentField(), "entries", c.g.entries.Load(), "left", c.deadline.Sub(c.g.clock.Now()))
+			"content", c.contentField(), "entries", c.g.retrySharing(), "left", c.deadline.Sub(c.g.clock.Now()))
 	}
 }
 
@@ -120,7 +120,7 @@
 		// The request reached no endpoint, so it spends no retry.
 		return true
 	}
-	return c.g.retries.trySpend(c.g.clock.Now(), c.service.Name, c.g.entries.Load())
+	return c.g.retries.trySpend(c.g.clock.Now(), c.service.Name, c.g.retrySharing())
 }
 
 // adjustVerdict returns err as a refusal with the verdict for the whole request. The
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,11 +14,56 @@
 	Window time.Duration
 }
 
+// entryListDelay is the time in which all entries have learned of a new one.
+const entryListDelay = 5 * time.Second
+
+// entryCount decides among how many entries RetryLimits.Extra is divided, so that the shares never
+// add up to more than the whole within a window, whichever entries start, end or are cut off.
+type entryCount struct {
+	// started is when this process started.
+	started time.Time
+	// counts are the numbers of entries known, and until when; the last one has no end.
+	counts []countUntil
+}
+
+// countUntil is a number of entries that was known until a time.
+type countUntil struct {
+	entries int64
+	until   time.Time
+}
+
+// record replaces the number of entries known.
+func (c *entryCount) record(now time.Time, entries int64) {
+	if n := len(c.counts); n > 0 {
+		if c.counts[n-1].entries == entries {
+			return
+		}
+		c.counts[n-1].until = now
+	}
+	c.counts = append(c.counts, countUntil{entries: entries})
+}
+
+// sharing returns the number of entries that share Extra, or 0 if this entry has no share. It has
+// none in the first window, because an earlier start of it, or the other entries, may have spent
+// the whole. Entries that are gone count for another window, because of what they have spent.
+func (c *entryCount) sharing(now time.Time, window time.Duration) int64 {
+	if now.Sub(c.started) < window+entryListDelay {
+		return 0
+	}
+	c.counts = slices.DeleteFunc(c.counts, func(n countUntil) bool { return !n.until.IsZero() && now.Sub(n.until) > window })
+	var most int64
+	for _, n := range c.counts {
+		most = max(most, n.entries)
+	}
+	return most
+}
+
 // retryBudget is this entry's share of the limits, counted for each service. Its lock
 // is "gateway.retries" of kernel.LockOrder.
 type retryBudget struct {
 	mu       sync.Mutex
 	limits   RetryLimits
+	entries  entryCount
 	services map[string]*serviceUsage
 }
 
@@ -28,8 +74,9 @@
 	retries  []time.Time
 }
 
-func newRetryBudget(l RetryLimits) *retryBudget {
-	return &retryBudget{limits: l, services: map[string]*serviceUsage{}}
+// newRetryBudget returns the budget of a process that started at the given time.
+func newRetryBudget(l RetryLimits, started time.Time) *retryBudget {
+	return &retryBudget{limits: l, entries: entryCount{started: started}, services: map[string]*serviceUsage{}}
 }
 
 // usage returns the usage of a service. The caller holds b.mu.
@@ -57,8 +104,22 @@
 	s.requests = append(dropBefore(s.requests, now.Add(-b.limits.Window)), now)
 }
 
+// recordEntries replaces the number of entries known.
+func (b *retryBudget) recordEntries(now time.Time, entries int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries.record(now, entries)
+}
+
+// sharing returns the number of entries that share Extra, or 0 if this entry has no share.
+func (b *retryBudget) sharing(now time.Time) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.entries.sharing(now, b.limits.Window)
+}
+
 // trySpend counts a retry and returns true if this entry's share allows it; entries is
-// the number of entries that share the limits.
+// the number of entries that share the limits, or 0 if this entry has no share of Extra.
 func (b *retryBudget) trySpend(now time.Time, service string, entries int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -81,7 +142,10 @@
 func (b *retryBudget) remainingLocked(s *serviceUsage, now time.Time, entries int64) float64 {
 	from := now.Add(-b.limits.Window)
 	s.requests, s.retries = dropBefore(s.requests, from), dropBefore(s.retries, from)
-	allowed := b.limits.Ratio*float64(len(s.requests)) + float64(b.limits.Extra)/float64(max(entries, 1))
+	allowed := b.limits.Ratio * float64(len(s.requests))
+	if entries > 0 {
+		allowed += float64(b.limits.Extra) / float64(entries)
+	}
 	return allowed - float64(len(s.retries))
 }
 
--- /dev/null
+++ b/gateway/retries_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestShareOfExtraRetries(t *testing.T) {
+	const window = 10 * time.Second
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	tests := map[string]struct {
+		counts map[float64]int64 // by the time in seconds
+		at     float64
+		want   int64
+	}{
+		"before the first list":                  {nil, 100, 0},
+		"an earlier start may have spent it":     {map[float64]int64{1: 4}, 14, 0},
+		"a window and the delay of lists later":  {map[float64]int64{1: 4}, 15, 4},
+		"a replica lists few entries at first":   {map[float64]int64{1: 1, 6: 4}, 15, 4},
+		"an entry joins":                         {map[float64]int64{1: 4, 20: 5}, 20, 5},
+		"an entry that left may have spent some": {map[float64]int64{1: 4, 20: 3}, 29, 4},
+		"an entry that left a window ago":        {map[float64]int64{1: 4, 20: 3}, 31, 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := entryCount{started: start}
+			for second := range 101 {
+				if n, ok := test.counts[float64(second)]; ok {
+					c.record(at(float64(second)), n)
+				}
+			}
+			is.Equal(c.sharing(at(test.at), window), test.want)
+		})
+	}
+}
+
+// TestEntriesShareExtraRetriesWhileTheyRestart checks that entries that start, end and learn late
+// of one another never spend more than RetryLimits.Extra in a window.
+func TestEntriesShareExtraRetriesWhileTheyRestart(t *testing.T) {
+	limits := RetryLimits{Extra: 20, Window: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var entries []*retryBudget
+		var spent []time.Time
+		// listed is the number of entries, and changed the time of its last change. Entries learn
+		// of a change within entryListDelay.
+		listed, changed := 0, now
+		inform := func() {
+			for _, b := range entries {
+				b.recordEntries(now, int64(listed))
+			}
+		}
+		start := func(*rapid.T) {
+			if len(entries) < 8 {
+				entries = append(entries, newRetryBudget(limits, now))
+				listed, changed = len(entries), now
+			}
+		}
+		start(nil)
+		t.Repeat(map[string]func(*rapid.T){
+			"start": start,
+			"kill": func(t *rapid.T) {
+				if len(entries) > 1 {
+					entries = entries[1:]
+					listed, changed = len(entries), now
+				}
+			},
+			"restart": func(t *rapid.T) {
+				n := rapid.IntRange(0, len(entries)-1).Draw(t, "entry")
+				entries[n] = newRetryBudget(limits, now)
+				changed = now
+			},
+			"inform": func(*rapid.T) { inform() },
+			"spend": func(t *rapid.T) {
+				b := entries[rapid.IntRange(0, len(entries)-1).Draw(t, "entry")]
+				for b.trySpend(now, "desk", b.sharing(now)) {
+					spent = append(spent, now)
+				}
+			},
+			"": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond)
+				if now.Sub(changed) >= entryListDelay-4*time.Second {
+					inform()
+				}
+				spent = dropBefore(spent, now.Add(-limits.Window))
+				if len(spent) > limits.Extra {
+					t.Fatalf("%d extra retries in a window", len(spent))
+				}
+			},
+		})
+	})
+}
+
+func TestEntryCutOffFromControlHasNoShareOfExtraRetries(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t)
+	is.Equal(w.g.retrySharing(), int64(1))
+	w.session.expired.Store(true)
+	is.Equal(w.g.retrySharing(), int64(0))
+}
