quarantine: an attempt counts at one of its endpoints

When several of these ended at once, its content had as many losses against it from a single attempt.

Change: the tracker counts an attempt at the first of its endpoints that is found to have ended.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -84,9 +84,9 @@
 }
 
 // returnPermits returns the permits of interrupted attempts whose endpoint is running.
-func (g *Gateway) returnPermits(released []quarantine.Interruption) {
-	for _, n := range released {
-		go g.endPermit(command.Ended{Digest: n.Digest, Holder: n.Holder})
+func (g *Gateway) returnPermits(released []*quarantine.Attempt) {
+	for _, a := range released {
+		go g.endPermit(command.Ended{Digest: a.Digest, Holder: a.Holder})
 	}
 }
 
@@ -113,9 +113,10 @@
 // answer. With check set, it is found out at once whether they still accept connections.
 func (c *call) recordInterruption(a *assign.Assignment, check bool) {
 	c.interrupted = true
-	c.interrupt(a.Primary, check)
+	attempt := &quarantine.Attempt{Digest: c.content, Holder: c.permitHolder}
+	c.interrupt(attempt, a.Primary, check)
 	for _, h := range a.Helpers {
-		c.interrupt(h, check)
+		c.interrupt(attempt, h, check)
 	}
 }
 
@@ -124,16 +125,16 @@
 func (c *call) recordHelperInterruption(a *assign.Assignment, name string) {
 	for _, h := range a.Helpers {
 		if h.Name == name {
-			c.interrupt(h, true)
+			c.interrupt(&quarantine.Attempt{Digest: c.content}, h, true)
 		}
 	}
 }
 
 // interrupt records an interrupted attempt at one endpoint.
-func (c *call) interrupt(e assign.Endpoint, check bool) {
+func (c *call) interrupt(a *quarantine.Attempt, e assign.Endpoint, check bool) {
 	at, now := instanceOf(e), c.g.clock.Now()
 	c.g.mu.Lock()
-	c.g.losses.Interrupt(now, at, c.content, c.permitHolder, c.g.fleet.Leaving(e.Name))
+	c.g.losses.Interrupt(now, at, a, c.g.fleet.Leaving(e.Name))
 	check = check && c.g.losses.BeginCheck(now, at)
 	c.g.mu.Unlock()
 	c.g.wakeLossReports()
--- a/quarantine/direct_test.go
+++ b/quarantine/direct_test.go
@@ -153,7 +153,7 @@
 
 func TestTrackerFindsRequestsUnderWhichEndpointsEnded(t *testing.T) {
 	a := Instance{Endpoint: "a", Addr: "1", Incarnation: 5}
-	interrupt := func(tr *Tracker) { tr.Interrupt(at(0), a, crasher, "h", false) }
+	interrupt := func(tr *Tracker) { tr.Interrupt(at(0), a, &Attempt{Digest: crasher, Holder: "h"}, false) }
 	tests := map[string]struct {
 		events func(*Tracker)
 		want   []uint64
@@ -168,10 +168,10 @@
 		"active later, then ended":        {func(tr *Tracker) { tr.Active(at(1), a); tr.End(a) }, nil},
 		"answers in transit, then ended":  {func(tr *Tracker) { tr.Active(at(0.1), a); tr.End(a) }, []uint64{crasher}},
 		"leaving, then ended":             {func(tr *Tracker) { tr.Leaving("a"); tr.Started(Instance{"b", "1", 6}) }, nil},
-		"interrupted while it leaves":     {func(tr *Tracker) { tr.Interrupt(at(1), a, 8, "", true); tr.End(a) }, []uint64{crasher}},
+		"interrupted while it leaves":     {func(tr *Tracker) { tr.Interrupt(at(1), a, &Attempt{Digest: 8}, true); tr.End(a) }, []uint64{crasher}},
 		"two copies count once":           {func(tr *Tracker) { interrupt(tr); tr.End(a) }, []uint64{crasher}},
 		"ended too long after":            {func(tr *Tracker) { tr.Expire(at(61)); tr.End(a) }, nil},
-		"interrupted after the end shows": {func(tr *Tracker) { tr.End(a); tr.TakeEnded(); tr.Interrupt(at(1), a, 8, "", false) }, []uint64{8}},
+		"interrupted after the end shows": {func(tr *Tracker) { tr.End(a); tr.TakeEnded(); tr.Interrupt(at(1), a, &Attempt{Digest: 8}, false) }, []uint64{8}},
 		"a copy after the end shows":      {func(tr *Tracker) { tr.End(a); tr.TakeEnded(); interrupt(tr) }, nil},
 	}
 	for name, test := range tests {
@@ -191,11 +191,27 @@
 	}
 }
 
+// A long prompt became suspect when its endpoint and two of its helpers ended at once.
+func TestAttemptCountsAtOneOfItsEndpoints(t *testing.T) {
+	is := is.New(t)
+	tr, a := NewTracker(), &Attempt{Digest: innocent}
+	for _, name := range []string{"primary", "helper-1", "helper-2"} {
+		tr.Interrupt(at(0), Instance{Endpoint: name}, a, false)
+		tr.End(Instance{Endpoint: name})
+	}
+	ended := tr.TakeEnded()
+	is.Equal(len(ended), 1)
+	is.Equal(ended[0].Digests, []uint64{innocent})
+	tr.Interrupt(at(1), Instance{Endpoint: "next"}, &Attempt{Digest: innocent}, false)
+	tr.End(Instance{Endpoint: "next"})
+	is.Equal(len(tr.TakeEnded()), 1)
+}
+
 func TestTrackerReturnsPermitsOfRunningEndpoints(t *testing.T) {
 	is := is.New(t)
 	tr, a := NewTracker(), Instance{Endpoint: "a", Addr: "1", Incarnation: 5}
-	tr.Interrupt(at(0), a, crasher, "h", false)
-	tr.Interrupt(at(0), a, innocent, "", false)
+	tr.Interrupt(at(0), a, &Attempt{Digest: crasher, Holder: "h"}, false)
+	tr.Interrupt(at(0), a, &Attempt{Digest: innocent}, false)
 	is.Equal(len(tr.Active(at(0.2), a)), 0)
 	released := tr.Active(at(1), a)
 	is.Equal(len(released), 1)
@@ -207,14 +223,14 @@
 	is := is.New(t)
 	tr := NewTracker()
 	for i := range 2 * maxTrackedInstances {
-		tr.Interrupt(at(0), Instance{Endpoint: fmt.Sprint(i)}, crasher, "", false)
+		tr.Interrupt(at(0), Instance{Endpoint: fmt.Sprint(i)}, &Attempt{Digest: crasher}, false)
 	}
 	is.Equal(len(tr.instances), maxTrackedInstances)
 	for i := range 2 * maxInterruptions {
-		tr.Interrupt(at(0), Instance{Endpoint: "0"}, uint64(i), "", false)
+		tr.Interrupt(at(0), Instance{Endpoint: "0"}, &Attempt{Digest: uint64(i)}, false)
 	}
 	is.Equal(len(tr.instances[Instance{Endpoint: "0"}].interruptions), maxInterruptions)
-	tr.Interrupt(at(100), Instance{Endpoint: "new"}, crasher, "", false)
+	tr.Interrupt(at(100), Instance{Endpoint: "new"}, &Attempt{Digest: crasher}, false)
 	is.Equal(len(tr.instances), 1)
 }
 
@@ -222,7 +238,7 @@
 	is := is.New(t)
 	tr, a := NewTracker(), Instance{Endpoint: "a", Addr: "1", Incarnation: 5}
 	is.True(!tr.BeginCheck(at(0), a))
-	tr.Interrupt(at(0), a, crasher, "", false)
+	tr.Interrupt(at(0), a, &Attempt{Digest: crasher}, false)
 	is.True(tr.BeginCheck(at(0), a))
 	is.True(!tr.BeginCheck(at(0.5), a))
 	is.True(tr.BeginCheck(at(1), a))
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -29,12 +29,20 @@
 	Incarnation uint64
 }
 
-// Interruption is an attempt that ended without a complete answer.
-type Interruption struct {
+// Attempt is one attempt of a request. It may run on several endpoints at once, of which each
+// prefills a part of the prompt.
+type Attempt struct {
 	Digest uint64
 	// Holder is the holder of the permit of the attempt, or empty if it needed none.
 	Holder string
-	at     time.Time
+	// counted is set once the end of one endpoint has been counted against the request.
+	counted bool
+}
+
+// interruption is the end of an attempt without a complete answer.
+type interruption struct {
+	*Attempt
+	at time.Time
 }
 
 // Tracker finds out under which requests direct endpoints ended. An attempt that was
@@ -47,7 +55,7 @@
 
 // trackedInstance is what a Tracker knows of one instance.
 type trackedInstance struct {
-	interruptions []Interruption
+	interruptions []interruption
 	ended         bool
 	leaving       bool
 	// lastCheck is the time of the last check if the instance has ended.
@@ -61,9 +69,9 @@
 // NewTracker returns an empty Tracker.
 func NewTracker() *Tracker { return &Tracker{instances: map[Instance]*trackedInstance{}} }
 
-// Interrupt records an interrupted attempt. It does nothing if the instance is leaving, because
-// its end is planned.
-func (t *Tracker) Interrupt(now time.Time, at Instance, digest uint64, holder string, leaving bool) {
+// Interrupt records that an attempt at an instance was interrupted. It does nothing if the
+// instance is leaving, because its end is planned.
+func (t *Tracker) Interrupt(now time.Time, at Instance, a *Attempt, leaving bool) {
 	i := t.instances[at]
 	if i == nil {
 		if leaving || !t.makeRoom(now) {
@@ -76,7 +84,7 @@
 		return
 	}
 	i.touched = now
-	i.interruptions = append(i.interruptions, Interruption{Digest: digest, Holder: holder, at: now})
+	i.interruptions = append(i.interruptions, interruption{Attempt: a, at: now})
 }
 
 // BeginCheck reports whether the caller should check now if the instance has ended.
@@ -101,7 +109,7 @@
 // have had none since.
 func (t *Tracker) Expire(now time.Time) {
 	for at, i := range t.instances {
-		i.interruptions = slices.DeleteFunc(i.interruptions, func(n Interruption) bool { return now.Sub(n.at) > interruptionTTL })
+		i.interruptions = slices.DeleteFunc(i.interruptions, func(n interruption) bool { return now.Sub(n.at) > interruptionTTL })
 		if now.Sub(i.touched) > interruptionTTL {
 			delete(t.instances, at)
 		}
@@ -109,16 +117,16 @@
 }
 
 // Active records that an instance has sent something, which shows that it did not end at the
-// interruptions before. It returns those that hold permits, which are to be returned.
-func (t *Tracker) Active(now time.Time, at Instance) (released []Interruption) {
+// interruptions before. It returns the attempts that hold permits, which are to be returned.
+func (t *Tracker) Active(now time.Time, at Instance) (released []*Attempt) {
 	i := t.instances[at]
 	if i == nil || i.ended {
 		return nil
 	}
-	i.interruptions = slices.DeleteFunc(i.interruptions, func(n Interruption) bool {
+	i.interruptions = slices.DeleteFunc(i.interruptions, func(n interruption) bool {
 		active := now.Sub(n.at) > activityDelay
 		if active && n.Holder != "" {
-			released = append(released, n)
+			released = append(released, n.Attempt)
 		}
 		return active
 	})
@@ -162,7 +170,8 @@
 	Digests []uint64
 }
 
-// TakeEnded returns the ended instances with requests that it has not returned before.
+// TakeEnded returns the ended instances with requests that it has not returned before. An attempt
+// counts at one of its endpoints only: endpoints that end at once do so for the same reason.
 func (t *Tracker) TakeEnded() []Ended {
 	var out []Ended
 	for at, i := range t.instances {
@@ -171,7 +180,8 @@
 		}
 		e := Ended{Instance: at}
 		for _, n := range i.interruptions {
-			if !slices.Contains(i.reported, n.Digest) {
+			if !n.counted && !slices.Contains(i.reported, n.Digest) {
+				n.counted = true
 				i.reported = append(i.reported, n.Digest)
 				e.Digests = append(e.Digests, n.Digest)
 			}
