--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -25,6 +25,9 @@
 	// refusalCheckDelay is the time between the two checks if the address of an endpoint
 	// refuses connections. A process that ends may close its connections first.
 	refusalCheckDelay = 100 * time.Millisecond
+	// minHelperLossTime is the shortest time after which an endpoint refuses a request because
+	// it lost a helper meanwhile. It refuses at once if the helper was gone before.
+	minHelperLossTime = 300 * time.Millisecond
 	// lossReportRetry is the pause after a report of lost endpoints that control did not
 	// answer, and lossReportTTL is how long such a report is repeated.
 	lossReportRetry = 300 * time.Millisecond
@@ -121,8 +124,11 @@
 }
 
 // recordHelperInterruption is recordInterruption for the helper that the primary endpoint
-// named as the cause of its refusal.
+// named as the cause of its refusal. A helper that was gone before did not end under the request.
 func (c *call) recordHelperInterruption(a *assign.Assignment, name string) {
+	if c.g.clock.Now().Sub(c.sentAt) < minHelperLossTime {
+		return
+	}
 	for _, h := range a.Helpers {
 		if h.Name == name {
 			c.interrupt(&quarantine.Attempt{Digest: c.content}, h, true)
