gateway, control: losses that are found together go to control in one command

After the loss of a zone each entry reported each endpoint in a command of its own, and control compared sorted lists of up to 8,192 digests four times for each. Reports that are found while one is answered now share the next command, and control compares a hash of the lists. A direct loss that leaves a request clear stays counted at its entry, so that the second one there makes it suspect at once.

--- a/control/command/command.go
+++ b/control/command/command.go
@@ -243,10 +243,12 @@
 	Alone bool `cbor:"4,keyasint,omitempty"`
 	// Direct is set for an endpoint without a sidecar; see quarantine.MinDirectLosses.
 	Direct bool `cbor:"5,keyasint,omitempty"`
+	// More reports further endpoints that failed at about the same time.
+	More []Suspect `cbor:"6,keyasint,omitempty"`
 }
 
 // SuspectStatuses is the answer to Suspect: the quarantine.Status of each digest, in the order of
-// Suspect.Digests.
+// Suspect.Digests, and then in that of Suspect.More.
 type SuspectStatuses struct {
 	Statuses []uint8 `cbor:"1,keyasint"`
 }
--- a/control/session/suspects.go
+++ b/control/session/suspects.go
@@ -91,17 +91,27 @@
 	return s.view.RecordCompletion(now, digest)
 }
 
-// Report informs control that an endpoint was lost, and returns the status of each request of
-// the report.
-func (s *Suspects) Report(ctx context.Context, report command.Suspect) ([]quarantine.Status, error) {
+// Report informs control that endpoints were lost, in one command, and returns the status of each
+// request of the reports. There must be at least one.
+func (s *Suspects) Report(ctx context.Context, losses ...command.Suspect) (map[uint64]quarantine.Status, error) {
+	all := losses[0]
+	all.More = losses[1:]
 	var answer command.SuspectStatuses
-	if err := s.do(ctx, command.NameSuspect, report, &answer); err != nil {
+	if err := s.do(ctx, command.NameSuspect, all, &answer); err != nil {
 		return nil, err
 	}
-	statuses := make([]quarantine.Status, min(len(answer.Statuses), len(report.Digests)))
-	for i := range statuses {
-		statuses[i] = quarantine.Status(answer.Statuses[i])
-		s.setStatus(report.Digests[i], statuses[i])
+	statuses := map[uint64]quarantine.Status{}
+	for _, loss := range losses {
+		n := min(len(answer.Statuses), len(loss.Digests))
+		for i, digest := range loss.Digests[:n] {
+			status := quarantine.Status(answer.Statuses[i])
+			statuses[digest] = status
+			// The loss of one direct endpoint leaves a request clear, but is remembered.
+			if !loss.Direct || status != quarantine.Clear {
+				s.setStatus(digest, status)
+			}
+		}
+		answer.Statuses = answer.Statuses[n:]
 	}
 	return statuses, nil
 }
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -266,6 +266,24 @@
 	}
 }
 
+func TestLossesOfDirectEndpointsInOneReport(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	loss := func(endpoint string, digests ...uint64) command.Suspect {
+		return command.Suspect{Endpoint: endpoint, Incarnation: 1, Digests: digests, Direct: true}
+	}
+	version := l.m.SuspectsVersion()
+	l.mustApply(command.NameSuspect, "1", loss("a", 1, 2))
+	is.Equal(l.m.SuspectsVersion(), version) // both are clear, so there is nothing to send to processes
+	two := loss("b", 1, 3)
+	two.More = []command.Suspect{loss("c", 1, 4)}
+	var statuses command.SuspectStatuses
+	is.NoErr(wire.Unmarshal(l.mustApply(command.NameSuspect, "2", two).Body, &statuses))
+	is.Equal(statuses.Statuses, []uint8{uint8(quarantine.Convicted), uint8(quarantine.Clear), uint8(quarantine.Convicted), uint8(quarantine.Clear)})
+	is.Equal(l.m.Quarantine(), []uint64{1})
+	is.True(l.m.SuspectsVersion() > version)
+}
+
 func TestFailedRestoreKeepsTheState(t *testing.T) {
 	is := is.New(t)
 	l := newLog(t)
--- a/control/state/suspect.go
+++ b/control/state/suspect.go
@@ -1,8 +1,6 @@
 package state
 
 import (
-	"slices"
-
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
@@ -20,23 +18,28 @@
 	return &suspects{list: quarantine.NewList(quarantine.DefaultLimits())}
 }
 
-// reportSuspects records that an endpoint failed, and answers with the status of each request
-// that was in flight on the endpoint.
+// reportSuspects records that endpoints failed, and answers with the status of each request
+// that was in flight on them.
 func (m *Machine) reportSuspects(e *Entry) *wire.Answer {
 	var c command.Suspect
 	if err := wire.Unmarshal(e.Body, &c); err != nil {
 		return refused(badRequest(err))
 	}
-	suspects, convicted := m.Suspects(), m.Quarantine()
-	m.suspects.list.ReportFailure(m.time(), quarantine.FailureReport{
-		Endpoint: c.Endpoint, Incarnation: c.Incarnation, Digests: c.Digests, Alone: c.Alone, Direct: c.Direct,
-	})
-	if !slices.Equal(suspects, m.Suspects()) || !slices.Equal(convicted, m.Quarantine()) {
+	before := m.suspects.list.Fingerprint()
+	reports := append([]command.Suspect{c}, c.More...)
+	for _, r := range reports {
+		m.suspects.list.ReportFailure(m.time(), quarantine.FailureReport{
+			Endpoint: r.Endpoint, Incarnation: r.Incarnation, Digests: r.Digests, Alone: r.Alone, Direct: r.Direct,
+		})
+	}
+	if m.suspects.list.Fingerprint() != before {
 		m.suspects.version++
 	}
 	statuses := command.SuspectStatuses{}
-	for _, digest := range c.Digests {
-		statuses.Statuses = append(statuses.Statuses, uint8(m.suspects.list.Status(digest)))
+	for _, r := range reports {
+		for _, digest := range r.Digests {
+			statuses.Statuses = append(statuses.Statuses, uint8(m.suspects.list.Status(digest)))
+		}
 	}
 	return accepted(statuses)
 }
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -121,10 +121,11 @@
 	statuses, err := e.suspects.Report(context.Background(), command.Suspect{
 		Endpoint: t.endpoint.Name, Incarnation: t.endpoint.Incarnation, Digests: []uint64{c.digest}, Alone: c.alone,
 	})
-	if err != nil || len(statuses) != 1 {
+	status, ok := statuses[c.digest]
+	if err != nil || !ok {
 		e.log.Warn("endpoint loss not reported", c.logFields("endpoint", t.endpoint.Name, "error", err)...)
 		return
 	}
 	e.log.Warn("endpoint lost", c.logFields("endpoint", t.endpoint.Name, "incarnation", t.endpoint.Incarnation,
-		"alone", c.alone, "status", statuses[0].String())...)
+		"alone", c.alone, "status", status.String())...)
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -32,6 +33,9 @@
 	// answer, and lossReportTTL is how long such a report is repeated.
 	lossReportRetry = 300 * time.Millisecond
 	lossReportTTL   = time.Minute
+	// maxLossesPerReport is the most lost endpoints in one command to control. When many are lost
+	// at once, those that are found while a command is answered share the next one.
+	maxLossesPerReport = 64
 )
 
 // checkQuarantine refuses a request whose content is known to crash endpoints. The verdict is
@@ -228,28 +232,34 @@
 	return out
 }
 
-// sendLossReports sends reports to control and returns those that have to be repeated.
-func (g *Gateway) sendLossReports(ctx context.Context, reports []lossReport) (again []lossReport) {
-	for n, r := range reports {
-		statuses, err := g.suspects.Report(ctx, r.Suspect)
+// sendLossReports sends reports to control, maxLossesPerReport in a command, and returns those that
+// have to be repeated.
+func (g *Gateway) sendLossReports(ctx context.Context, pending []lossReport) (again []lossReport) {
+	for batch := range slices.Chunk(pending, maxLossesPerReport) {
+		losses := make([]command.Suspect, len(batch))
+		for i, r := range batch {
+			losses[i] = r.Suspect
+		}
+		statuses, err := g.suspects.Report(ctx, losses...)
 		if err != nil {
-			g.log.Warn("endpoint loss not reported", "endpoint", r.Endpoint, "error", err)
-			now := g.clock.Now()
-			for _, rest := range reports[n:] {
-				if now.Sub(rest.found) < lossReportTTL {
-					again = append(again, rest)
-				}
-			}
-			return again
+			g.log.Warn("endpoint losses not reported", "endpoints", len(batch), "first", batch[0].Endpoint, "error", err)
+			again = append(again, g.repeatable(batch)...)
+			continue
 		}
 		g.metrics.lossReports.Inc()
-		for i, status := range statuses {
+		for digest, status := range statuses {
 			if status != quarantine.Clear {
-				g.log.Warn("content suspected of crashing endpoints", "content", strconv.FormatUint(r.Digests[i], 16), "status", status.String(), "endpoint", r.Endpoint)
+				g.log.Warn("content suspected of crashing endpoints", "content", strconv.FormatUint(digest, 16), "status", status.String(), "endpoint", batch[0].Endpoint, "endpoints", len(batch))
 			}
 		}
 	}
-	return nil
+	return again
+}
+
+// repeatable returns the reports that are not too old to be repeated.
+func (g *Gateway) repeatable(reports []lossReport) []lossReport {
+	now := g.clock.Now()
+	return slices.DeleteFunc(slices.Clone(reports), func(r lossReport) bool { return now.Sub(r.found) >= lossReportTTL })
 }
 
 // maxLoggedContents bounds the contents in one log line.
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -1,8 +1,11 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // minFailures is the fewest failures that convict a request that was the only suspect
@@ -45,6 +48,20 @@
 	return digests
 }
 
+// Fingerprint returns a hash of the results of Digests, which differs when they differ.
+func (l *List) Fingerprint() uint64 {
+	var sum uint64
+	for digest, r := range l.records {
+		if status := r.status(); status != Clear {
+			var key [9]byte
+			binary.LittleEndian.PutUint64(key[:], digest)
+			key[8] = byte(status)
+			sum += xxhash.Sum64(key[:])
+		}
+	}
+	return sum
+}
+
 // lostEndpoints returns how many endpoints may have been lost to the request. It also
 // counts failures that another, convicted request explains, because that conviction may
 // still be revoked.
--- a/quarantine/direct_test.go
+++ b/quarantine/direct_test.go
@@ -51,6 +51,20 @@
 	}
 }
 
+func TestFingerprintChangesWithTheStatuses(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	seen := map[uint64]bool{l.Fingerprint(): true}
+	directFailure(l, 0, "a", crasher, innocent)
+	is.True(seen[l.Fingerprint()]) // both are clear
+	directFailure(l, 60, "b", crasher, 8)
+	is.True(!seen[l.Fingerprint()])
+	seen[l.Fingerprint()] = true
+	directFailure(l, 120, "c", crasher, 9)
+	is.Equal(l.Status(crasher), Convicted)
+	is.True(!seen[l.Fingerprint()])
+}
+
 // Six copies that were sent at once through different entries looked like an outage.
 func TestCopiesSentAtOnceAreNoOutage(t *testing.T) {
 	is := is.New(t)
