gateway: one function decides whether a placed request may run

No behaviour changes: the check of the quarantine, the permit and its refusals are in mayRun, and the command that ends a run has a name of its own.

--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
-	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -73,27 +72,18 @@
 // it was sent. If it was not and err is nil, a suspect request has to wait for its permit, and
 // attemptNext has to be called again.
 func (c *call) attemptNext(ctx context.Context) (tried bool, err error) {
-	if err := c.checkQuarantine(); err != nil {
+	if _, err := c.checkQuarantine(); err != nil {
 		return false, err
 	}
 	p, err := c.g.place(ctx, c)
 	if err != nil {
 		return false, err
 	}
-	// The status may have changed while the request waited.
-	err = c.checkQuarantine()
-	if err == nil && c.g.suspects.Status(c.content) == quarantine.Suspect {
-		var granted bool
-		if granted, err = c.takePermit(ctx, p.Assignment); !granted {
-			p.release(true)
-			if err == nil {
-				err = c.awaitPermit(ctx)
-			}
-			return false, err
-		}
-	}
-	if err != nil {
+	if permitted, err := c.mayRun(ctx, p.Assignment); !permitted {
 		p.release(true)
+		if err == nil {
+			err = c.awaitPermit(ctx)
+		}
 		return false, err
 	}
 	err = c.attempt(ctx, p)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -38,18 +38,25 @@
 	maxLossesPerReport = 64
 )
 
-// checkQuarantine refuses a request whose content is known to crash endpoints. The verdict is
-// NotRun, because it speaks of this request and not of earlier ones with the same content.
-func (c *call) checkQuarantine() error {
-	if c.g.suspects.Status(c.content) != quarantine.Convicted {
-		return nil
+// checkQuarantine returns the status of the request's content, and a refusal if the content is
+// known to crash endpoints. The verdict is NotRun, because it speaks of this request and not of
+// earlier ones with the same content.
+func (c *call) checkQuarantine() (quarantine.Status, error) {
+	status := c.g.suspects.Status(c.content)
+	if status == quarantine.Convicted {
+		return status, verdict.Refuse(verdict.ReasonQuarantined, quarantineRetryAfter, "requests with content %s crash endpoints", c.contentField())
 	}
-	return verdict.Refuse(verdict.ReasonQuarantined, quarantineRetryAfter, "requests with content %s crash endpoints", c.contentField())
+	return status, nil
 }
 
-// takePermit asks control for the right to send a suspect request to the placed endpoints. If
-// control does not grant it now, the result is false without an error, and c.permitWait is set.
-func (c *call) takePermit(ctx context.Context, a *assign.Assignment) (granted bool, err error) {
+// mayRun reports whether the request may be sent to the placed endpoints. A suspect request needs
+// a permit of control for that. If control does not grant it yet, the result is false without an
+// error, and c.permitWait is set.
+func (c *call) mayRun(ctx context.Context, a *assign.Assignment) (bool, error) {
+	status, err := c.checkQuarantine()
+	if err != nil || status == quarantine.Clear {
+		return err == nil, err
+	}
 	holder := fmt.Sprintf("%s-%08x-%d", c.g.node.Name, c.g.startID, c.g.permitSeq.Add(1))
 	left := c.deadline.Sub(c.g.clock.Now())
 	answer, err := c.g.suspects.RequestPermit(ctx, command.Permit{
@@ -58,13 +65,14 @@
 	if err != nil {
 		return false, verdict.Refuse(verdict.ReasonNoQuorum, defaultRetryAfter, "content %s is suspected of crashing endpoints, and control gives no permit: %v", c.contentField(), err)
 	}
-	c.log().Info("permit requested", "content", c.contentField(), "status", quarantine.Status(answer.Status).String(), "granted", answer.Granted, "retry_after", answer.RetryAfter)
-	switch {
-	case answer.Granted && quarantine.Status(answer.Status) == quarantine.Suspect:
-		c.permitHolder, c.interrupted = holder, false
-	case !answer.Granted && answer.RetryAfter > left:
+	status = quarantine.Status(answer.Status)
+	c.log().Info("permit requested", "content", c.contentField(), "status", status.String(), "granted", answer.Granted, "retry_after", answer.RetryAfter)
+	if !answer.Granted && answer.RetryAfter > left {
 		return false, verdict.Refuse(verdict.ReasonSuspect, answer.RetryAfter, "requests with content %s were in flight when endpoints failed", c.contentField())
 	}
+	if answer.Granted && status == quarantine.Suspect {
+		c.permitHolder, c.interrupted = holder, false
+	}
 	c.permitWait = min(answer.RetryAfter, maxPermitWait)
 	return answer.Granted, nil
 }
@@ -87,18 +95,18 @@
 	if holder == "" || c.interrupted {
 		return
 	}
-	go c.g.endPermit(command.Ended{Digest: c.content, Holder: holder, Completed: err == nil})
+	go c.g.reportRunEnd(command.Ended{Digest: c.content, Holder: holder, Completed: err == nil})
 }
 
 // returnPermits returns the permits of interrupted attempts whose endpoint is running.
 func (g *Gateway) returnPermits(released []*quarantine.Attempt) {
 	for _, a := range released {
-		go g.endPermit(command.Ended{Digest: a.Digest, Holder: a.Holder})
+		go g.reportRunEnd(command.Ended{Digest: a.Digest, Holder: a.Holder})
 	}
 }
 
-// endPermit informs control that an attempt ended without a lost endpoint.
-func (g *Gateway) endPermit(ended command.Ended) {
+// reportRunEnd informs control that an attempt ended without a lost endpoint.
+func (g *Gateway) reportRunEnd(ended command.Ended) {
 	if err := g.suspects.End(context.Background(), ended); err != nil {
 		g.log.Warn("permit not returned", "content", strconv.FormatUint(ended.Digest, 16), "completed", ended.Completed, "error", err)
 	}
@@ -107,7 +115,7 @@
 // recordCompletion records that the request got a complete answer, which clears its content.
 func (c *call) recordCompletion() {
 	if c.g.suspects.RecordCompletion(c.content) {
-		go c.g.endPermit(command.Ended{Digest: c.content, Completed: true})
+		go c.g.reportRunEnd(command.Ended{Digest: c.content, Completed: true})
 	}
 }
 
