--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // BenchmarkStatus measures the lookup of a clear request, which every dispatch makes.
@@ -32,3 +34,24 @@
 		l.ReportFailure(at(float64(60*i)), FailureReport{Endpoint: fmt.Sprint(i), Incarnation: 1, Digests: digests})
 	}
 }
+
+// BenchmarkReportDirectFailure measures reports of direct endpoints with 20 requests each to a full
+// list, with the comparison of the lists that control makes, and the size of the list.
+func BenchmarkReportDirectFailure(b *testing.B) {
+	l := NewList(DefaultLimits())
+	digests := make([]uint64, 20)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		for j := range digests {
+			digests[j] = uint64(i*len(digests) + j)
+		}
+		l.Fingerprint()
+		l.ReportFailure(at(float64(60*i)), FailureReport{Endpoint: fmt.Sprint(i), Incarnation: 1, Digests: digests, Direct: true})
+		l.Fingerprint()
+	}
+	data, err := cbor.Marshal(l.Image())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(data)), "image-bytes")
+}
