--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -33,14 +33,20 @@
 }
 
 // record replaces the number of entries known.
-func (c *entryCount) record(now time.Time, entries int64) {
+func (c *entryCount) record(now time.Time, entries int64, window time.Duration) {
 	if n := len(c.counts); n > 0 {
 		if c.counts[n-1].entries == entries {
 			return
 		}
 		c.counts[n-1].until = now
 	}
-	c.counts = append(c.counts, countUntil{entries: entries})
+	c.counts = append(c.dropBefore(now.Add(-window)), countUntil{entries: entries})
+}
+
+// dropBefore drops the numbers that were replaced before from, and returns the others.
+func (c *entryCount) dropBefore(from time.Time) []countUntil {
+	c.counts = slices.DeleteFunc(c.counts, func(n countUntil) bool { return !n.until.IsZero() && n.until.Before(from) })
+	return c.counts
 }
 
 // sharing returns the number of entries that share Extra, or 0 if this entry has no share. It has
@@ -50,9 +56,8 @@
 	if now.Sub(c.started) < window+entryListDelay {
 		return 0
 	}
-	c.counts = slices.DeleteFunc(c.counts, func(n countUntil) bool { return !n.until.IsZero() && now.Sub(n.until) > window })
 	var most int64
-	for _, n := range c.counts {
+	for _, n := range c.dropBefore(now.Add(-window)) {
 		most = max(most, n.entries)
 	}
 	return most
@@ -108,7 +113,7 @@
 func (b *retryBudget) recordEntries(now time.Time, entries int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entries.record(now, entries)
+	b.entries.record(now, entries, b.limits.Window)
 }
 
 // sharing returns the number of entries that share Extra, or 0 if this entry has no share.
--- a/gateway/retries_test.go
+++ b/gateway/retries_test.go
@@ -31,7 +31,7 @@
 			c := entryCount{started: start}
 			for second := range 101 {
 				if n, ok := test.counts[float64(second)]; ok {
-					c.record(at(float64(second)), n)
+					c.record(at(float64(second)), n, window)
 				}
 			}
 			is.Equal(c.sharing(at(test.at), window), test.want)
