quarantine: remembering a completion takes constant time

BenchmarkQuarantine showed 51 us for the two checks and the completion of a request once 4,096 completions were remembered within 10 s, because each looked for those that are too old. TestLocalViewCountsDirectLosses holds the bound.

--- a/quarantine/local.go
+++ b/quarantine/local.go
@@ -9,9 +9,10 @@
 	// maxLocalLosses is the most requests that a process treats as suspect on its own.
 	maxLocalLosses = 4096
 	// completionTTL is for how long a complete answer shows that a request does not crash
-	// endpoints, and maxCompletions is the most requests for which it is remembered.
+	// endpoints, and maxCompletions is the number of the latest requests for which it is
+	// remembered at least; up to twice as many are.
 	completionTTL  = 10 * time.Second
-	maxCompletions = 4096
+	maxCompletions = 2048
 )
 
 // LocalView is what one entry or sidecar knows of the status of requests: the lists
@@ -21,8 +22,9 @@
 	// statuses are the statuses from control.
 	statuses map[uint64]Status
 	losses   map[uint64]localLoss
-	// completions maps requests to the time of their last complete answer.
-	completions map[uint64]time.Time
+	// completions maps requests to the time of their last complete answer. A full map becomes
+	// olderCompletions, so that no completion has to look for the ones that are too old.
+	completions, olderCompletions map[uint64]time.Time
 }
 
 // localLoss is what a process knows of a request from losses that it saw itself.
@@ -84,15 +86,9 @@
 // not clear, so that control has to be informed.
 func (l *LocalView) RecordCompletion(now time.Time, digest uint64) (inform bool) {
 	if len(l.completions) >= maxCompletions {
-		for old, at := range l.completions {
-			if now.Sub(at) > completionTTL {
-				delete(l.completions, old)
-			}
-		}
-	}
-	if _, ok := l.completions[digest]; ok || len(l.completions) < maxCompletions {
-		l.completions[digest] = now
+		l.completions, l.olderCompletions = map[uint64]time.Time{}, l.completions
 	}
+	l.completions[digest] = now
 	return l.Status(now, digest) != Clear
 }
 
@@ -100,6 +96,9 @@
 // request does not crash endpoints, although one may have failed with a copy of it in flight.
 func (l *LocalView) CompletedLately(now time.Time, digest uint64) bool {
 	at, ok := l.completions[digest]
+	if !ok {
+		at, ok = l.olderCompletions[digest]
+	}
 	return ok && now.Sub(at) <= completionTTL
 }
 
