gateway: log lines and a metric tell when an entry learns of an endpoint's limit

The limit that an answer names is decoded in platform and kept with the endpoint, and a change of it is logged with the status of the answer, the header and the age of the request. Nothing is limited by it yet.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -82,6 +82,8 @@
 	// recentOwn holds the times of this entry's placements in the last second, and
 	// recentPlaced those of all entries.
 	recentOwn, recentPlaced []time.Time
+	// limit is the request rate that the endpoint names.
+	limit namedLimit
 }
 
 // Fleet holds the known endpoints and the load that this entry and its peers have
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -209,6 +209,17 @@
 	Mismatched
 )
 
+// NamedLimit is the limit that an answer names.
+type NamedLimit struct {
+	// Named is unset if the answer names no limit.
+	Named bool
+	// PerSecond is how many requests per second the endpoint takes from all entries
+	// together.
+	PerSecond float64
+	// Header is the name of the header that holds the limit.
+	Header string
+}
+
 // Dialect translates between the gateway and the wire format of one platform.
 type Dialect interface {
 	// DecodeDeployment decodes and validates a publication.
@@ -222,6 +233,8 @@
 	// this ID. If the answer names the endpoint that caused a failure, the result at is
 	// the address of that endpoint, and otherwise "".
 	ClassifyAnswer(res *http.Response, id string) (outcome Outcome, at string)
+	// ReadLimit decodes the limit that an endpoint names in the head of an answer.
+	ReadLimit(h http.Header) (NamedLimit, error)
 }
 
 // EngineClient sends engines health checks and memory reservations. Unlike requests,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -61,6 +61,15 @@
 	return Answered, ""
 }
 
+func (testDialect) ReadLimit(h http.Header) (NamedLimit, error) {
+	raw := h.Get("Limit")
+	if raw == "" {
+		return NamedLimit{}, nil
+	}
+	perSecond, err := strconv.ParseFloat(raw, 64)
+	return NamedLimit{Named: true, PerSecond: perSecond, Header: "Limit"}, err
+}
+
 // fakeControlClient is a controlClient whose permission a test sets.
 type fakeControlClient struct {
 	expired atomic.Bool
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,12 +20,15 @@
 	// endpointLosses counts the endpoints that were found to have ended under requests, and
 	// lossReports the reports of them to control that control has accepted.
 	endpointLosses, lossReports *metrics.Counter
+	// limitChanges counts the changes of endpoints' limits that this entry has learned of.
+	limitChanges *metrics.Counter
 }
 
 func newMetrics(set *metrics.Set) *gatewayMetrics {
 	m := &gatewayMetrics{
 		set: set, distrusts: set.NewCounter("rosemary_gateway_distrusts_total"),
 		endpointLosses: set.NewCounter("rosemary_gateway_endpoint_losses_total"), lossReports: set.NewCounter("rosemary_gateway_loss_reports_total"),
+		limitChanges: set.NewCounter("rosemary_gateway_limit_changes_total"),
 	}
 	set.NewGauge("rosemary_gateway_requests_in_flight", func() float64 { return float64(m.inFlight.Load()) })
 	set.NewGauge("rosemary_gateway_tickets_held", func() float64 { return float64(m.ticketsHeld.Load()) })
@@ -77,6 +80,13 @@
 		_, trusted := g.countEndpoints()
 		return float64(trusted)
 	})
+	set.NewGauge("rosemary_gateway_endpoints_limited", func() float64 { return float64(g.countLimited()) })
+}
+
+func (g *Gateway) countLimited() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.LimitedCount()
 }
 
 func (g *Gateway) countEndpoints() (known, trusted int) {
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -149,7 +149,7 @@
 	a := placed.Assignment
 	c.placed = placed
 	c.endpoint = a.Primary.Name
-	c.log().Info("request placed", "addr", a.Primary.Addr, "zone", a.Primary.Zone, "helpers", len(a.Helpers), "considered", a.Candidates,
+	c.log().Info("request placed", "addr", a.Primary.Addr, "zone", a.Primary.Zone, "helpers", len(a.Helpers), "helper_names", helperNames(a), "considered", a.Candidates,
 		"prompt_tokens", c.PromptTokens, "predicted", a.PredictedPrefill, "left", c.deadline.Sub(c.g.clock.Now()))
 	helpers, free, err := c.reserve(ctx, a)
 	defer free()
@@ -285,6 +285,9 @@
 // handleAnswer classifies the head of the answer and forwards the answer to the caller.
 func (c *call) handleAnswer(ctx context.Context, a *assign.Assignment, res *http.Response, timer *silenceTimer) error {
 	outcome, at := c.g.dialect.ClassifyAnswer(res, c.ID)
+	if outcome == Answered || outcome == NotRun {
+		c.observeLimit(a.Primary, res)
+	}
 	switch outcome {
 	case NotRun, Misdirected:
 		return c.handleNotRun(a, outcome, at, res.StatusCode)
