--- a/soak/checker.go
+++ b/soak/checker.go
@@ -31,13 +31,14 @@
 	PromiseCrashing     = "a request that crashed three endpoints is not sent on"
 	PromiseInnocent     = "no request is refused for crashes that it did not cause"
 	PromiseRetries      = "retries stay within the budget of all entries"
+	PromiseLimit        = "an endpoint gets no more than the limit that it names"
 )
 
 // Promises lists all promises.
 var Promises = []string{
 	PromiseAtMostOnce, PromiseNotRun, PromiseAnswer, PromiseOrder, PromiseUnaltered, PromiseRoute, PromiseNoRollback, PromiseRevoked,
 	PromiseDrained, PromiseCold, PromiseMemory, PromiseDurable, PromiseRecovered, PromiseGracefulStop,
-	PromiseCrashing, PromiseInnocent, PromiseRetries,
+	PromiseCrashing, PromiseInnocent, PromiseRetries, PromiseLimit,
 }
 
 // Bounds holds the time bounds of a deployment's promises.
@@ -172,6 +173,9 @@
 	}
 }
 
+// ContactTime is the time after a fault, or after a new fact became known, from which bounds apply.
+func (c *Checker) ContactTime() time.Duration { return c.bounds.Reconnect }
+
 // BoundsApply reports whether time bounds apply at the time now.
 func (c *Checker) BoundsApply(now time.Time) bool {
 	c.mu.Lock()
