gateway: entries keep the limit that an endpoint names, together

Callers saw endpoints in need overrun: an endpoint that had named a limit got several times as many requests, from entries that knew of it.

Cause: no code read the header, so the limit was ignored; and the one mechanism for a rate over all entries, that of cold endpoints, counted only the requests of primaries, rounded shares below one up to one, and had every entry use the same right at once. It is replaced, not joined: one pacer an endpoint now serves both rates.

TestEntriesKeepToALimitTogether shows 1 to 40 entries that hear all, some or none of the others within the bound.

Requests that do not fit go to other endpoints, wait if the forecast lets them, or are refused at once with the forecast as Retry-After.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -112,12 +112,6 @@
 	// Waited is how long the request has waited. The number of idle endpoints that a
 	// long prompt requires falls with Waited and reaches none at RelaxAfter.
 	Waited, RelaxAfter time.Duration
-	// ColdRateLimit is how many requests per second an endpoint may get, as it may not
-	// have warmed up; zero means no limit. The limit also applies to endpoints that are
-	// not marked Cold, and counts the placements of all entries. ColdRateShare is set
-	// while some entries do not send their bookings to this one. It is then this
-	// entry's share of the limit and counts only its own placements.
-	ColdRateLimit, ColdRateShare float64
 }
 
 // totalTokens is the KV memory that the request uses once its answer is complete, in
@@ -186,27 +180,30 @@
 }
 
 // refuseIneligible returns the refusal for a request without eligible endpoints. If
-// endpoints are excluded only by the cold rate limit, the reason is overloaded, so that
-// the request may wait for them.
+// endpoints are excluded only by their rates, the reason is overloaded, so that the request
+// may wait for them.
 func (f *Fleet) refuseIneligible(now time.Time, r *Request) error {
-	unlimited := *r
-	unlimited.ColdRateLimit, unlimited.ColdRateShare = 0, 0
-	if n := len(f.eligible(now, &unlimited, false)); n > 0 {
-		return verdict.Refuse(verdict.ReasonOverloaded, busyRetryAfter, "%d endpoints of %s, which may be cold, have had their %v requests for this second",
-			n, r.Service, max(r.ColdRateLimit, r.ColdRateShare))
+	if blocked := f.rateLimited(now, r); blocked.endpoints > 0 {
+		return verdict.Refuse(verdict.ReasonOverloaded, blocked.wait, "%d endpoints of %s have had the %.3g requests per second that they take",
+			blocked.endpoints, r.Service, blocked.rate)
 	}
 	return verdict.Refuse(verdict.ReasonNoEndpoint, busyRetryAfter, "no endpoint of %s can take the request", r.Service)
 }
 
+// serves reports whether the endpoint serves requests like this one, and was not tried for it.
+func (f *Fleet) serves(m *member, r *Request) bool {
+	return m.Service == r.Service && !m.Leaving && !f.zonesOut[m.Zone] && !slices.Contains(r.Tried, m.Name)
+}
+
 // eligible lists the endpoints that may get the request. With trusted set, it leaves
 // out endpoints that failed recently.
 func (f *Fleet) eligible(now time.Time, r *Request, trusted bool) []*member {
 	var out []*member
 	for _, m := range f.members {
 		switch {
-		case m.Service != r.Service || m.Leaving || f.zonesOut[m.Zone] || slices.Contains(r.Tried, m.Name):
+		case !f.serves(m, r):
 		case trusted && now.Before(m.distrustedUntil):
-		case !m.withinColdLimit(now, r):
+		case f.rateWait(now, m) > 0:
 		default:
 			out = append(out, m)
 		}
@@ -278,8 +275,10 @@
 			len(idle), len(candidates), r.Service, r.PromptTokens)
 	}
 	slices.Reverse(idle)
+	slices.SortStableFunc(idle, unlimitedFirst)
 	chosen := append([]*member{primary}, idle[:size-1]...)
 	parts, unallocated := allocateMemory(now, r, chosen)
+	slices.SortStableFunc(candidates, unlimitedFirst)
 	rest := without(candidates, chosen)
 	if r.totalTokens() > r.Engine.MemoryTokens*int64(1+len(candidates)) {
 		// The prompt fits only if endpoints with short prompts hold a part of it, too.
@@ -402,6 +401,18 @@
 	return free
 }
 
+// unlimitedFirst orders the candidates for helpers. A helper costs an endpoint that names a
+// limit up to three of its requests.
+func unlimitedFirst(a, b *member) int {
+	switch limitedA, limitedB := a.limit.perSecond > 0, b.limit.perSecond > 0; {
+	case limitedA == limitedB:
+		return 0
+	case limitedA:
+		return 1
+	}
+	return -1
+}
+
 // without returns the members of all that are not in some.
 func without(all, some []*member) []*member {
 	return slices.DeleteFunc(slices.Clone(all), func(m *member) bool { return slices.Contains(some, m) })
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -79,11 +79,11 @@
 	// memoryFullUntil is when the memory stops counting as full after a refused
 	// reservation.
 	memoryFullUntil time.Time
-	// recentOwn holds the times of this entry's placements in the last second, and
-	// recentPlaced those of all entries.
-	recentOwn, recentPlaced []time.Time
-	// limit is the request rate that the endpoint names.
-	limit namedLimit
+	// limit is the request rate that the endpoint names, and coldRate the one that its
+	// service bears when cold; zero means none. The pacer keeps requests to the lower one.
+	limit    namedLimit
+	coldRate float64
+	pace     pacer
 }
 
 // Fleet holds the known endpoints and the load that this entry and its peers have
@@ -92,11 +92,19 @@
 	members  map[string]*member
 	zonesOut map[string]bool
 	bookings map[bookingKey]*Booking
+	sharing  Sharing
+	// coldRates are the rates that endpoints bear when cold, by service.
+	coldRates map[string]float64
+	// unplacedLimits are the limits of incarnations that are not known yet, by endpoint.
+	unplacedLimits map[string]Limit
 }
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	return &Fleet{members: map[string]*member{}, zonesOut: map[string]bool{}, bookings: map[bookingKey]*Booking{}}
+	return &Fleet{
+		members: map[string]*member{}, zonesOut: map[string]bool{}, bookings: map[bookingKey]*Booking{},
+		sharing: Sharing{Entries: 1, Connected: true}, unplacedLimits: map[string]Limit{},
+	}
 }
 
 // Update adds or changes an endpoint. An endpoint with a new incarnation or address
@@ -107,7 +115,9 @@
 		m.Endpoint = e
 		return
 	}
-	f.members[e.Name] = &member{Endpoint: e, rank: xxhash.Sum64String(e.Name)}
+	m = &member{Endpoint: e, rank: xxhash.Sum64String(e.Name), coldRate: f.coldRates[e.Service]}
+	f.placeLimit(m)
+	f.members[e.Name] = m
 	for key, b := range f.bookings {
 		if b.includes(e.Name) {
 			// The load and memory of the earlier incarnation ended with it.
@@ -157,12 +167,30 @@
 // SetZonesOut replaces the set of availability zones that are out of service.
 func (f *Fleet) SetZonesOut(zones map[string]bool) { f.zonesOut = zones }
 
-// Book adds a booking of the entry called owner, which is "" for this entry. A booking
-// that is already known is ignored.
+// Book adds a booking of the entry called owner, which is "" for this entry, for which
+// another entry has chosen the endpoints. A booking that is already known is ignored.
 func (f *Fleet) Book(now time.Time, owner string, id uint64, b *Booking) {
+	if f.add(now, owner, id, b) {
+		f.recordSends(now, b, false)
+	}
+}
+
+// Place is Book for endpoints that this entry has chosen.
+func (f *Fleet) Place(now time.Time, owner string, id uint64, b *Booking) {
+	if f.add(now, owner, id, b) {
+		f.recordSends(now, b, true)
+	}
+}
+
+// Restore adds a booking whose requests were sent some time ago. They do not count against
+// the rates of its endpoints.
+func (f *Fleet) Restore(now time.Time, owner string, id uint64, b *Booking) { f.add(now, owner, id, b) }
+
+// add adds a booking to the loads, and reports whether it was not known.
+func (f *Fleet) add(now time.Time, owner string, id uint64, b *Booking) bool {
 	key := bookingKey{owner, id}
 	if _, ok := f.bookings[key]; ok {
-		return
+		return false
 	}
 	f.bookings[key] = b
 	f.addLoad(b, 1, "")
@@ -173,12 +201,7 @@
 			b.prefillDue = later(b.prefillDue, m.prefillUntil)
 		}
 	}
-	if m := f.members[b.Primary.Endpoint]; m != nil {
-		m.recentPlaced = append(keepLastSecond(now, m.recentPlaced), now)
-		if owner == "" {
-			m.recentOwn = append(keepLastSecond(now, m.recentOwn), now)
-		}
-	}
+	return true
 }
 
 // EndBooking removes a booking; an unknown one is ignored. The argument unprefilled is set
@@ -280,24 +303,6 @@
 	return int64(float64(e.MemoryTokens)*usableMemoryFraction) - m.bookedTokens
 }
 
-// withinColdLimit reports whether the endpoint may get another request now under the
-// cold rate limit.
-func (m *member) withinColdLimit(now time.Time, r *Request) bool {
-	m.recentOwn, m.recentPlaced = keepLastSecond(now, m.recentOwn), keepLastSecond(now, m.recentPlaced)
-	switch {
-	case r.ColdRateShare > 0:
-		return float64(len(m.recentOwn)+1) <= max(r.ColdRateShare, 1)
-	case r.ColdRateLimit > 0:
-		return float64(len(m.recentPlaced)+1) <= max(r.ColdRateLimit, 1)
-	}
-	return true
-}
-
-// keepLastSecond drops the times that are at least a second old.
-func keepLastSecond(now time.Time, times []time.Time) []time.Time {
-	return slices.DeleteFunc(times, func(t time.Time) bool { return now.Sub(t) >= time.Second })
-}
-
 // MarkAlive records activity of an endpoint and resets its failures.
 func (f *Fleet) MarkAlive(now time.Time, name string) {
 	if m := f.members[name]; m != nil {
--- a/assign/limit.go
+++ b/assign/limit.go
@@ -2,10 +2,16 @@
 
 import "time"
 
-// minNamedRate is the lowest rate that an endpoint is held to, in requests per second.
-// Answers are what ends a limit, so an endpoint that names less still gets a request now
-// and then.
-const minNamedRate = 0.1
+const (
+	// minNamedRate is the lowest rate that an endpoint is held to, in requests per second.
+	// Answers are what ends a limit, so an endpoint that names less still gets a request
+	// now and then.
+	minNamedRate = 0.1
+	// maxNamedRate is the highest rate that an endpoint is held to.
+	maxNamedRate = 1e5
+	// maxUnplacedLimits bounds the limits of incarnations that the fleet does not know yet.
+	maxUnplacedLimits = 1024
+)
 
 // Limit is the request rate that an incarnation of an endpoint names in its answers.
 type Limit struct {
@@ -14,7 +20,8 @@
 	// PerSecond is how many requests per second the endpoint takes from all entries
 	// together. Zero means that it names no limit any more.
 	PerSecond float64
-	// Version rises with each change.
+	// Version rises with each change. Of two entries that find different limits at the
+	// same version, the lower limit counts.
 	Version uint64
 }
 
@@ -36,17 +43,192 @@
 		return Limit{}, false
 	}
 	if perSecond >= 0 {
-		perSecond = max(perSecond, minNamedRate)
+		perSecond = min(max(perSecond, minNamedRate), maxNamedRate)
 	} else {
 		perSecond = 0
 	}
 	if perSecond == m.limit.perSecond {
 		return Limit{}, false
 	}
-	m.limit = namedLimit{perSecond: perSecond, version: m.limit.version + 1, knownSince: now}
+	m.setLimit(now, perSecond, m.limit.version+1)
 	return m.currentLimit(), true
 }
 
+// MergeLimit records a limit that another entry has learned of, and reports whether it
+// replaces the one that was known.
+func (f *Fleet) MergeLimit(now time.Time, l Limit) bool {
+	m := f.members[l.Endpoint]
+	if m == nil || m.Incarnation < l.Incarnation {
+		f.keepUnplaced(l)
+		return false
+	}
+	if m.Incarnation != l.Incarnation || !l.replaces(m.limit) {
+		return false
+	}
+	m.setLimit(now, l.PerSecond, l.Version)
+	return true
+}
+
+// keepUnplaced keeps the limit of an incarnation that the fleet does not know yet.
+func (f *Fleet) keepUnplaced(l Limit) {
+	known, ok := f.unplacedLimits[l.Endpoint]
+	if ok && known.Incarnation > l.Incarnation {
+		return
+	}
+	if !ok && len(f.unplacedLimits) >= maxUnplacedLimits {
+		clear(f.unplacedLimits)
+	}
+	if known.Incarnation == l.Incarnation && !l.replaces(namedLimit{perSecond: known.PerSecond, version: known.Version}) {
+		return
+	}
+	f.unplacedLimits[l.Endpoint] = l
+}
+
+// placeLimit gives a new incarnation of an endpoint the limit that other entries have sent.
+func (f *Fleet) placeLimit(m *member) {
+	l, ok := f.unplacedLimits[m.Name]
+	if ok && l.Incarnation <= m.Incarnation {
+		delete(f.unplacedLimits, m.Name)
+	}
+	if ok && l.Incarnation == m.Incarnation {
+		m.limit = namedLimit{perSecond: l.PerSecond, version: l.Version}
+	}
+}
+
+// Limits returns the limits of all endpoints that name one or have ended one.
+func (f *Fleet) Limits() []Limit {
+	var out []Limit
+	for _, m := range f.members {
+		if m.limit.version > 0 {
+			out = append(out, m.currentLimit())
+		}
+	}
+	return out
+}
+
+// replaces reports whether l is newer than the limit that is known.
+func (l Limit) replaces(known namedLimit) bool {
+	if l.Version != known.version {
+		return l.Version > known.version
+	}
+	return l.PerSecond > 0 && (known.perSecond == 0 || l.PerSecond < known.perSecond)
+}
+
+// setLimit replaces the limit. A higher limit does not wait for what a lower one allowed.
+func (m *member) setLimit(now time.Time, perSecond float64, version uint64) {
+	m.limit = namedLimit{perSecond: perSecond, version: version, knownSince: now}
+	if rate := m.rate(); rate > 0 {
+		m.pace.next = earlier(m.pace.next, now.Add(interval(rate)))
+	}
+}
+
+// rate returns how many requests per second the endpoint takes from all entries together:
+// the lower one of the limit that it names and the rate that its service bears when cold.
+// Zero means that it is not limited.
+func (m *member) rate() float64 {
+	if m.limit.perSecond > 0 && (m.coldRate == 0 || m.limit.perSecond < m.coldRate) {
+		return m.limit.perSecond
+	}
+	return m.coldRate
+}
+
+// rateWait returns how long this entry has to wait before the endpoint may get another
+// request from it.
+func (f *Fleet) rateWait(now time.Time, m *member) time.Duration {
+	rate := m.rate()
+	if rate == 0 {
+		return 0
+	}
+	return m.pace.wait(now, &f.sharing, rate, m.rank)
+}
+
+// SetSharing replaces what is known of the other entries.
+func (f *Fleet) SetSharing(s Sharing) { f.sharing = s }
+
+// SetColdRates replaces the rates that endpoints bear when they are cold, in requests per
+// second by service. They bind all endpoints, because one may be cold without saying so.
+func (f *Fleet) SetColdRates(rates map[string]float64) {
+	f.coldRates = rates
+	for _, m := range f.members {
+		m.coldRate = rates[m.Service]
+	}
+}
+
+// recordSends counts the requests of a booking against the rates of its endpoints. The
+// argument here is set if this entry has chosen the endpoints.
+func (f *Fleet) recordSends(now time.Time, b *Booking, here bool) {
+	for i, p := range b.allParts() {
+		m := f.members[p.Endpoint]
+		if m == nil || m.rate() == 0 {
+			continue
+		}
+		sends := 1
+		if i > 0 && p.Tokens > 0 {
+			sends += ticketSends
+		}
+		if here {
+			m.pace.takeTurn(now, &f.sharing, m.rate(), m.rank)
+		}
+		m.pace.record(now, m.rate(), sends)
+	}
+}
+
+// RecordSend counts a request to an endpoint that belongs to no booking.
+func (f *Fleet) RecordSend(now time.Time, endpoint string) {
+	if m := f.members[endpoint]; m != nil && m.rate() > 0 {
+		m.pace.record(now, m.rate(), 1)
+	}
+}
+
+// LimitWait forecasts how long a request waits when its only obstacle are the rates of the
+// endpoints, and the argument ahead is the number of requests that wait before it. Zero
+// means that there is no such wait.
+func (f *Fleet) LimitWait(now time.Time, r *Request, ahead int) time.Duration {
+	blocked := f.rateLimited(now, r)
+	if blocked.endpoints == 0 || len(f.eligible(now, r, false)) > 0 {
+		return 0
+	}
+	own := blocked.rate / float64(f.activeEntries(r.Service))
+	return blocked.wait + time.Duration(float64(ahead)/own*float64(time.Second))
+}
+
+// rateBlock describes the endpoints that only their rates exclude.
+type rateBlock struct {
+	endpoints int
+	// rate is the sum of their rates, and wait the time until the first may be used.
+	rate float64
+	wait time.Duration
+}
+
+// rateLimited returns the endpoints that only their rates exclude for the request.
+func (f *Fleet) rateLimited(now time.Time, r *Request) rateBlock {
+	var out rateBlock
+	for _, m := range f.members {
+		if !f.serves(m, r) {
+			continue
+		}
+		if wait := f.rateWait(now, m); wait > 0 {
+			if out.endpoints == 0 || wait < out.wait {
+				out.wait = wait
+			}
+			out.endpoints++
+			out.rate += m.rate()
+		}
+	}
+	return out
+}
+
+// activeEntries returns the number of entries with requests at a service, this one included.
+func (f *Fleet) activeEntries(service string) int {
+	owners := map[string]bool{"": true}
+	for key, b := range f.bookings {
+		if m := f.members[b.Primary.Endpoint]; m != nil && m.Service == service {
+			owners[key.owner] = true
+		}
+	}
+	return len(owners)
+}
+
 // LimitedCount returns the number of endpoints that name a limit.
 func (f *Fleet) LimitedCount() int {
 	n := 0
@@ -58,6 +240,14 @@
 	return n
 }
 
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // currentLimit returns the limit of the endpoint's current incarnation.
 func (m *member) currentLimit() Limit {
 	return Limit{Endpoint: m.Name, Incarnation: m.Incarnation, PerSecond: m.limit.perSecond, Version: m.limit.version}
--- /dev/null
+++ b/assign/pace_test.go
@@ -0,0 +1,196 @@
+package assign
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// pacedEntry is an entry of a simulation that sends requests to one endpoint.
+type pacedEntry struct {
+	fleet *Fleet
+	// hears reports for each other entry whether its bookings arrive here.
+	hears func(from int) bool
+	// offset is how much its time of day is ahead.
+	offset time.Duration
+	// demand is how many requests per second its callers send; each waits until it is sent.
+	demand  float64
+	waiting float64
+}
+
+// booking is a booking on its way to another entry.
+type bookingOnTheWay struct {
+	arrives  time.Duration
+	from, to int
+}
+
+// pacing is a simulation of entries that share the limit of one endpoint. Bookings take 5 to 15 ms
+// from entry to entry, and entries look for requests that may be sent every 10 ms.
+type pacing struct {
+	entries int
+	rate    float64
+	// cold has the endpoint bear the rate as a cold one, instead of naming it.
+	cold   bool
+	adjust func(i int, e *pacedEntry)
+}
+
+const pacingSpan = 40 * time.Second
+
+// run returns the times at which requests arrive at the endpoint.
+func (s *pacing) run(seed uint64) []time.Duration {
+	random := rand.New(rand.NewPCG(seed, 0))
+	entries := make([]*pacedEntry, s.entries)
+	for i := range entries {
+		e := &pacedEntry{fleet: fleetOf(1), hears: func(int) bool { return true }, demand: 4*s.rate + 1}
+		if s.adjust != nil {
+			s.adjust(i, e)
+		}
+		connected := true
+		for j := range entries {
+			connected = connected && (i == j || e.hears(j))
+		}
+		e.fleet.SetSharing(Sharing{Entries: s.entries, Position: i, Connected: connected})
+		if s.cold {
+			e.fleet.SetColdRates(map[string]float64{"scribe": s.rate})
+		} else {
+			e.fleet.ObserveLimit(at(2), at(1), "engine-00", 1, s.rate)
+		}
+		entries[i] = e
+	}
+	var arrivals []time.Duration
+	var onTheWay []bookingOnTheWay
+	id := uint64(0)
+	request := prompt(1)
+	b := &Booking{Primary: Part{Endpoint: "engine-00"}, Short: true}
+	for now := time.Second; now < pacingSpan; now += 5 * time.Millisecond {
+		onTheWay = slices.DeleteFunc(onTheWay, func(m bookingOnTheWay) bool {
+			if m.arrives > now {
+				return false
+			}
+			e := entries[m.to]
+			id++
+			e.fleet.Book(at(now+e.offset), fmt.Sprint(m.from), id, b)
+			return true
+		})
+		for _, i := range random.Perm(len(entries)) {
+			e := entries[i]
+			e.waiting = min(e.waiting+e.demand*0.005, 20)
+			if (int(now/(5*time.Millisecond))+i)%2 == 0 {
+				continue
+			}
+			for e.waiting >= 1 && len(e.fleet.eligible(at(now+e.offset), request, true)) > 0 {
+				e.waiting--
+				id++
+				e.fleet.Place(at(now+e.offset), "", id, b)
+				arrivals = append(arrivals, now)
+				for j := range entries {
+					if j != i && entries[j].hears(i) {
+						onTheWay = append(onTheWay, bookingOnTheWay{now + 5*time.Millisecond + rand.N(10*time.Millisecond), i, j})
+					}
+				}
+			}
+		}
+	}
+	return arrivals
+}
+
+// mostIn returns the largest number of ascending times in a window.
+func mostIn(times []time.Duration, window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range times {
+		for at-times[first] > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func TestEntriesKeepToALimitTogether(t *testing.T) {
+	one := func(i int, e *pacedEntry) {
+		if i > 0 {
+			e.demand = 0
+		}
+	}
+	deaf := func(i int, e *pacedEntry) { e.hears = func(int) bool { return false } }
+	oneWay := func(i int, e *pacedEntry) { e.hears = func(from int) bool { return from != 0 } }
+	halves := func(i int, e *pacedEntry) { e.hears = func(from int) bool { return from%2 == i%2 } }
+	skewed := func(i int, e *pacedEntry) { e.offset = time.Duration(i*7%40) * time.Millisecond }
+	tests := map[string]struct {
+		pacing
+		// least is the share of the limit that must be used at least.
+		least float64
+	}{
+		"one entry":                              {pacing{entries: 1, rate: 2.3}, 0.9},
+		"four entries":                           {pacing{entries: 4, rate: 1.7}, 0.9},
+		"eight entries":                          {pacing{entries: 8, rate: 2.3}, 0.9},
+		"eight entries, a low limit":             {pacing{entries: 8, rate: 0.4}, 0.9},
+		"eight entries, a high limit":            {pacing{entries: 8, rate: 40}, 0.9},
+		"forty entries":                          {pacing{entries: 40, rate: 1.7}, 0.9},
+		"forty entries, a high limit":            {pacing{entries: 40, rate: 40}, 0.9},
+		"one of eight has requests":              {pacing{entries: 8, rate: 2.3, adjust: one}, 0.8},
+		"one of eight, a high limit":             {pacing{entries: 8, rate: 40, adjust: one}, 0.8},
+		"none hear another":                      {pacing{entries: 8, rate: 2.3, adjust: deaf}, 0.8},
+		"none hear another, forty, a high limit": {pacing{entries: 40, rate: 40, adjust: deaf}, 0.8},
+		"none hear another, a low limit":         {pacing{entries: 40, rate: 0.4, adjust: deaf}, 0},
+		"one is not heard":                       {pacing{entries: 8, rate: 2.3, adjust: oneWay}, 0},
+		"two halves":                             {pacing{entries: 8, rate: 2.3, adjust: halves}, 0.8},
+		"clocks differ":                          {pacing{entries: 8, rate: 2.3, adjust: skewed}, 0.9},
+		"clocks differ, none hear another":       {pacing{entries: 8, rate: 2.3, adjust: func(i int, e *pacedEntry) { skewed(i, e); deaf(i, e) }}, 0.8},
+		"cold endpoint":                          {pacing{entries: 8, rate: 26, cold: true}, 0.9},
+		"cold endpoint, none hear another":       {pacing{entries: 8, rate: 26, cold: true, adjust: deaf}, 0.8},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(5) {
+				arrivals := test.run(seed)
+				window := 4 * time.Second
+				if test.cold {
+					window = time.Second
+				}
+				allowed := 1.5*test.rate*window.Seconds() + 5
+				most, used := mostIn(arrivals, window), float64(len(arrivals))/(test.rate*(pacingSpan-time.Second).Seconds())
+				t.Logf("seed %d: at most %d in %v, %.1f allowed; %.2f of the limit", seed, most, window, allowed, used)
+				is.True(float64(most) <= allowed)
+				is.True(used >= test.least)
+			}
+		})
+	}
+}
+
+func TestPacerSurvivesAClockThatWasSetBack(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(1)
+	f.SetSharing(Sharing{Entries: 4, Position: 1})
+	f.SetColdRates(map[string]float64{"scribe": 2})
+	b := &Booking{Primary: Part{Endpoint: "engine-00"}, Short: true}
+	now := at(time.Hour)
+	for f.rateWait(now, f.members["engine-00"]) > 0 {
+		now = now.Add(10 * time.Millisecond)
+	}
+	f.Place(now, "", 1, b)
+	f.members["engine-00"].pace.next = time.Time{} // by the monotonic clock it is not in the future
+	is.True(f.rateWait(t0, f.members["engine-00"]) <= 2*time.Second)
+}
+
+func BenchmarkRateWait(b *testing.B) {
+	for _, limited := range []bool{false, true} {
+		b.Run(fmt.Sprint("limited=", limited), func(b *testing.B) {
+			f := fleetOf(18)
+			f.SetSharing(Sharing{Entries: 8, Position: 3, Connected: true})
+			if limited {
+				f.SetColdRates(map[string]float64{"scribe": 36})
+			}
+			r := prompt(1_000)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = f.Choose(t0, r)
+			}
+		})
+	}
+}
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -138,6 +138,15 @@
 	return d
 }
 
+// coldRates returns the rates that endpoints bear when cold, by service.
+func (d *Deployment) coldRates() map[string]float64 {
+	rates := map[string]float64{}
+	for name, s := range d.Services {
+		rates[name] = s.ColdRateLimit
+	}
+	return rates
+}
+
 // Route returns the route with the longest matching prefix, or nil when none matches.
 func (d *Deployment) Route(host, path string) *Route {
 	var best *Route
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,6 +121,8 @@
 	deployment atomic.Pointer[Deployment]
 	// entries is the number of entries known, including this one.
 	entries atomic.Int64
+	// started is when this process started.
+	started time.Time
 	// startID distinguishes this start of the process from earlier ones, and ticketSeq
 	// numbers the tickets within it.
 	startID   uint32
@@ -152,7 +154,9 @@
 	// bookingStreams counts the open streams over which other entries send their
 	// bookings, by entry name.
 	bookingStreams map[string]int
-	lastQueueID    uint64
+	// entryAddrs are the addresses of all entries, sorted.
+	entryAddrs  []string
+	lastQueueID uint64
 }
 
 // New returns a gateway that uses the dialect d and reaches engines through e.
@@ -173,6 +177,7 @@
 		return err
 	}
 	g.log, g.clock, g.node = h.Log, h.Clock, h.Node
+	g.started = h.Clock.Now()
 	g.entries.Store(1)
 	g.background, g.stopBackground = context.WithCancel(context.Background())
 	g.retries = newRetryBudget(g.Retries, h.Clock.Now())
@@ -251,6 +256,10 @@
 		g.entries.Store(int64(len(all)))
 		g.retries.recordEntries(g.clock.Now(), int64(len(all)))
 		g.placer.setAddrs(all)
+		g.mu.Lock()
+		g.entryAddrs = all
+		g.updateSharing()
+		g.mu.Unlock()
 	}
 	doc := g.client.Config()
 	g.suspects.Update(u)
@@ -283,6 +292,9 @@
 			return
 		}
 		g.deployment.Store(d.Index())
+		g.mu.Lock()
+		g.fleet.SetColdRates(d.coldRates())
+		g.mu.Unlock()
 	}
 	g.log.Info("configuration applied", "revision", doc.Revision, "version", doc.PublishedVersion(), "zones_out", len(zonesOut))
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -139,11 +139,11 @@
 		Zone: c.g.node.Zone, EventGapTarget: c.route.EventGapTarget, MinEventGapTarget: c.service.minEventGapTarget,
 		RelaxAfter: time.Duration(relaxFraction * float64(c.deadline.Sub(c.started))),
 	}
-	c.g.setColdLimit(&c.placementRequest, c.service)
 	return c.readBody(d.MaxBodyBytes)
 }
 
-// awaitDeployment returns the newest deployment and whether it is known to be current.
+// awaitDeployment returns the newest deployment and whether it is known to be current. It
+// also waits for the other entries to tell this one the limits of endpoints.
 // If it is not, awaitDeployment waits for up to maxStaleWait: after the loss of a
 // replica of control, the lease on the configuration is renewed before a refused caller
 // would retry. Requests to anonymous routes, which are served without a valid lease, do
@@ -158,7 +158,7 @@
 		published := c.g.client.Config().PublishedVersion()
 		d = c.g.deployment.Load()
 		fresh = fresh && d != nil && d.Version >= published
-		if fresh || c.g.clock.Now().After(limit) || c.r.Context().Err() != nil {
+		if fresh && !c.g.awaitsPeers() || c.g.clock.Now().After(limit) || c.r.Context().Err() != nil {
 			return d, fresh
 		}
 		if d != nil {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -2,11 +2,18 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
+// limitsReceiveTime is for how long an entry that has started waits for the other entries to
+// tell it the limits of endpoints.
+const limitsReceiveTime = time.Second
+
 // observeLimit records the limit that an endpoint names in the head of its answer, or that
 // it names none. A limit that cannot be decoded changes nothing.
 func (c *call) observeLimit(e assign.Endpoint, res *http.Response) {
@@ -22,15 +29,50 @@
 	now := c.g.clock.Now()
 	c.g.mu.Lock()
 	limit, changed := c.g.fleet.ObserveLimit(now, c.sentAt, e.Name, e.Incarnation, perSecond)
+	if changed {
+		c.g.placeQueued(now)
+	}
 	c.g.mu.Unlock()
 	if !changed {
 		return
 	}
+	c.g.bookings.limitChanged(limit)
 	c.g.metrics.limitChanges.Inc()
 	c.log().Info("endpoint limit changed", "limited", e.Name, "incarnation", e.Incarnation, "per_second", limit.PerSecond, "version", limit.Version,
 		"status", res.StatusCode, "header", named.Header, "age", now.Sub(c.sentAt))
 }
 
+// mergeLimits records the limits that another entry has learned of. The caller holds g.mu.
+func (g *Gateway) mergeLimits(now time.Time, peer string, limits []wire.EndpointLimit) {
+	for _, l := range limits {
+		if !g.fleet.MergeLimit(now, assign.Limit(l)) {
+			continue
+		}
+		g.metrics.limitChanges.Inc()
+		g.log.Info("endpoint limit received", "peer", peer, "limited", l.Endpoint, "incarnation", l.Incarnation, "per_second", l.PerSecond, "version", l.Version)
+	}
+}
+
+// updateSharing tells the fleet with which entries it shares the limits of endpoints. The caller
+// holds g.mu.
+func (g *Gateway) updateSharing() {
+	g.fleet.SetSharing(assign.Sharing{
+		Entries: len(g.entryAddrs), Position: max(0, slices.Index(g.entryAddrs, string(g.Peers))),
+		Connected: len(g.bookingStreams) >= len(g.entryAddrs)-1, SettledFrom: g.started.Add(entryListDelay),
+	})
+}
+
+// awaitsPeers reports whether this entry has just started and other entries may still tell it
+// the limits of endpoints.
+func (g *Gateway) awaitsPeers() bool {
+	if g.clock.Now().Sub(g.started) >= limitsReceiveTime {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.bookingStreams) < len(g.entryAddrs)-1
+}
+
 // helperNames lists the helpers of an assignment for a log line.
 func helperNames(a *assign.Assignment) string {
 	names := make([]string, len(a.Helpers))
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -45,13 +45,15 @@
 type peerQueue struct {
 	// unlistedSince is when control stopped listing the peer; zero while it lists it.
 	unlistedSince time.Time
-	// begun, ended and unprefilled are booking IDs. Those in unprefilled have ended before their
-	// prompts were prefilled.
-	begun       []uint64
+	// begun are bookings, which may have ended since: their requests count. The others are
+	// booking IDs; those in unprefilled have ended before their prompts were prefilled.
+	begun       []*wire.Booking
 	ended       []uint64
 	unprefilled []uint64
 	// answered are the bookings whose answers have begun.
 	answered []uint64
+	// limits are the endpoints' limits that have changed.
+	limits []wire.EndpointLimit
 	// wake signals that there are changes. It has a buffer of one.
 	wake chan struct{}
 }
@@ -72,8 +74,9 @@
 func (b *bookings) begin(id uint64, a *assign.Booking) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.current[id] = toWire(id, a)
-	b.enqueue(func(q *peerQueue) { q.begun = append(q.begun, id) })
+	booking := toWire(id, a)
+	b.current[id] = booking
+	b.enqueue(func(q *peerQueue) { q.begun = append(q.begun, booking) })
 }
 
 // end removes a booking and queues its end for the peers.
@@ -97,6 +100,13 @@
 	b.enqueue(func(q *peerQueue) { q.answered = append(q.answered, id) })
 }
 
+// limitChanged queues an endpoint's limit for the peers.
+func (b *bookings) limitChanged(l assign.Limit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.enqueue(func(q *peerQueue) { q.limits = append(q.limits, wire.EndpointLimit(l)) })
+}
+
 // enqueue applies a change to the queue of each peer and wakes its sender. The caller
 // holds b.mu.
 func (b *bookings) enqueue(change func(*peerQueue)) {
@@ -109,24 +119,39 @@
 	}
 }
 
-// takePending returns and clears the pending changes of a peer. If all is true, as at
-// the start of a stream, the message holds all current bookings.
-func (b *bookings) takePending(q *peerQueue, all bool) *wire.Bookings {
+// takePending returns and clears the pending changes of a peer.
+func (b *bookings) takePending(q *peerQueue) *wire.Bookings {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m := &wire.Bookings{Full: all, Ended: q.ended, Unprefilled: q.unprefilled, Answered: q.answered}
-	if all {
-		for _, booking := range b.current {
-			m.Begun = append(m.Begun, *booking)
-		}
-	} else {
-		for _, id := range q.begun {
-			if booking := b.current[id]; booking != nil {
-				m.Begun = append(m.Begun, *booking)
-			}
-		}
+	m := q.take()
+	for _, booking := range q.begun {
+		m.Begun = append(m.Begun, *booking)
+	}
+	q.begun = nil
+	return m
+}
+
+// takeAll returns all current bookings, as at the start of a stream, and clears the pending
+// changes of the peer. The argument limits holds all known limits of endpoints.
+func (b *bookings) takeAll(q *peerQueue, limits []assign.Limit) *wire.Bookings {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := q.take()
+	m.Full = true
+	for _, booking := range b.current {
+		m.Begun = append(m.Begun, *booking)
+	}
+	for _, l := range limits {
+		m.Limits = append(m.Limits, wire.EndpointLimit(l))
 	}
-	q.begun, q.ended, q.unprefilled, q.answered = nil, nil, nil, nil
+	q.begun = nil
+	return m
+}
+
+// take returns and clears the pending changes other than begun bookings.
+func (q *peerQueue) take() *wire.Bookings {
+	m := &wire.Bookings{Ended: q.ended, Unprefilled: q.unprefilled, Answered: q.answered, Limits: q.limits}
+	q.ended, q.unprefilled, q.answered, q.limits = nil, nil, nil, nil
 	return m
 }
 
@@ -221,7 +246,7 @@
 		if err := stream.SetSendDeadline(g.clock.Now().Add(bookingTimeout)); err != nil {
 			return errors.Wrap(err, "set send deadline of bookings")
 		}
-		if err := stream.Send(g.bookings.takePending(q, first)); err != nil {
+		if err := stream.Send(g.nextBookings(q, first)); err != nil {
 			return errors.Wrap(err, "send bookings")
 		}
 		select {
@@ -238,6 +263,18 @@
 	}
 }
 
+// nextBookings returns the next message to a peer. The first one of a stream holds all that is
+// current.
+func (g *Gateway) nextBookings(q *peerQueue, first bool) *wire.Bookings {
+	if !first {
+		return g.bookings.takePending(q)
+	}
+	g.mu.Lock()
+	limits := g.fleet.Limits()
+	g.mu.Unlock()
+	return g.bookings.takeAll(q, limits)
+}
+
 // servePeer serves a stream of another entry according to its first message.
 func (g *Gateway) servePeer(stream wire.Stream) {
 	peer := stream.Peer()
@@ -262,19 +299,6 @@
 	}
 }
 
-// setColdLimit sets the rate limit for endpoints that may be cold. While every other
-// known entry sends its bookings to this one, the placements of all entries count
-// against one common limit. Otherwise each entry keeps to an equal share of the limit,
-// so that entries that do not know each other's placements do not exceed it in total.
-func (g *Gateway) setColdLimit(r *assign.Request, s *Service) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	r.ColdRateLimit, r.ColdRateShare = s.ColdRateLimit, 0
-	if entries := int(g.entries.Load()); len(g.bookingStreams) < entries-1 {
-		r.ColdRateShare = s.ColdRateLimit / float64(entries)
-	}
-}
-
 // receiveBookings applies the bookings of another entry until its stream ends, and then
 // drops them.
 func (g *Gateway) receiveBookings(stream wire.Stream, first *wire.Bookings) {
@@ -282,6 +306,7 @@
 	g.log.Info("booking stream opened", "peer", peer.Name)
 	g.mu.Lock()
 	g.bookingStreams[peer.Name]++
+	g.updateSharing()
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
@@ -289,6 +314,7 @@
 		if g.bookingStreams[peer.Name]--; g.bookingStreams[peer.Name] == 0 {
 			delete(g.bookingStreams, peer.Name)
 		}
+		g.updateSharing()
 		g.mu.Unlock()
 		g.log.Info("booking stream closed", "peer", peer.Name)
 	}()
@@ -314,11 +340,13 @@
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	book := g.fleet.Book
 	if b.Full {
 		g.fleet.EndAll(owner)
+		book = g.fleet.Restore
 	}
 	for i := range b.Begun {
-		g.fleet.Book(now, owner, b.Begun[i].ID, fromWire(&b.Begun[i]))
+		book(now, owner, b.Begun[i].ID, fromWire(&b.Begun[i]))
 	}
 	for _, id := range b.Answered {
 		g.fleet.MarkAnswered(owner, id)
@@ -329,5 +357,6 @@
 	for _, id := range b.Unprefilled {
 		g.fleet.EndBooking(owner, id, true)
 	}
+	g.mergeLimits(now, owner, b.Limits)
 	g.placeQueued(now)
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -163,7 +163,6 @@
 		answer.Refused = wire.NewRefused(wire.Attempt{}, verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "service %q is not known at entry %s", m.Service, g.node.Name))
 	} else {
 		w.request.Engine, w.request.MinEventGapTarget = d.Services[m.Service].Engine, d.Services[m.Service].minEventGapTarget
-		g.setColdLimit(w.request, d.Services[m.Service])
 		answer = g.placeForPeer(stream, w)
 	}
 	if answer != nil {
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -112,6 +112,9 @@
 	now := g.clock.Now()
 	g.mu.Lock()
 	recentlyAlive := g.fleet.AliveSince(now.Add(-healthCheckInterval), e.Name)
+	if !recentlyAlive {
+		g.fleet.RecordSend(now, e.Name)
+	}
 	g.mu.Unlock()
 	if recentlyAlive {
 		return true
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -23,6 +23,9 @@
 	// fraction of the time after which callers abandon the stream. A caller that is
 	// refused before it abandons the stream can try again.
 	abandonFraction = 0.6
+	// limitWaitFactor is the longest wait for the limits of endpoints, as a multiple of the
+	// forecast.
+	limitWaitFactor = 2
 )
 
 // queues hold the requests that wait for endpoints of one service. Short and long
@@ -140,18 +143,23 @@
 	a, err := g.fleet.Choose(now, w.request)
 	switch {
 	case err == nil && q.Len() == 0:
-		g.fleet.Book(now, w.owner, w.bookingID, &a.Booking)
+		g.fleet.Place(now, w.owner, w.bookingID, &a.Booking)
 		w.result <- placeResult{assignment: a}
 		return
 	case err != nil && !mayClearWhileWaiting(verdict.From(err).Reason):
 		w.result <- placeResult{err: err}
 		return
 	}
+	wait := g.fleet.LimitWait(now, w.request, q.Len())
+	if now.Add(wait).After(w.giveUpAt) && wait > 0 {
+		w.result <- placeResult{err: refuseLimited(w.request, wait)}
+		return
+	}
 	g.lastQueueID++
 	w.queueID = g.lastQueueID
 	err = q.Push(now, queue.Item{
 		ID: w.queueID, Account: w.account, Class: classOf(w.request), Tokens: max(1, w.request.PromptTokens+w.request.OutputTokens),
-		StartBy: w.startBy, ExpiresAt: w.giveUpAt, Value: w,
+		StartBy: w.startBy, ExpiresAt: w.expiry(now, wait), Value: w,
 	})
 	if err != nil {
 		w.result <- placeResult{err: err}
@@ -160,6 +168,26 @@
 	g.placeFromQueue(now, q)
 }
 
+// expiry returns when a queued request gives up, if it is forecast to wait for the limits of
+// endpoints for limitWait; zero means that it waits for something else. A request that others
+// overtake for much longer than forecast will not be served in time either.
+func (w *waiter) expiry(now time.Time, limitWait time.Duration) time.Time {
+	at := now.Add(limitWaitFactor * limitWait)
+	if at.Before(w.startBy) {
+		at = w.startBy
+	}
+	if limitWait == 0 || at.After(w.giveUpAt) {
+		return w.giveUpAt
+	}
+	return at
+}
+
+// refuseLimited returns the refusal for a request that the limits of all endpoints allow only
+// after a wait.
+func refuseLimited(r *assign.Request, wait time.Duration) error {
+	return verdict.Refuse(verdict.ReasonOverloaded, wait, "the limits of all endpoints of %s allow the request in %v", r.Service, wait)
+}
+
 // classOf returns the length class of a request. A prompt that one endpoint prefills
 // alone is short, whatever its number of tokens.
 func classOf(r *assign.Request) route.Class {
@@ -235,7 +263,12 @@
 		return
 	}
 	for _, dropped := range q.Expire(now, nil) {
-		dropped.Item.Value.(*waiter).result <- placeResult{err: dropped.Refusal}
+		w := dropped.Item.Value.(*waiter)
+		var err error = dropped.Refusal
+		if wait := g.fleet.LimitWait(now, w.request, q.Len()); wait > 0 {
+			err = refuseLimited(w.request, wait)
+		}
+		w.result <- placeResult{err: err}
 	}
 	for {
 		var a *assign.Assignment
@@ -250,7 +283,7 @@
 			return
 		}
 		w := item.Value.(*waiter)
-		g.fleet.Book(now, w.owner, w.bookingID, &a.Booking)
+		g.fleet.Place(now, w.owner, w.bookingID, &a.Booking)
 		w.result <- placeResult{assignment: a}
 	}
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -341,6 +341,19 @@
 	Unprefilled []uint64 `cbor:"4,keyasint,omitempty"`
 	// Answered are bookings whose answer has begun, so that the prefill is complete.
 	Answered []uint64 `cbor:"5,keyasint,omitempty"`
+	// Limits are limits of endpoints that have changed; with Full set, all that the sender
+	// knows.
+	Limits []EndpointLimit `cbor:"6,keyasint,omitempty"`
+}
+
+// EndpointLimit is the request rate that an incarnation of an endpoint names, in requests
+// per second from all entries together. Zero means that it has ended. Version rises with
+// each change.
+type EndpointLimit struct {
+	Endpoint    string  `cbor:"1,keyasint"`
+	Incarnation uint64  `cbor:"2,keyasint"`
+	PerSecond   float64 `cbor:"3,keyasint,omitempty"`
+	Version     uint64  `cbor:"4,keyasint"`
 }
 
 // Booking is the load that one request puts on endpoints.
