assign: parts of prompts count against the limits that endpoints name, not against cold rates

A cold endpoint is loaded by its own requests, and only those were counted for it until now. Limits that endpoints name count all that arrives. Turns of entries that do not hear one another stay valid for half a second, so that an eighth of a cold rate is still two requests at once.

--- a/assign/limit.go
+++ b/assign/limit.go
@@ -162,20 +162,34 @@
 		if m == nil || m.rate() == 0 {
 			continue
 		}
-		sends := 1
-		if i > 0 && p.Tokens > 0 {
-			sends += ticketSends
+		n := m.sends(p, i > 0)
+		if n == 0 {
+			continue
 		}
 		if here {
 			m.pace.takeTurn(now, &f.sharing, m.rate(), m.rank)
 		}
-		m.pace.record(now, m.rate(), sends)
+		m.pace.record(now, m.rate(), n)
+	}
+}
+
+// sends returns how many requests a part of a booking counts for. The part of a helper counts
+// only against a limit that the endpoint names: a cold endpoint is loaded by its own requests.
+func (m *member) sends(p Part, helper bool) int {
+	switch {
+	case !helper:
+		return 1
+	case m.limit.perSecond == 0:
+		return 0
+	case p.Tokens > 0:
+		return 1 + ticketSends
 	}
+	return 1
 }
 
-// RecordSend counts a request to an endpoint that belongs to no booking.
-func (f *Fleet) RecordSend(now time.Time, endpoint string) {
-	if m := f.members[endpoint]; m != nil && m.rate() > 0 {
+// RecordHealthCheck counts a health check against the limit that an endpoint names.
+func (f *Fleet) RecordHealthCheck(now time.Time, endpoint string) {
+	if m := f.members[endpoint]; m != nil && m.limit.perSecond > 0 {
 		m.pace.record(now, m.rate(), 1)
 	}
 }
--- a/assign/limit_test.go
+++ b/assign/limit_test.go
@@ -133,6 +133,12 @@
 		}
 		is.Equal(f.members[p.Endpoint].pace.next, at(time.Second-paceTolerance+time.Duration(sends)*time.Second))
 	}
+	cold := fleetOf(3)
+	cold.SetColdRates(map[string]float64{"scribe": 1})
+	cold.Place(at(time.Second), "", 1, &a.Booking)
+	for i, p := range a.Booking.allParts() {
+		is.Equal(cold.members[p.Endpoint].pace.next.IsZero(), i > 0) // the load of a cold endpoint is its own requests
+	}
 }
 
 func TestWaitForLimits(t *testing.T) {
--- a/assign/pace.go
+++ b/assign/pace.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// paceTolerance is for how long an unused right to send stays valid.
+	// paceTolerance is for how long an unused right to send stays valid, and turnTolerance
+	// for how long an unused turn does.
 	paceTolerance = 300 * time.Millisecond
+	turnTolerance = 500 * time.Millisecond
 	// claimSlot is the time in which a booking reaches the other entries.
 	claimSlot = 20 * time.Millisecond
 	// minClaimants and claimantsPerRate, which is per request per second, give the number of
@@ -44,7 +46,7 @@
 //
 // An entry that does not hear all others sends only in its own turns. Those of all entries are
 // spaced evenly by the time of day, so that together they do not exceed the rate either. A
-// turn that is not used within paceTolerance is lost.
+// turn that is not used within turnTolerance is lost.
 type pacer struct {
 	next time.Time
 	// usedTurn is the time of the latest own turn that was used.
@@ -115,7 +117,7 @@
 		return now, true
 	}
 	own := int64(gap)*int64(s.Position) + int64(phase%uint64(period))
-	from := now.Add(-paceTolerance).UnixNano()
+	from := now.Add(-turnTolerance).UnixNano()
 	// A used turn in the future is from before the time of day was set back.
 	if used := p.usedTurn.UnixNano() + 1; used <= now.UnixNano() {
 		from = max(from, used)
--- /dev/null
+++ b/gateway/limits_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
+)
+
+// limiting is an endpoint that names a limit, which a test may change, in the answers of
+// another.
+func limiting(limit *string, answer http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if *limit != "" {
+			w.Header().Set("Limit", *limit)
+		}
+		answer(w, r)
+	}
+}
+
+// limitOf returns the limit of the desk's first endpoint; zero if it has none.
+func (w *testGateway) limitOf() float64 {
+	w.g.mu.Lock()
+	defer w.g.mu.Unlock()
+	for _, l := range w.g.fleet.Limits() {
+		if l.Endpoint == "desk-1" {
+			return l.PerSecond
+		}
+	}
+	return 0
+}
+
+func TestLimitInTheHeadOfAnAnswer(t *testing.T) {
+	tests := map[string]struct {
+		answer http.HandlerFunc
+		value  string
+		want   float64
+	}{
+		"success":                 {answering(http.StatusOK, "good"), "2.5", 2.5},
+		"error":                   {answering(http.StatusInternalServerError, "bad"), "2.5", 2.5},
+		"not run":                 {refusing(http.StatusServiceUnavailable), "2.5", 2.5},
+		"no number":               {answering(http.StatusOK, "good"), "soon", 0},
+		"answer of another one":   {answeringOtherAttempt, "2.5", 0},
+		"another endpoint's name": {refusing(http.StatusMisdirectedRequest), "2.5", 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newTestGateway(t, limiting(&test.value, test.answer))
+			w.g.bookings.peers["peer"] = &peerQueue{wake: make(chan struct{}, 1)}
+			w.post("/seal/1", nil)
+			is.Equal(w.limitOf(), test.want)
+			sent := w.g.bookings.takePending(w.g.bookings.peers["peer"]).Limits
+			is.Equal(len(sent) > 0, test.want > 0) // the other entries are told
+		})
+	}
+}
+
+func TestRequestsOverTheOnlyLimitAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	limit := "0.5"
+	w := newTestGateway(t, limiting(&limit, answering(http.StatusOK, "good")))
+	is.Equal(w.post("/seal/1", nil).status, http.StatusOK) // names the limit
+	is.Equal(w.post("/seal/2", nil).status, http.StatusOK)
+	began := time.Now()
+	refused := w.post("/seal/3", nil)
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after > 1 && after < 2.5) // one request in two seconds
+	is.Equal(w.arrivalCount(), 2)
+	limit = ""
+	time.Sleep(time.Until(began.Add(2 * time.Second)))
+	is.Equal(w.post("/seal/4", nil).status, http.StatusOK) // ends the limit
+	is.Equal(w.limitOf(), 0.0)
+	is.Equal(w.post("/seal/5", nil).status, http.StatusOK)
+}
+
+func TestLimitsOfPeers(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, answering(http.StatusOK, "good"))
+	w.g.started = time.Now()
+	w.g.entryAddrs = []string{"10.0.0.1:7000", "10.0.0.2:7000"}
+	is.True(w.g.awaitsPeers()) // it may not know a limit that the other entry knows
+	w.g.bookingStreams["entry-2"] = 1
+	is.True(!w.g.awaitsPeers())
+	w.g.applyBookings("entry-2", &wire.Bookings{Full: true, Limits: []wire.EndpointLimit{{Endpoint: "desk-1", Incarnation: 1, PerSecond: 3, Version: 7}}})
+	is.Equal(w.limitOf(), 3.0)
+	delete(w.g.bookingStreams, "entry-2")
+	w.g.started = time.Now().Add(-limitsReceiveTime)
+	is.True(!w.g.awaitsPeers()) // the other entry may have ended
+}
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -113,7 +113,7 @@
 	g.mu.Lock()
 	recentlyAlive := g.fleet.AliveSince(now.Add(-healthCheckInterval), e.Name)
 	if !recentlyAlive {
-		g.fleet.RecordSend(now, e.Name)
+		g.fleet.RecordHealthCheck(now, e.Name)
 	}
 	g.mu.Unlock()
 	if recentlyAlive {
