gateway: long and short prompts share the few requests of limited endpoints

Where endpoints name limits, the next request of both classes is the one with the earlier deadline. A limited endpoint helps only with requests that it has saved up, after the others, or where the prompt fits into no memory otherwise.

TestLongPromptsGetTheirTurnAtLimitedEndpoints and TestLongPromptsUseFewRequestsOfLimitedEndpoints fail without the change.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -266,7 +266,7 @@
 // therefore wait for as long as others arrive, so only idle endpoints get a part.
 func (f *Fleet) assignGroup(now time.Time, r *Request, all []*member) (*Assignment, error) {
 	primary := pickPrimary(now, r, all)
-	candidates := prefillOnly(longPromptMembers(all, primary))
+	candidates := slices.DeleteFunc(prefillOnly(longPromptMembers(all, primary)), func(m *member) bool { return !m.mayHelp(now) })
 	overdue := f.overdue(now)
 	idle := slices.DeleteFunc(slices.Clone(candidates), func(m *member) bool { return overdue[m.Name] || m.backlog(now) > idleBacklog })
 	size := r.groupSize(1+len(idle), 1+len(candidates))
--- a/assign/limit.go
+++ b/assign/limit.go
@@ -262,6 +262,27 @@
 	return a
 }
 
+// NamesLimits reports whether endpoints of a service name limits.
+func (f *Fleet) NamesLimits(service string) bool {
+	for _, m := range f.members {
+		if m.Service == service && m.limit.perSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// mayHelp reports whether the endpoint may read a part of a prompt whose primary is another one.
+// One that names a limit needs all requests for it at once, so that long prompts do not use up
+// what it takes from others.
+func (m *member) mayHelp(now time.Time) bool {
+	if m.limit.perSecond == 0 {
+		return true
+	}
+	next := later(m.pace.next, now.Add(-paceTolerance))
+	return !next.Add(ticketSends * interval(m.rate())).After(now)
+}
+
 // currentLimit returns the limit of the endpoint's current incarnation.
 func (m *member) currentLimit() Limit {
 	return Limit{Endpoint: m.Name, Incarnation: m.Incarnation, PerSecond: m.limit.perSecond, Version: m.limit.version}
--- a/assign/limit_test.go
+++ b/assign/limit_test.go
@@ -121,17 +121,18 @@
 	is := is.New(t)
 	f := fleetOf(3)
 	for name := range f.members {
-		f.ObserveLimit(at(1), t0, name, 1, 1)
+		f.ObserveLimit(at(1), t0, name, 1, 10)
 	}
 	a, err := f.Choose(at(time.Second), prompt(133_000))
 	is.NoErr(err)
+	is.Equal(len(a.Helpers), 2)
 	f.Place(at(time.Second), "", 1, &a.Booking)
 	for i, p := range a.Booking.allParts() {
 		sends := 1
 		if i > 0 && p.Tokens > 0 {
 			sends = 3 // the part, the order that reserves memory, the one that releases it
 		}
-		is.Equal(f.members[p.Endpoint].pace.next, at(time.Second-paceTolerance+time.Duration(sends)*time.Second))
+		is.Equal(f.members[p.Endpoint].pace.next, at(time.Second-paceTolerance+time.Duration(sends)*time.Second/10))
 	}
 	cold := fleetOf(3)
 	cold.SetColdRates(map[string]float64{"scribe": 1})
@@ -141,6 +142,20 @@
 	}
 }
 
+func TestLongPromptsUseFewRequestsOfLimitedEndpoints(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(6)
+	for name := range f.members {
+		f.ObserveLimit(at(1), t0, name, 1, 1.7)
+	}
+	a, err := f.Choose(at(time.Second), prompt(133_000))
+	is.NoErr(err)
+	is.Equal(len(a.Helpers), 0)
+	a, err = f.Choose(at(time.Second), prompt(400_000)) // larger than the memory of one
+	is.NoErr(err)
+	is.True(len(a.Helpers) > 0)
+}
+
 func TestWaitForLimits(t *testing.T) {
 	is := is.New(t)
 	f := fleetOf(2)
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -94,3 +95,44 @@
 	w.g.started = time.Now().Add(-limitsReceiveTime)
 	is.True(!w.g.awaitsPeers()) // the other entry may have ended
 }
+
+func TestLongPromptsGetTheirTurnAtLimitedEndpoints(t *testing.T) {
+	tests := map[string]struct {
+		limited                   bool
+		shortStartBy, longStartBy time.Duration
+		want                      uint64
+	}{
+		"no limit, short first":          {false, 2 * time.Second, time.Second, 1},
+		"limit, earlier start first":     {true, 2 * time.Second, time.Second, 2},
+		"limit, short starts earlier":    {true, time.Second, 2 * time.Second, 1},
+		"limit, late ones after others":  {true, time.Second, -time.Second, 1},
+		"limit, both late, first to end": {true, -time.Second, -2 * time.Second, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newTestGateway(t, answering(http.StatusOK, "good"))
+			now := time.Now()
+			w.addLoad("scribe", 0, 8) // all slots are taken
+			if test.limited {
+				w.g.applyBookings("entry-2", &wire.Bookings{Limits: []wire.EndpointLimit{{Endpoint: "scribe-1", Incarnation: 1, PerSecond: 0.5, Version: 1}}})
+			}
+			engine := w.g.deployment.Load().Services["scribe"].Engine
+			var waiters []*waiter
+			for i, startBy := range []time.Duration{test.shortStartBy, test.longStartBy} {
+				waiters = append(waiters, &waiter{
+					request: &assign.Request{Service: "scribe", Engine: engine, PromptTokens: 10 + i*500_000}, bookingID: uint64(i + 1), arrived: now,
+					startBy: now.Add(startBy), giveUpAt: now.Add(time.Minute - time.Duration(i)*time.Second), result: make(chan placeResult, 1),
+				})
+				engine.MemoryTokens = 10_000_000
+				w.g.placeOrEnqueue(waiters[i])
+			}
+			w.g.mu.Lock()
+			w.g.fleet.EndBooking("other", 1, false) // one slot is free
+			w.g.placeQueued(now)
+			w.g.mu.Unlock()
+			is.Equal(len(waiters[test.want-1].result), 1)
+			is.Equal(len(waiters[2-test.want].result), 0)
+		})
+	}
+}
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -31,7 +31,7 @@
 // queues hold the requests that wait for endpoints of one service. Short and long
 // prompts use different endpoints and do not wait for one another.
 type queues struct {
-	short, long queue.Queue
+	short, long *queue.EDF
 }
 
 func newQueues() *queues {
@@ -39,7 +39,7 @@
 }
 
 // forRequest returns the queue for a request by its length class.
-func (q *queues) forRequest(r *assign.Request) queue.Queue {
+func (q *queues) forRequest(r *assign.Request) *queue.EDF {
 	if classOf(r) == route.Short {
 		return q.short
 	}
@@ -165,7 +165,7 @@
 		w.result <- placeResult{err: err}
 		return
 	}
-	g.placeFromQueue(now, q)
+	g.placeFromQueues(now, w.request.Service, g.serviceQueues(w.request.Service))
 }
 
 // expiry returns when a queued request gives up, if it is forecast to wait for the limits of
@@ -250,18 +250,35 @@
 // placeQueued places the queued requests for which endpoints are available. The caller
 // holds g.mu.
 func (g *Gateway) placeQueued(now time.Time) {
-	for _, q := range g.queues {
-		g.placeFromQueue(now, q.short)
-		g.placeFromQueue(now, q.long)
+	for service, q := range g.queues {
+		g.placeFromQueues(now, service, q)
 	}
 }
 
-// placeFromQueue refuses expired requests of one queue and places those that fit. The
+// placeFromQueues refuses the expired requests of one service and places those that fit. The
 // caller holds g.mu.
-func (g *Gateway) placeFromQueue(now time.Time, q queue.Queue) {
-	if q.Len() == 0 {
-		return
+func (g *Gateway) placeFromQueues(now time.Time, service string, q *queues) {
+	g.expireQueued(now, q.short)
+	g.expireQueued(now, q.long)
+	for placed := true; placed; {
+		first, second := q.short, q.long
+		// Where endpoints name limits, both classes use the same few requests.
+		if q.longGoesFirst(now) && g.fleet.NamesLimits(service) {
+			first, second = second, first
+		}
+		placed = g.placeNext(now, first) || g.placeNext(now, second)
 	}
+}
+
+// longGoesFirst reports whether the next long prompt is to be served before the next short one.
+func (q *queues) longGoesFirst(now time.Time) bool {
+	long, ok := q.long.Next(now)
+	short, both := q.short.Next(now)
+	return ok && both && long.Before(now, &short)
+}
+
+// expireQueued refuses the expired requests of one queue. The caller holds g.mu.
+func (g *Gateway) expireQueued(now time.Time, q *queue.EDF) {
 	for _, dropped := range q.Expire(now, nil) {
 		w := dropped.Item.Value.(*waiter)
 		var err error = dropped.Refusal
@@ -270,22 +287,29 @@
 		}
 		w.result <- placeResult{err: err}
 	}
-	for {
-		var a *assign.Assignment
-		item, ok := q.Pop(now, func(i *queue.Item) bool {
-			var err error
-			w := i.Value.(*waiter)
-			w.request.Waited = now.Sub(w.arrived)
-			a, err = g.fleet.Choose(now, w.request)
-			return err == nil
-		})
-		if !ok {
-			return
-		}
-		w := item.Value.(*waiter)
-		g.fleet.Place(now, w.owner, w.bookingID, &a.Booking)
-		w.result <- placeResult{assignment: a}
+}
+
+// placeNext places the next request of one queue that fits, and reports whether there was one.
+// The caller holds g.mu.
+func (g *Gateway) placeNext(now time.Time, q *queue.EDF) bool {
+	if q.Len() == 0 {
+		return false
+	}
+	var a *assign.Assignment
+	item, ok := q.Pop(now, func(i *queue.Item) bool {
+		var err error
+		w := i.Value.(*waiter)
+		w.request.Waited = now.Sub(w.arrived)
+		a, err = g.fleet.Choose(now, w.request)
+		return err == nil
+	})
+	if !ok {
+		return false
 	}
+	w := item.Value.(*waiter)
+	g.fleet.Place(now, w.owner, w.bookingID, &a.Booking)
+	w.result <- placeResult{assignment: a}
+	return true
 }
 
 // release ends the booking. The argument unprefilled is set when the prompt was not
--- a/queue/edf.go
+++ b/queue/edf.go
@@ -52,24 +52,50 @@
 // Pop implements Queue. It tries requests that are past their StartBy only when no
 // others are waiting, and then those that expire first.
 func (q *EDF) Pop(now time.Time, fits func(*Item) bool) (Item, bool) {
+	candidates := q.candidates(now)
+	for _, n := range candidates[:min(len(candidates), q.settings.Probes)] {
+		if fits(&n.item) {
+			q.remove(n)
+			return n.item, true
+		}
+	}
+	return Item{}, false
+}
+
+// Next returns the request that Pop tries first.
+func (q *EDF) Next(now time.Time) (Item, bool) {
+	if len(q.items) == 0 {
+		return Item{}, false
+	}
+	return q.candidates(now)[0].item, true
+}
+
+// candidates returns the requests that Pop tries, in order.
+func (q *EDF) candidates(now time.Time) []*node {
 	onTime, _ := slices.BinarySearchFunc(q.items, now, func(n *node, now time.Time) int {
 		if n.item.StartBy.Before(now) {
 			return -1
 		}
 		return 1
 	})
-	candidates := q.items[onTime:]
-	if len(candidates) == 0 {
-		candidates = slices.Clone(q.items)
-		slices.SortStableFunc(candidates, func(a, b *node) int { return a.item.ExpiresAt.Compare(b.item.ExpiresAt) })
+	if onTime < len(q.items) {
+		return q.items[onTime:]
 	}
-	for _, n := range candidates[:min(len(candidates), q.settings.Probes)] {
-		if fits(&n.item) {
-			q.remove(n)
-			return n.item, true
-		}
+	late := slices.Clone(q.items)
+	slices.SortStableFunc(late, func(a, b *node) int { return a.item.ExpiresAt.Compare(b.item.ExpiresAt) })
+	return late
+}
+
+// Before reports whether a request is to be served before another one by the rule of EDF.
+func (i *Item) Before(now time.Time, other *Item) bool {
+	late, otherLate := i.StartBy.Before(now), other.StartBy.Before(now)
+	switch {
+	case late != otherLate:
+		return otherLate
+	case late:
+		return i.ExpiresAt.Before(other.ExpiresAt)
 	}
-	return Item{}, false
+	return i.StartBy.Before(other.StartBy)
 }
 
 // Remove implements Queue.
--- a/queue/edf_test.go
+++ b/queue/edf_test.go
@@ -105,3 +105,25 @@
 	is.True(ok)
 	is.Equal(q.Len(), 0)
 }
+
+func TestEDFNextIsWhatPopTriesFirst(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Unix(0, 0)
+	q := NewEDF(DefaultSettings())
+	_, ok := q.Next(t0)
+	is.True(!ok)
+	for i, startBy := range []int{-3, 5, -1, 2, -2} {
+		it := item(i, "a", 0)
+		it.StartBy, it.ExpiresAt = t0.Add(time.Duration(startBy)*time.Second), t0.Add(time.Duration(10-i)*time.Second)
+		is.NoErr(q.Push(t0, it))
+	}
+	var last *Item
+	for q.Len() > 0 {
+		next, ok := q.Next(t0)
+		is.True(ok)
+		popped, _ := q.Pop(t0, fitsAlways)
+		is.Equal(next, popped)
+		is.True(last == nil || last.Before(t0, &popped)) // Before orders requests as Pop does
+		last = &popped
+	}
+}
