gateway: an entry that stops in good order says so, and is not awaited

An entry that stops now tells its peers once its last request is answered; until it opens a stream again it counts as heard, because it sends nothing. An entry that is killed or cut off is awaited as before.

TestEntriesThatHaveLeftAreNotAwaited, TestColdRatesOutOfRange.

--- a/assign/limit_test.go
+++ b/assign/limit_test.go
@@ -30,8 +30,8 @@
 		"older figure of an earlier request": {[]answer{{2, 3, 2.3}, {1, 4, 40}}, 2.3},
 		"late answer after the end":          {[]answer{{1, 3, 2.3}, {4, 5, none}, {2, 6, 2.3}}, 0},
 		"named again":                        {[]answer{{1, 2, 2.3}, {3, 4, none}, {5, 6, 1.7}}, 1.7},
-		"zero":                               {[]answer{{1, 2, 0}}, minNamedRate},
-		"huge":                               {[]answer{{1, 2, 1e300}}, maxNamedRate},
+		"zero":                               {[]answer{{1, 2, 0}}, minRate},
+		"huge":                               {[]answer{{1, 2, 1e300}}, maxRate},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -176,3 +176,21 @@
 	f.Book(now, "entry-2", 1, &Booking{Primary: Part{Endpoint: "engine-00"}, Short: true})
 	is.True(f.LimitWait(now, prompt(1_000), 3) >= 8*time.Second-paceTolerance) // shared with another entry
 }
+
+func TestColdRatesOutOfRange(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(1)
+	m := f.members["engine-00"]
+	for rate, want := range map[float64]float64{-1: 0, 0: 0, 1e-12: minRate, 1e12: maxRate} {
+		f.SetColdRates(map[string]float64{"scribe": rate})
+		is.Equal(m.rate(), want)
+		for _, connected := range []bool{true, false} {
+			f.SetSharing(Sharing{Entries: 1000, Connected: connected})
+			m.pace = pacer{}
+			is.True(f.rateWait(t0, m) <= 10_000*time.Second) // 1,000 entries at the lowest rate
+			f.Place(t0, "", 1, &Booking{Primary: Part{Endpoint: "engine-00"}})
+			f.EndBooking("", 1, false)
+			is.True(f.rateWait(t0, m) <= 10_000*time.Second)
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,8 +154,10 @@
 	// bookingStreams counts the open streams over which other entries send their
 	// bookings, by entry name.
 	bookingStreams map[string]int
-	// entryAddrs are the addresses of all entries, sorted.
+	// entryAddrs are the addresses of all entries, sorted, and leftEntries those of entries
+	// that have stopped, by name.
 	entryAddrs  []string
+	leftEntries map[string]string
 	lastQueueID uint64
 }
 
@@ -165,6 +167,7 @@
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1),
 		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{},
+		leftEntries: map[string]string{},
 	}
 	g.ticketTTL.Store(int64(s.TicketTTL))
 	return g
@@ -388,7 +391,10 @@
 	defer cancel()
 	if err := g.server.Shutdown(ctx); err != nil {
 		g.log.Warn("requests aborted at the end of the grace time", "error", err)
+		return
 	}
+	g.bookings.leave(string(g.Peers))
+	<-g.clock.After(leaveTime)
 }
 
 // serveReady answers the readiness checks of the load balancer.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -142,12 +142,14 @@
 	return c.readBody(d.MaxBodyBytes)
 }
 
-// awaitDeployment returns the newest deployment and whether it is known to be current. It
-// also waits for the other entries to tell this one the limits of endpoints.
+// awaitDeployment returns the newest deployment and whether it is known to be current.
 // If it is not, awaitDeployment waits for up to maxStaleWait: after the loss of a
 // replica of control, the lease on the configuration is renewed before a refused caller
 // would retry. Requests to anonymous routes, which are served without a valid lease, do
 // not wait.
+//
+// After a start of this process, awaitDeployment also waits for the other entries to tell it the
+// limits of endpoints, for as long as awaitsPeers says.
 func (c *call) awaitDeployment() (d *Deployment, fresh bool) {
 	limit := c.g.clock.Now().Add(maxStaleWait)
 	for {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -53,12 +53,21 @@
 	}
 }
 
-// updateSharing tells the fleet with which entries it shares the limits of endpoints. The caller
-// holds g.mu.
+// updateSharing tells the fleet with which entries it shares the limits of endpoints. An entry
+// that has left sends nothing that has to be heard. The caller holds g.mu.
 func (g *Gateway) updateSharing() {
+	heard := len(g.bookingStreams)
+	for name, addr := range g.leftEntries {
+		switch {
+		case !slices.Contains(g.entryAddrs, addr):
+			delete(g.leftEntries, name)
+		case g.bookingStreams[name] == 0:
+			heard++
+		}
+	}
 	g.fleet.SetSharing(assign.Sharing{
 		Entries: len(g.entryAddrs), Position: max(0, slices.Index(g.entryAddrs, string(g.Peers))),
-		Connected: len(g.bookingStreams) >= len(g.entryAddrs)-1, SettledFrom: g.started.Add(entryListDelay),
+		Connected: heard >= len(g.entryAddrs)-1, SettledFrom: g.started.Add(entryListDelay),
 	})
 }
 
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -136,3 +136,38 @@
 		})
 	}
 }
+
+// sharing returns the number of entries that share limits, and whether this one hears all others.
+func (w *testGateway) sharing() (entries int, connected bool) {
+	w.g.mu.Lock()
+	defer w.g.mu.Unlock()
+	s := w.g.fleet.Sharing()
+	return s.Entries, s.Connected
+}
+
+func TestEntriesThatHaveLeftAreNotAwaited(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t)
+	stop := &peerQueue{wake: make(chan struct{}, 1)}
+	w.g.bookings.peers["peer"] = stop
+	w.g.bookings.leave("10.0.0.1:7000")
+	is.Equal(w.g.bookings.takePending(stop).Leaving, "10.0.0.1:7000")
+	list := func(addrs ...string) {
+		w.g.mu.Lock()
+		defer w.g.mu.Unlock()
+		w.g.entryAddrs = addrs
+		w.g.updateSharing()
+	}
+	w.g.bookingStreams["entry-3"] = 1
+	list("a:1", "b:1", "c:1")
+	_, connected := w.sharing()
+	is.True(!connected) // entry-2 may be cut off and send on
+	w.g.applyBookings("entry-2", &wire.Bookings{Leaving: "b:1"})
+	entries, connected := w.sharing()
+	is.True(connected)
+	is.Equal(entries, 3)
+	delete(w.g.bookingStreams, "entry-3")
+	list("a:1", "c:1") // the one that has left is no longer listed
+	_, connected = w.sharing()
+	is.True(!connected) // it does not stand for entry-3
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -24,6 +24,8 @@
 	// unlistedTimeout is how long the entry keeps retrying to send to a peer that
 	// neither accepts streams nor is listed by control.
 	unlistedTimeout = 10 * time.Second
+	// leaveTime is how long an entry that stops lets its last messages reach the peers.
+	leaveTime = 50 * time.Millisecond
 	// peerRetryInterval is the wait before a stream to a peer is opened again.
 	peerRetryInterval = 300 * time.Millisecond
 	// peerOpenTimeout bounds the time to open a stream to a peer.
@@ -54,6 +56,8 @@
 	answered []uint64
 	// limits are the endpoints' limits that have changed.
 	limits []wire.EndpointLimit
+	// leaving is the address of this entry once it sends no more requests.
+	leaving string
 	// wake signals that there are changes. It has a buffer of one.
 	wake chan struct{}
 }
@@ -107,6 +111,13 @@
 	b.enqueue(func(q *peerQueue) { q.limits = append(q.limits, wire.EndpointLimit(l)) })
 }
 
+// leave queues a notice for the peers that this entry, at the address, sends no more requests.
+func (b *bookings) leave(addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.enqueue(func(q *peerQueue) { q.leaving = addr })
+}
+
 // enqueue applies a change to the queue of each peer and wakes its sender. The caller
 // holds b.mu.
 func (b *bookings) enqueue(change func(*peerQueue)) {
@@ -150,7 +161,7 @@
 
 // take returns and clears the pending changes other than begun bookings.
 func (q *peerQueue) take() *wire.Bookings {
-	m := &wire.Bookings{Ended: q.ended, Unprefilled: q.unprefilled, Answered: q.answered, Limits: q.limits}
+	m := &wire.Bookings{Ended: q.ended, Unprefilled: q.unprefilled, Answered: q.answered, Limits: q.limits, Leaving: q.leaving}
 	q.ended, q.unprefilled, q.answered, q.limits = nil, nil, nil, nil
 	return m
 }
@@ -306,6 +317,7 @@
 	g.log.Info("booking stream opened", "peer", peer.Name)
 	g.mu.Lock()
 	g.bookingStreams[peer.Name]++
+	delete(g.leftEntries, peer.Name)
 	g.updateSharing()
 	g.mu.Unlock()
 	defer func() {
@@ -358,5 +370,9 @@
 		g.fleet.EndBooking(owner, id, true)
 	}
 	g.mergeLimits(now, owner, b.Limits)
+	if b.Leaving != "" {
+		g.leftEntries[owner] = b.Leaving
+		g.updateSharing()
+	}
 	g.placeQueued(now)
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -344,6 +344,8 @@
 	// Limits are limits of endpoints that have changed; with Full set, all that the sender
 	// knows.
 	Limits []EndpointLimit `cbor:"6,keyasint,omitempty"`
+	// Leaving is the address of the sender if it has stopped and sends no more requests.
+	Leaving string `cbor:"7,keyasint,omitempty"`
 }
 
 // EndpointLimit is the request rate that an incarnation of an endpoint names, in requests
