--- a/cmd/rosemary-soak/main.go
+++ b/cmd/rosemary-soak/main.go
@@ -51,6 +51,7 @@
 	f.Uint64Var(&first, "seed", 1, "first seed")
 	f.Uint64Var(&seeds, "seeds", 1, "how many seeds, one after the other")
 	f.DurationVar(&o.FaultPeriod, "span", defaultFaultPeriod, "for how long faults are injected")
+	f.StringSliceVar(&o.Faults, "faults", nil, "kinds of fault to inject; by default all")
 	f.IntVar(&o.VMs, "vms", 5, "VMs, with an entry each")
 	f.IntVar(&o.Replicas, "replicas", 3, "VMs with a replica of control")
 	f.IntVar(&o.Relays, "relays", 1, "further VMs with a relay of control")
