--- a/assign/pace_test.go
+++ b/assign/pace_test.go
@@ -22,7 +22,7 @@
 	waiting float64
 }
 
-// booking is a booking on its way to another entry.
+// bookingOnTheWay is a booking that another entry will receive.
 type bookingOnTheWay struct {
 	arrives  time.Duration
 	from, to int
@@ -89,7 +89,7 @@
 				arrivals = append(arrivals, now)
 				for j := range entries {
 					if j != i && entries[j].hears(i) {
-						onTheWay = append(onTheWay, bookingOnTheWay{now + 5*time.Millisecond + rand.N(10*time.Millisecond), i, j})
+						onTheWay = append(onTheWay, bookingOnTheWay{now + 5*time.Millisecond + time.Duration(random.Int64N(int64(10*time.Millisecond))), i, j})
 					}
 				}
 			}
