gateway: memory reservations are renewed only while the primary endpoint lives

Requests that must not run twice are left as they are: they are not sent to another endpoint.

TestReservationsAreRenewedForAnEndpointThatFailedSilently fails without the change (504 instead of an answer of the other endpoint).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -95,9 +95,11 @@
 	mu       sync.Mutex
 	reserved map[string]int64
 	full     bool
+	// dead is set if the engines answer no health checks.
+	dead atomic.Bool
 }
 
-func (e *fakeEngines) Alive(string) bool { return true }
+func (e *fakeEngines) Alive(string) bool { return !e.dead.Load() }
 
 func (e *fakeEngines) Reserve(addr, ticket string, tokens int64, _ time.Duration) error {
 	e.mu.Lock()
@@ -616,6 +618,27 @@
 	}
 }
 
+// Entries renewed the memory reservations for an endpoint that had failed silently.
+func TestReservationsAreRenewedForAnEndpointThatFailedSilently(t *testing.T) {
+	is := is.New(t)
+	var failed atomic.Bool
+	var w *testGateway
+	silentOnce := func(rw http.ResponseWriter, r *http.Request) {
+		if failed.CompareAndSwap(false, true) {
+			w.engines.dead.Store(true)
+			<-r.Context().Done()
+			return
+		}
+		streaming(3, 3, nil)(rw, r)
+	}
+	w = newTestGateway(t, silentOnce, silentOnce)
+	// The prefill of the prompt is predicted to take longer than a reservation lasts.
+	engine := w.g.deployment.Load().Services["scribe"].Engine
+	engine.PrefillTokensPerSecond, engine.MemoryTokens = 600, 10_000
+	got := w.post("/read/1", func(r *http.Request) { r.Header.Set("Tokens", "1500") })
+	is.Equal(got.status, http.StatusOK)
+}
+
 func TestRetriesStayWithinThisEntrysShare(t *testing.T) {
 	is := is.New(t)
 	t0 := time.Unix(0, 0)
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -151,7 +151,9 @@
 	c.endpoint = a.Primary.Name
 	c.log().Info("request placed", "addr", a.Primary.Addr, "zone", a.Primary.Zone, "helpers", len(a.Helpers), "helper_names", helperNames(a), "considered", a.Candidates,
 		"prompt_tokens", c.PromptTokens, "predicted", a.PredictedPrefill, "left", c.deadline.Sub(c.g.clock.Now()))
-	helpers, free, err := c.reserve(ctx, a)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	helpers, free, err := c.reserve(ctx, cancel, a)
 	defer free()
 	if err != nil {
 		return err
@@ -160,8 +162,6 @@
 	c.g.metrics.countSend(c.sendReason())
 	c.sends++
 	c.sentAt = c.g.clock.Now()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	timer := c.newSilenceTimer(a.Primary, cancel)
 	defer timer.stop()
 	timer.reset(c.firstEventTimeout(a))
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -50,9 +50,10 @@
 // currentTicketTTL is the TTL of a reservation.
 func (g *Gateway) currentTicketTTL() time.Duration { return time.Duration(g.ticketTTL.Load()) }
 
-// reserve makes the memory reservations of the assignment and renews them until ctx
-// ends or free is called. The returned function free releases them and is never nil.
-func (c *call) reserve(ctx context.Context, a *assign.Assignment) (helpers []Helper, free func(), err error) {
+// reserve makes the memory reservations of the assignment and renews them until ctx ends or
+// free is called. The returned function free releases them and is never nil. The attempt is
+// cancelled if its primary endpoint has failed silently.
+func (c *call) reserve(ctx context.Context, cancel context.CancelCauseFunc, a *assign.Assignment) (helpers []Helper, free func(), err error) {
 	var reserved []ticket
 	for i, h := range a.Helpers {
 		t := ticket{Helper: Helper{Addr: h.Addr}, endpoint: h.Name, tokens: a.Booking.Helpers[i].Tokens, unacknowledged: &atomic.Bool{}}
@@ -86,7 +87,7 @@
 	if err != nil {
 		return nil, free, c.markMemoryFull(a, reserved, err)
 	}
-	go c.renew(renewCtx, reserved)
+	go c.renew(renewCtx, cancel, a.Primary, reserved)
 	return helpers, free, nil
 }
 
@@ -102,14 +103,20 @@
 	return verdict.Refuse(verdict.ReasonEndpointMemory, defaultRetryAfter, "no memory for %d tokens beside endpoint %s", c.PromptTokens, a.Primary.Name)
 }
 
-// renew renews the reservations until ctx ends.
-func (c *call) renew(ctx context.Context, reserved []ticket) {
+// renew renews the reservations until ctx ends or the primary endpoint, without which they
+// serve nothing, no longer answers health checks. It then cancels the attempt, unless the
+// request must not be sent to another endpoint.
+func (c *call) renew(ctx context.Context, cancel context.CancelCauseFunc, primary assign.Endpoint, reserved []ticket) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.g.clock.After(time.Duration(renewAfterFraction * float64(c.g.currentTicketTTL()))):
 		}
+		if c.route.Kind == Repeatable && !c.g.engineAlive(primary) {
+			cancel(errSilent)
+			return
+		}
 		for _, t := range reserved {
 			if err := t.reserve(c.g.engines, c.g.currentTicketTTL()); err != nil && ctx.Err() == nil {
 				c.log().Warn("memory reservation not renewed", "ticket", t.Ticket, "addr", t.Addr, "error", err)
