gateway: the answer of a later incarnation at an address proves nothing of an earlier one

An entry that asked whether a silent engine lives took the answer of whatever listened at its address. An engine that a later incarnation has replaced, by name or by address, now counts as failed.

TestReservationsAreRenewedForAnEndpointThatFailedSilently has two cases for it, which fail without the change.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -362,6 +362,16 @@
 	return a, true
 }
 
+// Replaced reports whether a later incarnation has taken the name or the address of an endpoint.
+func (f *Fleet) Replaced(e Endpoint) bool {
+	for _, m := range f.members {
+		if (m.Name == e.Name || m.Addr == e.Addr) && m.Incarnation > e.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // FindAddr returns the name of the endpoint at an address.
 func (f *Fleet) FindAddr(addr string) (string, bool) {
 	for name, m := range f.members {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -620,23 +620,53 @@
 
 // Entries renewed the memory reservations for an endpoint that had failed silently.
 func TestReservationsAreRenewedForAnEndpointThatFailedSilently(t *testing.T) {
-	is := is.New(t)
-	var failed atomic.Bool
-	var w *testGateway
-	silentOnce := func(rw http.ResponseWriter, r *http.Request) {
-		if failed.CompareAndSwap(false, true) {
-			w.engines.dead.Store(true)
-			<-r.Context().Done()
-			return
-		}
-		streaming(3, 3, nil)(rw, r)
-	}
-	w = newTestGateway(t, silentOnce, silentOnce)
-	// The prefill of the prompt is predicted to take longer than a reservation lasts.
-	engine := w.g.deployment.Load().Services["scribe"].Engine
-	engine.PrefillTokensPerSecond, engine.MemoryTokens = 600, 10_000
-	got := w.post("/read/1", func(r *http.Request) { r.Header.Set("Tokens", "1500") })
-	is.Equal(got.status, http.StatusOK)
+	tests := map[string]func(w *testGateway, instance string){
+		"no health checks answered": func(w *testGateway, _ string) { w.engines.dead.Store(true) },
+		"started again": func(w *testGateway, instance string) {
+			w.announce(instance, func(e *wire.Endpoint) { e.Incarnation++ })
+		},
+		"address taken by another": func(w *testGateway, instance string) {
+			w.announce(instance, func(e *wire.Endpoint) { e.Name, e.Incarnation = "scribe-9", e.Incarnation+1 })
+		},
+	}
+	for name, fail := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var failed atomic.Bool
+			var w *testGateway
+			silentOnce := func(rw http.ResponseWriter, r *http.Request) {
+				if failed.CompareAndSwap(false, true) {
+					fail(w, r.Header.Get("Instance"))
+					<-r.Context().Done()
+					return
+				}
+				streaming(3, 3, nil)(rw, r)
+			}
+			w = newTestGateway(t, silentOnce, silentOnce)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go w.g.pollQueues(ctx)
+			// The prefill of the prompt is predicted to take longer than a reservation lasts.
+			engine := w.g.deployment.Load().Services["scribe"].Engine
+			engine.PrefillTokensPerSecond, engine.MemoryTokens = 600, 10_000
+			got := w.post("/read/1", func(r *http.Request) { r.Header.Set("Tokens", "1500") })
+			is.Equal(got.status, http.StatusOK)
+		})
+	}
+}
+
+// announce announces the scribe of this name with changes.
+func (w *testGateway) announce(name string, change func(*wire.Endpoint)) {
+	w.g.mu.Lock()
+	a, ok := w.g.fleet.ResolveBooking(&assign.Booking{Primary: assign.Part{Endpoint: name}})
+	w.g.mu.Unlock()
+	if !ok {
+		w.t.Errorf("endpoint %q is not known", name)
+		return
+	}
+	e := wire.Endpoint{Name: name, Target: "scribe", Addr: a.Primary.Addr, Zone: a.Primary.Zone, Slots: a.Primary.Slots, Incarnation: a.Primary.Incarnation}
+	change(&e)
+	w.g.updateEndpoints(&wire.Update{Endpoints: []wire.Endpoint{e}})
 }
 
 func TestRetriesStayWithinThisEntrysShare(t *testing.T) {
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -107,15 +107,20 @@
 func (t *silenceTimer) stop() { t.timer.Stop() }
 
 // engineAlive reports whether an engine has shown activity within healthCheckInterval,
-// or else answers a health check.
+// or else answers a health check. One that a later incarnation has replaced is not alive,
+// whoever answers at its address.
 func (g *Gateway) engineAlive(e assign.Endpoint) bool {
 	now := g.clock.Now()
 	g.mu.Lock()
+	replaced := g.fleet.Replaced(e)
 	recentlyAlive := g.fleet.AliveSince(now.Add(-healthCheckInterval), e.Name)
-	if !recentlyAlive {
+	if !recentlyAlive && !replaced {
 		g.fleet.RecordHealthCheck(now, e.Name)
 	}
 	g.mu.Unlock()
+	if replaced {
+		return false
+	}
 	if recentlyAlive {
 		return true
 	}
