--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -170,9 +170,10 @@
 
 // expiry returns when a queued request gives up, if it is forecast to wait for the limits of
 // endpoints for limitWait; zero means that it waits for something else. A request that others
-// overtake for much longer than forecast will not be served in time either.
+// overtake for much longer than forecast will not be served in time either. It waits for at
+// least half of its time, because a forecast may be short.
 func (w *waiter) expiry(now time.Time, limitWait time.Duration) time.Time {
-	at := now.Add(limitWaitFactor * limitWait)
+	at := now.Add(max(limitWaitFactor*limitWait, w.giveUpAt.Sub(now)/2))
 	if at.Before(w.startBy) {
 		at = w.startBy
 	}
