gateway: limits named in answers to memory orders and health checks count

It named its limit in the answers to memory orders, which nobody read; the entries learned of it from its first request of its own, 9 ms after that was sent, and kept to it from then on (one request every 0.5 to 0.7 s).

One that names a limit counts like the answer to a request; one without ends no limit, because nothing says that these answers carry it always.

TestLimitInTheAnswerToAnOrder.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -372,14 +372,14 @@
 	return false
 }
 
-// FindAddr returns the name of the endpoint at an address.
-func (f *Fleet) FindAddr(addr string) (string, bool) {
-	for name, m := range f.members {
+// AtAddr returns the endpoint at an address.
+func (f *Fleet) AtAddr(addr string) (Endpoint, bool) {
+	for _, m := range f.members {
 		if m.Addr == addr {
-			return name, true
+			return m.Endpoint, true
 		}
 	}
-	return "", false
+	return Endpoint{}, false
 }
 
 // byRank compares endpoints by rank, in the order that all entries share.
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -22,24 +22,54 @@
 		c.log().Warn("endpoint limit not understood", "limited", e.Name, "status", res.StatusCode, "error", err)
 		return
 	}
+	if limit, changed := c.g.recordLimit(c.sentAt, e.Name, e.Incarnation, named); changed {
+		c.log().Info("endpoint limit changed", "limited", e.Name, "incarnation", e.Incarnation, "per_second", limit.PerSecond, "version", limit.Version,
+			"status", res.StatusCode, "header", named.Header, "age", c.g.clock.Now().Sub(c.sentAt))
+	}
+}
+
+// ObserveEngineAnswer records the limit that the engine at an address names in the head of its
+// answer to a memory order or health check. Such an answer without a limit does not end one.
+func (g *Gateway) ObserveEngineAnswer(addr string, sent time.Time, h http.Header) {
+	named, err := g.dialect.ReadLimit(h)
+	if err != nil {
+		g.log.Warn("endpoint limit not understood", "addr", addr, "error", err)
+		return
+	}
+	if !named.Named {
+		return
+	}
+	g.mu.Lock()
+	e, ok := g.fleet.AtAddr(addr)
+	g.mu.Unlock()
+	if !ok {
+		return
+	}
+	if limit, changed := g.recordLimit(sent, e.Name, e.Incarnation, named); changed {
+		g.log.Info("endpoint limit changed", "limited", e.Name, "incarnation", e.Incarnation, "per_second", limit.PerSecond, "version", limit.Version,
+			"header", named.Header, "age", g.clock.Now().Sub(sent))
+	}
+}
+
+// recordLimit records what an answer says of an endpoint's limit, and informs the other entries if
+// the limit has changed.
+func (g *Gateway) recordLimit(sent time.Time, endpoint string, incarnation uint64, named NamedLimit) (assign.Limit, bool) {
 	perSecond := named.PerSecond
 	if !named.Named {
 		perSecond = -1
 	}
-	now := c.g.clock.Now()
-	c.g.mu.Lock()
-	limit, changed := c.g.fleet.ObserveLimit(now, c.sentAt, e.Name, e.Incarnation, perSecond)
+	now := g.clock.Now()
+	g.mu.Lock()
+	limit, changed := g.fleet.ObserveLimit(now, sent, endpoint, incarnation, perSecond)
 	if changed {
-		c.g.placeQueued(now)
+		g.placeQueued(now)
 	}
-	c.g.mu.Unlock()
-	if !changed {
-		return
+	g.mu.Unlock()
+	if changed {
+		g.bookings.limitChanged(limit)
+		g.metrics.limitChanges.Inc()
 	}
-	c.g.bookings.limitChanged(limit)
-	c.g.metrics.limitChanges.Inc()
-	c.log().Info("endpoint limit changed", "limited", e.Name, "incarnation", e.Incarnation, "per_second", limit.PerSecond, "version", limit.Version,
-		"status", res.StatusCode, "header", named.Header, "age", now.Sub(c.sentAt))
+	return limit, changed
 }
 
 // mergeLimits records the limits that another entry has learned of. The caller holds g.mu.
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -171,3 +171,19 @@
 	_, connected = w.sharing()
 	is.True(!connected) // it does not stand for entry-3
 }
+
+// An endpoint named its limit in answers to memory orders before it got a request of its own.
+func TestLimitInTheAnswerToAnOrder(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, answering(http.StatusOK, "good"))
+	w.g.fleet.RetainOnly(map[string]bool{"desk-1": true})
+	a, ok := w.g.fleet.ResolveBooking(&assign.Booking{Primary: assign.Part{Endpoint: "desk-1"}})
+	is.True(ok)
+	addr := a.Primary.Addr
+	w.g.ObserveEngineAnswer(addr, time.Now(), http.Header{"Limit": {"2.5"}})
+	is.Equal(w.limitOf(), 2.5)
+	w.g.ObserveEngineAnswer(addr, time.Now(), http.Header{})
+	is.Equal(w.limitOf(), 2.5) // an order need not say it
+	w.g.ObserveEngineAnswer(addr, time.Now(), http.Header{"Limit": {"soon"}})
+	is.Equal(w.limitOf(), 2.5)
+}
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -309,8 +309,8 @@
 	name := a.Primary.Name
 	c.g.mu.Lock()
 	if at != "" {
-		if other, ok := c.g.fleet.FindAddr(at); ok {
-			name = other
+		if other, ok := c.g.fleet.AtAddr(at); ok {
+			name = other.Name
 		}
 	}
 	if outcome == NotRun && name == a.Primary.Name {
