gateway: nothing is queued for a peer without a stream; changes of limit sharing are logged

Changes for an entry that control lists and that cannot be reached were queued without bound, and since with whole bookings; a stream begins with all that is current, so they served nothing. A queue is open only while its stream is, from before the first message is put together.

Whether an entry shares the count of a limit or sends in turns is a belief that no line showed: limit sharing changed.

Tests: TestNothingIsQueuedForAPeerWithoutAStream.

--- a/assign/rate.go
+++ b/assign/rate.go
@@ -93,9 +93,9 @@
 	}
 }
 
-// LimitWait forecasts how long a request waits when its only obstacle are the rates of the
-// endpoints, and the argument ahead is the number of requests that wait before it. Zero
-// means that there is no such wait.
+// LimitWait forecasts how long a request waits that only the rates of the endpoints keep
+// waiting; ahead is the number of requests that wait before it. Zero means that something else
+// keeps it waiting, or nothing.
 func (f *Fleet) LimitWait(now time.Time, r *Request, ahead int) time.Duration {
 	blocked := f.rateLimited(now, r)
 	if blocked.endpoints == 0 || len(f.eligible(now, r, false)) > 0 {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -95,10 +95,14 @@
 			heard++
 		}
 	}
-	g.fleet.SetSharing(assign.Sharing{
+	sharing := assign.Sharing{
 		Entries: len(g.entryAddrs), Position: max(0, slices.Index(g.entryAddrs, string(g.Peers))),
 		Connected: heard >= len(g.entryAddrs)-1, SettledFrom: g.started.Add(entryListDelay),
-	})
+	}
+	if old := g.fleet.Sharing(); old.Entries != sharing.Entries || old.Connected != sharing.Connected {
+		g.log.Info("limit sharing changed", "entries", sharing.Entries, "connected", sharing.Connected, "streams", len(g.bookingStreams), "left", len(g.leftEntries))
+	}
+	g.fleet.SetSharing(sharing)
 }
 
 // awaitsPeers reports whether this entry has just started and other entries may still tell it
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -47,6 +47,9 @@
 type peerQueue struct {
 	// unlistedSince is when control stopped listing the peer; zero while it lists it.
 	unlistedSince time.Time
+	// open is set while a stream to the peer is open. Without one nothing is queued, because
+	// each stream begins with all that is current.
+	open bool
 	// begun are bookings, which may have ended since: their requests count. The others are
 	// booking IDs; those in unprefilled have ended before their prompts were prefilled.
 	begun       []*wire.Booking
@@ -118,10 +121,13 @@
 	b.enqueue(func(q *peerQueue) { q.leaving = addr })
 }
 
-// enqueue applies a change to the queue of each peer and wakes its sender. The caller
-// holds b.mu.
+// enqueue applies a change to the queue of each peer to which a stream is open, and wakes its
+// sender. The caller holds b.mu.
 func (b *bookings) enqueue(change func(*peerQueue)) {
 	for _, q := range b.peers {
+		if !q.open {
+			continue
+		}
 		change(q)
 		select {
 		case q.wake <- struct{}{}:
@@ -130,6 +136,22 @@
 	}
 }
 
+// openQueue starts the queue of a peer to which a stream has been opened. What changes from then
+// on is either in the first message of the stream or queued.
+func (b *bookings) openQueue(q *peerQueue) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q.open = true
+}
+
+// closeQueue drops the pending changes of a peer whose stream has ended.
+func (b *bookings) closeQueue(q *peerQueue) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q.open, q.begun = false, nil
+	q.take()
+}
+
 // takePending returns and clears the pending changes of a peer.
 func (b *bookings) takePending(q *peerQueue) *wire.Bookings {
 	b.mu.Lock()
@@ -253,6 +275,8 @@
 	}
 	defer stream.Abort()
 	defer context.AfterFunc(ctx, stream.Abort)()
+	g.bookings.openQueue(q)
+	defer g.bookings.closeQueue(q)
 	for first := true; ; first = false {
 		if err := stream.SetSendDeadline(g.clock.Now().Add(bookingTimeout)); err != nil {
 			return errors.Wrap(err, "set send deadline of bookings")
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -51,6 +51,7 @@
 	b := newBookings()
 	q := &peerQueue{wake: make(chan struct{}, 1)}
 	b.peers["peer"] = q
+	b.openQueue(q)
 	booking := &assign.Booking{Primary: assign.Part{Endpoint: "e1", Tokens: 7}, Helpers: []assign.Part{{Endpoint: "e2"}}, PrefillTime: time.Second, Short: true}
 	one, two, three := b.newID(), b.newID(), b.newID()
 	for _, id := range []uint64{one, two, three} {
@@ -75,3 +76,29 @@
 	rest := b.takePending(q)
 	is.Equal(len(rest.Begun)+len(rest.Ended)+len(rest.Limits), 0)
 }
+
+// Changes for a peer that cannot be reached were queued for as long as control listed it.
+func TestNothingIsQueuedForAPeerWithoutAStream(t *testing.T) {
+	is := is.New(t)
+	b := newBookings()
+	q := &peerQueue{wake: make(chan struct{}, 1)}
+	b.peers["peer"] = q
+	change := func() uint64 {
+		id := b.newID()
+		b.begin(id, &assign.Booking{})
+		b.answered(id)
+		b.limitChanged(assign.Limit{Endpoint: "e1"})
+		return id
+	}
+	b.end(change(), false)
+	is.Equal(len(q.begun)+len(q.ended)+len(q.answered)+len(q.limits), 0)
+	kept := change()
+	b.openQueue(q)
+	m := b.takeAll(q, []assign.Limit{{Endpoint: "e1"}})
+	is.Equal(len(m.Begun), 1) // the stream begins with what is current
+	is.Equal(m.Begun[0].ID, kept)
+	is.Equal(len(m.Limits), 1)
+	change()
+	b.closeQueue(q)
+	is.Equal(len(q.begun)+len(q.ended)+len(q.answered)+len(q.limits), 0)
+}
