--- a/control/metrics.go
+++ b/control/metrics.go
@@ -21,6 +21,16 @@
 		}
 		return float64(voters)
 	})
+	set.NewGauge("rosemary_control_voters_caught_up", func() float64 {
+		caughtUp := 0
+		for _, m := range s.members() {
+			if m.Voter && m.CaughtUp {
+				caughtUp++
+			}
+		}
+		return float64(caughtUp)
+	})
+	set.NewGauge("rosemary_control_fault_tolerant", func() float64 { return boolToFloat(s.node.Status().FaultTolerant) })
 	set.NewGauge("rosemary_control_revision", func() float64 { return float64(s.store.document().Revision) })
 	set.NewGauge("rosemary_control_sessions", func() float64 { return float64(s.table.countSessions()) })
 	set.NewGauge("rosemary_control_endpoints", func() float64 { return float64(s.table.countEndpoints()) })
--- a/control/steward.go
+++ b/control/steward.go
@@ -36,6 +36,9 @@
 	// missing holds the time since when a member has been silent or behind. It is used on the
 	// leader only.
 	missing map[replica.ID]time.Time
+	// tolerant is whether the group bore the loss of one more voter at the last check, nil if this
+	// replica did not lead then.
+	tolerant *bool
 	// leaderSeen is when a leader was last known. joinRequested is when this replica last
 	// asked to join.
 	leaderSeen, joinRequested time.Time
@@ -66,6 +69,9 @@
 		default:
 			clear(w.missing)
 		}
+		if status.Leader != status.ID {
+			w.tolerant = nil
+		}
 		if now.Sub(w.lastAnnounced) >= announceInterval {
 			w.lastAnnounced = now
 			s.announce(ctx)
@@ -155,12 +161,19 @@
 		if m.Voter && m.CaughtUp {
 			caughtUp++
 		}
-		if m.CaughtUp || m.ID == s.node.Status().ID {
+		since, missing := w.missing[m.ID]
+		switch {
+		case m.CaughtUp || m.ID == s.node.Status().ID:
+			if missing {
+				s.log.Info("replica caught up again", "replica", uint64(m.ID), "addr", m.Addr, "voter", m.Voter, "after", now.Sub(since))
+			}
 			delete(w.missing, m.ID)
-		} else if _, ok := w.missing[m.ID]; !ok {
+		case !missing:
 			w.missing[m.ID] = now
+			s.log.Warn("replica silent or behind", "replica", uint64(m.ID), "addr", m.Addr, "voter", m.Voter, "match", m.Match)
 		}
 	}
+	s.reportTolerance(w, voters, caughtUp)
 	for _, m := range members {
 		if action := s.actionFor(w, now, m, voters, caughtUp); action != "" {
 			s.changeMember(ctx, action, m.ID)
@@ -169,6 +182,20 @@
 	}
 }
 
+// reportTolerance logs when the group begins or ceases to bear the loss of one more voter.
+func (s *Server) reportTolerance(w *steward, voters, caughtUp int) {
+	tolerant := s.node.Status().FaultTolerant
+	if w.tolerant != nil && *w.tolerant == tolerant {
+		return
+	}
+	w.tolerant = &tolerant
+	if tolerant {
+		s.log.Info("loss of another replica tolerated", "voters", voters, "caught_up", caughtUp)
+		return
+	}
+	s.log.Warn("loss of another replica not tolerated", "voters", voters, "caught_up", caughtUp)
+}
+
 // actionFor returns memberPromote, memberRemove, or an empty string if the member stays as it
 // is. voters and caughtUp are the numbers of voters and of caught-up voters in the group.
 func (s *Server) actionFor(w *steward, now time.Time, m replica.MemberStatus, voters, caughtUp int) string {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,13 +22,17 @@
 	endpointLosses, lossReports *metrics.Counter
 	// limitChanges counts the changes of endpoints' limits that this entry has learned of.
 	limitChanges *metrics.Counter
+	// placedForPeers counts the requests of other entries for which this entry chose endpoints,
+	// and placedByPeers its own requests for which another one did.
+	placedForPeers, placedByPeers *metrics.Counter
 }
 
 func newMetrics(set *metrics.Set) *gatewayMetrics {
 	m := &gatewayMetrics{
 		set: set, distrusts: set.NewCounter("rosemary_gateway_distrusts_total"),
 		endpointLosses: set.NewCounter("rosemary_gateway_endpoint_losses_total"), lossReports: set.NewCounter("rosemary_gateway_loss_reports_total"),
-		limitChanges: set.NewCounter("rosemary_gateway_limit_changes_total"),
+		limitChanges:   set.NewCounter("rosemary_gateway_limit_changes_total"),
+		placedForPeers: set.NewCounter("rosemary_gateway_placed_for_peers_total"), placedByPeers: set.NewCounter("rosemary_gateway_placed_by_peers_total"),
 	}
 	set.NewGauge("rosemary_gateway_requests_in_flight", func() float64 { return float64(m.inFlight.Load()) })
 	set.NewGauge("rosemary_gateway_tickets_held", func() float64 { return float64(m.ticketsHeld.Load()) })
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -150,7 +150,8 @@
 	c.placed = placed
 	c.endpoint = a.Primary.Name
 	c.log().Info("request placed", "addr", a.Primary.Addr, "zone", a.Primary.Zone, "helpers", len(a.Helpers), "helper_names", helperNames(a), "considered", a.Candidates,
-		"prompt_tokens", c.PromptTokens, "predicted", a.PredictedPrefill, "left", c.deadline.Sub(c.g.clock.Now()))
+		"prompt_tokens", c.PromptTokens, "predicted", a.PredictedPrefill, "left", c.deadline.Sub(c.g.clock.Now()),
+		"placer", placed.placer, "placer_revision", placed.revision, "revision", c.g.client.Permission().Revision)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	helpers, free, err := c.reserve(ctx, cancel, a)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -69,7 +69,7 @@
 	if addr == "" || addr == string(g.Peers) || g.stopping.Load() {
 		return nil, nil
 	}
-	a, err := g.askPlacer(ctx, addr, w)
+	a, revision, err := g.askPlacer(ctx, addr, w)
 	if ctx.Err() != nil {
 		g.bookings.end(w.bookingID, true)
 		return nil, g.withdraw(ctx, w)
@@ -83,44 +83,45 @@
 		w.bookingID = g.bookings.newID()
 		return nil, nil
 	}
+	g.metrics.placedByPeers.Inc()
 	now := g.clock.Now()
 	g.bookings.begin(w.bookingID, &a.Booking)
 	g.mu.Lock()
 	g.fleet.Book(now, "", w.bookingID, &a.Booking)
 	g.mu.Unlock()
-	return &placement{Assignment: a, g: g, id: w.bookingID}, nil
+	return &placement{Assignment: a, g: g, id: w.bookingID, placer: addr, revision: revision}, nil
 }
 
-// askPlacer returns the choice of the placing entry or its refusal, and nil without an
-// error when that entry does not answer.
-func (g *Gateway) askPlacer(ctx context.Context, addr string, w *waiter) (*assign.Assignment, error) {
+// askPlacer returns the choice of the placing entry with the revision of its configuration, or
+// its refusal, and nil without an error when that entry does not answer.
+func (g *Gateway) askPlacer(ctx context.Context, addr string, w *waiter) (a *assign.Assignment, revision uint64, err error) {
 	openCtx, cancel := context.WithTimeout(ctx, placerTimeout)
 	defer cancel()
 	stream, err := g.dialer.Open(openCtx, addr)
 	if err != nil {
-		return nil, nil
+		return nil, 0, nil
 	}
 	defer stream.Abort()
 	defer context.AfterFunc(ctx, stream.Abort)()
 	if err := stream.Send(w.toWire(g.clock.Now())); err != nil {
-		return nil, nil
+		return nil, 0, nil
 	}
 	for {
 		if err := stream.SetDeadline(g.clock.Now().Add(placerTimeout)); err != nil {
-			return nil, nil
+			return nil, 0, nil
 		}
 		m, err := stream.Recv()
 		if err != nil {
-			return nil, nil
+			return nil, 0, nil
 		}
 		placed, ok := m.(*wire.Placed)
 		switch {
 		case !ok:
-			return nil, nil
+			return nil, 0, nil
 		case placed.Refused != nil:
-			return nil, placed.Refused.Refusal()
+			return nil, 0, placed.Refused.Refusal()
 		case placed.Booking != nil:
-			return g.resolvePlaced(placed), nil
+			return g.resolvePlaced(placed), placed.Revision, nil
 		}
 	}
 }
@@ -200,7 +201,15 @@
 			if o.err != nil {
 				return &wire.Placed{Refused: wire.NewRefused(wire.Attempt{}, verdict.From(o.err))}
 			}
-			return &wire.Placed{Booking: toWire(w.bookingID, &o.assignment.Booking), PredictedPrefill: o.assignment.PredictedPrefill, Candidates: o.assignment.Candidates}
+			g.metrics.placedForPeers.Inc()
+			permission := g.client.Permission()
+			g.log.Info("request placed for another entry", "peer", w.owner, "booking", w.bookingID, "service", w.request.Service,
+				"endpoint", o.assignment.Primary.Name, "zone", o.assignment.Primary.Zone, "helper_names", helperNames(o.assignment),
+				"considered", o.assignment.Candidates, "revision", permission.Revision, "permission_left", permission.Left)
+			return &wire.Placed{
+				Booking: toWire(w.bookingID, &o.assignment.Booking), PredictedPrefill: o.assignment.PredictedPrefill, Candidates: o.assignment.Candidates,
+				Revision: permission.Revision,
+			}
 		case <-g.clock.After(waitingNoticeInterval):
 			if !g.sendPlaced(stream, &wire.Placed{Waiting: true}) {
 				cancel()
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -52,6 +52,10 @@
 	g *Gateway
 	// id is the ID of the booking.
 	id uint64
+	// placer is the address of the entry that chose the endpoints, "" for this entry, and
+	// revision the revision of the configuration under which it chose.
+	placer   string
+	revision uint64
 }
 
 // waiter is a request that waits for endpoints.
@@ -118,7 +122,7 @@
 		return nil, err
 	}
 	g.bookings.begin(w.bookingID, &a.Booking)
-	return &placement{Assignment: a, g: g, id: w.bookingID}, nil
+	return &placement{Assignment: a, g: g, id: w.bookingID, revision: g.client.Permission().Revision}, nil
 }
 
 // waitForPlacement returns the endpoints for the request once they are booked at this
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -411,6 +411,8 @@
 	// Candidates is the number of endpoints that were eligible.
 	PredictedPrefill time.Duration `cbor:"4,keyasint,omitempty"`
 	Candidates       int           `cbor:"5,keyasint,omitempty"`
+	// Revision is the revision of the configuration under which the placing entry chose.
+	Revision uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // ReplicaMessage carries one message between two replicas of control. Group says what
