Processes may listen behind translated addresses; the soak cuts them from each other and replaces replicas

node.bind_ip: a process listens, and connects, on another IP address than the one that it names to the others. The soak uses it to put packet proxies between the processes, which tell the senders apart by their addresses, so that it can cut a replica from the other replicas (both ways, one way) and a VM from all replicas. A replica can be replaced for good by one at another address with an empty disk.

--- a/control/control.go
+++ b/control/control.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	id, err := wire.OpenIdentity(h.TLS, h.Node.Name, wire.RoleControl)
+	id, err := wire.OpenIdentity(h.TLS, h.Node, wire.RoleControl)
 	if err != nil {
 		return err
 	}
@@ -112,7 +112,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	if p.liveness, err = listenForLiveness(string(p.Listen)); err != nil {
+	if p.liveness, err = listenForLiveness(id, string(p.Listen)); err != nil {
 		_ = p.disk.Close()
 		return err
 	}
--- a/control/founders.go
+++ b/control/founders.go
@@ -23,7 +23,7 @@
 // every seed has answered or ctx ends. Meanwhile it listens on self and answers the other
 // callers.
 func Founders(ctx context.Context, h *kernel.Host, self settings.Addr, seeds []settings.Addr) ([]settings.Addr, error) {
-	id, err := wire.OpenIdentity(h.TLS, h.Node.Name, wire.RoleControl)
+	id, err := wire.OpenIdentity(h.TLS, h.Node, wire.RoleControl)
 	if err != nil {
 		return nil, err
 	}
--- a/control/permission_expiry.go
+++ b/control/permission_expiry.go
@@ -54,8 +54,12 @@
 // sessions, commands and the other replicas use the same address over QUIC. A refused TCP connection shows that the VM is up and the replica has stopped,
 // because the VM's operating system sends the refusal. A replica behind a network partition
 // refuses nothing.
-func listenForLiveness(addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
+func listenForLiveness(id *wire.Identity, addr string) (net.Listener, error) {
+	bindAddr, err := id.BindAddr(addr)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", bindAddr)
 	return l, errors.Wrap(err, "listen for liveness")
 }
 
--- a/control/relay.go
+++ b/control/relay.go
@@ -58,7 +58,7 @@
 // Provision implements kernel.Provisioner.
 func (r *Relay) Provision(h *kernel.Host) error {
 	r.log, r.clock = h.Log, h.Clock
-	id, err := wire.OpenIdentity(h.TLS, h.Node.Name, wire.RoleControl)
+	id, err := wire.OpenIdentity(h.TLS, h.Node, wire.RoleControl)
 	if err != nil {
 		return err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -169,7 +169,7 @@
 
 // Provision creates the entry's parts and starts to listen for callers. Run serves them.
 func (e *Entry) Provision(h *kernel.Host) error {
-	id, err := wire.OpenIdentity(h.TLS, h.Node.Name, wire.RoleEntry)
+	id, err := wire.OpenIdentity(h.TLS, h.Node, wire.RoleEntry)
 	if err != nil {
 		return err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,7 +175,7 @@
 
 // Provision opens the listeners and prepares the session with control.
 func (g *Gateway) Provision(h *kernel.Host) error {
-	id, err := wire.OpenIdentity(h.TLS, h.Node.Name, wire.RoleEntry)
+	id, err := wire.OpenIdentity(h.TLS, h.Node, wire.RoleEntry)
 	if err != nil {
 		return err
 	}
--- a/settings/types.go
+++ b/settings/types.go
@@ -79,6 +79,10 @@
 	Region string `json:"region" validate:"required"`
 	// Zone is the availability zone of the VM.
 	Zone string `json:"zone" validate:"required"`
+	// BindIP is the IP address on which the process listens for other processes, and from which
+	// it connects to them, if they reach it at another, translated one. By default it listens on
+	// the address that it names to them.
+	BindIP string `json:"bind_ip,omitempty" validate:"omitempty,ip"`
 }
 
 // TLS names the files of a process's TLS identity. The files are read again when they
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -128,7 +128,7 @@
 
 // Provision starts to listen for entries and prepares the session with control.
 func (s *Sidecar) Provision(h *kernel.Host) error {
-	id, err := wire.OpenIdentity(h.TLS, h.Node.Name, wire.RoleSidecar)
+	id, err := wire.OpenIdentity(h.TLS, h.Node, wire.RoleSidecar)
 	if err != nil {
 		return err
 	}
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -32,13 +32,14 @@
 	PromiseInnocent     = "no request is refused for crashes that it did not cause"
 	PromiseRetries      = "retries stay within the budget of all entries"
 	PromiseLimit        = "an endpoint gets no more than the limit that it names"
+	PromiseEvacuated    = "a zone that was taken out gets nothing, from processes that are cut off either"
 )
 
 // Promises lists all promises.
 var Promises = []string{
 	PromiseAtMostOnce, PromiseNotRun, PromiseAnswer, PromiseOrder, PromiseUnaltered, PromiseRoute, PromiseNoRollback, PromiseRevoked,
 	PromiseDrained, PromiseCold, PromiseMemory, PromiseDurable, PromiseRecovered, PromiseGracefulStop,
-	PromiseCrashing, PromiseInnocent, PromiseRetries, PromiseLimit,
+	PromiseCrashing, PromiseInnocent, PromiseRetries, PromiseLimit, PromiseEvacuated,
 }
 
 // Bounds holds the time bounds of a deployment's promises.
@@ -54,6 +55,12 @@
 	// Reconnect is the time after a fault within which processes reconnect. Bounds apply
 	// only after it.
 	Reconnect time.Duration
+	// CatchUp is the time after the start of a replica with an empty disk within which the group
+	// bears the next loss.
+	CatchUp time.Duration
+	// Evacuate is the time after which a zone that was taken out of service gets nothing from any
+	// process, cut off or not.
+	Evacuate time.Duration
 	// Retries limits repeated arrivals of requests. A zero Window disables the check.
 	Retries RetryBounds
 }
@@ -225,6 +232,9 @@
 			c.addFinding(now, PromiseDrained, "request %s reached %s %v after it had left", a.ID, name, now.Sub(at))
 		}
 	}
+	if at, ok := c.drained["zone "+a.Zone]; ok && c.bounds.Evacuate > 0 && now.Sub(at) > c.bounds.Evacuate {
+		c.addFinding(now, PromiseEvacuated, "request %s from entry %s reached endpoint %s in zone %s %v after the zone was taken out", a.ID, r.Entry, a.Endpoint, a.Zone, now.Sub(at))
+	}
 }
 
 // AnswerSent records the complete body that an endpoint sends as the answer to a request,
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -12,7 +12,7 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-var bounds = Bounds{Revoke: 5 * time.Second, Drain: 2 * time.Second, Release: 4 * time.Second, Apply: 2 * time.Second, Reconnect: 3 * time.Second,
+var bounds = Bounds{Revoke: 5 * time.Second, Drain: 2 * time.Second, Release: 4 * time.Second, Apply: 2 * time.Second, Reconnect: 3 * time.Second, Evacuate: 5 * time.Second,
 	Retries: RetryBounds{Ratio: 0.2, Extra: 2, Window: 10 * time.Second}}
 
 // call is a request that must run at most once, and arrival is the same request at an
@@ -62,6 +62,11 @@
 		}},
 		{"an endpoint that left", PromiseDrained, func(c *Checker) { c.Drained(at(0), "endpoint i-1"); c.Ran(at(3*time.Second), arrival) }},
 		{"a zone that is out", PromiseDrained, func(c *Checker) { c.Drained(at(0), "zone hall"); c.Ran(at(3*time.Second), arrival) }},
+		{"a zone that is out, from a process that is cut off", PromiseEvacuated, func(c *Checker) {
+			c.SuspendBounds(at(10 * time.Second))
+			c.Drained(at(0), "zone hall")
+			c.Ran(at(6*time.Second), arrival)
+		}},
 		{"older configuration at the end", PromiseDurable, func(c *Checker) { c.Acked(at(0), 5, nil); c.FinalVersion(at(1), 4) }},
 		{"no configuration at the end", PromiseDurable, func(c *Checker) { c.Acked(at(0), 5, nil); c.FinalVersion(at(1), 0) }},
 		{"no service afterwards", PromiseRecovered, func(c *Checker) { c.CheckRecovery(at(0), 100, 24) }},
--- a/soak/process.go
+++ b/soak/process.go
@@ -18,6 +18,9 @@
 	args []string
 	// log is the file that the output is appended to.
 	log string
+	// Running, if not nil, is called with true before the program starts and with false after it
+	// was ended. It must not call methods of the process.
+	Running func(bool)
 
 	// mu guards command and ended.
 	mu sync.Mutex
@@ -44,6 +47,9 @@
 		return errors.Wrap(err, "open log of process")
 	}
 	defer func() { _ = out.Close() }()
+	if p.Running != nil {
+		p.Running(true)
+	}
 	c := exec.Command(p.path, p.args...)
 	c.Stdout, c.Stderr = out, out
 	if err := c.Start(); err != nil {
@@ -99,6 +105,9 @@
 	defer p.mu.Unlock()
 	if p.command == c {
 		p.command = nil
+		if p.Running != nil {
+			p.Running(false)
+		}
 	}
 	return inTime
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -34,10 +34,11 @@
 
 // Proxy forwards TCP connections to one address, as its link mode permits.
 type Proxy struct {
-	addr   string
-	target string
+	addr string
 
 	mu sync.Mutex
+	// target is the address that connections are forwarded to.
+	target string
 	// listener is nil while the proxy is down.
 	listener net.Listener
 	mode     LinkMode
@@ -99,6 +100,21 @@
 	}
 }
 
+// SetTarget changes the address that new connections are forwarded to, and resets the open ones.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+	p.closeConns()
+}
+
+// currentTarget returns the address that connections are forwarded to.
+func (p *Proxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 // Close closes the listener and resets all connections.
 func (p *Proxy) Close() { p.Down() }
 
@@ -137,7 +153,7 @@
 		return
 	}
 	defer p.closeConn(client)
-	server, err := net.Dial("tcp", p.target)
+	server, err := net.Dial("tcp", p.currentTarget())
 	if err != nil {
 		if p.currentMode() == LinkSilent {
 			_, _ = io.Copy(io.Discard, client)
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -82,3 +83,37 @@
 	p.SetMode(LinkSlow)
 	is.NoErr(roundTrip(open(), answerTimeout))
 }
+
+func TestCutDropsDatagramsBetweenTwoVMs(t *testing.T) {
+	is := is.New(t)
+	server, err := net.ListenPacket("udp", "127.0.0.2:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = server.Close() })
+	go func() {
+		buf := make([]byte, 16)
+		for {
+			n, from, err := server.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			_, _ = server.WriteTo(buf[:n], from)
+		}
+	}()
+	cuts := NewCuts()
+	target := server.LocalAddr().(*net.UDPAddr).AddrPort()
+	p, err := NewPacketProxy(netip.MustParseAddrPort("127.0.0.3:0"), target, cuts)
+	is.NoErr(err)
+	t.Cleanup(p.Close)
+	client, err := net.DialUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 4)}, p.conn.LocalAddr().(*net.UDPAddr))
+	is.NoErr(err)
+	t.Cleanup(func() { _ = client.Close() })
+	a, b := []netip.Addr{netip.MustParseAddr("127.0.0.4")}, []netip.Addr{target.Addr()}
+	is.NoErr(roundTrip(client, answerTimeout))
+	cuts.Cut(a, b)
+	is.True(roundTrip(client, silenceTimeout) != nil)
+	cuts.Cut(b, a)
+	cuts.Heal(a, b)
+	is.True(roundTrip(client, silenceTimeout) != nil) // what the server sends is dropped
+	cuts.Heal(b, a)
+	is.NoErr(roundTrip(client, answerTimeout))
+}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,15 +127,25 @@
 type Server struct {
 	listener *quic.Listener
 	packet   net.PacketConn
-	handler  Handler
-	traffic  *Traffic
-	wg       sync.WaitGroup
+	// host is the host of the address that the server was asked to listen on.
+	host    string
+	handler Handler
+	traffic *Traffic
+	wg      sync.WaitGroup
 }
 
 // Listen returns a server on addr, an IP address and port. It counts the bytes of all
 // messages in traffic.
 func Listen(addr string, id *Identity, traffic *Traffic, h Handler) (*Server, error) {
-	packet, err := net.ListenPacket("udp", addr)
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "parse listen address %q", addr)
+	}
+	bindAddr, err := id.BindAddr(addr)
+	if err != nil {
+		return nil, err
+	}
+	packet, err := net.ListenPacket("udp", bindAddr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peer connections")
 	}
@@ -143,11 +154,13 @@
 		_ = packet.Close()
 		return nil, errors.Wrap(err, "listen for peer connections")
 	}
-	return &Server{listener: listener, packet: packet, handler: h, traffic: traffic}, nil
+	return &Server{listener: listener, packet: packet, host: host, handler: h, traffic: traffic}, nil
 }
 
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+// Addr returns the address at which other processes reach the server.
+func (s *Server) Addr() string {
+	return net.JoinHostPort(s.host, strconv.Itoa(s.listener.Addr().(*net.UDPAddr).Port))
+}
 
 // Serve accepts streams until ctx ends. It then closes the server and waits for the
 // handlers to return.
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -46,6 +47,9 @@
 	// files is nil for an identity that accepts every peer certificate without
 	// verification.
 	files *settings.TLS
+	// bindIP replaces the host of listen addresses, and is the source of connections, unless it
+	// is empty.
+	bindIP string
 
 	// mu guards the fields below.
 	mu          sync.Mutex
@@ -55,18 +59,34 @@
 	pool        *x509.CertPool
 }
 
-// OpenIdentity returns the identity that the settings describe. If they say that the
-// network is trusted, it generates a self-signed certificate with the given name and
-// role, and accepts every peer certificate without verification.
-func OpenIdentity(s *settings.TLS, name string, role Role) (*Identity, error) {
+// OpenIdentity returns the identity of a process that the settings describe. If they say
+// that the network is trusted, it generates a self-signed certificate with the name of the
+// process and its role, and accepts every peer certificate without verification.
+func OpenIdentity(s *settings.TLS, node settings.Node, role Role) (*Identity, error) {
 	if s == nil || s.Trust != settings.TrustNetwork {
-		return LoadIdentity(s)
+		id, err := LoadIdentity(s)
+		if err == nil {
+			id.bindIP = node.BindIP
+		}
+		return id, err
 	}
-	cert, err := selfSigned(name, role)
+	cert, err := selfSigned(node.Name, role)
 	if err != nil {
 		return nil, err
 	}
-	return &Identity{cert: cert}, nil
+	return &Identity{cert: cert, bindIP: node.BindIP}, nil
+}
+
+// BindAddr returns the address to listen on for connections to addr, see settings.Node.BindIP.
+func (id *Identity) BindAddr(addr string) (string, error) {
+	if id.bindIP == "" {
+		return addr, nil
+	}
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return "", errors.Wrapf(err, "parse listen address %q", addr)
+	}
+	return net.JoinHostPort(id.bindIP, port), nil
 }
 
 // LoadIdentity reads an identity from its files.
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -66,7 +66,7 @@
 	if o.StreamWindow == 0 {
 		o.StreamWindow = StreamWindowBytes
 	}
-	packet, err := net.ListenPacket("udp", ":0")
+	packet, err := net.ListenPacket("udp", net.JoinHostPort(id.bindIP, "0"))
 	if err != nil {
 		return nil, errors.Wrap(err, "open UDP socket for peer connections")
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -4,11 +4,15 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/settings"
 )
 
 func TestStreamCarriesMessagesBothWays(t *testing.T) {
@@ -118,3 +122,23 @@
 		}
 	})
 }
+
+// A process behind address translation listens on its own address and names the translated one.
+func TestProcessBindsToAnotherAddressThanItNames(t *testing.T) {
+	is := is.New(t)
+	trusted := &settings.TLS{Trust: settings.TrustNetwork}
+	id, err := OpenIdentity(trusted, settings.Node{Name: "control-1", BindIP: "127.0.0.2"}, RoleControl)
+	is.NoErr(err)
+	srv, err := Listen("127.0.0.3:0", id, &Traffic{}, func(s Stream) {})
+	is.NoErr(err)
+	defer srv.close()
+	bound := srv.packet.LocalAddr().(*net.UDPAddr)
+	is.Equal(bound.IP.String(), "127.0.0.2")
+	is.Equal(srv.Addr(), net.JoinHostPort("127.0.0.3", strconv.Itoa(bound.Port)))
+	pool, err := NewPool(id, PoolOptions{}, &Traffic{})
+	is.NoErr(err)
+	defer pool.Close()
+	is.Equal(pool.transport.Conn.LocalAddr().(*net.UDPAddr).IP.String(), "127.0.0.2")
+	_, err = id.BindAddr("no address")
+	is.True(err != nil)
+}
