gateway: a long prompt is placed only by an entry with a valid permission, and as its own entry knows

Cause: long prompts of all entries are placed by one, the first by address. It chose on after its permission had lapsed, from a configuration without the evacuation, and the asking entry, which had it, used the choice unchecked. The class: a decision taken for another process by one that may not decide for itself any more.

Now an entry without a valid permission refuses to place, at once, also if the permission lapses while the request waits there, and the next entry by address is asked (three at most; a silent one costs 0.5 s, so that the request is then placed here). The send happens under the asker's permission, and so does the choice now. A refusal of the placing entry for its own state was passed on to the caller; it is not any more.

Weighed: comparing revisions in place of endpoints. It would turn every placing entry away for a moment after each change, 20 to 200 ms apart, and is not needed once the asker checks what it sends to.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
 // Endpoint is a process that serves requests of one service.
@@ -362,6 +363,28 @@
 	return a, true
 }
 
+// Withdrawn returns the first endpoint of an assignment that must not get the request by what is
+// known now, and the reason. The reason is empty if there is none. Others may have made the
+// assignment, or it may have been made before the endpoints changed.
+func (f *Fleet) Withdrawn(a *Assignment, r *Request) (endpoint string, reason verdict.Reason) {
+	for _, e := range append([]Endpoint{a.Primary}, a.Helpers...) {
+		m := f.members[e.Name]
+		switch {
+		case m == nil:
+			return e.Name, verdict.ReasonEndpointLost
+		case m.Incarnation != e.Incarnation || m.Addr != e.Addr:
+			return e.Name, verdict.ReasonEndpointRestarted
+		case f.zonesOut[m.Zone]:
+			return e.Name, verdict.ReasonZoneOut
+		case m.Leaving:
+			return e.Name, verdict.ReasonEndpointLeaving
+		case !f.serves(m, r):
+			return e.Name, verdict.ReasonNoEndpoint
+		}
+	}
+	return "", ""
+}
+
 // Replaced reports whether a later incarnation has taken the name or the address of an endpoint.
 func (f *Fleet) Replaced(e Endpoint) bool {
 	for _, m := range f.members {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,6 +25,9 @@
 	// placedForPeers counts the requests of other entries for which this entry chose endpoints,
 	// and placedByPeers its own requests for which another one did.
 	placedForPeers, placedByPeers *metrics.Counter
+	// placementsRejected counts the choices of other entries, and sends that were due, that this
+	// entry's own knowledge ruled out.
+	placementsRejected *metrics.Counter
 }
 
 func newMetrics(set *metrics.Set) *gatewayMetrics {
@@ -33,6 +36,7 @@
 		endpointLosses: set.NewCounter("rosemary_gateway_endpoint_losses_total"), lossReports: set.NewCounter("rosemary_gateway_loss_reports_total"),
 		limitChanges:   set.NewCounter("rosemary_gateway_limit_changes_total"),
 		placedForPeers: set.NewCounter("rosemary_gateway_placed_for_peers_total"), placedByPeers: set.NewCounter("rosemary_gateway_placed_by_peers_total"),
+		placementsRejected: set.NewCounter("rosemary_gateway_placements_rejected_total"),
 	}
 	set.NewGauge("rosemary_gateway_requests_in_flight", func() float64 { return float64(m.inFlight.Load()) })
 	set.NewGauge("rosemary_gateway_tickets_held", func() float64 { return float64(m.ticketsHeld.Load()) })
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -17,20 +17,23 @@
 	// placerTimeout is how long this entry waits for a message of the placing entry
 	// before it places a request by itself.
 	placerTimeout = 500 * time.Millisecond
-	// placerBackoff is the pause before an entry that did not answer is asked again to
+	// placerBackoff is the pause before an entry that gave no usable answer is asked again to
 	// place a request.
 	placerBackoff = time.Second
+	// maxPlacersAsked bounds the entries that are asked to place one request. Only entries that
+	// answered without a usable choice are followed by another one.
+	maxPlacersAsked = 3
 )
 
 // placer selects the placing entry, which chooses the endpoints for the long prompts of
-// all entries: the first by address among the entries that answer. A single chooser
-// prevents entries from choosing the same idle endpoints at the same moment. Its lock
-// is "gateway.placer" of kernel.LockOrder.
+// all entries: the first by address among the entries that answer with a usable choice. A
+// single chooser prevents entries from choosing the same idle endpoints at the same
+// moment. Its lock is "gateway.placer" of kernel.LockOrder.
 type placer struct {
 	mu    sync.Mutex
 	addrs []string
-	// lastUnanswered is when an entry last failed to answer, by address.
-	lastUnanswered map[string]time.Time
+	// lastUnusable is when an entry last gave no usable answer, by address.
+	lastUnusable map[string]time.Time
 }
 
 // setAddrs replaces the addresses of the entries, which are sorted.
@@ -45,100 +48,117 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, addr := range p.addrs {
-		if at, ok := p.lastUnanswered[addr]; !ok || now.Sub(at) > placerBackoff {
+		if at, ok := p.lastUnusable[addr]; !ok || now.Sub(at) > placerBackoff {
 			return addr
 		}
 	}
 	return ""
 }
 
-// markSilent records that an entry did not answer.
-func (p *placer) markSilent(now time.Time, addr string) {
+// markUnusable records that an entry gave no usable answer.
+func (p *placer) markUnusable(now time.Time, addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.lastUnanswered == nil {
-		p.lastUnanswered = map[string]time.Time{}
+	if p.lastUnusable == nil {
+		p.lastUnusable = map[string]time.Time{}
 	}
-	p.lastUnanswered[addr] = now
+	p.lastUnusable[addr] = now
 }
 
 // placeAtPeer lets the placing entry choose endpoints. It returns nil and no error when
 // this entry has to choose by itself.
 func (g *Gateway) placeAtPeer(ctx context.Context, w *waiter) (*placement, error) {
-	addr := g.placer.currentAddr(g.clock.Now())
-	if addr == "" || addr == string(g.Peers) || g.stopping.Load() {
-		return nil, nil
-	}
-	a, revision, err := g.askPlacer(ctx, addr, w)
-	if ctx.Err() != nil {
-		g.bookings.end(w.bookingID, true)
-		return nil, g.withdraw(ctx, w)
-	}
-	if err != nil {
-		return nil, err
-	}
-	if a == nil {
-		g.placer.markSilent(g.clock.Now(), addr)
+	for range maxPlacersAsked {
+		addr := g.placer.currentAddr(g.clock.Now())
+		if addr == "" || addr == string(g.Peers) || g.stopping.Load() {
+			return nil, nil
+		}
+		answer := g.askPlacer(ctx, addr, w)
+		if ctx.Err() != nil {
+			g.bookings.end(w.bookingID, true)
+			return nil, g.withdraw(ctx, w)
+		}
+		if answer != nil && answer.Refused != nil && answer.Refused.Refusal().Reason != verdict.ReasonStaleConfiguration {
+			return nil, answer.Refused.Refusal()
+		}
+		p, rejected := g.acceptPlacement(addr, w, answer)
+		if p != nil {
+			return p, nil
+		}
 		g.bookings.end(w.bookingID, true)
 		w.bookingID = g.bookings.newID()
-		return nil, nil
+		if rejected != "" && rejected != verdict.ReasonZoneOut {
+			return nil, nil // the lists of endpoints differ for a moment
+		}
+		g.placer.markUnusable(g.clock.Now(), addr)
+		if answer == nil {
+			return nil, nil // another silent entry would cost another placerTimeout
+		}
+	}
+	return nil, nil
+}
+
+// acceptPlacement books the choice of another entry, if there is one. It rejects a choice that does
+// not hold by what this entry knows, and returns the reason: the other one may lack changes, and
+// the request is sent under the permission of this entry.
+func (g *Gateway) acceptPlacement(addr string, w *waiter, answer *wire.Placed) (p *placement, rejected verdict.Reason) {
+	if answer == nil || answer.Booking == nil {
+		return nil, ""
 	}
-	g.metrics.placedByPeers.Inc()
 	now := g.clock.Now()
-	g.bookings.begin(w.bookingID, &a.Booking)
 	g.mu.Lock()
-	g.fleet.Book(now, "", w.bookingID, &a.Booking)
+	a, known := g.fleet.ResolveBooking(fromWire(answer.Booking))
+	endpoint, rejected := "", verdict.ReasonEndpointLost
+	if known {
+		endpoint, rejected = g.fleet.Withdrawn(a, w.request)
+	}
+	if rejected == "" {
+		a.PredictedPrefill, a.Candidates = answer.PredictedPrefill, answer.Candidates
+		g.fleet.Book(now, "", w.bookingID, &a.Booking)
+	}
 	g.mu.Unlock()
-	return &placement{Assignment: a, g: g, id: w.bookingID, placer: addr, revision: revision}, nil
+	if rejected != "" {
+		g.metrics.placementsRejected.Inc()
+		g.log.Warn("placement by another entry rejected", "placer", addr, "booking", w.bookingID, "primary", answer.Booking.Primary.Endpoint, "rejected", endpoint,
+			"reason", string(rejected), "placer_revision", answer.Revision, "revision", g.client.Permission().Revision)
+		return nil, rejected
+	}
+	g.metrics.placedByPeers.Inc()
+	g.bookings.begin(w.bookingID, &a.Booking)
+	return &placement{Assignment: a, g: g, id: w.bookingID, placer: addr, revision: answer.Revision}, ""
 }
 
-// askPlacer returns the choice of the placing entry with the revision of its configuration, or
-// its refusal, and nil without an error when that entry does not answer.
-func (g *Gateway) askPlacer(ctx context.Context, addr string, w *waiter) (a *assign.Assignment, revision uint64, err error) {
+// askPlacer returns the final answer of the placing entry, or nil when it does not answer.
+func (g *Gateway) askPlacer(ctx context.Context, addr string, w *waiter) *wire.Placed {
 	openCtx, cancel := context.WithTimeout(ctx, placerTimeout)
 	defer cancel()
 	stream, err := g.dialer.Open(openCtx, addr)
 	if err != nil {
-		return nil, 0, nil
+		return nil
 	}
 	defer stream.Abort()
 	defer context.AfterFunc(ctx, stream.Abort)()
 	if err := stream.Send(w.toWire(g.clock.Now())); err != nil {
-		return nil, 0, nil
+		return nil
 	}
 	for {
 		if err := stream.SetDeadline(g.clock.Now().Add(placerTimeout)); err != nil {
-			return nil, 0, nil
+			return nil
 		}
 		m, err := stream.Recv()
 		if err != nil {
-			return nil, 0, nil
+			return nil
 		}
 		placed, ok := m.(*wire.Placed)
 		switch {
 		case !ok:
-			return nil, 0, nil
-		case placed.Refused != nil:
-			return nil, 0, placed.Refused.Refusal()
-		case placed.Booking != nil:
-			return g.resolvePlaced(placed), placed.Revision, nil
+			return nil
+		case placed.Refused != nil || placed.Booking != nil:
+			return placed
 		}
 	}
 }
 
-// resolvePlaced returns the assignment of a Placed message, or nil when it names an
-// endpoint that this entry does not know.
-func (g *Gateway) resolvePlaced(p *wire.Placed) *assign.Assignment {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	a, ok := g.fleet.ResolveBooking(fromWire(p.Booking))
-	if !ok {
-		return nil
-	}
-	a.PredictedPrefill, a.Candidates = p.PredictedPrefill, p.Candidates
-	return a
-}
-
 // toWire returns the request as a message to the placing entry.
 func (w *waiter) toWire(now time.Time) *wire.Place {
 	r := w.request
@@ -160,9 +180,12 @@
 		},
 	}
 	answer := &wire.Placed{}
-	if d := g.deployment.Load(); d == nil || d.Services[m.Service] == nil {
+	switch d := g.deployment.Load(); {
+	case d == nil || d.Services[m.Service] == nil:
 		answer.Refused = wire.NewRefused(wire.Attempt{}, verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "service %q is not known at entry %s", m.Service, g.node.Name))
-	} else {
+	case !g.client.Fresh():
+		answer.Refused = g.refusePlacing(w)
+	default:
 		w.request.Engine, w.request.MinEventGapTarget = d.Services[m.Service].Engine, d.Services[m.Service].minEventGapTarget
 		answer = g.placeForPeer(stream, w)
 	}
@@ -171,6 +194,14 @@
 	}
 }
 
+// refusePlacing returns the refusal of an entry whose permission has lapsed: it may lack changes
+// that the asking entry has.
+func (g *Gateway) refusePlacing(w *waiter) *wire.Refused {
+	revision := g.client.Permission().Revision
+	g.log.Info("placing for another entry refused", "peer", w.owner, "booking", w.bookingID, "service", w.request.Service, "revision", revision)
+	return wire.NewRefused(wire.Attempt{}, verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the permission of entry %s has lapsed at revision %d", g.node.Name, revision))
+}
+
 // placeForPeer waits for endpoints for a request of another entry and reports regularly
 // that the request still waits. It returns nil when the other entry has withdrawn the
 // request.
@@ -201,6 +232,10 @@
 			if o.err != nil {
 				return &wire.Placed{Refused: wire.NewRefused(wire.Attempt{}, verdict.From(o.err))}
 			}
+			if !g.client.Fresh() {
+				g.cancelBooking(w, o)
+				return &wire.Placed{Refused: g.refusePlacing(w)}
+			}
 			g.metrics.placedForPeers.Inc()
 			permission := g.client.Permission()
 			g.log.Info("request placed for another entry", "peer", w.owner, "booking", w.bookingID, "service", w.request.Service,
