gateway: what a request was placed under is checked again when it is sent

Between the choice of endpoints and the send a request reserves memory, waits for a permit or in the queue of another entry, up to seconds. A zone taken out, an endpoint that left, ended or restarted meanwhile still got it, and so did all endpoints from an entry whose permission had lapsed meanwhile: retries, resumed streams and requests that had waited. The same cause as in the placements of a cut-off entry: nobody asks again at the send.

Evidence: TestRequestIsPlacedAgainIfItsEndpointIsWithdrawnBeforeTheSend and TestRequestIsNotSentAfterThePermissionHasLapsed fail without it.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -57,6 +57,9 @@
 	account string
 	// accountPriority is the priority of the account, nil to use that of the route.
 	accountPriority *int
+	// needsPermission is set if the request is sent only while the configuration is known to be
+	// current. Anonymous requests, which need no key, are served without.
+	needsPermission bool
 	body            []byte
 	// content identifies what endpoints execute: the account, method, path and body.
 	// Requests with the same content differ in ID and deadline only.
@@ -118,6 +121,7 @@
 	}
 	c.route = d.Route(hostOf(c.r.Host), c.r.URL.Path)
 	needsKey := len(d.Accounts) > 0 && (c.route == nil || !c.route.Anonymous)
+	c.needsPermission = needsKey
 	if needsKey && !fresh {
 		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry's permission has lapsed at version %d", d.Version)
 	}
--- /dev/null
+++ b/gateway/send_test.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+// An endpoint was taken out of service while memory was being reserved for the request.
+func TestRequestIsPlacedAgainIfItsEndpointIsWithdrawnBeforeTheSend(t *testing.T) {
+	tests := map[string]func(w *testGateway){
+		"zone out":  func(w *testGateway) { w.g.fleet.SetZonesOut(map[string]bool{"zone-0": true}) },
+		"leaving":   func(w *testGateway) { w.updateScribe(func(e *assign.Endpoint) { e.Leaving = true }) },
+		"restarted": func(w *testGateway) { w.updateScribe(func(e *assign.Endpoint) { e.Incarnation++; e.Leaving = true }) },
+		"removed":   func(w *testGateway) { w.g.fleet.Remove("scribe-1") },
+	}
+	for name, withdraw := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answer := answering(http.StatusOK, "id: 1\ndata: x\n\n")
+			w := newTestGateway(t, answer, answer)
+			c := w.call("/read/1", 10)
+			w.addLoad("scribe", 1, 3)
+			p, err := w.g.place(context.Background(), c)
+			is.NoErr(err)
+			is.Equal(p.Primary.Name, "scribe-1")
+			w.g.mu.Lock()
+			withdraw(w)
+			w.g.mu.Unlock()
+			err = c.attempt(context.Background(), p)
+			is.True(err != nil)
+			is.True(c.mayTryAgain(verdict.From(err)))
+			is.Equal(c.sends+c.runs+w.arrivalCount(), 0)
+			p.release(true)
+			p, err = w.g.place(context.Background(), c)
+			is.NoErr(err)
+			is.Equal(p.Primary.Name, "scribe-2")
+		})
+	}
+}
+
+// updateScribe changes the first endpoint of the model service.
+func (w *testGateway) updateScribe(change func(*assign.Endpoint)) {
+	e := scribe(0)
+	change(&e)
+	w.g.fleet.Update(e)
+}
+
+// A request that had waited was sent though the permission had lapsed meanwhile.
+func TestRequestIsNotSentAfterThePermissionHasLapsed(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, answering(http.StatusOK, "good"))
+	for _, test := range []struct {
+		path string
+		sent int
+	}{{"/status/1", 0}, {"/open/1", 1}} {
+		c := w.call(test.path, 0)
+		p, err := w.g.place(context.Background(), c)
+		is.NoErr(err)
+		w.session.expired.Store(true)
+		err = c.attempt(context.Background(), p)
+		w.session.expired.Store(false)
+		is.True(err != nil) // the recorder takes no answer either
+		is.Equal(w.arrivalCount(), test.sent)
+		p.release(true)
+	}
+}
