control: a successor takes the place of a silent voter within the time in which the next loss may come

Cause: a replica that was gone for good kept its vote. Its successor was promoted first, so the group had four voters, of which one was gone, and bore no loss until the leader had seen the other silent for 8 s without a break; a new leader counted anew.

Now who votes is one pure decision (control/membership.go). A successor that has caught up takes the place of a voter that has been silent for a quarter of catch_up: the silent one is removed, the other promoted at once. The number of voters is odd; with an even number of VMs the last one waits as a learner.

--- a/control/control.go
+++ b/control/control.go
@@ -35,12 +35,16 @@
 // loss of its replica and to open a session with another one.
 const defaultGrace = 8 * time.Second
 
+// defaultCatchUp is the default of Plugin.CatchUp. The repair of the membership takes as long with the
+// default tick at worst.
+const defaultCatchUp = 4 * time.Second
+
 func init() {
 	kernel.Register(kernel.PluginInfo{ID: "control", RequiresTLS: true, New: func() any {
 		return &Plugin{
 			Lease: settings.Duration(session.DefaultLease),
-			Grace: settings.Duration(defaultGrace),
-			Tick:  settings.Duration(replica.DefaultTickInterval),
+			Grace: settings.Duration(defaultGrace), CatchUp: settings.Duration(defaultCatchUp),
+			Tick: settings.Duration(replica.DefaultTickInterval),
 		}
 	}})
 }
@@ -73,6 +77,10 @@
 	// Grace is the time after the last sign of life at which an endpoint is removed from the
 	// endpoint list and a session is ended. It must be longer than Lease.
 	Grace settings.Duration `json:"grace"`
+	// CatchUp is the time, from the start of a replica with a new disk that replaces a lost one,
+	// after which the group bears the next loss. The times after which Steward replaces silent
+	// members follow from it.
+	CatchUp settings.Duration `json:"catch_up"`
 	// Tick is the time unit of leader elections. The minimum election timeout is ten ticks.
 	Tick settings.Duration `json:"tick"`
 
@@ -131,6 +139,9 @@
 	if p.Lease <= 0 || p.Grace <= p.Lease {
 		return errors.Errorf("grace of %v is not longer than the lease of %v", p.Grace.Std(), p.Lease.Std())
 	}
+	if needed := newMembershipPolicy(p.CatchUp.Std()).repairTime(p.Tick.Std()); p.Steward && needed > p.CatchUp.Std() {
+		return errors.Errorf("catch_up of %v is too short: with a tick of %v, replacing a lost replica takes up to %v", p.CatchUp.Std(), p.Tick.Std(), needed)
+	}
 	return nil
 }
 
@@ -143,6 +154,7 @@
 		log:            h.Log,
 		name:           h.Node.Name,
 		lease:          p.Lease.Std(),
+		catchUp:        p.CatchUp.Std(),
 		bootstrap:      bootstrap,
 		table:          newTable(h.Clock.Now(), p.Grace.Std()),
 		shareAllocator: &shareAllocator{leaseDuration: p.Lease.Std()},
--- a/control/links.go
+++ b/control/links.go
@@ -64,6 +64,7 @@
 // handle processes one message. An error ends the stream.
 func (l *inbound) handle(m *wire.ReplicaMessage) error {
 	s := l.server
+	s.transport.markHeard(l.from)
 	switch m.Group {
 	case groupConsensus:
 		return l.handleConsensus(m.Data)
--- a/control/server.go
+++ b/control/server.go
@@ -37,6 +37,8 @@
 	running sync.WaitGroup
 	// lease is the duration of the permission that the echo of a heartbeat renews.
 	lease time.Duration
+	// catchUp is Plugin.CatchUp.
+	catchUp time.Duration
 	// seeds are the addresses from Plugin.Seeds.
 	seeds atomic.Pointer[[]string]
 	// bootstrap is the initial configuration, or nil.
--- a/control/steward.go
+++ b/control/steward.go
@@ -18,21 +18,16 @@
 	joinInterval = 500 * time.Millisecond
 	// announceInterval is the time between two announcements to the seeds that are not members.
 	announceInterval = time.Second
-	// leaderLostAfter is the time without a leader after which a member asks to join: it may
-	// have been removed while it was unreachable.
-	leaderLostAfter = 2 * time.Second
-	// memberLostAfter is the time for which a member, a voter or a learner, must be silent or
-	// behind before it is removed. A voter is removed only if enough others are left.
-	memberLostAfter = 8 * time.Second
-	// minVoters is the number of caught-up voters that must remain after a voter is removed.
-	// A group of two voters needs both for a quorum and tolerates no failure.
-	minVoters = 3
 )
 
 // steward is the state of the automatic membership management, which Plugin.Steward turns on.
-// A replica with a new disk asks to join the group. The leader promotes learners that have
-// caught up, and removes members whose disk is lost.
+// A replica with a new disk asks to join the group. The leader changes the membership as its policy
+// says.
 type steward struct {
+	policy membershipPolicy
+	// rejoinAfter is the time without a leader after which a member asks to join: it may have been
+	// removed while it was unreachable.
+	rejoinAfter time.Duration
 	// missing holds the time since when a member has been silent or behind. It is used on the
 	// leader only.
 	missing map[replica.ID]time.Time
@@ -46,9 +41,17 @@
 	lastAnnounced time.Time
 }
 
+// newSteward returns the steward of a replica that has just started.
+func newSteward(catchUp time.Duration, now time.Time) *steward {
+	return &steward{
+		policy: newMembershipPolicy(catchUp), rejoinAfter: time.Duration(rejoinFraction * float64(catchUp)),
+		missing: map[replica.ID]time.Time{}, leaderSeen: now,
+	}
+}
+
 // runSteward manages the membership until ctx ends.
 func (s *Server) runSteward(ctx context.Context) {
-	w := &steward{missing: map[replica.ID]time.Time{}, leaderSeen: s.clock.Now()}
+	w := newSteward(s.catchUp, s.clock.Now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -104,7 +107,7 @@
 	}
 	for _, m := range members {
 		if m.ID == self {
-			return now.Sub(w.leaderSeen) > leaderLostAfter
+			return now.Sub(w.leaderSeen) > w.rejoinAfter
 		}
 	}
 	return true
@@ -149,21 +152,34 @@
 	return out
 }
 
-// reconcile promotes learners that have caught up and removes lost members, see actionFor. It
-// makes at most one change at each call. A change that fails is tried again at the next call.
+// reconcile changes the membership until the policy has no further change. A change that fails is
+// tried again at the next call.
 func (s *Server) reconcile(ctx context.Context, w *steward, now time.Time) {
-	members := s.members()
-	voters, caughtUp := 0, 0
-	for _, m := range members {
-		if m.Voter {
-			voters++
-		}
-		if m.Voter && m.CaughtUp {
-			caughtUp++
+	for ctx.Err() == nil {
+		action, id := w.policy.next(s.observeMembers(w, now))
+		if action == "" || !s.changeMember(ctx, action, id, now.Sub(w.missingSince(id, now))) {
+			return
 		}
+	}
+}
+
+// missingSince returns since when a member has been silent or behind, or now if it is not.
+func (w *steward) missingSince(id replica.ID, now time.Time) time.Time {
+	if since, ok := w.missing[id]; ok {
+		return since
+	}
+	return now
+}
+
+// observeMembers returns the state of all members, and records and logs which are missing.
+func (s *Server) observeMembers(w *steward, now time.Time) []memberState {
+	var states []memberState
+	voters, caughtUp := 0, 0
+	for _, m := range s.members() {
 		since, missing := w.missing[m.ID]
+		present := m.CaughtUp || m.ID == s.node.Status().ID
 		switch {
-		case m.CaughtUp || m.ID == s.node.Status().ID:
+		case present:
 			if missing {
 				s.log.Info("replica caught up again", "replica", uint64(m.ID), "addr", m.Addr, "voter", m.Voter, "after", now.Sub(since))
 			}
@@ -171,15 +187,22 @@
 		case !missing:
 			w.missing[m.ID] = now
 			s.log.Warn("replica silent or behind", "replica", uint64(m.ID), "addr", m.Addr, "voter", m.Voter, "match", m.Match)
+		default:
+			// Its silence may have begun under another leader.
+			if heard, ok := s.transport.lastHeard(m.ID); ok && heard.Before(since) {
+				w.missing[m.ID] = heard
+			}
 		}
-	}
-	s.reportTolerance(w, voters, caughtUp)
-	for _, m := range members {
-		if action := s.actionFor(w, now, m, voters, caughtUp); action != "" {
-			s.changeMember(ctx, action, m.ID)
-			return
+		if m.Voter {
+			voters++
+		}
+		if m.Voter && m.CaughtUp {
+			caughtUp++
 		}
+		states = append(states, memberState{id: m.ID, voter: m.Voter, caughtUp: m.CaughtUp, missing: now.Sub(w.missingSince(m.ID, now))})
 	}
+	s.reportTolerance(w, voters, caughtUp)
+	return states
 }
 
 // reportTolerance logs when the group begins or ceases to bear the loss of one more voter.
@@ -196,27 +219,12 @@
 	s.log.Warn("loss of another replica not tolerated", "voters", voters, "caught_up", caughtUp)
 }
 
-// actionFor returns memberPromote, memberRemove, or an empty string if the member stays as it
-// is. voters and caughtUp are the numbers of voters and of caught-up voters in the group.
-func (s *Server) actionFor(w *steward, now time.Time, m replica.MemberStatus, voters, caughtUp int) string {
-	since, missing := w.missing[m.ID]
-	lost := missing && now.Sub(since) > memberLostAfter
-	switch {
-	case !m.Voter && m.CaughtUp:
-		return memberPromote
-	case !m.Voter && lost:
-		return memberRemove
-	case m.Voter && lost && voters > minVoters && caughtUp >= minVoters:
-		return memberRemove
-	}
-	return ""
-}
-
-// changeMember promotes or removes a member on the steward's decision and logs the outcome.
-func (s *Server) changeMember(ctx context.Context, action string, id replica.ID) {
+// changeMember promotes or removes a member on the steward's decision, logs the outcome and reports
+// whether the change was made.
+func (s *Server) changeMember(ctx context.Context, action string, id replica.ID, missing time.Duration) bool {
 	node, ok := s.node.(membershipChanger)
 	if !ok {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
@@ -225,10 +233,11 @@
 		change = node.Promote
 	}
 	if err := change(ctx, id); err != nil {
-		s.log.Warn("membership not changed", "action", action, "replica", uint64(id), "error", err)
-		return
+		s.log.Warn("membership not changed", "action", action, "replica", uint64(id), "missing", missing, "error", err)
+		return false
 	}
-	s.log.Info("membership changed", "action", action, "replica", uint64(id))
+	s.log.Info("membership changed", "action", action, "replica", uint64(id), "missing", missing)
+	return true
 }
 
 // join adds a replica that asked to join. It first removes a member with another ID at the same
--- a/control/transport.go
+++ b/control/transport.go
@@ -55,6 +55,8 @@
 	// seen holds when the newest message from a replica arrived, or when checkSilent last
 	// began to measure its silence anew.
 	seen map[replica.ID]time.Time
+	// heard holds when the newest message of any kind from a replica arrived.
+	heard map[replica.ID]time.Time
 	// starts holds startMessage.Start of the latest start of each replica.
 	starts map[replica.ID]uint64
 	// ctx is the context of the senders, which run until it ends. It is nil before open.
@@ -86,7 +88,7 @@
 func newTransport(dialer session.Dropper, clock kernel.Clock, log hclog.Logger, addrs map[replica.ID]string) *transport {
 	return &transport{
 		dialer: dialer, clock: clock, log: log, addrs: addrs,
-		senders: map[replica.ID]*sender{}, seen: map[replica.ID]time.Time{}, starts: map[replica.ID]uint64{},
+		senders: map[replica.ID]*sender{}, seen: map[replica.ID]time.Time{}, heard: map[replica.ID]time.Time{}, starts: map[replica.ID]uint64{},
 	}
 }
 
@@ -174,7 +176,23 @@
 	return t.addrs[id]
 }
 
-// markSeen records the arrival of a message from a replica.
+// markHeard records the arrival of a message of any kind from a replica. All replicas report to each
+// other, so that each knows how long the others have been silent, also before it leads.
+func (t *transport) markHeard(from replica.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard[from] = t.clock.Now()
+}
+
+// lastHeard returns when a replica was last heard, and whether it was since this process started.
+func (t *transport) lastHeard(id replica.ID) (at time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok = t.heard[id]
+	return at, ok
+}
+
+// markSeen records the arrival of a message of the consensus protocol from a replica.
 func (t *transport) markSeen(from replica.ID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
