session: replicas that have stopped prove nothing where changes are confirmed at once

An entry renews its permission by a poll when control has no leader, and counts replicas whose port refuses connections as holding no change that it lacks. That rests on control confirming a change only when every permission without it has expired. On the users' platform the evacuation of a zone and a publication are confirmed at once (NoWait): an entry that had not heard of a confirmed evacuation when all processes of control ended went on to renew its permission for as long as they were down, and to use the zone.

Entries of the gateway do not count stopped replicas any more. Delaying the confirmation instead would cost operators up to a lease (3 s) whenever a process is cut off.

Evidence: TestUnknownZoneOutStaysUnknownAfterControlHasStopped shows the fault with counted replicas: the entry is still permitted two leases after the confirmation, without the change.

--- a/control/deploy_test.go
+++ b/control/deploy_test.go
@@ -146,13 +146,16 @@
 	return stop
 }
 
+// entryLease is the lease of the clients of client.
+const entryLease = 2 * time.Second
+
 // client returns a client of control with short heartbeats. adjust, if not nil, changes its
 // options.
 func (d *deployment) client(name string, role wire.Role, adjust func(*session.Options)) *session.Client {
 	d.t.Helper()
 	o := session.Options{
 		Node: settings.Node{Name: name, Region: "leon-coast", Zone: "hall"}, Role: role,
-		Replicas: d.addrs, Heartbeat: 50 * time.Millisecond, Lease: 2 * time.Second,
+		Replicas: d.addrs, Heartbeat: 50 * time.Millisecond, Lease: entryLease,
 		Stopped: func(context.Context, string) bool { return false }, // as on a lost VM, which refuses no connection
 	}
 	if adjust != nil {
--- a/control/partition_test.go
+++ b/control/partition_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -94,3 +95,34 @@
 	network.partitioned.Store(false)
 	eventually(t, "entry has the new revision and a permission", func() bool { return entry.Fresh() && entry.View().Revision() == 2 })
 }
+
+// TestUnknownZoneOutStaysUnknownAfterControlHasStopped takes a zone out with an answer that does not
+// wait, while an entry is cut off, and then stops control. The entry lacks the change and must not
+// take the stopped replicas as a proof that there is none.
+func TestUnknownZoneOutStaysUnknownAfterControlHasStopped(t *testing.T) {
+	for name, early := range map[string]bool{"stopped replicas count": false, "early confirmation": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := deploy(t, 3, longGrace)
+			operator := d.client("operator-1", wire.RoleOperator, nil)
+			d.leader(operator)
+			network := &partitionable{Opener: d.dialer("entry-1", wire.RoleEntry, &wire.Traffic{})}
+			entry := d.client("entry-1", wire.RoleEntry, func(o *session.Options) {
+				o.Opener, o.Stopped, o.EarlyConfirmation = network, nil, early
+			})
+			d.background(entry.Run)
+			eventually(t, "entry has a permission", func() bool { return entry.Fresh() && entry.View().Revision() == 1 })
+			network.partitioned.Store(true)
+			change := zoneOut(1, "annex")
+			change.NoWait = true
+			is.NoErr(operator.Do(timeoutContext(t), command.NameChange, "c1", change, nil))
+			confirmed := time.Now()
+			for i := range 3 {
+				d.stop(i)
+			}
+			time.Sleep(time.Until(confirmed.Add(2 * entryLease)))
+			is.Equal(entry.View().Revision(), uint64(1))
+			is.Equal(entry.Fresh(), !early)
+		})
+	}
+}
--- a/control/session/client.go
+++ b/control/session/client.go
@@ -62,6 +62,10 @@
 	// changes to another replica. The default is Lease. With a shorter time the client can
 	// reach another replica before the permission expires.
 	RenewalTimeout time.Duration
+	// EarlyConfirmation is set where control confirms a change before the permissions of processes
+	// without it have expired (command.Change.NoWait). Replicas that have stopped then prove
+	// nothing in polls: see lease.Poll.AddStopped.
+	EarlyConfirmation bool
 	// ServeStale makes MayServe return true after the permission has expired, as long as the
 	// process has a configuration. The process then keeps serving while control has no
 	// quorum, but may send new work to an availability zone that has been taken out of
--- a/control/session/poll.go
+++ b/control/session/poll.go
@@ -33,7 +33,7 @@
 // configuration of the process was current when the poll began; see lease.Poll.
 func (c *Client) poll(ctx context.Context) {
 	startedAt := c.now()
-	wasFresh := c.Permission().Left > 0
+	stoppedCount := c.Permission().Left > 0 && !c.options.EarlyConfirmation
 	ctx, cancel := context.WithTimeout(ctx, c.options.Lease/2)
 	defer cancel()
 	replicas := c.replicaAddrs()
@@ -43,7 +43,7 @@
 	}
 	var round pollRound
 	for range replicas {
-		round.add(<-answers, wasFresh)
+		round.add(<-answers, stoppedCount)
 		if round.provesCurrent(c.view.Revision(), len(replicas)) {
 			c.renewFrom(startedAt)
 			return
@@ -76,17 +76,18 @@
 // pollRound collects the results of one poll.
 type pollRound struct {
 	infos []*command.ReplicaInfo
-	// stopped are the addresses of the replicas that have stopped. They count only if the
-	// permission had not expired when the poll began; see lease.Poll.AddStopped.
+	// stopped are the addresses of the replicas that have stopped and count. They count only if the
+	// permission had not expired when the poll began, and only where control confirms a change
+	// after the permissions without it have expired; see lease.Poll.AddStopped.
 	stopped []string
 }
 
-// add adds a result. wasFresh reports whether the permission was valid when the poll began.
-func (r *pollRound) add(p pollResult, wasFresh bool) {
+// add adds a result. stoppedCount reports whether a replica that has stopped counts.
+func (r *pollRound) add(p pollResult, stoppedCount bool) {
 	if p.info != nil {
 		r.infos = append(r.infos, p.info)
 	}
-	if p.stopped && wasFresh {
+	if p.stopped && stoppedCount {
 		r.stopped = append(r.stopped, p.addr)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -190,7 +190,7 @@
 	g.client, err = session.New(session.Options{
 		Node: h.Node, Role: wire.RoleEntry, Replicas: settings.Addrs(g.Control), Opener: g.dialer,
 		Addr: string(g.Peers), Lease: g.Lease, Heartbeat: g.Lease / heartbeatsPerLease, RenewalTimeout: 2 * g.Lease / heartbeatsPerLease,
-		Clock: h.Clock, Log: h.Log, OnUpdate: g.applyUpdate,
+		Clock: h.Clock, Log: h.Log, OnUpdate: g.applyUpdate, EarlyConfirmation: true,
 	})
 	if err != nil {
 		return err
