gateway: an endpoint whose answers say that it leaves gets nothing more

It belongs to the incarnation, stays set, and is told to the other entries with the limits, the mechanism that exists. The endpoint is left out of choices, and of sends that are due. If all of a service leave, requests are refused at once, not run.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -192,7 +192,7 @@
 
 // serves reports whether the endpoint serves requests like this one, and was not tried for it.
 func (f *Fleet) serves(m *member, r *Request) bool {
-	return m.Service == r.Service && !m.Leaving && !f.zonesOut[m.Zone] && !slices.Contains(r.Tried, m.Name)
+	return m.Service == r.Service && !m.leaves() && !f.zonesOut[m.Zone] && !slices.Contains(r.Tried, m.Name)
 }
 
 // eligible lists the endpoints that may get the request. With trusted set, it leaves
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -25,6 +25,8 @@
 	// zone that is out of service. Cold endpoints have not warmed up yet.
 	Leaving bool
 	Cold    bool
+	// LearnedAt is when this entry learned of the incarnation.
+	LearnedAt time.Time
 }
 
 // Part is the share of one endpoint in a request.
@@ -113,6 +115,7 @@
 func (f *Fleet) Update(e Endpoint) {
 	m, ok := f.members[e.Name]
 	if ok && m.Incarnation == e.Incarnation && m.Addr == e.Addr {
+		e.LearnedAt = m.LearnedAt
 		m.Endpoint = e
 		return
 	}
@@ -136,14 +139,20 @@
 	return slices.ContainsFunc(b.allParts(), func(p Part) bool { return p.Endpoint == endpoint })
 }
 
-// Remove removes an endpoint.
-func (f *Fleet) Remove(name string) { delete(f.members, name) }
+// Remove removes an endpoint. What it has said in its answers is kept, because a list that lacks it may
+// be older than these.
+func (f *Fleet) Remove(name string) {
+	if m := f.members[name]; m != nil && (m.limit.version > 0 || m.limit.leaving) {
+		f.keepUnplaced(m.currentLimit())
+	}
+	delete(f.members, name)
+}
 
 // RetainOnly removes all endpoints except those in names.
 func (f *Fleet) RetainOnly(names map[string]bool) {
 	for name := range f.members {
 		if !names[name] {
-			delete(f.members, name)
+			f.Remove(name)
 		}
 	}
 }
@@ -162,7 +171,7 @@
 // Leaving reports whether an endpoint is leaving.
 func (f *Fleet) Leaving(name string) bool {
 	m := f.members[name]
-	return m != nil && m.Leaving
+	return m != nil && m.leaves()
 }
 
 // SetZonesOut replaces the set of availability zones that are out of service.
@@ -376,7 +385,7 @@
 			return e.Name, verdict.ReasonEndpointRestarted
 		case f.zonesOut[m.Zone]:
 			return e.Name, verdict.ReasonZoneOut
-		case m.Leaving:
+		case m.leaves():
 			return e.Name, verdict.ReasonEndpointLeaving
 		case !f.serves(m, r):
 			return e.Name, verdict.ReasonNoEndpoint
--- a/assign/limit.go
+++ b/assign/limit.go
@@ -5,16 +5,18 @@
 // maxUnplacedLimits bounds the limits of incarnations that the fleet does not know yet.
 const maxUnplacedLimits = 1024
 
-// Limit is the request rate that an incarnation of an endpoint names in its answers.
+// Limit is what an incarnation of an endpoint says in its answers of the requests that it takes.
 type Limit struct {
 	Endpoint    string
 	Incarnation uint64
 	// PerSecond is how many requests per second the endpoint takes from all entries
 	// together. Zero means that it names no limit any more.
 	PerSecond float64
-	// Version rises with each change. Of two entries that find different limits at the
-	// same version, the lower limit counts.
+	// Version rises with each change of the rate. Of two entries that find different limits at
+	// the same version, the lower limit counts.
 	Version uint64
+	// Leaving is set once the incarnation has said that it leaves. It stays set.
+	Leaving bool
 }
 
 // namedLimit is what is known of an endpoint's limit.
@@ -23,6 +25,24 @@
 	version   uint64
 	// knownSince is when this entry learned of the current limit.
 	knownSince time.Time
+	// leaving is Limit.Leaving.
+	leaving bool
+}
+
+// leaves reports whether the endpoint leaves, by its registration or by its own answers. An older
+// registration, or an answer without the word, does not end it.
+func (m *member) leaves() bool { return m.Leaving || m.limit.leaving }
+
+// ObserveLeaving records that an answer of an endpoint, to a request that was sent at a time, says that it
+// leaves. The result is what to tell the other entries, if this is new.
+func (f *Fleet) ObserveLeaving(sent time.Time, endpoint string, incarnation uint64) (Limit, bool) {
+	m := f.members[endpoint]
+	// An answer that was asked for before the incarnation was known may be that of an earlier one.
+	if m == nil || m.Incarnation != incarnation || m.limit.leaving || sent.Before(m.LearnedAt) {
+		return Limit{}, false
+	}
+	m.limit.leaving = true
+	return m.currentLimit(), true
 }
 
 // ObserveLimit records the limit that an answer of an endpoint names; perSecond is
@@ -54,11 +74,16 @@
 		f.keepUnplaced(l)
 		return false
 	}
-	if m.Incarnation != l.Incarnation || !l.replaces(m.limit) {
+	if m.Incarnation != l.Incarnation {
 		return false
 	}
-	m.setLimit(now, l.PerSecond, l.Version)
-	return true
+	changed := l.Leaving && !m.limit.leaving
+	m.limit.leaving = m.limit.leaving || l.Leaving
+	if l.replaces(m.limit) {
+		m.setLimit(now, l.PerSecond, l.Version)
+		changed = true
+	}
+	return changed
 }
 
 // keepUnplaced keeps the limit of an incarnation that the fleet does not know yet.
@@ -70,8 +95,11 @@
 	if !ok && len(f.unplacedLimits) >= maxUnplacedLimits {
 		clear(f.unplacedLimits)
 	}
-	if known.Incarnation == l.Incarnation && !l.replaces(namedLimit{perSecond: known.PerSecond, version: known.Version}) {
-		return
+	if known.Incarnation == l.Incarnation {
+		l.Leaving = l.Leaving || known.Leaving
+		if !l.replaces(namedLimit{perSecond: known.PerSecond, version: known.Version}) {
+			l.PerSecond, l.Version = known.PerSecond, known.Version
+		}
 	}
 	f.unplacedLimits[l.Endpoint] = l
 }
@@ -83,15 +111,15 @@
 		delete(f.unplacedLimits, m.Name)
 	}
 	if ok && l.Incarnation == m.Incarnation {
-		m.limit = namedLimit{perSecond: l.PerSecond, version: l.Version}
+		m.limit = namedLimit{perSecond: l.PerSecond, version: l.Version, leaving: l.Leaving}
 	}
 }
 
-// Limits returns the limits of all endpoints that name one or have ended one.
+// Limits returns the limits of all endpoints that name one, have ended one, or say that they leave.
 func (f *Fleet) Limits() []Limit {
 	var out []Limit
 	for _, m := range f.members {
-		if m.limit.version > 0 {
+		if m.limit.version > 0 || m.limit.leaving {
 			out = append(out, m.currentLimit())
 		}
 	}
@@ -108,7 +136,7 @@
 
 // setLimit replaces the limit. A higher limit does not wait for what a lower one allowed.
 func (m *member) setLimit(now time.Time, perSecond float64, version uint64) {
-	m.limit = namedLimit{perSecond: perSecond, version: version, knownSince: now}
+	m.limit = namedLimit{perSecond: perSecond, version: version, knownSince: now, leaving: m.limit.leaving}
 	if rate := m.rate(); rate > 0 {
 		m.pace.next = earlier(m.pace.next, now.Add(interval(rate)))
 	}
@@ -126,5 +154,5 @@
 
 // currentLimit returns the limit of the endpoint's current incarnation.
 func (m *member) currentLimit() Limit {
-	return Limit{Endpoint: m.Name, Incarnation: m.Incarnation, PerSecond: m.limit.perSecond, Version: m.limit.version}
+	return Limit{Endpoint: m.Name, Incarnation: m.Incarnation, PerSecond: m.limit.perSecond, Version: m.limit.version, Leaving: m.limit.leaving}
 }
--- a/assign/limit_test.go
+++ b/assign/limit_test.go
@@ -194,3 +194,47 @@
 		}
 	}
 }
+
+// What an incarnation says of leaving holds for that incarnation, whoever heard it and whatever is
+// older.
+func TestLeavingThatAnswersName(t *testing.T) {
+	observe := func(f *Fleet) {
+		_, changed := f.ObserveLeaving(at(2), "engine-00", 1)
+		is.New(t).True(changed)
+	}
+	tests := map[string]struct {
+		steps  func(f *Fleet, e Endpoint)
+		leaves bool
+	}{
+		"said":                                   {func(f *Fleet, _ Endpoint) { observe(f) }, true},
+		"said by another incarnation":            {func(f *Fleet, _ Endpoint) { f.ObserveLeaving(at(2), "engine-00", 2) }, false},
+		"asked before the incarnation was known": {func(f *Fleet, _ Endpoint) { f.ObserveLeaving(t0.Add(-time.Hour), "engine-00", 1) }, false},
+		"registered as ready later":              {func(f *Fleet, e Endpoint) { observe(f); f.Update(e) }, true},
+		"a new incarnation":                      {func(f *Fleet, e Endpoint) { observe(f); e.Incarnation++; f.Update(e) }, false},
+		"missing in a list, then listed again":   {func(f *Fleet, e Endpoint) { observe(f); f.RetainOnly(nil); f.Update(e) }, true},
+		"missing, then a new incarnation":        {func(f *Fleet, e Endpoint) { observe(f); f.Remove(e.Name); e.Incarnation++; f.Update(e) }, false},
+		"a limit named after":                    {func(f *Fleet, _ Endpoint) { observe(f); f.ObserveLimit(at(4), at(3), "engine-00", 1, 2) }, true},
+		"told by another entry": {func(f *Fleet, _ Endpoint) {
+			f.MergeLimit(at(2), Limit{Endpoint: "engine-00", Incarnation: 1, Leaving: true})
+		}, true},
+		"told of another incarnation": {func(f *Fleet, _ Endpoint) {
+			f.MergeLimit(at(2), Limit{Endpoint: "engine-00", Incarnation: 0, Leaving: true})
+		}, false},
+		"told before the incarnation was known": {func(f *Fleet, e Endpoint) {
+			f.MergeLimit(at(2), Limit{Endpoint: "engine-00", Incarnation: 2, Leaving: true})
+			e.Incarnation++
+			f.Update(e)
+		}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := fleetOf(1)
+			f.members["engine-00"].LearnedAt = t0
+			test.steps(f, f.members["engine-00"].Endpoint)
+			is.Equal(f.Leaving("engine-00"), test.leaves)
+			_, err := f.Choose(at(time.Second), &Request{Service: f.members["engine-00"].Service})
+			is.Equal(err != nil, test.leaves)
+		})
+	}
+}
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -244,6 +244,8 @@
 	ClassifyAnswer(res *http.Response, id string) (outcome Outcome, at string)
 	// ReadLimit decodes the limit that an endpoint names in the head of an answer.
 	ReadLimit(h http.Header) (NamedLimit, error)
+	// ReadLeaving decodes whether an endpoint says in the head of an answer that it leaves.
+	ReadLeaving(h http.Header) (bool, error)
 }
 
 // EngineClient sends engines health checks and memory reservations. Unlike requests,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -322,7 +322,7 @@
 		names[e.Name] = true
 		g.fleet.Update(assign.Endpoint{
 			Name: e.Name, Service: e.Target, Addr: e.Addr, Zone: e.Zone, Incarnation: e.Incarnation,
-			Slots: e.Slots, Leaving: e.Load.Leaving, Cold: e.Cold,
+			Slots: e.Slots, Leaving: e.Load.Leaving, Cold: e.Cold, LearnedAt: g.clock.Now(),
 		})
 		if e.Load.Leaving {
 			g.losses.Leaving(e.Name)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -70,6 +70,8 @@
 	return NamedLimit{Named: true, PerSecond: perSecond, Header: "Limit"}, err
 }
 
+func (testDialect) ReadLeaving(h http.Header) (bool, error) { return h.Get("Leaving") != "", nil }
+
 // fakeControlClient is a controlClient whose permission a test sets.
 type fakeControlClient struct {
 	expired atomic.Bool
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -14,9 +14,10 @@
 // tell it the limits of endpoints.
 const limitsReceiveTime = time.Second
 
-// observeLimit records the limit that an endpoint names in the head of its answer, or that
-// it names none. A limit that cannot be decoded changes nothing.
-func (c *call) observeLimit(e assign.Endpoint, res *http.Response) {
+// observeHead records what an endpoint says of itself in the head of its answer: the limit that
+// it names, or that it names none, and whether it leaves. What cannot be decoded changes nothing.
+func (c *call) observeHead(e assign.Endpoint, res *http.Response) {
+	c.g.observeLeaving(c.sentAt, e, res.Header)
 	named, err := c.g.dialect.ReadLimit(res.Header)
 	if err != nil {
 		c.log().Warn("endpoint limit not understood", "limited", e.Name, "status", res.StatusCode, "error", err)
@@ -28,21 +29,45 @@
 	}
 }
 
-// ObserveEngineAnswer records the limit that the engine at an address names in the head of its
-// answer to a memory order or health check. Such an answer without a limit does not end one.
-func (g *Gateway) ObserveEngineAnswer(addr string, sent time.Time, h http.Header) {
-	named, err := g.dialect.ReadLimit(h)
+// observeLeaving records that an endpoint says in the head of an answer that it leaves, and informs
+// the other entries. It gets nothing more, and what runs there goes on to its end.
+func (g *Gateway) observeLeaving(sent time.Time, e assign.Endpoint, h http.Header) {
+	leaving, err := g.dialect.ReadLeaving(h)
 	if err != nil {
-		g.log.Warn("endpoint limit not understood", "addr", addr, "error", err)
+		g.log.Warn("endpoint notice not understood", "endpoint", e.Name, "error", err)
+	}
+	if !leaving {
 		return
 	}
-	if !named.Named {
+	g.mu.Lock()
+	notice, changed := g.fleet.ObserveLeaving(sent, e.Name, e.Incarnation)
+	if changed {
+		g.losses.Leaving(e.Name)
+	}
+	g.mu.Unlock()
+	if !changed {
 		return
 	}
+	g.bookings.limitChanged(notice)
+	g.metrics.leavingNotices.Inc()
+	g.log.Info("endpoint says that it leaves", "endpoint", e.Name, "incarnation", e.Incarnation, "age", g.clock.Now().Sub(sent))
+}
+
+// ObserveEngineAnswer records what the engine at an address says of itself in the head of its
+// answer to a memory order or health check. Such an answer without a limit does not end one.
+func (g *Gateway) ObserveEngineAnswer(addr string, sent time.Time, h http.Header) {
 	g.mu.Lock()
-	e, ok := g.fleet.AtAddr(addr)
+	e, known := g.fleet.AtAddr(addr)
 	g.mu.Unlock()
-	if !ok {
+	if known {
+		g.observeLeaving(sent, e, h)
+	}
+	named, err := g.dialect.ReadLimit(h)
+	if err != nil {
+		g.log.Warn("endpoint limit not understood", "addr", addr, "error", err)
+		return
+	}
+	if !named.Named || !known {
 		return
 	}
 	if limit, changed := g.recordLimit(sent, e.Name, e.Incarnation, named); changed {
@@ -78,8 +103,11 @@
 		if !g.fleet.MergeLimit(now, assign.Limit(l)) {
 			continue
 		}
+		if l.Leaving {
+			g.losses.Leaving(l.Endpoint)
+		}
 		g.metrics.limitChanges.Inc()
-		g.log.Info("endpoint limit received", "peer", peer, "limited", l.Endpoint, "incarnation", l.Incarnation, "per_second", l.PerSecond, "version", l.Version)
+		g.log.Info("endpoint limit received", "peer", peer, "limited", l.Endpoint, "incarnation", l.Incarnation, "per_second", l.PerSecond, "version", l.Version, "leaving", l.Leaving)
 	}
 }
 
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -192,3 +192,41 @@
 	w.g.ObserveEngineAnswer(addr, time.Now(), http.Header{"Limit": {"soon"}})
 	is.Equal(w.limitOf(), 2.5)
 }
+
+func TestAnswerSaysThatItsEndpointLeaves(t *testing.T) {
+	leaving := func(answer http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Leaving", "1")
+			answer(w, r)
+		}
+	}
+	stream := answering(http.StatusOK, "id: 1\ndata: x\n\n")
+	tests := map[string]struct {
+		path   string
+		answer http.HandlerFunc
+		leaves bool
+	}{
+		"success":                 {"/seal/1", answering(http.StatusOK, "good"), true},
+		"error":                   {"/seal/1", answering(http.StatusInternalServerError, "bad"), true},
+		"not run":                 {"/seal/1", refusing(http.StatusServiceUnavailable), true},
+		"head of a stream":        {"/read/1", stream, true},
+		"answer of another one":   {"/seal/1", answeringOtherAttempt, false},
+		"another endpoint's name": {"/seal/1", refusing(http.StatusMisdirectedRequest), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newTestGateway(t, leaving(test.answer))
+			w.g.bookings.peers["peer"] = &peerQueue{open: true, wake: make(chan struct{}, 1)}
+			w.post(test.path, nil)
+			w.g.mu.Lock()
+			is.Equal(w.g.fleet.Leaving("desk-1") || w.g.fleet.Leaving("scribe-1"), test.leaves)
+			w.g.mu.Unlock()
+			sent := w.g.bookings.takePending(w.g.bookings.peers["peer"]).Limits
+			is.Equal(len(sent) == 1 && sent[0].Leaving, test.leaves) // the other entries are told
+			arrived := w.arrivalCount()
+			w.post(test.path, nil)
+			is.Equal(w.arrivalCount() > arrived, !test.leaves) // the only endpoint gets nothing more
+		})
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,6 +22,8 @@
 	endpointLosses, lossReports *metrics.Counter
 	// limitChanges counts the changes of endpoints' limits that this entry has learned of.
 	limitChanges *metrics.Counter
+	// leavingNotices counts the endpoints whose answers told this entry that they leave.
+	leavingNotices *metrics.Counter
 	// placedForPeers counts the requests of other entries for which this entry chose endpoints,
 	// and placedByPeers its own requests for which another one did.
 	placedForPeers, placedByPeers *metrics.Counter
@@ -34,6 +36,7 @@
 	m := &gatewayMetrics{
 		set: set, distrusts: set.NewCounter("rosemary_gateway_distrusts_total"),
 		endpointLosses: set.NewCounter("rosemary_gateway_endpoint_losses_total"), lossReports: set.NewCounter("rosemary_gateway_loss_reports_total"),
+		leavingNotices: set.NewCounter("rosemary_gateway_leaving_notices_total"),
 		limitChanges:   set.NewCounter("rosemary_gateway_limit_changes_total"),
 		placedForPeers: set.NewCounter("rosemary_gateway_placed_for_peers_total"), placedByPeers: set.NewCounter("rosemary_gateway_placed_by_peers_total"),
 		placementsRejected: set.NewCounter("rosemary_gateway_placements_rejected_total"),
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -325,7 +325,7 @@
 func (c *call) handleAnswer(ctx context.Context, a *assign.Assignment, res *http.Response, timer *silenceTimer) error {
 	outcome, at := c.g.dialect.ClassifyAnswer(res, c.ID)
 	if outcome == Answered || outcome == NotRun {
-		c.observeLimit(a.Primary, res)
+		c.observeHead(a.Primary, res)
 	}
 	switch outcome {
 	case NotRun, Misdirected:
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -348,14 +348,15 @@
 	Leaving string `cbor:"7,keyasint,omitempty"`
 }
 
-// EndpointLimit is the request rate that an incarnation of an endpoint names, in requests
-// per second from all entries together. Zero means that it has ended. Version rises with
-// each change.
+// EndpointLimit is what an incarnation of an endpoint says in its answers: the request rate
+// that it names, in requests per second from all entries together, and whether it leaves. Zero
+// means that the limit has ended. Version rises with each change of the limit.
 type EndpointLimit struct {
 	Endpoint    string  `cbor:"1,keyasint"`
 	Incarnation uint64  `cbor:"2,keyasint"`
 	PerSecond   float64 `cbor:"3,keyasint,omitempty"`
 	Version     uint64  `cbor:"4,keyasint"`
+	Leaving     bool    `cbor:"5,keyasint,omitempty"`
 }
 
 // Booking is the load that one request puts on endpoints.
