gateway: an endpoint that asks for a pause gets nothing from this entry for its time

It is this entry's own; prompts placed by another entry are held against it. After it one request goes first.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -109,6 +109,9 @@
 	EventGapTarget time.Duration
 	// MinEventGapTarget is the smallest target among all routes to the service.
 	MinEventGapTarget time.Duration
+	// ForPeer is set for a request that another entry sends. The pauses that endpoints asked this
+	// entry for do not concern it.
+	ForPeer bool
 	// Waited is how long the request has waited. The number of idle endpoints that a
 	// long prompt requires falls with Waited and reaches none at RelaxAfter.
 	Waited, RelaxAfter time.Duration
@@ -184,8 +187,8 @@
 // may wait for them.
 func (f *Fleet) refuseIneligible(now time.Time, r *Request) error {
 	if blocked := f.rateLimited(now, r); blocked.endpoints > 0 {
-		return verdict.Refuse(verdict.ReasonOverloaded, blocked.wait, "%d endpoints of %s have had the %.3g requests per second that they take",
-			blocked.endpoints, r.Service, blocked.rate)
+		return verdict.Refuse(verdict.ReasonOverloaded, blocked.wait, "%d endpoints of %s take no request for %v: they have had the %.3g per second that they take, or asked for a pause",
+			blocked.endpoints, r.Service, blocked.wait, blocked.rate)
 	}
 	return verdict.Refuse(verdict.ReasonNoEndpoint, busyRetryAfter, "no endpoint of %s can take the request", r.Service)
 }
@@ -203,7 +206,7 @@
 		switch {
 		case !f.serves(m, r):
 		case trusted && now.Before(m.distrustedUntil):
-		case f.rateWait(now, m) > 0:
+		case f.sendWait(now, m, r) > 0:
 		default:
 			out = append(out, m)
 		}
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -87,6 +87,7 @@
 	limit    namedLimit
 	coldRate float64
 	pace     pacer
+	pause    pause
 }
 
 // Fleet holds the known endpoints and the load that this entry and its peers have
@@ -318,6 +319,9 @@
 	if m := f.members[name]; m != nil {
 		m.failures = 0
 		m.lastAlive = now
+		if !m.paused(now) {
+			m.pause.trial = false
+		}
 	}
 }
 
@@ -375,7 +379,7 @@
 // Withdrawn returns the first endpoint of an assignment that must not get the request by what is
 // known now, and the reason. The reason is empty if there is none. Others may have made the
 // assignment, or it may have been made before the endpoints changed.
-func (f *Fleet) Withdrawn(a *Assignment, r *Request) (endpoint string, reason verdict.Reason) {
+func (f *Fleet) Withdrawn(now time.Time, a *Assignment, r *Request) (endpoint string, reason verdict.Reason) {
 	for _, e := range append([]Endpoint{a.Primary}, a.Helpers...) {
 		m := f.members[e.Name]
 		switch {
@@ -387,6 +391,8 @@
 			return e.Name, verdict.ReasonZoneOut
 		case m.leaves():
 			return e.Name, verdict.ReasonEndpointLeaving
+		case m.paused(now):
+			return e.Name, verdict.ReasonOverloaded
 		case !f.serves(m, r):
 			return e.Name, verdict.ReasonNoEndpoint
 		}
--- a/assign/rate.go
+++ b/assign/rate.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// LimitWait forecasts how long a request waits that only the rates of the endpoints keep
+// LimitWait forecasts how long a request waits that only the rates and pauses of the endpoints keep
 // waiting; ahead is the number of requests that wait before it. Zero means that something else
 // keeps it waiting, or nothing.
 func (f *Fleet) LimitWait(now time.Time, r *Request, ahead int) time.Duration {
@@ -101,31 +101,37 @@
 	if blocked.endpoints == 0 || len(f.eligible(now, r, false)) > 0 {
 		return 0
 	}
+	if blocked.unlimited {
+		return blocked.wait
+	}
 	own := blocked.rate / float64(f.activeEntries(r.Service))
 	return blocked.wait + time.Duration(float64(ahead)/own*float64(time.Second))
 }
 
-// rateBlock describes the endpoints that only their rates exclude.
+// rateBlock describes the endpoints that only their rates and pauses exclude.
 type rateBlock struct {
 	endpoints int
+	// unlimited is set if one of them pauses and has no rate.
+	unlimited bool
 	// rate is the sum of their rates, and wait the time until the first may be used.
 	rate float64
 	wait time.Duration
 }
 
-// rateLimited returns the endpoints that only their rates exclude for the request.
+// rateLimited returns the endpoints that only their rates and pauses exclude for the request.
 func (f *Fleet) rateLimited(now time.Time, r *Request) rateBlock {
 	var out rateBlock
 	for _, m := range f.members {
 		if !f.serves(m, r) {
 			continue
 		}
-		if wait := f.rateWait(now, m); wait > 0 {
+		if wait := f.sendWait(now, m, r); wait > 0 {
 			if out.endpoints == 0 || wait < out.wait {
 				out.wait = wait
 			}
 			out.endpoints++
 			out.rate += m.rate()
+			out.unlimited = out.unlimited || m.rate() == 0
 		}
 	}
 	return out
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -246,6 +246,9 @@
 	ReadLimit(h http.Header) (NamedLimit, error)
 	// ReadLeaving decodes whether an endpoint says in the head of an answer that it leaves.
 	ReadLeaving(h http.Header) (bool, error)
+	// ReadPause decodes for how long an endpoint wants no request from this entry, by an answer
+	// with which it turned one away. Zero means that it asks for no pause.
+	ReadPause(now time.Time, res *http.Response) (time.Duration, error)
 }
 
 // EngineClient sends engines health checks and memory reservations. Unlike requests,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -72,6 +72,14 @@
 
 func (testDialect) ReadLeaving(h http.Header) (bool, error) { return h.Get("Leaving") != "", nil }
 
+func (testDialect) ReadPause(_ time.Time, res *http.Response) (time.Duration, error) {
+	raw := res.Header.Get("Pause")
+	if raw == "" {
+		return 0, nil
+	}
+	return time.ParseDuration(raw)
+}
+
 // fakeControlClient is a controlClient whose permission a test sets.
 type fakeControlClient struct {
 	expired atomic.Bool
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -18,6 +18,7 @@
 // it names, or that it names none, and whether it leaves. What cannot be decoded changes nothing.
 func (c *call) observeHead(e assign.Endpoint, res *http.Response) {
 	c.g.observeLeaving(c.sentAt, e, res.Header)
+	c.g.observePause(c.sentAt, e, res)
 	named, err := c.g.dialect.ReadLimit(res.Header)
 	if err != nil {
 		c.log().Warn("endpoint limit not understood", "limited", e.Name, "status", res.StatusCode, "error", err)
@@ -53,14 +54,36 @@
 	g.log.Info("endpoint says that it leaves", "endpoint", e.Name, "incarnation", e.Incarnation, "age", g.clock.Now().Sub(sent))
 }
 
+// observePause records that an endpoint asks this entry for a pause. Requests that wait choose others,
+// or wait for its end if they can. Other entries are not told: the pause is for this one.
+func (g *Gateway) observePause(sent time.Time, e assign.Endpoint, res *http.Response) {
+	now := g.clock.Now()
+	span, err := g.dialect.ReadPause(now, res)
+	if err != nil {
+		g.log.Warn("endpoint notice not understood", "endpoint", e.Name, "error", err)
+	}
+	if span <= 0 {
+		return
+	}
+	g.mu.Lock()
+	until, changed := g.fleet.ObservePause(now, sent, e.Name, e.Incarnation, span)
+	g.mu.Unlock()
+	if changed {
+		g.metrics.pauses.Inc()
+		g.log.Info("endpoint asks for a pause", "endpoint", e.Name, "incarnation", e.Incarnation, "status", res.StatusCode, "asked", span, "kept", until.Sub(now))
+	}
+}
+
 // ObserveEngineAnswer records what the engine at an address says of itself in the head of its
 // answer to a memory order or health check. Such an answer without a limit does not end one.
-func (g *Gateway) ObserveEngineAnswer(addr string, sent time.Time, h http.Header) {
+func (g *Gateway) ObserveEngineAnswer(addr string, sent time.Time, res *http.Response) {
+	h := res.Header
 	g.mu.Lock()
 	e, known := g.fleet.AtAddr(addr)
 	g.mu.Unlock()
 	if known {
 		g.observeLeaving(sent, e, h)
+		g.observePause(sent, e, res)
 	}
 	named, err := g.dialect.ReadLimit(h)
 	if err != nil {
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -185,11 +187,11 @@
 	a, ok := w.g.fleet.ResolveBooking(&assign.Booking{Primary: assign.Part{Endpoint: "desk-1"}})
 	is.True(ok)
 	addr := a.Primary.Addr
-	w.g.ObserveEngineAnswer(addr, time.Now(), http.Header{"Limit": {"2.5"}})
+	w.g.ObserveEngineAnswer(addr, time.Now(), &http.Response{Header: http.Header{"Limit": {"2.5"}}})
 	is.Equal(w.limitOf(), 2.5)
-	w.g.ObserveEngineAnswer(addr, time.Now(), http.Header{})
+	w.g.ObserveEngineAnswer(addr, time.Now(), &http.Response{Header: http.Header{}})
 	is.Equal(w.limitOf(), 2.5) // an order need not say it
-	w.g.ObserveEngineAnswer(addr, time.Now(), http.Header{"Limit": {"soon"}})
+	w.g.ObserveEngineAnswer(addr, time.Now(), &http.Response{Header: http.Header{"Limit": {"soon"}}})
 	is.Equal(w.limitOf(), 2.5)
 }
 
@@ -230,3 +232,29 @@
 		})
 	}
 }
+
+func TestEndpointThatAsksForAPauseGetsNothingForItsTime(t *testing.T) {
+	is := is.New(t)
+	pausing := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Pause", "700ms")
+		refusing(http.StatusServiceUnavailable)(w, r)
+	}
+	w := newTestGateway(t, pausing)
+	ctx, cancel := context.WithCancel(context.Background())
+	var polling sync.WaitGroup
+	polling.Go(func() { w.g.pollQueues(ctx) })
+	defer polling.Wait()
+	defer cancel()
+	began := time.Now()
+	is.Equal(w.post("/seal/1", nil).status, http.StatusServiceUnavailable)
+	is.Equal(w.arrivalCount(), 1)
+	refused := w.post("/seal/2", func(r *http.Request) { r.Header.Set("Wait", "400") }) // can't be served in time
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(after > 0)
+	is.Equal(w.arrivalCount(), 1)
+	is.Equal(w.post("/seal/3", nil).status, http.StatusServiceUnavailable) // waits for the end of the pause
+	is.Equal(w.arrivalCount(), 2)
+	is.True(time.Since(began) >= 700*time.Millisecond)
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,8 @@
 	limitChanges *metrics.Counter
 	// leavingNotices counts the endpoints whose answers told this entry that they leave.
 	leavingNotices *metrics.Counter
+	// pauses counts the pauses that endpoints asked this entry for.
+	pauses *metrics.Counter
 	// placedForPeers counts the requests of other entries for which this entry chose endpoints,
 	// and placedByPeers its own requests for which another one did.
 	placedForPeers, placedByPeers *metrics.Counter
@@ -36,6 +38,7 @@
 	m := &gatewayMetrics{
 		set: set, distrusts: set.NewCounter("rosemary_gateway_distrusts_total"),
 		endpointLosses: set.NewCounter("rosemary_gateway_endpoint_losses_total"), lossReports: set.NewCounter("rosemary_gateway_loss_reports_total"),
+		pauses:         set.NewCounter("rosemary_gateway_pauses_total"),
 		leavingNotices: set.NewCounter("rosemary_gateway_leaving_notices_total"),
 		limitChanges:   set.NewCounter("rosemary_gateway_limit_changes_total"),
 		placedForPeers: set.NewCounter("rosemary_gateway_placed_for_peers_total"), placedByPeers: set.NewCounter("rosemary_gateway_placed_by_peers_total"),
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -116,7 +116,7 @@
 // unsent holds the reasons of attempts that are given up before the request is sent.
 var unsent = map[verdict.Reason]bool{
 	verdict.ReasonUnreachable: true, verdict.ReasonEndpointLost: true, verdict.ReasonEndpointRestarted: true, verdict.ReasonZoneOut: true,
-	verdict.ReasonEndpointLeaving: true, verdict.ReasonNoEndpoint: true,
+	verdict.ReasonEndpointLeaving: true, verdict.ReasonNoEndpoint: true, verdict.ReasonOverloaded: true,
 }
 
 // adjustVerdict returns err as a refusal with the verdict for the whole request. The
@@ -196,7 +196,7 @@
 		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry's permission has lapsed at revision %d", c.g.client.Permission().Revision)
 	}
 	c.g.mu.Lock()
-	endpoint, reason := c.g.fleet.Withdrawn(a, &c.placementRequest)
+	endpoint, reason := c.g.fleet.Withdrawn(c.g.clock.Now(), a, &c.placementRequest)
 	c.g.mu.Unlock()
 	if reason == "" {
 		return nil
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -110,7 +110,7 @@
 	a, known := g.fleet.ResolveBooking(fromWire(answer.Booking))
 	endpoint, rejected := "", verdict.ReasonEndpointLost
 	if known {
-		endpoint, rejected = g.fleet.Withdrawn(a, w.request)
+		endpoint, rejected = g.fleet.Withdrawn(now, a, w.request)
 	}
 	if rejected == "" {
 		a.PredictedPrefill, a.Candidates = answer.PredictedPrefill, answer.Candidates
@@ -175,7 +175,7 @@
 		owner: stream.Peer().Name, bookingID: m.Booking, account: m.Account, arrived: now.Add(-m.Waited),
 		startBy: now.Add(m.StartIn), giveUpAt: now.Add(m.ExpiresIn), result: make(chan placeResult, 1),
 		request: &assign.Request{
-			Service: m.Service, PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens, Tried: m.Tried, Zone: g.node.Zone,
+			Service: m.Service, PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens, Tried: m.Tried, Zone: g.node.Zone, ForPeer: true,
 			EventGapTarget: m.EventGapTarget, RelaxAfter: m.RelaxAfter,
 		},
 	}
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -190,7 +190,7 @@
 // refuseLimited returns the refusal for a request that the limits of all endpoints allow only
 // after a wait.
 func refuseLimited(r *assign.Request, wait time.Duration) error {
-	return verdict.Refuse(verdict.ReasonOverloaded, wait, "the limits of all endpoints of %s allow the request in %v", r.Service, wait)
+	return verdict.Refuse(verdict.ReasonOverloaded, wait, "the limits and pauses of all endpoints of %s allow the request in %v", r.Service, wait)
 }
 
 // classOf returns the length class of a request. A prompt that one endpoint prefills
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -32,6 +32,7 @@
 	PromiseInnocent     = "no request is refused for crashes that it did not cause"
 	PromiseRetries      = "retries stay within the budget of all entries"
 	PromiseLimit        = "an endpoint gets no more than the limit that it names"
+	PromisePause        = "an entry that an endpoint asked for a pause sends it nothing"
 	PromiseEvacuated    = "a zone that was taken out gets nothing, from processes that are cut off either"
 )
 
@@ -39,7 +40,7 @@
 var Promises = []string{
 	PromiseAtMostOnce, PromiseNotRun, PromiseAnswer, PromiseOrder, PromiseUnaltered, PromiseRoute, PromiseNoRollback, PromiseRevoked,
 	PromiseDrained, PromiseCold, PromiseMemory, PromiseDurable, PromiseRecovered, PromiseGracefulStop,
-	PromiseCrashing, PromiseInnocent, PromiseRetries, PromiseLimit, PromiseEvacuated,
+	PromiseCrashing, PromiseInnocent, PromiseRetries, PromiseLimit, PromisePause, PromiseEvacuated,
 }
 
 // Bounds holds the time bounds of a deployment's promises.
@@ -198,6 +199,16 @@
 	c.requests[r.ID] = &trackedRequest{Request: r, sent: now, answers: map[string][]byte{}}
 }
 
+// EntryOf returns the entry that a request was sent to, or an empty string for an unknown request.
+func (c *Checker) EntryOf(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.requests[id]; r != nil {
+		return r.Entry
+	}
+	return ""
+}
+
 // Ran records that an endpoint begins to execute a request, and checks the arrival.
 func (c *Checker) Ran(now time.Time, a Arrival) {
 	c.mu.Lock()
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -90,9 +90,9 @@
 			found[test.promise] = true
 		})
 	}
-	// PromiseCold, PromiseMemory and PromiseLimit are checked by the endpoints of a deployment.
+	// PromiseCold, PromiseMemory, PromiseLimit and PromisePause are checked by the endpoints of a deployment.
 	for _, p := range Promises {
-		if p != PromiseCold && p != PromiseMemory && p != PromiseLimit && !found[p] {
+		if p != PromiseCold && p != PromiseMemory && p != PromiseLimit && p != PromisePause && !found[p] {
 			t.Errorf("no test case breaks the promise %q", p)
 		}
 	}
