gateway: a stream to an entry that was restarted is replaced at once

Entries tell one another their bookings, and the limits and notices of endpoints.

The first message of a stream names the sender's address and a number of its start. An entry that receives another number from an address than before replaces its own stream to it.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -28,6 +28,8 @@
 	leaveTime = 50 * time.Millisecond
 	// peerRetryInterval is the wait before a stream to a peer is opened again.
 	peerRetryInterval = 300 * time.Millisecond
+	// maxStarts bounds the addresses for which the start of the process is known.
+	maxStarts = 4096
 	// peerOpenTimeout bounds the time to open a stream to a peer.
 	peerOpenTimeout = time.Second
 )
@@ -40,6 +42,9 @@
 	lastID  uint64
 	current map[uint64]*wire.Booking
 	peers   map[string]*peerQueue
+	// starts identifies the latest start of the process at an address. An entry may open its stream
+	// before control lists it.
+	starts map[string]uint32
 }
 
 // peerQueue holds the changes that are not yet sent to one peer. The lock of bookings
@@ -63,10 +68,16 @@
 	leaving string
 	// wake signals that there are changes. It has a buffer of one.
 	wake chan struct{}
+	// restarted signals that the process of the peer has restarted. It has a buffer of one.
+	restarted chan struct{}
 }
 
 func newBookings() *bookings {
-	return &bookings{current: map[uint64]*wire.Booking{}, peers: map[string]*peerQueue{}}
+	return &bookings{current: map[uint64]*wire.Booking{}, peers: map[string]*peerQueue{}, starts: map[string]uint32{}}
+}
+
+func newPeerQueue() *peerQueue {
+	return &peerQueue{wake: make(chan struct{}, 1), restarted: make(chan struct{}, 1)}
 }
 
 // newID returns an unused booking ID.
@@ -121,6 +132,30 @@
 	b.enqueue(func(q *peerQueue) { q.leaving = addr })
 }
 
+// peerStarted records the start of a peer's process. If it is a new one, the stream to the peer is
+// replaced: the new process does not know the connection of the old one, which fails only after a long
+// idle timeout if the old process was killed.
+func (b *bookings) peerStarted(addr string, start uint32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known, ok := b.starts[addr]
+	if start == 0 || known == start {
+		return
+	}
+	if !ok && len(b.starts) >= maxStarts {
+		clear(b.starts)
+	}
+	b.starts[addr] = start
+	q := b.peers[addr]
+	if !ok || q == nil {
+		return
+	}
+	select {
+	case q.restarted <- struct{}{}:
+	default:
+	}
+}
+
 // enqueue applies a change to the queue of each peer to which a stream is open, and wakes its
 // sender. The caller holds b.mu.
 func (b *bookings) enqueue(change func(*peerQueue)) {
@@ -217,7 +252,7 @@
 		if addr == string(g.Peers) || addr == "" || b.peers[addr] != nil {
 			continue
 		}
-		q := &peerQueue{wake: make(chan struct{}, 1)}
+		q := newPeerQueue()
 		b.peers[addr] = q
 		g.peerTasks.Go(func() { g.runPeer(ctx, addr, q) })
 	}
@@ -261,6 +296,7 @@
 		return false
 	}
 	delete(b.peers, addr)
+	delete(b.starts, addr)
 	return true
 }
 
@@ -292,6 +328,8 @@
 		select {
 		case <-stream.Context().Done():
 			return errors.New("the peer closed the stream")
+		case <-q.restarted:
+			return errors.New("the process of the peer has restarted")
 		case <-q.wake:
 		case <-g.clock.After(bookingHeartbeat):
 		}
@@ -307,7 +345,9 @@
 	g.mu.Lock()
 	limits := g.fleet.Limits()
 	g.mu.Unlock()
-	return g.bookings.takeAll(q, limits)
+	all := g.bookings.takeAll(q, limits)
+	all.Addr, all.Start = string(g.Peers), g.startID
+	return all
 }
 
 // servePeer serves a stream of another entry according to its first message.
@@ -339,6 +379,7 @@
 func (g *Gateway) receiveBookings(stream wire.Stream, first *wire.Bookings) {
 	peer := stream.Peer()
 	g.log.Info("booking stream opened", "peer", peer.Name)
+	g.bookings.peerStarted(first.Addr, first.Start)
 	g.mu.Lock()
 	g.bookingStreams[peer.Name]++
 	delete(g.leftEntries, peer.Name)
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -49,7 +49,7 @@
 func TestBookingsAreSentOnce(t *testing.T) {
 	is := is.New(t)
 	b := newBookings()
-	q := &peerQueue{wake: make(chan struct{}, 1)}
+	q := newPeerQueue()
 	b.peers["peer"] = q
 	b.openQueue(q)
 	booking := &assign.Booking{Primary: assign.Part{Endpoint: "e1", Tokens: 7}, Helpers: []assign.Part{{Endpoint: "e2"}}, PrefillTime: time.Second, Short: true}
@@ -81,7 +81,7 @@
 func TestNothingIsQueuedForAPeerWithoutAStream(t *testing.T) {
 	is := is.New(t)
 	b := newBookings()
-	q := &peerQueue{wake: make(chan struct{}, 1)}
+	q := newPeerQueue()
 	b.peers["peer"] = q
 	change := func() uint64 {
 		id := b.newID()
@@ -102,3 +102,25 @@
 	b.closeQueue(q)
 	is.Equal(len(q.begun)+len(q.ended)+len(q.answered)+len(q.limits), 0)
 }
+
+func TestStreamToAPeerIsReplacedWhenItsProcessRestarts(t *testing.T) {
+	is := is.New(t)
+	b := newBookings()
+	q := newPeerQueue()
+	b.peerStarted("10.0.0.2:7000", 5) // before control lists it
+	b.peers["10.0.0.2:7000"] = q
+	replaced := func(addr string, start uint32) bool {
+		b.peerStarted(addr, start)
+		select {
+		case <-q.restarted:
+			return true
+		default:
+			return false
+		}
+	}
+	is.True(!replaced("10.0.0.2:7000", 5)) // a new stream of the same process
+	is.True(!replaced("10.0.0.2:7000", 0)) // an older build
+	is.True(!replaced("10.0.0.3:7000", 6)) // another peer
+	is.True(replaced("10.0.0.2:7000", 6))
+	is.True(!replaced("10.0.0.2:7000", 6))
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -346,6 +346,10 @@
 	Limits []EndpointLimit `cbor:"6,keyasint,omitempty"`
 	// Leaving is the address of the sender if it has stopped and sends no more requests.
 	Leaving string `cbor:"7,keyasint,omitempty"`
+	// Addr is the address of the sender, and Start a number that differs for each start of its
+	// process. Both are set with Full.
+	Addr  string `cbor:"8,keyasint,omitempty"`
+	Start uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 // EndpointLimit is what an incarnation of an endpoint says in its answers: the request rate
