--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -113,12 +113,6 @@
 	return c.g.retries.trySpend(c.g.clock.Now(), c.service.Name, c.g.retrySharing())
 }
 
-// unsent holds the reasons of attempts that are given up before the request is sent.
-var unsent = map[verdict.Reason]bool{
-	verdict.ReasonUnreachable: true, verdict.ReasonEndpointLost: true, verdict.ReasonEndpointRestarted: true, verdict.ReasonZoneOut: true,
-	verdict.ReasonEndpointLeaving: true, verdict.ReasonNoEndpoint: true, verdict.ReasonOverloaded: true,
-}
-
 // adjustVerdict returns err as a refusal with the verdict for the whole request. The
 // verdict NotRun of the last attempt does not apply to the request if an earlier
 // attempt may have been executed. A refusal with the verdict NotRun and without a
@@ -188,35 +182,6 @@
 	return err
 }
 
-// checkSend returns a refusal if the request must not be sent as it was placed. Time has passed since
-// then: the permission of this entry may have lapsed, or an endpoint may have been taken out of
-// service.
-func (c *call) checkSend(ctx context.Context, a *assign.Assignment) error {
-	if c.needsPermission && !c.awaitPermission(ctx) {
-		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry's permission has lapsed at revision %d", c.g.client.Permission().Revision)
-	}
-	c.g.mu.Lock()
-	endpoint, reason := c.g.fleet.Withdrawn(c.g.clock.Now(), a, &c.placementRequest)
-	c.g.mu.Unlock()
-	if reason == "" {
-		return nil
-	}
-	c.g.metrics.placementsRejected.Inc()
-	return verdict.Refuse(reason, defaultRetryAfter, "endpoint %s was withdrawn before the request was sent", endpoint)
-}
-
-// awaitPermission waits for up to maxStaleWait until this entry has a valid permission, and reports
-// whether it has.
-func (c *call) awaitPermission(ctx context.Context) bool {
-	for limit := c.g.clock.Now().Add(maxStaleWait); !c.g.client.Fresh(); {
-		if c.g.clock.Now().After(limit) || ctx.Err() != nil {
-			return false
-		}
-		<-c.g.clock.After(stalePollInterval)
-	}
-	return true
-}
-
 // sendReason returns the reason of the current attempt as a label value for metrics.
 func (c *call) sendReason() string {
 	switch {
