--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -20,11 +20,11 @@
 )
 
 // joinPeers connects the gateways as entries of one deployment, whose endpoints are those of the
-// first, and returns the addresses in the order in which entries are asked to place.
-func joinPeers(t *testing.T, gateways ...*testGateway) []string {
+// first, and returns the addresses in the order in which entries are asked to place. The entries answer
+// once serve is called; what the test changes in them before is known to them.
+func joinPeers(t *testing.T, gateways ...*testGateway) (addrs []string, serve func()) {
 	t.Helper()
 	is := is.New(t)
-	var addrs []string
 	for i, w := range gateways {
 		w.g.node.Name = []string{"entry-1", "entry-2", "entry-3"}[i]
 		id, err := wire.OpenIdentity(&settings.TLS{Trust: settings.TrustNetwork}, w.g.node, wire.RoleEntry)
@@ -33,10 +33,6 @@
 		is.NoErr(err)
 		w.g.Peers = settings.Addr(w.g.peers.Addr())
 		w.g.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
-		ctx, cancel := context.WithCancel(context.Background())
-		served := make(chan error, 1)
-		go func() { served <- w.g.peers.Serve(ctx) }()
-		t.Cleanup(func() { w.g.dialer.Close(); cancel(); is.NoErr(<-served) })
 		addrs = append(addrs, string(w.g.Peers))
 		w.g.deployment.Load().Services["scribe"].Engine = longPromptEngine()
 	}
@@ -46,7 +42,14 @@
 			w.g.fleet.Update(scribe(i))
 		}
 	}
-	return addrs
+	return addrs, func() {
+		for _, w := range gateways {
+			ctx, cancel := context.WithCancel(context.Background())
+			served := make(chan error, 1)
+			go func() { served <- w.g.peers.Serve(ctx) }()
+			t.Cleanup(func() { w.g.dialer.Close(); cancel(); is.NoErr(<-served) })
+		}
+	}
 }
 
 // scribe returns an endpoint of the model service.
@@ -118,8 +121,9 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			placing, next, asking := newTestGateway(t), newTestGateway(t), newTestGateway(t)
-			addrs := joinPeers(t, placing, next, asking)
+			addrs, serve := joinPeers(t, placing, next, asking)
 			test.prepare(asking, placing, next)
+			serve()
 			c := asking.call("/read/1", 50_000)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
