deploy: numbers of the deployment may be fractions, and a missing one is reported by its setting

No entry started on the small twin of the large deployment: its retry_extra is 42.42, and plugins.platform.entry.retry_extra had to be a whole number. A number that the platform leaves out made the whole file unreadable JSON, without the name of the setting.

--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -10,7 +10,7 @@
 // most Ratio times the number of requests, plus Extra, over all entries together.
 type RetryLimits struct {
 	Ratio  float64
-	Extra  int
+	Extra  float64
 	Window time.Duration
 }
 
@@ -149,7 +149,7 @@
 	s.requests, s.retries = dropBefore(s.requests, from), dropBefore(s.retries, from)
 	allowed := b.limits.Ratio * float64(len(s.requests))
 	if entries > 0 {
-		allowed += float64(b.limits.Extra) / float64(entries)
+		allowed += b.limits.Extra / float64(entries)
 	}
 	return allowed - float64(len(s.retries))
 }
--- a/gateway/retries_test.go
+++ b/gateway/retries_test.go
@@ -88,7 +88,7 @@
 					inform()
 				}
 				spent = dropBefore(spent, now.Add(-limits.Window))
-				if len(spent) > limits.Extra {
+				if float64(len(spent)) > limits.Extra {
 					t.Fatalf("%d extra retries in a window", len(spent))
 				}
 			},
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -123,6 +123,8 @@
 		return "duration"
 	case reflect.TypeFor[Addr]():
 		return "address"
+	case reflect.TypeFor[Port]():
+		return "port"
 	case reflect.TypeFor[json.RawMessage]():
 		return "object"
 	case reflect.TypeFor[time.Duration]():
--- a/settings/types.go
+++ b/settings/types.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,6 +38,35 @@
 // MarshalJSON returns the duration string.
 func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
 
+// Number is a finite number. Templates write it as a string, so that a value that is missing is
+// reported for its own setting.
+type Number float64
+
+// UnmarshalJSON parses a number, or a string that holds one.
+func (n *Number) UnmarshalJSON(b []byte) error {
+	text := strings.Trim(string(b), `"`)
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsInf(v, 0) || math.IsNaN(v) {
+		return errors.Errorf("want a number such as 0.2 or 40, got %q", text)
+	}
+	*n = Number(v)
+	return nil
+}
+
+// Port is the number of a TCP or UDP port. Like a Number, it may be written as a string.
+type Port uint16
+
+// UnmarshalJSON parses a port number, or a string that holds one.
+func (p *Port) UnmarshalJSON(b []byte) error {
+	text := strings.Trim(string(b), `"`)
+	v, err := strconv.ParseUint(text, 10, 16)
+	if err != nil || v == 0 {
+		return errors.Errorf("want a port from 1 to 65535, got %q", text)
+	}
+	*p = Port(v)
+	return nil
+}
+
 // Addr is an IP address and port. Host names are refused, because processes address each
 // other by IP address only.
 type Addr string
