assign: the claims on cold rates no longer hide most endpoints from long prompts

Cause: an endpoint may be cold without saying so, so the rate of a cold one binds all, and entries take turns in slots of 20 ms to use a right to send (at 105 entries: one slot in 14).

One entry chooses for all, so it needs no turn: it only needs a right that is free. Where endpoints name limits, both stay as they were. TestLongPromptsAreReadByManyEnginesInALargeFleet fails before.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -126,6 +126,9 @@
 // less than the gap that their callers accept.
 func (r *Request) Short() bool { return r.Engine.PrefillTime(r.PromptTokens) <= r.maxShortPrefill() }
 
+// grouped reports whether several endpoints may prefill the prompt together.
+func (r *Request) grouped() bool { return r.Engine != nil && r.PromptTokens > 0 && !r.Short() }
+
 // maxShortPrefill is the longest prefill time of a short prompt. It hardly delays the
 // streams of the endpoint.
 func (r *Request) maxShortPrefill() time.Duration {
@@ -166,12 +169,12 @@
 	switch {
 	case r.Engine == nil || r.PromptTokens == 0:
 		return assignSingle(now, r, all, cheapest(now, r, all)), nil
-	case r.Short():
-		a = assignSingle(now, r, all, f.pickForShort(now, r, all))
-	default:
+	case r.grouped():
 		if a, err = f.assignGroup(now, r, all); err != nil {
 			return nil, err
 		}
+	default:
+		a = assignSingle(now, r, all, f.pickForShort(now, r, all))
 	}
 	if backlog := a.PredictedPrefill - a.Booking.PrefillTime; backlog > maxBacklog {
 		return nil, verdict.Refuse(verdict.ReasonOverloaded, backlog, "endpoints of %s read for %v yet", r.Service, backlog)
@@ -214,6 +217,23 @@
 	return out
 }
 
+// helperCandidates lists the endpoints, other than primary, that may prefill a part of the prompt,
+// sorted by rank. The rate of a cold endpoint does not bind its parts: its own requests load it.
+func (f *Fleet) helperCandidates(now time.Time, r *Request, primary *member) []*member {
+	var out []*member
+	for _, m := range f.members {
+		switch {
+		case m == primary || !f.serves(m, r) || now.Before(m.distrustedUntil):
+		case !r.ForPeer && f.pauseWait(now, m) > 0:
+		case m.limit.perSecond > 0 && f.rateWait(now, m, r) > 0:
+		default:
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, byRank)
+	return out
+}
+
 // assignSingle assigns the request to endpoint m alone.
 func assignSingle(now time.Time, r *Request, all []*member, m *member) *Assignment {
 	a := &Assignment{Primary: m.Endpoint, Candidates: len(all), Booking: Booking{Primary: Part{Endpoint: m.Name, Tokens: r.totalTokens()}, Short: true}}
@@ -269,7 +289,8 @@
 // therefore wait for as long as others arrive, so only idle endpoints get a part.
 func (f *Fleet) assignGroup(now time.Time, r *Request, all []*member) (*Assignment, error) {
 	primary := pickPrimary(now, r, all)
-	candidates := slices.DeleteFunc(prefillOnly(longPromptMembers(all, primary)), func(m *member) bool { return !m.mayHelp(now) })
+	others := f.helperCandidates(now, r, primary)
+	candidates := slices.DeleteFunc(prefillOnly(longPromptMembers(others)), func(m *member) bool { return !m.mayHelp(now) })
 	overdue := f.overdue(now)
 	idle := slices.DeleteFunc(slices.Clone(candidates), func(m *member) bool { return overdue[m.Name] || m.backlog(now) > idleBacklog })
 	size := r.groupSize(1+len(idle), 1+len(candidates))
@@ -285,7 +306,7 @@
 	rest := without(candidates, chosen)
 	if r.totalTokens() > r.Engine.MemoryTokens*int64(1+len(candidates)) {
 		// The prompt fits only if endpoints with short prompts hold a part of it, too.
-		rest = without(all, chosen)
+		rest = without(others, chosen)
 	}
 	for ; unallocated > 0 && len(rest) > 0 && len(chosen) <= MaxHelpers; rest = rest[1:] {
 		chosen = append(chosen, rest[0])
@@ -293,7 +314,7 @@
 	}
 	if unallocated > 0 {
 		return nil, verdict.Refuse(verdict.ReasonEndpointMemory, busyRetryAfter, "%d of %d tokens find no memory at %d endpoints of %s",
-			unallocated, r.totalTokens(), len(all), r.Service)
+			unallocated, r.totalTokens(), 1+len(others), r.Service)
 	}
 	a := &Assignment{Primary: primary.Endpoint, Candidates: len(all)}
 	a.Booking = Booking{Primary: parts[0], Helpers: parts[1:], PrefillTime: r.Engine.SharedPrefillTime(r.PromptTokens, len(chosen))}
@@ -334,7 +355,7 @@
 			return m
 		}
 	}
-	return cheapest(now, r, longPromptMembers(all, nil))
+	return cheapest(now, r, longPromptMembers(all))
 }
 
 // allocateMemory distributes the memory for a prompt evenly over at most
@@ -378,14 +399,14 @@
 	return parts, unallocated - primaryTokens
 }
 
-// longPromptMembers returns the endpoints, other than primary, that long prompts may
-// use: those that run no short prompts, and always the last ones in the order that all
-// entries share, one endpoint in longPromptDivisor but at least one.
-func longPromptMembers(all []*member, primary *member) []*member {
+// longPromptMembers returns the endpoints that long prompts may use: those that run no
+// short prompts, and always the last ones in the order that all entries share, one
+// endpoint in longPromptDivisor but at least one.
+func longPromptMembers(all []*member) []*member {
 	minSize := max(1, len(all)/longPromptDivisor)
 	var members []*member
 	for i, m := range all {
-		if m != primary && (m.shortRunning == 0 || i >= len(all)-minSize) {
+		if m.shortRunning == 0 || i >= len(all)-minSize {
 			members = append(members, m)
 		}
 	}
--- a/assign/limit_test.go
+++ b/assign/limit_test.go
@@ -187,10 +187,10 @@
 		for _, connected := range []bool{true, false} {
 			f.SetSharing(Sharing{Entries: 1000, Connected: connected})
 			m.pace = pacer{}
-			is.True(f.rateWait(t0, m) <= 10_000*time.Second) // 1,000 entries at the lowest rate
+			is.True(f.rateWait(t0, m, prompt(1)) <= 10_000*time.Second) // 1,000 entries at the lowest rate
 			f.Place(t0, "", 1, &Booking{Primary: Part{Endpoint: "engine-00"}})
 			f.EndBooking("", 1, false)
-			is.True(f.rateWait(t0, m) <= 10_000*time.Second)
+			is.True(f.rateWait(t0, m, prompt(1)) <= 10_000*time.Second)
 		}
 	}
 }
--- a/assign/pace.go
+++ b/assign/pace.go
@@ -69,8 +69,9 @@
 }
 
 // wait returns how long the entry has to wait before it may send a request; zero means that it
-// may send now.
-func (p *pacer) wait(now time.Time, s *Sharing, rate float64, phase uint64) time.Duration {
+// may send now. With claims set, other entries may choose the endpoint in the same moment, and only
+// those that the slot of time belongs to may use a right.
+func (p *pacer) wait(now time.Time, s *Sharing, rate float64, phase uint64, claims bool) time.Duration {
 	next := later(p.next, now.Add(-paceTolerance))
 	if now.Before(s.SettledFrom) {
 		next = next.Add(paceTolerance)
@@ -84,7 +85,7 @@
 			wait = max(wait, turn.Sub(now))
 		}
 		return wait
-	case wait > 0:
+	case wait > 0 || !claims:
 		return wait
 	}
 	rights := 1 + int(now.Sub(next)/interval(rate))
--- a/assign/pace_test.go
+++ b/assign/pace_test.go
@@ -181,12 +181,12 @@
 	f.SetColdRates(map[string]float64{"scribe": 2})
 	b := &Booking{Primary: Part{Endpoint: "engine-00"}, Short: true}
 	now := at(time.Hour)
-	for f.rateWait(now, f.members["engine-00"]) > 0 {
+	for f.rateWait(now, f.members["engine-00"], prompt(1)) > 0 {
 		now = now.Add(10 * time.Millisecond)
 	}
 	f.Place(now, "", 1, b)
 	f.members["engine-00"].pace.next = time.Time{} // by the monotonic clock it is not in the future
-	is.True(f.rateWait(t0, f.members["engine-00"]) <= 2*time.Second)
+	is.True(f.rateWait(t0, f.members["engine-00"], prompt(1)) <= 2*time.Second)
 }
 
 func BenchmarkRateWait(b *testing.B) {
@@ -205,3 +205,18 @@
 		})
 	}
 }
+
+// The entry that places long prompts saw one endpoint in 14, so long prompts were read by few engines.
+func TestLongPromptsAreReadByManyEnginesInALargeFleet(t *testing.T) {
+	for _, cold := range []float64{0, 14} {
+		is := is.New(t)
+		f := fleetOf(150)
+		f.SetSharing(Sharing{Entries: 105, Position: 3, Connected: true})
+		f.SetColdRates(map[string]float64{"scribe": cold})
+		b := &testPlacer{t: t, f: f}
+		for i := range 8 { // one second's worth, a slot of claims apart
+			a := b.place(at(time.Minute+time.Duration(i)*125*time.Millisecond), prompt(190_000))
+			is.Equal(len(a.Helpers), MaxHelpers)
+		}
+	}
+}
--- a/assign/pause.go
+++ b/assign/pause.go
@@ -66,7 +66,7 @@
 // sendWait returns how long a request has to wait before the endpoint may get it: for the rates of
 // the endpoint and, if this entry sends it, for its pauses.
 func (f *Fleet) sendWait(now time.Time, m *member, r *Request) time.Duration {
-	wait := f.rateWait(now, m)
+	wait := f.rateWait(now, m, r)
 	if !r.ForPeer {
 		wait = max(wait, f.pauseWait(now, m))
 	}
--- a/assign/rate.go
+++ b/assign/rate.go
@@ -23,14 +23,16 @@
 	return m.coldRate
 }
 
-// rateWait returns how long this entry has to wait before the endpoint may get another
-// request from it.
-func (f *Fleet) rateWait(now time.Time, m *member) time.Duration {
+// rateWait returns how long this entry has to wait before the endpoint may get the request from it.
+// One entry places the long prompts of all, so they need no claim on the right to send; with one,
+// that entry would see only the few endpoints of each slot. Where endpoints name limits they do,
+// because a long prompt takes several of the few requests.
+func (f *Fleet) rateWait(now time.Time, m *member, r *Request) time.Duration {
 	rate := m.rate()
 	if rate == 0 {
 		return 0
 	}
-	return m.pace.wait(now, &f.sharing, rate, m.rank)
+	return m.pace.wait(now, &f.sharing, rate, m.rank, !r.grouped() || m.limit.perSecond > 0)
 }
 
 // SetSharing replaces what is known of the other entries.
