gateway: entries of large deployments are divided into cells

Each placement was told to all other entries, three times: with 105 entries some 11,000 streams and more than 80,000 changes a second, four in five of them between zones. What an entry sent and heard grew with the number of entries.

Up to 40 entries stay one cell, as before. Beyond that the entries of a zone form a cell (several where they are more than 40), and each endpoint belongs to one cell of its zone. Entries choose endpoints of their cell only, tell bookings and limits only one another, and share rates among them. A request that finds no room asks one entry of each other cell, which answers at once if it has room; only then it waits, and asks again every 300 ms. That entry books the request as its own and holds the booking for as long as the stream to it lives, so that it ends with the entry that asked. Control sends the zones of the entries; without them (an earlier version) the cells are cut by address alone.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -150,6 +150,9 @@
 	PredictedPrefill time.Duration
 	// Candidates is the number of endpoints that were eligible.
 	Candidates int
+	// Crowded is set for a short request that finds no endpoint with room for it. It may be
+	// served better elsewhere.
+	Crowded bool
 }
 
 // Choose returns the endpoints for the request. It changes no load: the caller books
@@ -168,13 +171,22 @@
 	var err error
 	switch {
 	case r.Engine == nil || r.PromptTokens == 0:
-		return assignSingle(now, r, all, cheapest(now, r, all)), nil
+		m := cheapest(now, r, all)
+		a = assignSingle(now, r, all, m)
+		a.Crowded = m.Slots > 0 && m.running >= m.Slots
+		return a, nil
 	case r.grouped():
 		if a, err = f.assignGroup(now, r, all); err != nil {
 			return nil, err
 		}
 	default:
-		a = assignSingle(now, r, all, f.pickForShort(now, r, all))
+		m := f.pickForShort(now, r, all)
+		if m != nil {
+			a = assignSingle(now, r, all, m)
+			break
+		}
+		a = assignSingle(now, r, all, cheapest(now, r, all))
+		a.Crowded = true
 	}
 	if backlog := a.PredictedPrefill - a.Booking.PrefillTime; backlog > maxBacklog {
 		return nil, verdict.Refuse(verdict.ReasonOverloaded, backlog, "endpoints of %s read for %v yet", r.Service, backlog)
@@ -207,7 +219,7 @@
 	var out []*member
 	for _, m := range f.members {
 		switch {
-		case !f.serves(m, r):
+		case m.elsewhere || !f.serves(m, r):
 		case trusted && now.Before(m.distrustedUntil):
 		case f.sendWait(now, m, r) > 0:
 		default:
@@ -223,7 +235,7 @@
 	var out []*member
 	for _, m := range f.members {
 		switch {
-		case m == primary || !f.serves(m, r) || now.Before(m.distrustedUntil):
+		case m == primary || m.elsewhere || !f.serves(m, r) || now.Before(m.distrustedUntil):
 		case !r.ForPeer && f.pauseWait(now, m) > 0:
 		case m.limit.perSecond > 0 && f.rateWait(now, m, r) > 0:
 		default:
@@ -266,8 +278,7 @@
 }
 
 // pickForShort returns the first endpoint, in the order that all entries share, that
-// has capacity for a short prompt and runs no long one. If there is none, it returns the
-// endpoint with the lowest cost.
+// has capacity for a short prompt and runs no long one, or nil.
 func (f *Fleet) pickForShort(now time.Time, r *Request, all []*member) *member {
 	overdue := f.overdue(now)
 	backlogLimit := time.Duration(fillBacklogFraction * float64(r.maxShortPrefill()))
@@ -277,7 +288,7 @@
 			return m
 		}
 	}
-	return cheapest(now, r, all)
+	return nil
 }
 
 // assignGroup places a long prompt: the primary endpoint decodes its answer, and
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -63,6 +63,8 @@
 	Endpoint
 	// rank orders the endpoints in the same way at every entry.
 	rank uint64
+	// elsewhere is set if entries of another cell choose the endpoint.
+	elsewhere bool
 	// running counts the requests for which the endpoint is the primary, and
 	// shortRunning those of them with short prompts.
 	running, shortRunning int
@@ -97,6 +99,8 @@
 	zonesOut map[string]bool
 	bookings map[bookingKey]*Booking
 	sharing  Sharing
+	// cells is the division of the deployment; nil if there is none.
+	cells *Cells
 	// coldRates are the rates that endpoints bear when cold, by service.
 	coldRates map[string]float64
 	// unplacedLimits are the limits of incarnations that are not known yet, by endpoint.
@@ -117,10 +121,10 @@
 	m, ok := f.members[e.Name]
 	if ok && m.Incarnation == e.Incarnation && m.Addr == e.Addr {
 		e.LearnedAt = m.LearnedAt
-		m.Endpoint = e
+		m.Endpoint, m.elsewhere = e, f.isElsewhere(&e)
 		return
 	}
-	m = &member{Endpoint: e, rank: xxhash.Sum64String(e.Name), coldRate: f.coldRates[e.Service]}
+	m = &member{Endpoint: e, rank: xxhash.Sum64String(e.Name), elsewhere: f.isElsewhere(&e), coldRate: f.coldRates[e.Service]}
 	f.placeLimit(m)
 	f.members[e.Name] = m
 	for key, b := range f.bookings {
--- a/assign/rate.go
+++ b/assign/rate.go
@@ -124,7 +124,7 @@
 func (f *Fleet) rateLimited(now time.Time, r *Request) rateBlock {
 	var out rateBlock
 	for _, m := range f.members {
-		if !f.serves(m, r) {
+		if m.elsewhere || !f.serves(m, r) {
 			continue
 		}
 		if wait := f.sendWait(now, m, r); wait > 0 {
--- a/control/session.go
+++ b/control/session.go
@@ -57,7 +57,7 @@
 	suspectsVersion  uint64
 	leader           string
 	replicas         []string
-	entries          []string
+	entries          []entry
 	initialized      bool
 }
 
@@ -264,7 +264,10 @@
 		u.Replicas, sent.replicas, changed = replicas, replicas, true
 	}
 	if entries := s.table.entries(); !slices.Equal(entries, sent.entries) {
-		u.Entries, sent.entries, changed = entries, entries, true
+		sent.entries, changed = entries, true
+		for _, e := range entries {
+			u.Entries, u.EntryZones = append(u.Entries, e.addr), append(u.EntryZones, e.zone)
+		}
 	}
 	return changed
 }
--- a/control/table.go
+++ b/control/table.go
@@ -251,25 +251,30 @@
 	return sortProcesses(out)
 }
 
-// entries returns the addresses of the entries that have a session with any replica, sorted.
-func (t *table) entries() []string {
+// entry is an entry that has a session with a replica.
+type entry struct {
+	addr, zone string
+}
+
+// entries returns the entries that have a session with any replica, sorted by address.
+func (t *table) entries() []entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []string
+	var out []entry
 	for _, s := range t.sessions {
 		if s.hello.Addr != "" {
-			out = append(out, s.hello.Addr)
+			out = append(out, entry{s.hello.Addr, s.hello.Zone})
 		}
 	}
 	for _, r := range t.remotes {
 		for _, s := range r.sessions {
 			if s.Addr != "" {
-				out = append(out, s.Addr)
+				out = append(out, entry{s.Addr, s.Zone})
 			}
 		}
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	slices.SortFunc(out, func(a, b entry) int { return cmp.Or(cmp.Compare(a.addr, b.addr), cmp.Compare(a.zone, b.zone)) })
+	return slices.CompactFunc(out, func(a, b entry) bool { return a.addr == b.addr })
 }
 
 // sortProcesses sorts processes by name. A process that has moved to another replica may be
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -154,8 +154,10 @@
 	// bookingStreams counts the open streams over which other entries send their
 	// bookings, by entry name.
 	bookingStreams map[string]int
-	// entryAddrs are the addresses of all entries, sorted, and leftEntries those of entries
-	// that have stopped, by name.
+	// streamAddrs are the addresses of these entries, by entry name.
+	streamAddrs map[string]string
+	// entryAddrs are the addresses of the entries of this entry's cell, sorted, and leftEntries
+	// those of entries that have stopped, by name.
 	entryAddrs  []string
 	leftEntries map[string]string
 	lastQueueID uint64
@@ -166,7 +168,7 @@
 	g := &Gateway{
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1),
-		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{},
+		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
 		leftEntries: map[string]string{},
 	}
 	g.ticketTTL.Store(int64(s.TicketTTL))
@@ -258,11 +260,7 @@
 		all := g.updatePeers(g.background, u.Entries)
 		g.entries.Store(int64(len(all)))
 		g.retries.recordEntries(g.clock.Now(), int64(len(all)))
-		g.placer.setAddrs(all)
-		g.mu.Lock()
-		g.entryAddrs = all
-		g.updateSharing()
-		g.mu.Unlock()
+		g.divide(g.bookings.entries(all, u, assign.Entry{Addr: string(g.Peers), Zone: g.node.Zone}))
 	}
 	doc := g.client.Config()
 	g.suspects.Update(u)
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -137,7 +137,12 @@
 // updateSharing tells the fleet with which entries it shares the limits of endpoints. An entry
 // that has left sends nothing that has to be heard. The caller holds g.mu.
 func (g *Gateway) updateSharing() {
-	heard := len(g.bookingStreams)
+	heard := 0
+	for name := range g.bookingStreams {
+		if addr := g.streamAddrs[name]; addr == "" || slices.Contains(g.entryAddrs, addr) {
+			heard++
+		}
+	}
 	for name, addr := range g.leftEntries {
 		switch {
 		case !slices.Contains(g.entryAddrs, addr):
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := newTestGateway(t, limiting(&test.value, test.answer))
-			w.g.bookings.peers["peer"] = &peerQueue{open: true, wake: make(chan struct{}, 1), restarted: make(chan struct{}, 1)}
+			w.g.bookings.peers["peer"] = &peerQueue{open: true, wake: make(chan struct{}, 1), reopen: make(chan struct{}, 1)}
 			w.post("/seal/1", nil)
 			is.Equal(w.limitOf(), test.want)
 			sent := w.g.bookings.takePending(w.g.bookings.peers["peer"]).Limits
@@ -155,7 +155,7 @@
 func TestEntriesThatHaveLeftAreNotAwaited(t *testing.T) {
 	is := is.New(t)
 	w := newTestGateway(t)
-	stop := &peerQueue{open: true, wake: make(chan struct{}, 1), restarted: make(chan struct{}, 1)}
+	stop := &peerQueue{open: true, wake: make(chan struct{}, 1), reopen: make(chan struct{}, 1)}
 	w.g.bookings.peers["peer"] = stop
 	w.g.bookings.leave("10.0.0.1:7000")
 	is.Equal(w.g.bookings.takePending(stop).Leaving, "10.0.0.1:7000")
@@ -219,7 +219,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			w := newTestGateway(t, leaving(test.answer))
-			w.g.bookings.peers["peer"] = &peerQueue{open: true, wake: make(chan struct{}, 1), restarted: make(chan struct{}, 1)}
+			w.g.bookings.peers["peer"] = &peerQueue{open: true, wake: make(chan struct{}, 1), reopen: make(chan struct{}, 1)}
 			w.post(test.path, nil)
 			w.g.mu.Lock()
 			is.Equal(w.g.fleet.Leaving("desk-1") || w.g.fleet.Leaving("scribe-1"), test.leaves)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,8 @@
 	// placedForPeers counts the requests of other entries for which this entry chose endpoints,
 	// and placedByPeers its own requests for which another one did.
 	placedForPeers, placedByPeers *metrics.Counter
+	// placedByOtherCells counts the requests that an entry of another cell placed.
+	placedByOtherCells *metrics.Counter
 	// placementsRejected counts the choices of other entries, and sends that were due, that this
 	// entry's own knowledge ruled out.
 	placementsRejected *metrics.Counter
@@ -42,6 +44,7 @@
 		leavingNotices: set.NewCounter("rosemary_gateway_leaving_notices_total"),
 		limitChanges:   set.NewCounter("rosemary_gateway_limit_changes_total"),
 		placedForPeers: set.NewCounter("rosemary_gateway_placed_for_peers_total"), placedByPeers: set.NewCounter("rosemary_gateway_placed_by_peers_total"),
+		placedByOtherCells: set.NewCounter("rosemary_gateway_placed_by_other_cells_total"),
 		placementsRejected: set.NewCounter("rosemary_gateway_placements_rejected_total"),
 	}
 	set.NewGauge("rosemary_gateway_requests_in_flight", func() float64 { return float64(m.inFlight.Load()) })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -50,6 +50,11 @@
 // peerQueue holds the changes that are not yet sent to one peer. The lock of bookings
 // guards it.
 type peerQueue struct {
+	// zone is the availability zone of the peer.
+	zone string
+	// inCell is set while the peer belongs to the cell of this entry. Only such peers are sent
+	// bookings.
+	inCell bool
 	// unlistedSince is when control stopped listing the peer; zero while it lists it.
 	unlistedSince time.Time
 	// open is set while a stream to the peer is open. Without one nothing is queued, because
@@ -68,8 +73,9 @@
 	leaving string
 	// wake signals that there are changes. It has a buffer of one.
 	wake chan struct{}
-	// restarted signals that the process of the peer has restarted. It has a buffer of one.
-	restarted chan struct{}
+	// reopen signals that the process of the peer has restarted, or that inCell has changed. It
+	// has a buffer of one.
+	reopen chan struct{}
 }
 
 func newBookings() *bookings {
@@ -77,7 +83,7 @@
 }
 
 func newPeerQueue() *peerQueue {
-	return &peerQueue{wake: make(chan struct{}, 1), restarted: make(chan struct{}, 1)}
+	return &peerQueue{wake: make(chan struct{}, 1), reopen: make(chan struct{}, 1)}
 }
 
 // newID returns an unused booking ID.
@@ -150,8 +156,14 @@
 	if !ok || q == nil {
 		return
 	}
+	q.signalReopen()
+}
+
+// signalReopen makes the task of the peer look whether it needs a stream, and replace the present
+// one.
+func (q *peerQueue) signalReopen() {
 	select {
-	case q.restarted <- struct{}{}:
+	case q.reopen <- struct{}{}:
 	default:
 	}
 }
@@ -239,8 +251,8 @@
 	return out
 }
 
-// updatePeers starts sending bookings to new peers and returns the addresses of all
-// entries, including this one. A replica of control that has just started lists only
+// updatePeers starts a task for each new peer and returns the addresses of all entries,
+// including this one. A replica of control that has just started lists only
 // few entries, so a peer that is no longer listed is kept for as long as it accepts
 // streams.
 func (g *Gateway) updatePeers(ctx context.Context, addrs []string) []string {
@@ -270,10 +282,14 @@
 	return all
 }
 
-// runPeer keeps a stream to a peer open until ctx ends or the peer is dropped.
+// runPeer keeps a stream to a peer open, while it belongs to the cell of this entry, until ctx
+// ends or the peer is dropped.
 func (g *Gateway) runPeer(ctx context.Context, addr string, q *peerQueue) {
 	for ctx.Err() == nil {
-		if err := g.sendBookings(ctx, addr, q); err != nil && ctx.Err() == nil {
+		pause := peerRetryInterval
+		if !g.bookings.isInCell(q) {
+			pause = unlistedTimeout / 2
+		} else if err := g.sendBookings(ctx, addr, q); err != nil && ctx.Err() == nil {
 			g.log.Debug("stream to entry ended", "addr", addr, "error", err)
 			g.dialer.Drop(addr)
 		}
@@ -282,11 +298,19 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-g.clock.After(peerRetryInterval):
+		case <-q.reopen:
+		case <-g.clock.After(pause):
 		}
 	}
 }
 
+// isInCell reports whether a peer belongs to the cell of this entry.
+func (b *bookings) isInCell(q *peerQueue) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return q.inCell
+}
+
 // dropIfUnlisted removes a peer that has not been listed for unlistedTimeout, and
 // reports whether it did. It is called when no stream to the peer is open.
 func (b *bookings) dropIfUnlisted(now time.Time, addr string, q *peerQueue) bool {
@@ -328,8 +352,8 @@
 		select {
 		case <-stream.Context().Done():
 			return errors.New("the peer closed the stream")
-		case <-q.restarted:
-			return errors.New("the process of the peer has restarted")
+		case <-q.reopen:
+			return errors.New("the process of the peer has restarted, or it belongs to another cell")
 		case <-q.wake:
 		case <-g.clock.After(bookingHeartbeat):
 		}
@@ -382,6 +406,7 @@
 	g.bookings.peerStarted(first.Addr, first.Start)
 	g.mu.Lock()
 	g.bookingStreams[peer.Name]++
+	g.streamAddrs[peer.Name] = first.Addr
 	delete(g.leftEntries, peer.Name)
 	g.updateSharing()
 	g.mu.Unlock()
@@ -390,6 +415,7 @@
 		g.fleet.EndAll(peer.Name)
 		if g.bookingStreams[peer.Name]--; g.bookingStreams[peer.Name] == 0 {
 			delete(g.bookingStreams, peer.Name)
+			delete(g.streamAddrs, peer.Name)
 		}
 		g.updateSharing()
 		g.mu.Unlock()
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -112,7 +112,7 @@
 	replaced := func(addr string, start uint32) bool {
 		b.peerStarted(addr, start)
 		select {
-		case <-q.restarted:
+		case <-q.reopen:
 			return true
 		default:
 			return false
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -34,6 +34,8 @@
 	addrs []string
 	// lastUnusable is when an entry last gave no usable answer, by address.
 	lastUnusable map[string]time.Time
+	// cells are the cells of the deployment; nil if there is only this entry's.
+	cells *assign.Cells
 }
 
 // setAddrs replaces the addresses of the entries, which are sorted.
@@ -48,13 +50,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, addr := range p.addrs {
-		if at, ok := p.lastUnusable[addr]; !ok || now.Sub(at) > placerBackoff {
+		if p.usable(now, addr) {
 			return addr
 		}
 	}
 	return ""
 }
 
+// usable reports whether an entry may be asked. The caller holds p.mu.
+func (p *placer) usable(now time.Time, addr string) bool {
+	at, ok := p.lastUnusable[addr]
+	return !ok || now.Sub(at) > placerBackoff
+}
+
 // markUnusable records that an entry gave no usable answer.
 func (p *placer) markUnusable(now time.Time, addr string) {
 	p.mu.Lock()
@@ -73,7 +81,7 @@
 		if addr == "" || addr == string(g.Peers) || g.stopping.Load() {
 			return nil, nil
 		}
-		answer := g.askPlacer(ctx, addr, w)
+		answer, _ := g.askPlacer(ctx, addr, w.toWire(g.clock.Now()), false)
 		if ctx.Err() != nil {
 			g.bookings.end(w.bookingID, true)
 			return nil, g.withdraw(ctx, w)
@@ -81,7 +89,7 @@
 		if answer != nil && answer.Refused != nil && answer.Refused.Refusal().Reason != verdict.ReasonStaleConfiguration {
 			return nil, answer.Refused.Refusal()
 		}
-		p, rejected := g.acceptPlacement(addr, w, answer)
+		p, rejected := g.acceptPlacement(addr, w, answer, nil)
 		if p != nil {
 			return p, nil
 		}
@@ -100,8 +108,9 @@
 
 // acceptPlacement books the choice of another entry, if there is one. It rejects a choice that does
 // not hold by what this entry knows, and returns the reason: the other one may lack changes, and
-// the request is sent under the permission of this entry.
-func (g *Gateway) acceptPlacement(addr string, w *waiter, answer *wire.Placed) (p *placement, rejected verdict.Reason) {
+// the request is sent under the permission of this entry. The argument held is the stream to an
+// entry of another cell, which holds the booking; nil if this entry does.
+func (g *Gateway) acceptPlacement(addr string, w *waiter, answer *wire.Placed, held wire.Stream) (p *placement, rejected verdict.Reason) {
 	if answer == nil || answer.Booking == nil {
 		return nil, ""
 	}
@@ -114,7 +123,9 @@
 	}
 	if rejected == "" {
 		a.PredictedPrefill, a.Candidates = answer.PredictedPrefill, answer.Candidates
-		g.fleet.Book(now, "", w.bookingID, &a.Booking)
+		if held == nil {
+			g.fleet.Book(now, "", w.bookingID, &a.Booking)
+		}
 	}
 	g.mu.Unlock()
 	if rejected != "" {
@@ -124,21 +135,34 @@
 		return nil, rejected
 	}
 	g.metrics.placedByPeers.Inc()
-	g.bookings.begin(w.bookingID, &a.Booking)
-	return &placement{Assignment: a, g: g, id: w.bookingID, placer: addr, revision: answer.Revision}, ""
+	if held == nil {
+		g.bookings.begin(w.bookingID, &a.Booking)
+	}
+	return &placement{Assignment: a, g: g, id: w.bookingID, placer: addr, revision: answer.Revision, held: held}, ""
 }
 
-// askPlacer returns the final answer of the placing entry, or nil when it does not answer.
-func (g *Gateway) askPlacer(ctx context.Context, addr string, w *waiter) *wire.Placed {
+// askPlacer returns the final answer of the placing entry, or nil when it does not answer. With
+// keep set, it also returns the open stream if the answer is a booking.
+func (g *Gateway) askPlacer(ctx context.Context, addr string, m *wire.Place, keep bool) (*wire.Placed, wire.Stream) {
 	openCtx, cancel := context.WithTimeout(ctx, placerTimeout)
 	defer cancel()
 	stream, err := g.dialer.Open(openCtx, addr)
 	if err != nil {
-		return nil
+		return nil, nil
 	}
-	defer stream.Abort()
-	defer context.AfterFunc(ctx, stream.Abort)()
-	if err := stream.Send(w.toWire(g.clock.Now())); err != nil {
+	detach := context.AfterFunc(ctx, stream.Abort)
+	answer := g.awaitPlaced(stream, m)
+	if keep && answer != nil && answer.Booking != nil && detach() {
+		return answer, stream
+	}
+	detach()
+	stream.Abort()
+	return answer, nil
+}
+
+// awaitPlaced sends a request to the placing entry and returns the final answer, or nil.
+func (g *Gateway) awaitPlaced(stream wire.Stream, m *wire.Place) *wire.Placed {
+	if err := stream.Send(m); err != nil {
 		return nil
 	}
 	for {
@@ -162,10 +186,15 @@
 // toWire returns the request as a message to the placing entry.
 func (w *waiter) toWire(now time.Time) *wire.Place {
 	r := w.request
-	return &wire.Place{
+	m := &wire.Place{
 		Booking: w.bookingID, Service: r.Service, Account: w.account, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
 		Tried: r.Tried, EventGapTarget: r.EventGapTarget, Waited: now.Sub(w.arrived), StartIn: w.startBy.Sub(now), ExpiresIn: w.giveUpAt.Sub(now), RelaxAfter: r.RelaxAfter,
+		Immediate: w.immediate,
+	}
+	if !w.yieldAt.IsZero() {
+		m.YieldIn = w.yieldAt.Sub(now)
 	}
+	return m
 }
 
 // servePlace places a request for another entry and sends the answer.
@@ -173,12 +202,19 @@
 	now := g.clock.Now()
 	w := &waiter{
 		owner: stream.Peer().Name, bookingID: m.Booking, account: m.Account, arrived: now.Add(-m.Waited),
-		startBy: now.Add(m.StartIn), giveUpAt: now.Add(m.ExpiresIn), result: make(chan placeResult, 1),
+		startBy: now.Add(m.StartIn), giveUpAt: now.Add(m.ExpiresIn), immediate: m.Immediate, result: make(chan placeResult, 1),
 		request: &assign.Request{
 			Service: m.Service, PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens, Tried: m.Tried, Zone: g.node.Zone, ForPeer: true,
 			EventGapTarget: m.EventGapTarget, RelaxAfter: m.RelaxAfter,
 		},
 	}
+	if m.YieldIn > 0 {
+		w.yieldAt = now.Add(m.YieldIn)
+	}
+	if m.Hold > 0 {
+		// The bookings of an entry of another cell are those of this entry here.
+		w.owner, w.bookingID = "", g.bookings.newID()
+	}
 	answer := &wire.Placed{}
 	switch d := g.deployment.Load(); {
 	case d == nil || d.Services[m.Service] == nil:
@@ -187,9 +223,13 @@
 		answer.Refused = g.refusePlacing(w)
 	default:
 		w.request.Engine, w.request.MinEventGapTarget = d.Services[m.Service].Engine, d.Services[m.Service].minEventGapTarget
-		answer = g.placeForPeer(stream, w)
+		answer = g.placeForPeer(stream, w, m.Hold)
 	}
-	if answer != nil {
+	switch {
+	case answer == nil:
+	case answer.Booking != nil && m.Hold > 0:
+		g.holdForPeer(stream, w, answer, m.Hold)
+	default:
 		g.sendPlaced(stream, answer)
 	}
 }
@@ -205,16 +245,18 @@
 // placeForPeer waits for endpoints for a request of another entry and reports regularly
 // that the request still waits. It returns nil when the other entry has withdrawn the
 // request.
-func (g *Gateway) placeForPeer(stream wire.Stream, w *waiter) *wire.Placed {
+func (g *Gateway) placeForPeer(stream wire.Stream, w *waiter, hold time.Duration) *wire.Placed {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	go func() {
-		// The other entry sends nothing more. It closes the stream to withdraw the request.
-		if _, err := stream.Recv(); err != nil {
-			cancel()
-		}
-	}()
-	if err := stream.SetDeadline(w.giveUpAt.Add(placerTimeout)); err != nil {
+	if hold == 0 {
+		go func() {
+			// The other entry sends nothing more. It closes the stream to withdraw the request.
+			if _, err := stream.Recv(); err != nil {
+				cancel()
+			}
+		}()
+	}
+	if err := stream.SetDeadline(w.giveUpAt.Add(placerTimeout + hold)); err != nil {
 		return nil
 	}
 	done := make(chan placeResult, 1)
@@ -238,7 +280,7 @@
 			}
 			g.metrics.placedForPeers.Inc()
 			permission := g.client.Permission()
-			g.log.Info("request placed for another entry", "peer", w.owner, "booking", w.bookingID, "service", w.request.Service,
+			g.log.Info("request placed for another entry", "peer", stream.Peer().Name, "booking", w.bookingID, "other_cell", hold > 0, "service", w.request.Service,
 				"endpoint", o.assignment.Primary.Name, "zone", o.assignment.Primary.Zone, "helper_names", helperNames(o.assignment),
 				"considered", o.assignment.Candidates, "revision", permission.Revision, "permission_left", permission.Left)
 			return &wire.Placed{
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/queue"
 	"github.com/rosemaryproxy/rosemaryproxy/route"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
 const (
@@ -56,6 +57,9 @@
 	// revision the revision of the configuration under which it chose.
 	placer   string
 	revision uint64
+	// held is the stream to an entry of another cell that holds the booking; nil if this entry
+	// does.
+	held wire.Stream
 }
 
 // waiter is a request that waits for endpoints.
@@ -69,6 +73,12 @@
 	// arrived is when the request arrived, startBy when it has to be dispatched to meet
 	// its latency target, and giveUpAt when it stops waiting.
 	arrived, startBy, giveUpAt time.Time
+	// immediate is set for a request that is to be refused if it would wait or find only crowded
+	// endpoints.
+	immediate bool
+	// yieldAt is when the request leaves the queue to look for room in other cells; zero means
+	// that it does not.
+	yieldAt time.Time
 	// queueID identifies the request in the queue.
 	queueID uint64
 	// result receives exactly one placeResult and is buffered for it.
@@ -109,9 +119,17 @@
 }
 
 // place chooses and books endpoints for the call, waiting in the queue while none are
-// available. Long prompts are placed by the placing entry if it answers.
+// available.
 func (g *Gateway) place(ctx context.Context, c *call) (*placement, error) {
-	w := c.newWaiter()
+	if g.placer.otherCells() {
+		return g.placeAmongCells(ctx, c)
+	}
+	return g.placeInCell(ctx, c.newWaiter())
+}
+
+// placeInCell places a request at endpoints of this entry's cell. Long prompts are placed by the
+// placing entry of the cell if it answers.
+func (g *Gateway) placeInCell(ctx context.Context, w *waiter) (*placement, error) {
 	if classOf(w.request) != route.Short {
 		if p, err := g.placeAtPeer(ctx, w); p != nil || err != nil {
 			return p, err
@@ -145,7 +163,13 @@
 	q := g.serviceQueues(w.request.Service).forRequest(w.request)
 	w.request.Waited = now.Sub(w.arrived)
 	a, err := g.fleet.Choose(now, w.request)
+	if err == nil && w.immediate && (a.Crowded || q.Len() > 0) {
+		err = verdict.Refuse(verdict.ReasonOverloaded, defaultRetryAfter, "the endpoints of %s have no room now", w.request.Service)
+	}
 	switch {
+	case err != nil && w.immediate:
+		w.result <- placeResult{err: err}
+		return
 	case err == nil && q.Len() == 0:
 		g.fleet.Place(now, w.owner, w.bookingID, &a.Booking)
 		w.result <- placeResult{assignment: a}
@@ -163,7 +187,7 @@
 	w.queueID = g.lastQueueID
 	err = q.Push(now, queue.Item{
 		ID: w.queueID, Account: w.account, Class: classOf(w.request), Tokens: max(1, w.request.PromptTokens+w.request.OutputTokens),
-		StartBy: w.startBy, ExpiresAt: w.expiry(now, wait), Value: w,
+		StartBy: w.startBy, ExpiresAt: w.queueUntil(now, wait), Value: w,
 	})
 	if err != nil {
 		w.result <- placeResult{err: err}
@@ -187,6 +211,15 @@
 	return at
 }
 
+// queueUntil returns when a queued request leaves the queue, to give up or to look elsewhere.
+func (w *waiter) queueUntil(now time.Time, limitWait time.Duration) time.Time {
+	at := w.expiry(now, limitWait)
+	if !w.yieldAt.IsZero() && w.yieldAt.Before(at) {
+		return w.yieldAt
+	}
+	return at
+}
+
 // refuseLimited returns the refusal for a request that the limits of all endpoints allow only
 // after a wait.
 func refuseLimited(r *assign.Request, wait time.Duration) error {
@@ -320,6 +353,10 @@
 // release ends the booking. The argument unprefilled is set when the prompt was not
 // prefilled.
 func (p *placement) release(unprefilled bool) {
+	if p.held != nil {
+		p.endHeld(unprefilled)
+		return
+	}
 	p.g.bookings.end(p.id, unprefilled)
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
@@ -330,6 +367,10 @@
 // markAnswered records that the answer has begun, which shows that the endpoints have
 // prefilled the prompt.
 func (p *placement) markAnswered() {
+	if p.held != nil {
+		p.sendHeld(&wire.Bookings{Answered: []uint64{p.id}})
+		return
+	}
 	p.g.bookings.answered(p.id)
 	p.g.mu.Lock()
 	defer p.g.mu.Unlock()
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -298,6 +298,9 @@
 	// Entries are the addresses at which the entries that have a session listen for other
 	// entries; empty if unchanged.
 	Entries []string `cbor:"15,keyasint,omitempty"`
+	// EntryZones are the availability zones of Entries, in the same order. Control of an
+	// earlier version sends none.
+	EntryZones []string `cbor:"16,keyasint,omitempty"`
 }
 
 // Order makes a sidecar change what its engine serves.
@@ -404,6 +407,15 @@
 	// RelaxAfter is the waiting time after which the prompt is prefilled by the endpoints
 	// that are idle, however few.
 	RelaxAfter time.Duration `cbor:"11,keyasint,omitempty"`
+	// Immediate asks for a refusal instead of a wait, and of a crowded endpoint.
+	Immediate bool `cbor:"12,keyasint,omitempty"`
+	// YieldIn, if it is not zero, is the time after which a request that still waits is refused, so
+	// that its sender can look for room elsewhere.
+	YieldIn time.Duration `cbor:"14,keyasint,omitempty"`
+	// Hold is set by an entry of another cell, which does not send its bookings here: the placing
+	// entry holds the booking until the sender reports its end on the stream or closes it, and
+	// for this time at most.
+	Hold time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // Placed answers Place. The placing entry sends it with Waiting set at first and
