gateway: the longest pause of each stream is told, with what runs at the endpoint

Half of the late answers of the large deployment are late by one long pause while their mean pause is well inside the target, and neither a line nor a metric told it. The closing line has the longest pause beside the target, 'stream paused' says what this entry knows to run at the endpoint at that moment, and a histogram has the longest pauses by length class.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -318,6 +318,24 @@
 	return int64(float64(e.MemoryTokens)*usableMemoryFraction) - m.bookedTokens
 }
 
+// Load is what this entry knows to run at an endpoint.
+type Load struct {
+	// Running counts the requests for which it is the primary, ShortRunning those of them with short
+	// prompts, and Helping those for which it is a helper.
+	Running, ShortRunning, Helping int
+	// Backlog is the predicted time until the booked prompts are prefilled.
+	Backlog time.Duration
+}
+
+// LoadOf returns the load of an endpoint, and whether it is known.
+func (f *Fleet) LoadOf(now time.Time, name string) (Load, bool) {
+	m := f.members[name]
+	if m == nil {
+		return Load{}, false
+	}
+	return Load{Running: m.running, ShortRunning: m.shortRunning, Helping: m.helping, Backlog: m.backlog(now)}, true
+}
+
 // MarkAlive records activity of an endpoint and resets its failures.
 func (f *Fleet) MarkAlive(now time.Time, name string) {
 	if m := f.members[name]; m != nil {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -87,8 +87,11 @@
 	committed bool
 	// failure is the latest error answer of an endpoint.
 	failure *failureAnswer
-	// delivered counts the events sent to the caller.
-	delivered int
+	// delivered counts the events sent to the caller. The latest was sent at lastDelivery, and
+	// longestPause is the longest time between two of them.
+	delivered    int
+	lastDelivery time.Time
+	longestPause time.Duration
 	// placed is the placement of the current attempt, and endpoint its primary
 	// endpoint.
 	placed   *placement
@@ -255,7 +258,10 @@
 	took := c.g.clock.Now().Sub(c.started)
 	if err == nil {
 		c.recordEnd("answered", took)
-		c.log().Info("request answered", "took", took, "events", c.delivered)
+		c.log().Info("request answered", "took", took, "events", c.delivered, "longest_pause", c.longestPause, "pause_target", c.pauseTarget())
+		if c.delivered > 0 {
+			c.g.metrics.observeLongestPause(c.class(), c.longestPause)
+		}
 		return
 	}
 	if errors.Is(err, errCallerGone) {
@@ -274,6 +280,14 @@
 	c.writeRefusal(r)
 }
 
+// pauseTarget is the longest pause that the caller wants between two events.
+func (c *call) pauseTarget() time.Duration {
+	if c.route == nil {
+		return 0
+	}
+	return c.route.EventGapTarget
+}
+
 // recordEnd counts the request in metrics by its outcome.
 func (c *call) recordEnd(outcome string, took time.Duration) {
 	kind := AtMostOnce
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -78,6 +78,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("rosemary_gateway_first_event_seconds{class=%q}", class)).Update(took.Seconds())
 }
 
+// observeLongestPause records the longest time between two events of a stream.
+func (m *gatewayMetrics) observeLongestPause(class string, pause time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("rosemary_gateway_longest_pause_seconds{class=%q}", class)).Update(pause.Seconds())
+}
+
 // registerGauges adds the gauges that read the state of the gateway.
 func (g *Gateway) registerGauges() {
 	set := g.metrics.set
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -435,10 +435,14 @@
 	if ev.id != "" && c.LastEvent != "" && alreadyDelivered(ev.id, c.LastEvent) {
 		return nil
 	}
+	now := c.g.clock.Now()
+	if c.delivered > 0 {
+		c.recordPause(now.Sub(c.lastDelivery), a)
+	}
+	c.lastDelivery = now
 	if !c.committed {
 		c.writeHead(res)
 		c.placed.markAnswered()
-		now := c.g.clock.Now()
 		c.g.metrics.observeFirstEvent(c.class(), now.Sub(c.started))
 		c.log().Info("stream begun", "took", now.Sub(c.started), "predicted", a.PredictedPrefill, "waited", now.Sub(c.sentAt),
 			"prompt_tokens", c.PromptTokens, "helpers", len(a.Helpers))
@@ -456,6 +460,20 @@
 	return c.flush()
 }
 
+// recordPause records the time between two events. A pause over the target of the route is logged with
+// what runs at the endpoint.
+func (c *call) recordPause(pause time.Duration, a *assign.Assignment) {
+	c.longestPause = max(c.longestPause, pause)
+	if target := c.route.EventGapTarget; target <= 0 || pause <= target {
+		return
+	}
+	c.g.mu.Lock()
+	load, _ := c.g.fleet.LoadOf(c.g.clock.Now(), a.Primary.Name)
+	c.g.mu.Unlock()
+	c.log().Info("stream paused", "pause", pause, "target", c.route.EventGapTarget, "events", c.delivered, "running", load.Running, "short_running", load.ShortRunning,
+		"helping", load.Helping, "backlog", load.Backlog)
+}
+
 // flush sends buffered data to the caller.
 func (c *call) flush() error {
 	if !c.committed {
