assign: an engine is given no more to read in one run of steps than the pauses of its answers allow

Callers saw one long pause in answers whose mean pause was well inside the target, and first tokens of prompts of 13,000 to 24,000 tokens that waited for a group though one engine reads them in 150 ms.

Cause: the backlog of an engine was counted down as time passes. An engine that decodes reads only between two runs of Stride steps, and then everything that has arrived: several parts met in one run. Now the prefill time of parts whose answers have not begun is counted apart, and a part goes to an engine with answers only if it fits between two of their events. With that bound, a prompt that fits alone needs no group (shortGapFraction 0.3 -> 0.6), more slots can be filled (0.8 -> 0.95), and long prompts wait for groups whose parts are small (0.35 -> 0.2 of the gap target), for longer (relaxFraction 0.4 -> 0.8), because a group that is too small costs its engines' answers more than it gains.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -28,7 +28,7 @@
 	// are busy. Both follow the event gap target because the primary endpoint prefills
 	// its part between the events of other answers.
 	preferredGapFraction = 0.12
-	maxGapFraction       = 0.35
+	maxGapFraction       = 0.2
 	// idleBacklog is the prefill backlog up to which an endpoint counts as idle:
 	// engines prefill the part that arrived last first, so a short backlog does not
 	// delay a new part.
@@ -39,9 +39,10 @@
 	overdueAfter        = 150 * time.Millisecond
 	overdueIgnoredAfter = 1500 * time.Millisecond
 	// shortGapFraction is the prefill time of the longest short prompt, as a fraction
-	// of the smallest event gap target of the service. defaultEventGapTarget is used
+	// of the smallest event gap target of the service: the engine can read it between two events of
+	// its answers (readGapFraction). defaultEventGapTarget is used
 	// when no route has a target.
-	shortGapFraction      = 0.3
+	shortGapFraction      = 0.6
 	defaultEventGapTarget = 250 * time.Millisecond
 	// MaxHelpers bounds the helpers of one request. Engines have the same limit.
 	MaxHelpers = 16
@@ -50,11 +51,14 @@
 	usableMemoryFraction = 0.95
 	// fillSlotFraction is the fraction of an endpoint's slots that short prompts fill
 	// before they go to the next endpoint.
-	fillSlotFraction = 0.8
+	fillSlotFraction = 0.95
 	// fillBacklogFraction bounds the prefill backlog of an endpoint that gets another
 	// short prompt, as a fraction of maxShortPrefill: the prompt is then prefilled
 	// within the same time.
-	fillBacklogFraction = 0.5
+	fillBacklogFraction = 0.25
+	// readGapFraction is the fraction of an event gap target that one run of decode steps may
+	// take, with the prompts that the engine reads in it.
+	readGapFraction = 0.95
 	// localMemoryFraction is the fraction of an engine's KV memory up to which a prompt
 	// is kept by the primary endpoint alone. For such a prompt, reservations at helpers
 	// cost more than they save.
@@ -122,15 +126,13 @@
 func (r *Request) totalTokens() int64 { return int64(r.PromptTokens + r.OutputTokens) }
 
 // Short reports whether the prompt is short enough for one endpoint to prefill it
-// alone. Even two such prompts in the same engine steps delay the endpoint's streams by
-// less than the gap that their callers accept.
+// alone, beside the streams that it decodes.
 func (r *Request) Short() bool { return r.Engine.PrefillTime(r.PromptTokens) <= r.maxShortPrefill() }
 
 // grouped reports whether several endpoints may prefill the prompt together.
 func (r *Request) grouped() bool { return r.Engine != nil && r.PromptTokens > 0 && !r.Short() }
 
-// maxShortPrefill is the longest prefill time of a short prompt. It hardly delays the
-// streams of the endpoint.
+// maxShortPrefill is the longest prefill time of a short prompt.
 func (r *Request) maxShortPrefill() time.Duration {
 	gap := r.MinEventGapTarget
 	if gap <= 0 {
@@ -248,7 +250,7 @@
 
 // assignSingle assigns the request to endpoint m alone.
 func assignSingle(now time.Time, r *Request, all []*member, m *member) *Assignment {
-	a := &Assignment{Primary: m.Endpoint, Candidates: len(all), Booking: Booking{Primary: Part{Endpoint: m.Name, Tokens: r.totalTokens()}, Short: true}}
+	a := &Assignment{Primary: m.Endpoint, Candidates: len(all), Booking: Booking{Primary: Part{Endpoint: m.Name, Tokens: r.totalTokens()}, Short: true, EventGapTarget: r.EventGapTarget}}
 	if r.Engine != nil {
 		a.Booking.PrefillTime = r.Engine.PrefillTime(r.PromptTokens)
 		a.PredictedPrefill = m.backlog(now) + a.Booking.PrefillTime
@@ -284,13 +286,26 @@
 	backlogLimit := time.Duration(fillBacklogFraction * float64(r.maxShortPrefill()))
 	for _, m := range all {
 		hasRoom := float64(m.running) < fillSlotFraction*float64(m.Slots) && m.freeTokens(now, r.Engine) >= r.totalTokens()
-		if hasRoom && m.backlog(now) <= backlogLimit && !m.Cold && !overdue[m.Name] && m.running == m.shortRunning {
+		if hasRoom && m.backlog(now) <= backlogLimit && !m.Cold && !overdue[m.Name] && m.running == m.shortRunning &&
+			m.mayRead(r.Engine, r.Engine.PrefillTime(r.PromptTokens)) {
 			return m
 		}
 	}
 	return nil
 }
 
+// mayRead reports whether the engine can read a part of this prefill time, beside the parts that it
+// has not read yet, without a pause of the running answers over their event gap target: it reads
+// what has arrived within one run of decode steps.
+func (m *member) mayRead(e *costmodel.Engine, part time.Duration) bool {
+	for target := range m.gapTargets {
+		if m.unread+part+e.DecodeRunTime() > time.Duration(readGapFraction*float64(target)) {
+			return false
+		}
+	}
+	return true
+}
+
 // assignGroup places a long prompt: the primary endpoint decodes its answer, and
 // helpers prefill parts of the prompt and hold its memory. Endpoints that prefill
 // without decoding lose no time to the decode steps of streams, so the answers to long
@@ -304,13 +319,13 @@
 	candidates := slices.DeleteFunc(prefillOnly(longPromptMembers(others)), func(m *member) bool { return !m.mayHelp(now) })
 	overdue := f.overdue(now)
 	idle := slices.DeleteFunc(slices.Clone(candidates), func(m *member) bool { return overdue[m.Name] || m.backlog(now) > idleBacklog })
+	slices.Reverse(idle)
+	slices.SortStableFunc(idle, unlimitedFirst)
 	size := r.groupSize(1+len(idle), 1+len(candidates))
 	if size == 0 {
 		return nil, verdict.Refuse(verdict.ReasonOverloaded, busyRetryAfter, "%d of %d endpoints of %s are free to read %d tokens",
 			len(idle), len(candidates), r.Service, r.PromptTokens)
 	}
-	slices.Reverse(idle)
-	slices.SortStableFunc(idle, unlimitedFirst)
 	chosen := append([]*member{primary}, idle[:size-1]...)
 	parts, unallocated := allocateMemory(now, r, chosen)
 	slices.SortStableFunc(candidates, unlimitedFirst)
@@ -328,7 +343,7 @@
 			unallocated, r.totalTokens(), 1+len(others), r.Service)
 	}
 	a := &Assignment{Primary: primary.Endpoint, Candidates: len(all)}
-	a.Booking = Booking{Primary: parts[0], Helpers: parts[1:], PrefillTime: r.Engine.SharedPrefillTime(r.PromptTokens, len(chosen))}
+	a.Booking = Booking{Primary: parts[0], Helpers: parts[1:], PrefillTime: r.Engine.SharedPrefillTime(r.PromptTokens, len(chosen)), EventGapTarget: r.EventGapTarget}
 	for i, m := range chosen {
 		if i > 0 {
 			a.Helpers = append(a.Helpers, m.Endpoint)
@@ -345,7 +360,7 @@
 // endpoints, and usable also those that are busy now.
 func (r *Request) groupSize(idle, usable int) int {
 	maxSize := min(usable, 1+MaxHelpers)
-	preferred := min(r.Engine.EnginesWithin(r.PromptTokens, max(unobtrusivePrefill, time.Duration(preferredGapFraction*float64(r.EventGapTarget)))), maxSize)
+	preferred := r.preferredSize(maxSize)
 	minSize := min(r.Engine.EnginesWithin(r.PromptTokens, max(unobtrusivePrefill, time.Duration(maxGapFraction*float64(r.EventGapTarget)))), maxSize)
 	if r.RelaxAfter > 0 {
 		minSize = int(float64(minSize) * (1 - float64(r.Waited)/float64(r.RelaxAfter)))
@@ -356,13 +371,21 @@
 	return min(preferred, idle)
 }
 
+// preferredSize returns the number of endpoints, up to maxSize, whose prefill delays the primary's
+// streams only a little.
+func (r *Request) preferredSize(maxSize int) int {
+	part := max(unobtrusivePrefill, time.Duration(preferredGapFraction*float64(r.EventGapTarget)))
+	return min(r.Engine.EnginesWithin(r.PromptTokens, part), maxSize)
+}
+
 // pickPrimary returns the primary endpoint for a long prompt: the last one, in the
-// order that all entries share, that runs no short prompts, decodes few answers and has
-// little prefill backlog.
+// order that all entries share, that runs no short prompts, decodes few answers, has
+// little prefill backlog, and can read its part without pauses of its answers.
 func pickPrimary(now time.Time, r *Request, all []*member) *member {
 	maxRunning := max(1, int(decodeSlotFraction*float64(r.Engine.Slots)))
+	part := r.Engine.SharedPrefillTime(r.PromptTokens, r.preferredSize(1+MaxHelpers))
 	for _, m := range slices.Backward(all) {
-		if m.shortRunning == 0 && m.running < maxRunning && m.backlog(now) <= r.maxShortPrefill() {
+		if m.shortRunning == 0 && m.running < maxRunning && m.backlog(now) <= r.maxShortPrefill() && m.mayRead(r.Engine, part) {
 			return m
 		}
 	}
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -45,6 +45,9 @@
 	PrefillTime time.Duration
 	// Short is set for a prompt that one endpoint prefills alone.
 	Short bool
+	// EventGapTarget is the longest gap between two events of the answer that its caller wants; 0
+	// means none.
+	EventGapTarget time.Duration
 
 	// prefillDue is the predicted end of the prefill, and answered is set once the
 	// answer has begun.
@@ -70,6 +73,12 @@
 	running, shortRunning int
 	// helping counts the requests for which the endpoint is a helper.
 	helping int
+	// gapTargets counts the running requests by their event gap target.
+	gapTargets map[time.Duration]int
+	// unread is the prefill time of the parts whose answers have not begun. An engine that decodes
+	// starts to read them only when a run of steps ends, so unlike the backlog they do not
+	// get less as time passes.
+	unread time.Duration
 	// bookedTokens is the KV memory of the bookings at the endpoint.
 	bookedTokens int64
 	// prefillUntil is the predicted time at which the prompts booked so far are
@@ -255,6 +264,7 @@
 	if m := f.members[b.Primary.Endpoint]; m != nil && b.Primary.Endpoint != except {
 		m.running += sign
 		m.bookedTokens += int64(sign) * b.Primary.Tokens
+		m.countGapTarget(b.EventGapTarget, sign)
 		if b.Short {
 			m.shortRunning += sign
 		}
@@ -265,12 +275,39 @@
 			m.bookedTokens += int64(sign) * p.Tokens
 		}
 	}
+	if !b.answered {
+		f.addUnread(b, sign, except)
+	}
+}
+
+// addUnread adds the prefill time of a booking to its endpoints other than except, or subtracts it
+// if sign is -1.
+func (f *Fleet) addUnread(b *Booking, sign int, except string) {
+	for _, p := range b.allParts() {
+		if m := f.members[p.Endpoint]; m != nil && p.Endpoint != except {
+			m.unread += time.Duration(sign) * b.PrefillTime
+		}
+	}
+}
+
+// countGapTarget adds a running request with an event gap target, or removes it if sign is -1.
+func (m *member) countGapTarget(target time.Duration, sign int) {
+	if target <= 0 {
+		return
+	}
+	if m.gapTargets == nil {
+		m.gapTargets = map[time.Duration]int{}
+	}
+	if m.gapTargets[target] += sign; m.gapTargets[target] <= 0 {
+		delete(m.gapTargets, target)
+	}
 }
 
 // MarkAnswered records that the answer to a request has begun, which shows that its
 // prompt is prefilled.
 func (f *Fleet) MarkAnswered(owner string, id uint64) {
-	if b, ok := f.bookings[bookingKey{owner, id}]; ok {
+	if b, ok := f.bookings[bookingKey{owner, id}]; ok && !b.answered {
+		f.addUnread(b, -1, "")
 		b.answered = true
 	}
 }
--- /dev/null
+++ b/assign/load_test.go
@@ -0,0 +1,349 @@
+package assign
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
+)
+
+// promptKind is a kind of request to model engines.
+type promptKind struct {
+	name              string
+	perSecond         float64
+	tokens, maxTokens float64
+	// spread is the standard deviation of the logarithm of the prompt's length.
+	spread            float64
+	events            int
+	firstToken, pause time.Duration
+	timeout           time.Duration
+}
+
+// pattern is a load: the rates of the kinds are multiplied by these factors.
+type pattern struct {
+	short, medium, long float64
+}
+
+// modelDeployment is a service in the model: its engines and the usual load.
+type modelDeployment struct {
+	engines, slots, stride int
+	kinds                  []promptKind
+}
+
+// largeZone is an availability zone of a large deployment, whose entries choose among its engines.
+func largeZone() *modelDeployment {
+	return &modelDeployment{30, 10, 68, []promptKind{
+		{"short", 43, 5_000, 23_800, 0.9, 23, 400 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second},
+		{"medium", 3.4, 45_000, 110_000, 0.5, 14, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second},
+		{"long", 1.6, 190_000, 600_000, 0.55, 11, 3 * time.Second, time.Second, 15 * time.Second},
+	}}
+}
+
+// smallDeployment has a stricter target for short prompts and larger batches.
+func smallDeployment() *modelDeployment {
+	return &modelDeployment{18, 16, 43, []promptKind{
+		{"short", 38, 5_000, 23_800, 0.9, 32, 300 * time.Millisecond, 250 * time.Millisecond, 10 * time.Second},
+		{"medium", 2.1, 45_000, 110_000, 0.5, 19, 1500 * time.Millisecond, 600 * time.Millisecond, 10 * time.Second},
+		{"long", 1.76, 133_000, 600_000, 0.7, 16, 2500 * time.Millisecond, time.Second, 15 * time.Second},
+	}}
+}
+
+// promptRun is a request in the model.
+type promptRun struct {
+	kind                  *promptKind
+	request               *Request
+	arrived, first        time.Duration
+	lastEvent             time.Duration
+	longest               time.Duration
+	unread, events        int // parts that are not read, events that are not sent
+	booking               *Booking
+	id                    uint64
+	placed, done, refused bool
+}
+
+// readPart is a part of a prompt that an engine has to read.
+type readPart struct {
+	run    *promptRun
+	time   time.Duration
+	tokens int
+	helper bool
+}
+
+// modelEngine runs passes: with answers to decode, one of Stride steps that also reads up to one
+// chunk a step; without, one chunk. Parts of other engines' prompts are read first, the newest
+// before the others.
+type modelEngine struct {
+	name    string
+	parts   []*readPart
+	writers []*promptRun
+	ends    time.Duration // of the current pass
+	busy    bool
+	read    []*readPart // parts that the current pass reads to their ends
+	passed  []*promptRun
+}
+
+func (e *modelEngine) begin(now time.Duration, model *costmodel.Engine) {
+	steps := 1
+	if len(e.writers) > 0 {
+		steps = model.Stride
+	}
+	if len(e.writers) == 0 && len(e.parts) == 0 {
+		e.busy = false
+		return
+	}
+	took := time.Duration(steps) * model.StepTime
+	for _, w := range e.writers {
+		took += time.Duration(float64(steps) * float64(w.request.PromptTokens) / 1000 / float64(1+len(w.booking.Helpers)) * 4.31 * float64(time.Microsecond))
+	}
+	slices.SortStableFunc(e.parts, func(a, b *readPart) int {
+		if a.helper != b.helper {
+			if a.helper {
+				return -1
+			}
+			return 1
+		}
+		if a.helper {
+			return cmp.Compare(b.run.id, a.run.id)
+		}
+		return cmp.Compare(a.run.id, b.run.id)
+	})
+	e.read = nil
+	for room := steps * model.Chunk; room > 0 && len(e.parts) > 0; {
+		p := e.parts[0]
+		n := min(room, p.tokens)
+		span := time.Duration(float64(p.time) * float64(n) / float64(p.tokens))
+		took, room = took+span, room-n
+		p.time, p.tokens = p.time-span, p.tokens-n
+		if p.tokens > 0 {
+			break
+		}
+		e.read, e.parts = append(e.read, p), e.parts[1:]
+	}
+	e.passed = slices.Clone(e.writers)
+	e.ends, e.busy = now+took, true
+}
+
+// loadRun replays a pattern against one entry's fleet, with the queue and the limits of the gateway.
+type loadRun struct {
+	fleet   *Fleet
+	kinds   []promptKind
+	model   *costmodel.Engine
+	engines map[string]*modelEngine
+	runs    []*promptRun
+	waiting []*promptRun
+	lastID  uint64
+}
+
+func newLoadRun(d *modelDeployment) *loadRun {
+	l := &loadRun{fleet: fleetOf(d.engines), kinds: d.kinds, engines: map[string]*modelEngine{}, model: &costmodel.Engine{
+		Slots: d.slots, MemoryTokens: 232_000, StepTime: 1020 * time.Microsecond, PrefillTokensPerSecond: 206_000,
+		TimePerMegapair: 138 * time.Microsecond, Chunk: 2048, Stride: d.stride,
+	}}
+	for _, m := range l.fleet.members {
+		m.Slots = d.slots
+		l.engines[m.Name] = &modelEngine{name: m.Name}
+	}
+	return l
+}
+
+// arrivals draws the requests of a pattern over a span.
+func (l *loadRun) arrivals(p pattern, from, to time.Duration, random *rand.Rand) {
+	for i, factor := range []float64{p.short, p.medium, p.long} {
+		k := &l.kinds[i]
+		for at := from; ; {
+			at += time.Duration(random.ExpFloat64() / (k.perSecond * factor) * float64(time.Second))
+			if at > to {
+				break
+			}
+			tokens := min(k.maxTokens, k.tokens*math.Exp(random.NormFloat64()*k.spread-k.spread*k.spread/2))
+			r := &Request{
+				Service: "scribe", PromptTokens: int(tokens) + 40, OutputTokens: k.events * l.model.Stride, Zone: "zone-0", Engine: l.model,
+				EventGapTarget: k.pause, MinEventGapTarget: 250 * time.Millisecond, RelaxAfter: time.Duration(0.8 * float64(k.timeout)),
+			}
+			l.runs = append(l.runs, &promptRun{kind: k, request: r, arrived: at, events: k.events})
+		}
+	}
+	slices.SortFunc(l.runs, func(a, b *promptRun) int { return cmp.Compare(a.arrived, b.arrived) })
+}
+
+// play runs until all requests have ended.
+func (l *loadRun) play(until time.Duration) {
+	next := 0
+	var engines []*modelEngine
+	for _, name := range slices.Sorted(maps.Keys(l.engines)) {
+		engines = append(engines, l.engines[name])
+	}
+	for now := time.Duration(0); now < until; now += time.Millisecond {
+		for _, e := range engines {
+			if e.busy && e.ends <= now {
+				l.endPass(e)
+			}
+		}
+		for ; next < len(l.runs) && l.runs[next].arrived <= now; next++ {
+			l.waiting = append(l.waiting, l.runs[next])
+		}
+		if now%(5*time.Millisecond) == 0 {
+			l.placeWaiting(now)
+		}
+		for _, e := range engines {
+			if !e.busy {
+				e.begin(now, l.model)
+			}
+		}
+	}
+}
+
+// endPass applies the events and reads of a pass.
+func (l *loadRun) endPass(e *modelEngine) {
+	for _, w := range e.passed {
+		w.longest = max(w.longest, e.ends-w.lastEvent)
+		w.lastEvent = e.ends
+		if w.events--; w.events <= 0 {
+			w.done = true
+			e.writers = slices.DeleteFunc(e.writers, func(o *promptRun) bool { return o == w })
+			l.fleet.EndBooking("", w.id, false)
+		}
+	}
+	for _, p := range e.read {
+		if p.run.unread--; p.run.unread == 0 {
+			p.run.first, p.run.lastEvent = e.ends, e.ends
+			l.fleet.MarkAnswered("", p.run.id)
+			at := l.engines[p.run.booking.Primary.Endpoint]
+			at.writers = append(at.writers, p.run)
+		}
+	}
+	e.begin(e.ends, l.model)
+}
+
+// placeWaiting places what fits, the earliest deadline first and late requests last.
+func (l *loadRun) placeWaiting(now time.Duration) {
+	start := func(p *promptRun) time.Duration {
+		by := p.arrived + p.kind.firstToken - l.model.TimeToFirstToken(p.request.PromptTokens, 1+MaxHelpers)
+		if by < now {
+			by += time.Hour
+		}
+		return by
+	}
+	slices.SortStableFunc(l.waiting, func(a, b *promptRun) int { return cmp.Compare(start(a), start(b)) })
+	l.waiting = slices.DeleteFunc(l.waiting, func(p *promptRun) bool {
+		if p.arrived+p.kind.timeout/2 < now {
+			p.refused = true
+			return true
+		}
+		p.request.Waited = now - p.arrived
+		a, err := l.fleet.Choose(at(now), p.request)
+		if err != nil {
+			return false
+		}
+		l.lastID++
+		p.id, p.booking, p.placed = l.lastID, &a.Booking, true
+		l.fleet.Place(at(now), "", p.id, &a.Booking)
+		parts := a.Booking.allParts()
+		p.unread = len(parts)
+		for i, part := range parts {
+			e := l.engines[part.Endpoint]
+			e.parts = append(e.parts, &readPart{run: p, time: a.Booking.PrefillTime, tokens: max(1, p.request.PromptTokens/len(parts)), helper: i > 0})
+		}
+		return true
+	})
+}
+
+// tally counts the requests of one kind.
+type tally struct {
+	all, lateFirst, latePause int
+	// owed and earned are sums over prompts, which count by their length: in full when in time, a
+	// quarter when late.
+	owed, earned float64
+}
+
+// count adds the requests of a run to the tallies of their kinds.
+func (l *loadRun) count(tallies map[string]*tally) {
+	for _, p := range l.runs {
+		t := tallies[p.kind.name]
+		if t == nil {
+			t = &tally{}
+			tallies[p.kind.name] = t
+		}
+		worth := min(4, 0.3+0.7*float64(p.request.PromptTokens)/p.kind.tokens)
+		t.all++
+		t.owed += worth
+		switch {
+		case !p.done || p.first-p.arrived > p.kind.firstToken:
+			t.lateFirst++
+		case p.longest > p.kind.pause:
+			t.latePause++
+		default:
+			t.earned += 0.75 * worth
+		}
+		if p.done {
+			t.earned += 0.25 * worth
+		}
+	}
+}
+
+// replay plays a pattern after some seconds of the usual load, with several seeds.
+func replay(d func() *modelDeployment, p pattern, seeds int) map[string]*tally {
+	tallies := map[string]*tally{}
+	runs := make([]*loadRun, seeds)
+	var group sync.WaitGroup
+	for seed := range runs {
+		group.Go(func() {
+			l := newLoadRun(d())
+			random := rand.New(rand.NewPCG(uint64(seed), 1))
+			l.arrivals(pattern{1, 1, 1}, 0, 3*time.Second, random)
+			l.arrivals(p, 3*time.Second, 13*time.Second, random)
+			l.play(25 * time.Second)
+			runs[seed] = l
+		})
+	}
+	group.Wait()
+	for _, l := range runs {
+		l.count(tallies)
+	}
+	return tallies
+}
+
+// Long prompts were read by groups so small that answers paused, short ones came in one run of steps, and
+// those of more than some 13,000 tokens waited for a group.
+func TestLatenessUnderLoadPatterns(t *testing.T) {
+	const (
+		maxShortLate = 0.05 // the target: 95 of 100 in time
+		minEarned    = 0.73 // the target for the worth of a day
+		minShare     = 0.25 // no kind is served less than a quarter as often as all
+	)
+	patterns := []struct {
+		name     string
+		load     pattern
+		overload bool // more than the engines can read
+	}{
+		{"usual", pattern{1, 1, 1}, false},
+		{"burst of long prompts", pattern{0.32, 1.3, 2.75}, false},
+		{"burst of short prompts", pattern{2.4, 0.5, 0.05}, false},
+		{"both at once", pattern{1.6, 1.3, 2}, true},
+	}
+	for name, d := range map[string]func() *modelDeployment{"large zone": largeZone, "small deployment": smallDeployment} {
+		for _, test := range patterns {
+			t.Run(name+", "+test.name, func(t *testing.T) {
+				for kind, k := range replay(d, test.load, 8) {
+					earned, late := k.earned/k.owed, float64(k.lateFirst+k.latePause)/float64(k.all)
+					t.Logf("%-6s earned %.3f, late %.3f: first token %.3f, pause %.3f", kind, earned, late, float64(k.lateFirst)/float64(k.all), float64(k.latePause)/float64(k.all))
+					switch {
+					case test.overload && earned < minShare:
+						t.Errorf("%s prompts earn %.3f of what they are worth", kind, earned)
+					case test.overload:
+					case earned < minEarned:
+						t.Errorf("%s prompts earn %.3f of what they are worth", kind, earned)
+					case kind == "short" && late > maxShortLate:
+						t.Errorf("%.3f of the short prompts are late", late)
+					}
+				}
+			})
+		}
+	}
+}
--- a/costmodel/engine.go
+++ b/costmodel/engine.go
@@ -57,8 +57,9 @@
 // TimeToFirstToken returns the time until the first token of a prompt that the given
 // number of idle engines prefills together.
 func (e *Engine) TimeToFirstToken(tokens, engines int) time.Duration {
-	return e.SharedPrefillTime(tokens, engines) + 2*e.decodeRunTime()
+	return e.SharedPrefillTime(tokens, engines) + 2*e.DecodeRunTime()
 }
 
-// decodeRunTime is the time of Stride consecutive steps.
-func (e *Engine) decodeRunTime() time.Duration { return time.Duration(max(e.Stride, 1)) * e.StepTime }
+// DecodeRunTime is the time of Stride consecutive steps, in which an engine that decodes makes one
+// event of each stream.
+func (e *Engine) DecodeRunTime() time.Duration { return time.Duration(max(e.Stride, 1)) * e.StepTime }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -25,8 +25,9 @@
 	// defaultTimeout bounds a request when neither its route nor its caller does.
 	defaultTimeout = 30 * time.Second
 	// relaxFraction is the fraction of a request's time limit within which the number
-	// of idle endpoints that a long prompt requires falls to none.
-	relaxFraction = 0.4
+	// of idle endpoints that a long prompt requires falls to none. Over the wait that maxWaitFraction
+	// allows, it falls by half: a group that is too small makes answers pause.
+	relaxFraction = 0.8
 	// staleRetryAfter is the Retry-After of requests that are refused because the
 	// entry's configuration may be out of date.
 	staleRetryAfter = 500 * time.Millisecond
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -236,7 +236,7 @@
 }
 
 func toWire(id uint64, b *assign.Booking) *wire.Booking {
-	out := &wire.Booking{ID: id, PrefillTime: b.PrefillTime, Short: b.Short, Primary: wire.BookedPart(b.Primary)}
+	out := &wire.Booking{ID: id, PrefillTime: b.PrefillTime, Short: b.Short, EventGapTarget: b.EventGapTarget, Primary: wire.BookedPart(b.Primary)}
 	for _, p := range b.Helpers {
 		out.Helpers = append(out.Helpers, wire.BookedPart(p))
 	}
@@ -244,7 +244,7 @@
 }
 
 func fromWire(b *wire.Booking) *assign.Booking {
-	out := &assign.Booking{PrefillTime: b.PrefillTime, Short: b.Short, Primary: assign.Part(b.Primary)}
+	out := &assign.Booking{PrefillTime: b.PrefillTime, Short: b.Short, EventGapTarget: b.EventGapTarget, Primary: assign.Part(b.Primary)}
 	for _, p := range b.Helpers {
 		out.Helpers = append(out.Helpers, assign.Part(p))
 	}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -376,6 +376,8 @@
 	PrefillTime time.Duration `cbor:"4,keyasint,omitempty"`
 	// Short is set for a prompt that one endpoint prefills alone.
 	Short bool `cbor:"5,keyasint,omitempty"`
+	// EventGapTarget is the longest gap between two events of the answer that its caller wants.
+	EventGapTarget time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // BookedPart is the part of a booking at one endpoint. Tokens is the KV memory that the
