assign: the endpoints of a service are kept in order, and groups apart from other bookings

Each choice copied and sorted all endpoints and walked all bookings, while entries choose at each message of a peer.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -168,7 +168,6 @@
 	if len(all) == 0 {
 		return nil, f.refuseIneligible(now, r)
 	}
-	slices.SortFunc(all, byRank)
 	var a *Assignment
 	var err error
 	switch {
@@ -215,13 +214,13 @@
 	return m.Service == r.Service && !m.leaves() && !f.zonesOut[m.Zone] && !slices.Contains(r.Tried, m.Name)
 }
 
-// eligible lists the endpoints that may get the request. With trusted set, it leaves
-// out endpoints that failed recently.
+// eligible lists the endpoints that may get the request, sorted by rank. With trusted set, it
+// leaves out endpoints that failed recently.
 func (f *Fleet) eligible(now time.Time, r *Request, trusted bool) []*member {
 	var out []*member
-	for _, m := range f.members {
+	for _, m := range f.choicesOf(r.Service) {
 		switch {
-		case m.elsewhere || !f.serves(m, r):
+		case !f.serves(m, r):
 		case trusted && now.Before(m.distrustedUntil):
 		case f.sendWait(now, m, r) > 0:
 		default:
@@ -235,16 +234,15 @@
 // sorted by rank. The rate of a cold endpoint does not bind its parts: its own requests load it.
 func (f *Fleet) helperCandidates(now time.Time, r *Request, primary *member) []*member {
 	var out []*member
-	for _, m := range f.members {
+	for _, m := range f.choicesOf(r.Service) {
 		switch {
-		case m == primary || m.elsewhere || !f.serves(m, r) || now.Before(m.distrustedUntil):
+		case m == primary || !f.serves(m, r) || now.Before(m.distrustedUntil):
 		case !r.ForPeer && f.pauseWait(now, m) > 0:
 		case m.limit.perSecond > 0 && f.rateWait(now, m, r) > 0:
 		default:
 			out = append(out, m)
 		}
 	}
-	slices.SortFunc(out, byRank)
 	return out
 }
 
--- a/assign/cell.go
+++ b/assign/cell.go
@@ -122,6 +122,7 @@
 // SetCells replaces the division of the deployment into cells.
 func (f *Fleet) SetCells(c *Cells) {
 	f.cells = c
+	clear(f.choices)
 	for _, m := range f.members {
 		m.elsewhere = f.isElsewhere(&m.Endpoint)
 	}
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -104,10 +104,14 @@
 // Fleet holds the known endpoints and the load that this entry and its peers have
 // booked on them. It has no lock; the caller serialises the calls.
 type Fleet struct {
-	members  map[string]*member
+	members map[string]*member
+	// choices caches the result of choicesOf by service.
+	choices  map[string][]*member
 	zonesOut map[string]bool
 	bookings map[bookingKey]*Booking
-	sharing  Sharing
+	// groups are the bookings with helpers.
+	groups  map[bookingKey]*Booking
+	sharing Sharing
 	// cells is the division of the deployment; nil if there is none.
 	cells *Cells
 	// coldRates are the rates that endpoints bear when cold, by service.
@@ -119,7 +123,7 @@
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
 	return &Fleet{
-		members: map[string]*member{}, zonesOut: map[string]bool{}, bookings: map[bookingKey]*Booking{},
+		members: map[string]*member{}, choices: map[string][]*member{}, zonesOut: map[string]bool{}, bookings: map[bookingKey]*Booking{}, groups: map[bookingKey]*Booking{},
 		sharing: Sharing{Entries: 1, Connected: true}, unplacedLimits: map[string]Limit{},
 	}
 }
@@ -127,6 +131,7 @@
 // Update adds or changes an endpoint. An endpoint with a new incarnation or address
 // starts without load and failures.
 func (f *Fleet) Update(e Endpoint) {
+	clear(f.choices)
 	m, ok := f.members[e.Name]
 	if ok && m.Incarnation == e.Incarnation && m.Addr == e.Addr {
 		e.LearnedAt = m.LearnedAt
@@ -139,7 +144,7 @@
 	for key, b := range f.bookings {
 		if b.includes(e.Name) {
 			// The load and memory of the earlier incarnation ended with it.
-			delete(f.bookings, key)
+			f.forget(key)
 			f.addLoad(b, -1, e.Name)
 		}
 	}
@@ -160,6 +165,23 @@
 		f.keepUnplaced(m.currentLimit())
 	}
 	delete(f.members, name)
+	clear(f.choices)
+}
+
+// choicesOf returns the endpoints of a service that the entries of this cell choose, sorted by rank.
+func (f *Fleet) choicesOf(service string) []*member {
+	choices, ok := f.choices[service]
+	if ok {
+		return choices
+	}
+	for _, m := range f.members {
+		if m.Service == service && !m.elsewhere {
+			choices = append(choices, m)
+		}
+	}
+	slices.SortFunc(choices, byRank)
+	f.choices[service] = choices
+	return choices
 }
 
 // RetainOnly removes all endpoints except those in names.
@@ -217,6 +239,9 @@
 		return false
 	}
 	f.bookings[key] = b
+	if len(b.Helpers) > 0 {
+		f.groups[key] = b
+	}
 	f.addLoad(b, 1, "")
 	b.prefillDue = now
 	for _, p := range b.allParts() {
@@ -228,6 +253,12 @@
 	return true
 }
 
+// forget removes a booking from the lists.
+func (f *Fleet) forget(key bookingKey) {
+	delete(f.bookings, key)
+	delete(f.groups, key)
+}
+
 // EndBooking removes a booking; an unknown one is ignored. The argument unprefilled is set
 // when the prompt was not prefilled and will not be.
 func (f *Fleet) EndBooking(owner string, id uint64, unprefilled bool) {
@@ -236,7 +267,7 @@
 	if !ok {
 		return
 	}
-	delete(f.bookings, key)
+	f.forget(key)
 	f.addLoad(b, -1, "")
 	if !unprefilled {
 		return
@@ -252,7 +283,7 @@
 func (f *Fleet) EndAll(owner string) {
 	for key, b := range f.bookings {
 		if key.owner == owner {
-			delete(f.bookings, key)
+			f.forget(key)
 			f.addLoad(b, -1, "")
 		}
 	}
@@ -316,7 +347,7 @@
 // ended at least overdueAfter ago and the answer has not begun.
 func (f *Fleet) overdue(now time.Time) map[string]bool {
 	helpers := map[string]bool{}
-	for _, b := range f.bookings {
+	for _, b := range f.groups {
 		overdueBy := now.Sub(b.prefillDue)
 		if b.answered || overdueBy < overdueAfter || overdueBy > overdueIgnoredAfter {
 			continue
--- a/assign/rate.go
+++ b/assign/rate.go
@@ -123,8 +123,8 @@
 // rateLimited returns the endpoints that only their rates and pauses exclude for the request.
 func (f *Fleet) rateLimited(now time.Time, r *Request) rateBlock {
 	var out rateBlock
-	for _, m := range f.members {
-		if m.elsewhere || !f.serves(m, r) {
+	for _, m := range f.choicesOf(r.Service) {
+		if !f.serves(m, r) {
 			continue
 		}
 		if wait := f.sendWait(now, m, r); wait > 0 {
