gateway: bytes without end from an endpoint are bounded, for one answer and for all

A head was read up to 10 MB and a body up to 8 MB into memory, for each request: 200 endless answers would hold 1.6 GB on a VM of 160 MB.

An endpoint that goes over its own bound is distrusted, and the request may have run.

--- /dev/null
+++ b/gateway/bounds.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/stream"
+)
+
+// Bounds on what an endpoint may send, which may be bytes without end. Past them its connection is
+// closed, and the request may have run.
+const (
+	// MaxAnswerHeaderBytes bounds the head of an answer, interim answers included.
+	MaxAnswerHeaderBytes = 64 << 10
+	// maxAnswerBytes bounds an answer that is buffered until it is complete.
+	maxAnswerBytes = 8 << 20
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxHeldBytes bounds what this process holds of all answers, and maxAccountHeldBytes what it
+	// holds for one client account. VMs of entries have 160 MB and more.
+	maxHeldBytes        = 32 << 20
+	maxAccountHeldBytes = maxHeldBytes / 2
+)
+
+var (
+	// errAnswerTooLong marks an answer over its own bound, which is the fault of its endpoint.
+	errAnswerTooLong = errors.New("the answer is too long")
+	// errHeldBytes marks an answer for which the process has no memory left.
+	errHeldBytes = errors.New("the answers in progress hold too much memory")
+)
+
+// newHeldBytes returns the budget for the answers in progress.
+func newHeldBytes() *stream.Budget {
+	return stream.NewBudget(stream.Limits{Stream: maxAnswerBytes, Account: maxAccountHeldBytes, Process: maxHeldBytes})
+}
+
+// heldAnswer is what an attempt holds of an answer in memory.
+type heldAnswer struct {
+	bytes *stream.Reservation
+	// held is the size of bytes, and limit its bound.
+	held, limit int64
+}
+
+// grow accounts for n more bytes.
+func (h *heldAnswer) grow(n int) error {
+	if h.held+int64(n) > h.limit {
+		return errors.Wrapf(errAnswerTooLong, "over %d bytes", h.limit)
+	}
+	if !h.bytes.TryGrow(int64(n)) {
+		return errHeldBytes
+	}
+	h.held += int64(n)
+	return nil
+}
+
+// reset accounts for the end of what is held.
+func (h *heldAnswer) reset() {
+	h.bytes.Close()
+	h.held = 0
+}
+
+// heldReader accounts for the bytes that are read.
+type heldReader struct {
+	r    io.Reader
+	held *heldAnswer
+}
+
+func (r *heldReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if growErr := r.held.grow(n); growErr != nil {
+		return 0, growErr
+	}
+	return n, err
+}
+
+// holdAnswer returns the account of what an attempt holds, up to limit bytes. Its caller resets it.
+func (c *call) holdAnswer(limit int64) *heldAnswer {
+	return &heldAnswer{bytes: c.g.heldBytes.Account(c.account), limit: limit}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -9,9 +9,6 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
 // event is one complete server-sent event in its original bytes.
 type event struct {
 	raw []byte
@@ -20,28 +17,34 @@
 
 // eventReader splits a stream of server-sent events into complete events.
 type eventReader struct {
-	r *bufio.Reader
+	r    *bufio.Reader
+	held *heldAnswer
 }
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
+// newEventReader returns a reader that accounts for the current event in held.
+func newEventReader(r io.Reader, held *heldAnswer) *eventReader {
+	return &eventReader{r: bufio.NewReader(r), held: held}
+}
 
 // next returns the next event. It returns io.EOF if the stream ends between two events
 // and io.ErrUnexpectedEOF if it ends within one.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	e.held.reset()
 	for {
 		line, err := e.r.ReadSlice('\n')
 		if errors.Is(err, bufio.ErrBufferFull) {
 			err = nil
 		}
+		if err := e.held.grow(len(line)); err != nil {
+			return ev, err
+		}
 		ev.raw = append(ev.raw, line...)
 		switch {
 		case errors.Is(err, io.EOF) && len(ev.raw) > 0:
 			return ev, io.ErrUnexpectedEOF
 		case err != nil:
 			return ev, err
-		case len(ev.raw) > maxEventBytes:
-			return ev, errors.Errorf("an event is over %d bytes", maxEventBytes)
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
+	"github.com/rosemaryproxy/rosemaryproxy/stream"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -108,6 +109,8 @@
 	http    *http.Transport
 	retries *retryBudget
 	metrics *gatewayMetrics
+	// heldBytes accounts for the answers that are held in memory.
+	heldBytes *stream.Budget
 	// suspects holds the requests that are suspected of crashing endpoints. lossesPending wakes
 	// the task that reports lost endpoints; it has a buffer of one.
 	suspects      *session.Suspects
@@ -166,7 +169,7 @@
 // New returns a gateway that uses the dialect d and reaches engines through e.
 func New(s Settings, d Dialect, e EngineClient) *Gateway {
 	g := &Gateway{
-		Settings: s, dialect: d, engines: e, startID: rand.Uint32(),
+		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1),
 		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
 		leftEntries: map[string]string{},
@@ -243,8 +246,9 @@
 			}
 			return conn, nil
 		},
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: MaxAnswerHeaderBytes,
 	}
 }
 
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -23,8 +23,6 @@
 	// defaultRetryAfter is the Retry-After of requests for which no endpoint was found
 	// or whose endpoint failed.
 	defaultRetryAfter = 300 * time.Millisecond
-	// maxAnswerBytes bounds an answer that is buffered until it is complete.
-	maxAnswerBytes = 8 << 20
 	// urgentTarget is the latency target up to which a request ranks before others of
 	// the same priority.
 	urgentTarget = 500 * time.Millisecond
@@ -261,6 +259,10 @@
 	if c.r.Context().Err() != nil {
 		return errCallerGone
 	}
+	if errors.Is(err, errHeldBytes) {
+		c.log().Warn("answer given up for lack of memory", "error", err)
+		return verdict.Uncertain(verdict.ReasonTooLarge, defaultRetryAfter, "the answer of endpoint %s: %v", a.Primary.Name, err)
+	}
 	// A broken connection may be the first sign that the endpoint has ended.
 	c.recordInterruption(a, context.Cause(ctx) == nil)
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
@@ -333,13 +335,12 @@
 
 // forwardComplete reads a complete answer and sends it to the caller.
 func (c *call) forwardComplete(ctx context.Context, a *assign.Assignment, res *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	held := c.holdAnswer(maxAnswerBytes)
+	defer held.reset()
+	body, err := io.ReadAll(&heldReader{res.Body, held})
 	if err != nil {
 		return c.handleBrokenAnswer(ctx, a, err)
 	}
-	if len(body) > maxAnswerBytes {
-		return verdict.Uncertain(verdict.ReasonTooLarge, 0, "the answer of endpoint %s is over %d bytes", a.Primary.Name, maxAnswerBytes)
-	}
 	if c.committed {
 		return verdict.Uncertain(verdict.ReasonStreamBroken, 0, "endpoint %s did not resume the stream: status %d", a.Primary.Name, res.StatusCode)
 	}
@@ -409,7 +410,9 @@
 
 // relayStream forwards a stream event by event.
 func (c *call) relayStream(ctx context.Context, a *assign.Assignment, res *http.Response, timer *silenceTimer) error {
-	events := newEventReader(res.Body)
+	held := c.holdAnswer(maxEventBytes)
+	defer held.reset()
+	events := newEventReader(res.Body, held)
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
