--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,8 @@
 	// the task that reports lost endpoints; it has a buffer of one.
 	suspects      *session.Suspects
 	lossesPending chan struct{}
+	// queued wakes the task that polls the queues; it has a buffer of one.
+	queued chan struct{}
 
 	listener net.Listener
 	ready    net.Listener
@@ -170,7 +172,7 @@
 func New(s Settings, d Dialect, e EngineClient) *Gateway {
 	g := &Gateway{
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(),
-		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1),
+		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1), queued: make(chan struct{}, 1),
 		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
 		leftEntries: map[string]string{},
 	}
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -193,6 +193,10 @@
 		w.result <- placeResult{err: err}
 		return
 	}
+	select {
+	case g.queued <- struct{}{}:
+	default:
+	}
 	g.placeFromQueues(now, w.request.Service, g.serviceQueues(w.request.Service))
 }
 
@@ -271,18 +275,35 @@
 	return q
 }
 
-// pollQueues places queued requests every queuePollInterval until ctx ends.
+// pollQueues places queued requests every queuePollInterval, while there are some, until ctx ends.
 func (g *Gateway) pollQueues(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.clock.After(queuePollInterval):
+		case <-g.queued:
+		}
+		for g.pollOnce() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-g.clock.After(queuePollInterval):
+			}
+		}
+	}
+}
+
+// pollOnce places queued requests, and reports whether any are left.
+func (g *Gateway) pollOnce() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placeQueued(g.clock.Now())
+	for _, q := range g.queues {
+		if q.short.Len()+q.long.Len() > 0 {
+			return true
 		}
-		g.mu.Lock()
-		g.placeQueued(g.clock.Now())
-		g.mu.Unlock()
 	}
+	return false
 }
 
 // placeQueued places the queued requests for which endpoints are available. The caller
