assign: a short prompt that has just arrived needs no claim while an endpoint's rights are mostly unused

Claims are for requests that wait, or are repeated, which one event sets free at all entries at the same moment. Those that have just arrived do so independently; they use a right of a cold rate without a claim while three or more are unused.

--- a/assign/pace.go
+++ b/assign/pace.go
@@ -20,6 +20,10 @@
 	// claimants of two slots: rate * (W + 0.5 s) + 5.
 	minClaimants     = 2
 	claimantsPerRate = 0.1
+	// plentifulRights is the number of unused rights to send from which a request that has just
+	// arrived may use one without a claim. Requests arrive at different entries independently, and
+	// few cross; those that wait are all set free by the same event.
+	plentifulRights = 3
 	// ticketSends is how many requests a memory reservation adds to a part of a prompt: the
 	// order that makes it and the one that ends it.
 	ticketSends = 2
@@ -37,6 +41,18 @@
 	SettledFrom time.Time
 }
 
+// contention says how likely other entries are to use the same right to send in the same moment.
+type contention int
+
+const (
+	// contended requests wait or are repeated, as others do at other entries.
+	contended contention = iota
+	// independent requests have just arrived.
+	independent
+	// soleChooser is for requests that one entry places for all.
+	soleChooser
+)
+
 // pacer limits the requests to one endpoint. It has two modes.
 //
 // While the entries hear one another's bookings, they share one count: next is the time from
@@ -69,9 +85,9 @@
 }
 
 // wait returns how long the entry has to wait before it may send a request; zero means that it
-// may send now. With claims set, other entries may choose the endpoint in the same moment, and only
-// those that the slot of time belongs to may use a right.
-func (p *pacer) wait(now time.Time, s *Sharing, rate float64, phase uint64, claims bool) time.Duration {
+// may send now. Where others are likely to choose the endpoint in the same moment, only the entries
+// that the slot of time belongs to may use a right; contention says how likely that is.
+func (p *pacer) wait(now time.Time, s *Sharing, rate float64, phase uint64, c contention) time.Duration {
 	next := later(p.next, now.Add(-paceTolerance))
 	if now.Before(s.SettledFrom) {
 		next = next.Add(paceTolerance)
@@ -85,10 +101,13 @@
 			wait = max(wait, turn.Sub(now))
 		}
 		return wait
-	case wait > 0 || !claims:
+	case wait > 0 || c == soleChooser:
 		return wait
 	}
 	rights := 1 + int(now.Sub(next)/interval(rate))
+	if c == independent && rights >= plentifulRights {
+		return 0
+	}
 	return s.claimWait(now, rights+minClaimants+int(claimantsPerRate*rate), phase)
 }
 
--- a/assign/pace_test.go
+++ b/assign/pace_test.go
@@ -17,9 +17,10 @@
 	hears func(from int) bool
 	// offset is how much its time of day is ahead.
 	offset time.Duration
-	// demand is how many requests per second its callers send; each waits until it is sent.
+	// demand is how many requests per second its callers send; each waits until it is sent, and
+	// waiting holds when they arrived.
 	demand  float64
-	waiting float64
+	waiting []time.Duration
 }
 
 // bookingOnTheWay is a booking that another entry will receive.
@@ -78,12 +79,18 @@
 		})
 		for _, i := range random.Perm(len(entries)) {
 			e := entries[i]
-			e.waiting = min(e.waiting+e.demand*0.005, 20)
+			for arrived := random.ExpFloat64() / e.demand; arrived < 0.005 && len(e.waiting) < 20; arrived += random.ExpFloat64() / e.demand {
+				e.waiting = append(e.waiting, now)
+			}
 			if (int(now/(5*time.Millisecond))+i)%2 == 0 {
 				continue
 			}
-			for e.waiting >= 1 && len(e.fleet.eligible(at(now+e.offset), request, true)) > 0 {
-				e.waiting--
+			for len(e.waiting) > 0 {
+				request.Waited = now - e.waiting[0]
+				if len(e.fleet.eligible(at(now+e.offset), request, true)) == 0 {
+					break
+				}
+				e.waiting = e.waiting[1:]
 				id++
 				e.fleet.Place(at(now+e.offset), "", id, b)
 				arrivals = append(arrivals, now)
@@ -120,6 +127,10 @@
 	oneWay := func(i int, e *pacedEntry) { e.hears = func(from int) bool { return from != 0 } }
 	halves := func(i int, e *pacedEntry) { e.hears = func(from int) bool { return from%2 == i%2 } }
 	skewed := func(i int, e *pacedEntry) { e.offset = time.Duration(i*7%40) * time.Millisecond }
+	together := func(demand float64) func(int, *pacedEntry) { // requests that just arrive, of all 21 entries
+		return func(_ int, e *pacedEntry) { e.demand = demand / 21 }
+	}
+	planned := func(_ int, e *pacedEntry) { e.demand = 14 } // the requests of an entry at the planned size
 	tests := map[string]struct {
 		pacing
 		// least is the share of the limit that must be used at least.
@@ -142,6 +153,10 @@
 		"clocks differ":                          {pacing{entries: 8, rate: 2.3, adjust: skewed}, 0.9},
 		"clocks differ, none hear another":       {pacing{entries: 8, rate: 2.3, adjust: func(i int, e *pacedEntry) { skewed(i, e); deaf(i, e) }}, 0.8},
 		"cold endpoint":                          {pacing{entries: 8, rate: 26, cold: true}, 0.9},
+		"cold endpoint, usual load of a cell":    {pacing{entries: 21, rate: 14, cold: true, adjust: together(7)}, 0},
+		"cold endpoint, its whole rate":          {pacing{entries: 21, rate: 14, cold: true, adjust: together(14)}, 0.8},
+		"cold endpoint, all requests of a burst": {pacing{entries: 21, rate: 14, cold: true, adjust: together(100)}, 0.9},
+		"cold endpoint, all of forty entries":    {pacing{entries: 40, rate: 14, cold: true, adjust: planned}, 0.9},
 		"cold endpoint, none hear another":       {pacing{entries: 8, rate: 26, cold: true, adjust: deaf}, 0.8},
 	}
 	for name, test := range tests {
--- a/assign/rate.go
+++ b/assign/rate.go
@@ -23,16 +23,27 @@
 	return m.coldRate
 }
 
+// contention returns how likely other entries are to choose the endpoint in the same moment. Where
+// endpoints name limits, their requests are scarce, and a long prompt takes several of them.
+func (r *Request) contention(m *member) contention {
+	switch {
+	case m.limit.perSecond > 0:
+		return contended
+	case r.grouped():
+		return soleChooser
+	case r.Waited <= claimSlot && len(r.Tried) == 0:
+		return independent
+	}
+	return contended
+}
+
 // rateWait returns how long this entry has to wait before the endpoint may get the request from it.
-// One entry places the long prompts of all, so they need no claim on the right to send; with one,
-// that entry would see only the few endpoints of each slot. Where endpoints name limits they do,
-// because a long prompt takes several of the few requests.
 func (f *Fleet) rateWait(now time.Time, m *member, r *Request) time.Duration {
 	rate := m.rate()
 	if rate == 0 {
 		return 0
 	}
-	return m.pace.wait(now, &f.sharing, rate, m.rank, !r.grouped() || m.limit.perSecond > 0)
+	return m.pace.wait(now, &f.sharing, rate, m.rank, r.contention(m))
 }
 
 // SetSharing replaces what is known of the other entries.
