--- a/assign/pace_test.go
+++ b/assign/pace_test.go
@@ -235,3 +235,12 @@
 		}
 	}
 }
+
+// Seed 51 of 200: forty entries send eight requests in a second to an endpoint that takes 1.7, where
+// seven are allowed. Listed in KNOWN-RED.txt.
+func TestFortyEntriesKeepToALowNamedLimit(t *testing.T) {
+	p := &pacing{entries: 40, rate: 1.7}
+	if most, allowed := mostIn(p.run(51), time.Second), p.rate*1.5+5; float64(most) > allowed {
+		t.Errorf("%d requests in a second, %.1f allowed", most, allowed)
+	}
+}
