--- a/assign/cell.go
+++ b/assign/cell.go
@@ -44,7 +44,7 @@
 	for _, e := range entries {
 		zone := e.Zone
 		if len(entries) <= maxCellEntries {
-			zone = ""
+			zone = "" // one cell for all zones
 		}
 		byZone[zone] = append(byZone[zone], e.Addr)
 	}
@@ -101,9 +101,6 @@
 
 // Owner returns the name of the cell whose entries choose the endpoint.
 func (c *Cells) Owner(e *Endpoint) string {
-	if c == nil || len(c.all) == 1 {
-		return c.single()
-	}
 	names := c.names[e.Zone]
 	if len(names) == 0 {
 		names = c.all
@@ -111,14 +108,6 @@
 	return rendezvous(names, e.Name)
 }
 
-// single returns the name of the only cell.
-func (c *Cells) single() string {
-	if c == nil {
-		return ""
-	}
-	return c.own
-}
-
 // SetCells replaces the division of the deployment into cells.
 func (f *Fleet) SetCells(c *Cells) {
 	f.cells = c
--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -395,13 +395,13 @@
 	Backlog time.Duration
 }
 
-// LoadOf returns the load of an endpoint, and whether it is known.
-func (f *Fleet) LoadOf(now time.Time, name string) (Load, bool) {
+// LoadOf returns the load of an endpoint, which is zero if the endpoint is unknown.
+func (f *Fleet) LoadOf(now time.Time, name string) Load {
 	m := f.members[name]
 	if m == nil {
-		return Load{}, false
+		return Load{}
 	}
-	return Load{Running: m.running, ShortRunning: m.shortRunning, Helping: m.helping, Backlog: m.backlog(now)}, true
+	return Load{Running: m.running, ShortRunning: m.shortRunning, Helping: m.helping, Backlog: m.backlog(now)}
 }
 
 // MarkAlive records activity of an endpoint and resets its failures.
--- a/gateway/cells.go
+++ b/gateway/cells.go
@@ -130,6 +130,7 @@
 		case waitAt != "":
 			p, err = g.placeAtOtherCell(ctx, c, waitAt, w)
 		}
+		// A refusal before yieldAt is final: waiting would not have helped.
 		if p != nil || ctx.Err() != nil || g.clock.Now().Before(w.yieldAt) || !g.clock.Now().Before(w.giveUpAt) || !mayFitElsewhere(err) {
 			return p, err
 		}
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -471,7 +471,7 @@
 		return
 	}
 	c.g.mu.Lock()
-	load, _ := c.g.fleet.LoadOf(c.g.clock.Now(), a.Primary.Name)
+	load := c.g.fleet.LoadOf(c.g.clock.Now(), a.Primary.Name)
 	c.g.mu.Unlock()
 	c.log().Info("stream paused", "pause", pause, "target", c.route.EventGapTarget, "events", c.delivered, "running", load.Running, "short_running", load.ShortRunning,
 		"helping", load.Helping, "backlog", load.Backlog)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -244,7 +244,7 @@
 
 // placeForPeer waits for endpoints for a request of another entry and reports regularly
 // that the request still waits. It returns nil when the other entry has withdrawn the
-// request.
+// request. The argument hold is Place.Hold: if it is set, the other entry goes on to use the stream.
 func (g *Gateway) placeForPeer(stream wire.Stream, w *waiter, hold time.Duration) *wire.Placed {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
