wire: a process that stops does not wait for peers that do not answer

What callers saw: a planned stop of a control replica took up to 3 s when a peer had gone shortly before, and the next one 2 s more, so that a planned stop of a zone left control without a leader for longer than a permission lasts.

Cause: Pool.Close waited for connections that were being dialed, whose bound is handshakeTimeout (3 s). Goroutine dumps of slow stops show Pool.Close and Pool.dial only.

Why it works: the dials' context ends with the pool.

--- a/wire/pool.go
+++ b/wire/pool.go
@@ -39,6 +39,9 @@
 	options   PoolOptions
 	traffic   *Traffic
 	transport *quic.Transport
+	// dialing ends when the pool is closed.
+	dialing     context.Context
+	stopDialing context.CancelFunc
 
 	mu     sync.Mutex
 	conns  map[string]*pooledConn
@@ -70,12 +73,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open UDP socket for peer connections")
 	}
+	dialing, stopDialing := context.WithCancel(context.Background())
 	return &Pool{
-		id:        id,
-		options:   o,
-		traffic:   traffic,
-		transport: &quic.Transport{Conn: packet},
-		conns:     map[string]*pooledConn{},
+		dialing:     dialing,
+		stopDialing: stopDialing,
+		id:          id,
+		options:     o,
+		traffic:     traffic,
+		transport:   &quic.Transport{Conn: packet},
+		conns:       map[string]*pooledConn{},
 	}, nil
 }
 
@@ -184,7 +190,7 @@
 // dial opens the connection and sets c.conn or c.err.
 func (p *Pool) dial(addr string, c *pooledConn) {
 	defer close(c.ready)
-	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	ctx, cancel := context.WithTimeout(p.dialing, handshakeTimeout)
 	defer cancel()
 	udp, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
@@ -209,13 +215,14 @@
 	}
 }
 
-// Close closes all connections and the socket. A later Open fails.
+// Close closes all connections, those being dialed too, and the socket. A later Open fails.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
 	conns := p.conns
 	p.conns = map[string]*pooledConn{}
 	p.mu.Unlock()
+	p.stopDialing()
 	for _, c := range conns {
 		<-c.ready
 		if c.conn != nil {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -142,3 +142,27 @@
 	_, err = id.BindAddr("no address")
 	is.True(err != nil)
 }
+
+// A process that stops must not wait for a peer that does not answer.
+func TestPoolClosesAtOnceWhileAPeerDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	trusted := &settings.TLS{Trust: settings.TrustNetwork}
+	id, err := OpenIdentity(trusted, settings.Node{Name: "control-1", BindIP: "127.0.0.1"}, RoleControl)
+	is.NoErr(err)
+	mute, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = mute.Close() }()
+	pool, err := NewPool(id, PoolOptions{}, &Traffic{})
+	is.NoErr(err)
+	opened := make(chan error, 1)
+	go func() {
+		_, err := pool.Open(context.Background(), mute.LocalAddr().String())
+		opened <- err
+	}()
+	_, _, err = mute.ReadFrom(make([]byte, 1500)) // the pool is dialing
+	is.NoErr(err)
+	startedAt := time.Now()
+	pool.Close()
+	is.True(time.Since(startedAt) < handshakeTimeout/3)
+	is.True(<-opened != nil)
+}
