gateway: comments and empty lines are no progress of a stream

What callers saw: a stalled stream whose endpoint sends a comment, an empty line or an event without data now and then was never ended; its caller waited until the deadline (reported by operators of similar systems).

Cause: each block that ends with an empty line restarted the silence timer.

Why it works: only events with data restart the timer and count as activity of the endpoint. Comments still reach the caller once the answer has begun.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -13,6 +13,9 @@
 type event struct {
 	raw []byte
 	id  string
+	// hasData is false for comments and empty lines, which endpoints may send to keep a
+	// connection open.
+	hasData bool
 }
 
 // eventReader splits a stream of server-sent events into complete events.
@@ -50,6 +53,7 @@
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(value))
 		}
+		ev.hasData = ev.hasData || bytes.HasPrefix(text, []byte("data"))
 		if len(text) == 0 && line[len(line)-1] == '\n' {
 			return ev, nil
 		}
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -424,6 +424,12 @@
 		if err != nil {
 			return firstErr(c.flush(), c.handleBrokenAnswer(ctx, a, err))
 		}
+		if !ev.hasData {
+			if err := c.forwardComment(ev, events.hasBuffered()); err != nil {
+				return err
+			}
+			continue
+		}
 		timer.reset(c.eventGapTimeout())
 		c.markAlive(a)
 		if err := c.deliverEvent(res, a, ev, events.hasBuffered()); err != nil {
@@ -432,6 +438,18 @@
 	}
 }
 
+// forwardComment sends an event without data to the caller, which may rely on it as a sign that the
+// connection is open. It begins no answer and is no progress of the endpoint.
+func (c *call) forwardComment(ev event, more bool) error {
+	if !c.committed {
+		return nil
+	}
+	if err := c.write(ev.raw); err != nil || more {
+		return err
+	}
+	return c.flush()
+}
+
 // deliverEvent sends one event to the caller, unless the caller already has it. It
 // flushes unless more events are buffered.
 func (c *call) deliverEvent(res *http.Response, a *assign.Assignment, ev event, more bool) error {
