gateway: an answer whose bytes keep arriving is not cut as silent

What callers saw: 502 for a large answer to a repeatable call that takes more than twice the route's latency target to arrive; its endpoint was distrusted as one that says nothing, and the call ran a second time elsewhere.

Cause: the silence timer of an answer that is no stream ran from the request to the last byte.

TestLargeAnswerThatKeepsArrivingIsNotCut shows it without load.

Why it works: each 16 KiB that arrive restart the timer. An answer that trickles less is still given up in time (TestAnswerThatTricklesIsAskedForElsewhere).

--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -305,7 +305,7 @@
 	if res.StatusCode < http.StatusMultipleChoices && c.route.Stream {
 		return c.relayStream(ctx, a, res, timer)
 	}
-	return c.forwardComplete(ctx, a, res)
+	return c.forwardComplete(ctx, a, res, timer)
 }
 
 // handleNotRun records an endpoint's statement that it has not executed the request,
@@ -334,10 +334,11 @@
 }
 
 // forwardComplete reads a complete answer and sends it to the caller.
-func (c *call) forwardComplete(ctx context.Context, a *assign.Assignment, res *http.Response) error {
+func (c *call) forwardComplete(ctx context.Context, a *assign.Assignment, res *http.Response, timer *silenceTimer) error {
 	held := c.holdAnswer(maxAnswerBytes)
 	defer held.reset()
-	body, err := io.ReadAll(&heldReader{res.Body, held})
+	progress := &progressReader{r: res.Body, progressed: func() { timer.reset(c.firstEventTimeout(a)) }}
+	body, err := io.ReadAll(&heldReader{progress, held})
 	if err != nil {
 		return c.handleBrokenAnswer(ctx, a, err)
 	}
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	// failure.
 	healthCheckInterval = 700 * time.Millisecond
 	maxAliveChecks      = 8
+	// progressBytes is how many bytes of an answer count as a sign of progress.
+	progressBytes = 16 << 10
 )
 
 // errSilent is the cause with which an attempt is cancelled when its endpoint sends
@@ -104,6 +107,22 @@
 	t.cancel(errSilent)
 }
 
+// progressReader calls progressed each time that progressBytes more have been read.
+type progressReader struct {
+	r          io.Reader
+	progressed func()
+	read       int
+}
+
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	if p.read += n; p.read >= progressBytes {
+		p.read = 0
+		p.progressed()
+	}
+	return n, err
+}
+
 func (t *silenceTimer) stop() { t.timer.Stop() }
 
 // engineAlive reports whether an engine has shown activity within healthCheckInterval,
