--- a/assign/pace.go
+++ b/assign/pace.go
@@ -14,13 +14,12 @@
 	turnTolerance = 500 * time.Millisecond
 	// claimSlot is the time in which a booking reaches the other entries.
 	claimSlot = 20 * time.Millisecond
-	// crossingSlots is the number of slots whose bookings may cross.
-	crossingSlots = 2
-	// maxExcess and excessPerRate, which is per request per second, bound how many requests more than
-	// the rate allows are sent because bookings cross. In any span W, all entries together send at
-	// most rate * (W + paceTolerance) + 1 requests and this excess: rate * (W + 0.5 s) + 5.
-	maxExcess     = 4
-	excessPerRate = 0.2
+	// extraClaimants and extraClaimantsPerRate, which is per request per second, give the number of entries beyond
+	// the rights that may use one, because their bookings cross. In any span W, all entries together then
+	// send at most rate * (W + paceTolerance) + 1 requests and what the claimants of two slots send too
+	// many: rate * (W + 0.5 s) + 5.
+	extraClaimants        = 1
+	extraClaimantsPerRate = 0.1
 	// ticketSends is how many requests a memory reservation adds to a part of a prompt: the
 	// order that makes it and the one that ends it.
 	ticketSends = 2
@@ -100,8 +99,7 @@
 		return wait
 	}
 	rights := 1 + int(now.Sub(next)/interval(rate))
-	claimants := float64(rights) + maxExcess + excessPerRate*rate
-	return s.claimWait(now, int(claimants/crossingSlots), phase)
+	return s.claimWait(now, rights+extraClaimants+int(extraClaimantsPerRate*rate), phase)
 }
 
 // claimWait returns how long this entry leaves rights to send to others, if so many entries may
