gateway: only engines that are suspected are asked for their speed

Cause, not proved: a new connection may hold a slot of an engine for a moment.

Now an entry asks an engine once one of its streams pauses over the target with nothing to read there, or a first event comes much later than predicted; the entry that finds it slow goes on to ask until it is sound.

--- a/assign/slowdown.go
+++ b/assign/slowdown.go
@@ -51,18 +51,13 @@
 	return 2*slow <= len(all)
 }
 
-// SlowdownChecks returns the endpoints of a service whose slowdown the entry at addr is to ask for, and
-// of which the others learn it from this one. An endpoint that names a limit, asks for a pause, is
-// cold or leaves is not asked.
-func (f *Fleet) SlowdownChecks(now time.Time, service string, entries []string, addr string) []Endpoint {
-	var out []Endpoint
-	for _, m := range f.choicesOf(service) {
-		if m.limit.perSecond > 0 || m.Cold || m.leaves() || m.paused(now) || now.Before(m.distrustedUntil) {
-			continue
-		}
-		if len(entries) <= 1 || rendezvous(entries, m.Name) == addr {
-			out = append(out, m.Endpoint)
-		}
+// MayAskSlowdown returns an endpoint if this entry may ask it for its speed. One that names a limit, asks
+// for a pause, is cold or leaves is not asked; nor is one that another entry has found slow, which goes
+// on to ask: foundHere is set if this one has.
+func (f *Fleet) MayAskSlowdown(now time.Time, name string, foundHere bool) (Endpoint, bool) {
+	m := f.members[name]
+	if m == nil || m.slow(now) && !foundHere || m.limit.perSecond > 0 || m.Cold || m.leaves() || m.paused(now) || now.Before(m.distrustedUntil) {
+		return Endpoint{}, false
 	}
-	return out
+	return m.Endpoint, true
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -165,7 +165,10 @@
 	// those of entries that have stopped, by name.
 	entryAddrs  []string
 	leftEntries map[string]string
-	lastQueueID uint64
+	// slowSuspects are the engines to ask for their speed; true for those that this entry has found
+	// slow, which it asks until they are sound again.
+	slowSuspects map[string]bool
+	lastQueueID  uint64
 }
 
 // New returns a gateway that uses the dialect d and reaches engines through e.
@@ -174,7 +177,7 @@
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1), queued: make(chan struct{}, 1),
 		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
-		leftEntries: map[string]string{},
+		leftEntries: map[string]string{}, slowSuspects: map[string]bool{},
 	}
 	g.ticketTTL.Store(int64(s.TicketTTL))
 	return g
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -466,6 +466,7 @@
 		c.writeHead(res)
 		c.placed.markAnswered()
 		c.g.metrics.observeFirstEvent(c.class(), now.Sub(c.started))
+		c.suspectLateEngines(a, now.Sub(c.sentAt))
 		c.log().Info("stream begun", "took", now.Sub(c.started), "predicted", a.PredictedPrefill, "waited", now.Sub(c.sentAt),
 			"prompt_tokens", c.PromptTokens, "helpers", len(a.Helpers))
 	}
@@ -491,6 +492,7 @@
 	}
 	c.g.mu.Lock()
 	load := c.g.fleet.LoadOf(c.g.clock.Now(), a.Primary.Name)
+	c.g.suspectSlow(a.Primary.Name, load)
 	c.g.mu.Unlock()
 	c.log().Info("stream paused", "pause", pause, "target", c.route.EventGapTarget, "events", c.delivered, "running", load.Running, "short_running", load.ShortRunning,
 		"helping", load.Helping, "backlog", load.Backlog)
--- a/gateway/slowdown_test.go
+++ b/gateway/slowdown_test.go
@@ -31,6 +31,11 @@
 		}
 		a, _ := w.g.fleet.ResolveBooking(&assign.Booking{Primary: assign.Part{Endpoint: preferred}})
 		w.engines.slow = map[string]float64{a.Primary.Addr: 2.8}
+		w.g.mu.Lock()
+		w.g.suspectSlow(preferred, assign.Load{Running: 3, Backlog: time.Millisecond}) // what it reads explains it
+		is.Equal(len(w.g.slowSuspects), 0)
+		w.g.suspectSlow(preferred, assign.Load{Running: 3})
+		w.g.mu.Unlock()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		go w.g.checkSlowdowns(ctx)
@@ -39,6 +44,13 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		is.Equal(prompts(w, 4)["seal of "+preferred], 0)
+		w.engines.mu.Lock()
+		w.engines.slow[a.Primary.Addr] = 1
+		w.engines.mu.Unlock()
+		for w.g.metrics.slowdowns.Get() < 2 && time.Now().Before(deadline) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(prompts(w, 4)["seal of "+preferred], 4)
 	})
 	t.Run("by another entry", func(t *testing.T) {
 		is := is.New(t)
