--- a/assign/load_test.go
+++ b/assign/load_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -311,31 +312,52 @@
 	owed, earned float64
 }
 
+// largestTenth is the tally of the largest tenth of a kind.
+const largestTenth = "largest tenth of "
+
 // count adds the requests of a run to the tallies of their kinds.
 func (l *loadRun) count(tallies map[string]*tally) {
 	for _, p := range l.runs {
-		t := tallies[p.kind.name]
-		if t == nil {
-			t = &tally{}
-			tallies[p.kind.name] = t
-		}
-		worth := min(4, 0.3+0.7*float64(p.request.PromptTokens)/p.kind.tokens)
-		t.all++
-		t.owed += worth
-		switch {
-		case !p.done || p.first-p.arrived > p.kind.firstToken:
-			t.lateFirst++
-		case p.longest > p.kind.pause:
-			t.latePause++
-		default:
-			t.earned += 0.75 * worth
-		}
-		if p.done {
-			t.earned += 0.25 * worth
+		tallyOf(tallies, p.kind.name).count(p)
+		if p.isLarge() {
+			tallyOf(tallies, largestTenth+p.kind.name).count(p)
 		}
 	}
 }
 
+// isLarge reports whether the prompt is longer than nine tenths of its kind.
+func (p *promptRun) isLarge() bool {
+	const deviations = 1.2816 // of a normal distribution, up to which nine tenths lie
+	k := p.kind
+	return float64(p.request.PromptTokens) > k.tokens*math.Exp(deviations*k.spread-k.spread*k.spread/2)
+}
+
+// tallyOf returns a tally, which it adds if there is none.
+func tallyOf(tallies map[string]*tally, name string) *tally {
+	if tallies[name] == nil {
+		tallies[name] = &tally{}
+	}
+	return tallies[name]
+}
+
+// count adds a request.
+func (t *tally) count(p *promptRun) {
+	worth := min(4, 0.3+0.7*float64(p.request.PromptTokens)/p.kind.tokens)
+	t.all++
+	t.owed += worth
+	switch {
+	case !p.done || p.first-p.arrived > p.kind.firstToken:
+		t.lateFirst++
+	case p.longest > p.kind.pause:
+		t.latePause++
+	default:
+		t.earned += 0.75 * worth
+	}
+	if p.done {
+		t.earned += 0.25 * worth
+	}
+}
+
 // replay plays a pattern after some seconds of the usual load, with several seeds.
 func replay(d func() *modelDeployment, p pattern, seeds int) map[string]*tally {
 	tallies := map[string]*tally{}
@@ -361,7 +383,10 @@
 // Long prompts were read by groups so small that answers paused, short ones came in one run of steps, and
 // those of more than some 13,000 tokens waited for a group.
 func TestLatenessUnderLoadPatterns(t *testing.T) {
-	const minShare = 0.25 // no kind is served less than a quarter as often as all
+	const (
+		minShare     = 0.25 // no kind is served less than a quarter as often as all
+		minSizeShare = 0.5  // nor the largest tenth of a kind less than half as often as the kind
+	)
 	patterns := []struct {
 		name     string
 		load     pattern
@@ -375,9 +400,16 @@
 	for name, d := range map[string]func() *modelDeployment{"large zone": largeZone, "small deployment": smallDeployment} {
 		for _, test := range patterns {
 			t.Run(name+", "+test.name, func(t *testing.T) {
-				for kind, k := range replay(d, test.load, 8) {
+				tallies := replay(d, test.load, 8)
+				for kind, k := range tallies {
 					earned, late := k.earned/k.owed, float64(k.lateFirst+k.latePause)/float64(k.all)
 					t.Logf("%-6s earned %.3f, late %.3f: first token %.3f, pause %.3f", kind, earned, late, float64(k.lateFirst)/float64(k.all), float64(k.latePause)/float64(k.all))
+					if of, ok := strings.CutPrefix(kind, largestTenth); ok {
+						if all := tallies[of]; earned < minSizeShare*all.earned/all.owed {
+							t.Errorf("the %s prompts earns %.3f of what they are worth, all of them %.3f", kind, earned, all.earned/all.owed)
+						}
+						continue
+					}
 					switch {
 					case test.overload && earned < minShare:
 						t.Errorf("%s prompts earn %.3f of what they are worth", kind, earned)
@@ -443,6 +475,9 @@
 			for kind, k := range tallies {
 				earned, late := k.earned/k.owed, float64(k.lateFirst+k.latePause)/float64(k.all)
 				t.Logf("%-6s earned %.3f, late %.3f: first token %.3f, pause %.3f", kind, earned, late, float64(k.lateFirst)/float64(k.all), float64(k.latePause)/float64(k.all))
+				if strings.HasPrefix(kind, largestTenth) {
+					continue
+				}
 				if earned < minEarned {
 					t.Errorf("%s prompts earn %.3f of what they are worth", kind, earned)
 				}
