gateway: answers that have begun are known after a stream between entries is opened again

What callers saw: after an entry had started again, or cells had changed, short prompts avoided engines that had room, and went to other cells or crowded ones, for as long as the answers there lasted.

Cause: a stream begins with all current bookings, but did not tell which of their answers have begun. Their prompts counted as unread until the answers ended, and an engine with unread prompts gets no more to read (assign.member.mayRead).

Evidence: found by reading; the new test failed before.

Why it works: a booking carries whether its answer has begun. An entry of an earlier build ignores the field.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -123,6 +123,9 @@
 func (b *bookings) answered(id uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if booking := b.current[id]; booking != nil {
+		booking.Answered = true
+	}
 	b.enqueue(func(q *peerQueue) { q.answered = append(q.answered, id) })
 }
 
@@ -452,6 +455,9 @@
 	}
 	for i := range b.Begun {
 		book(now, owner, b.Begun[i].ID, fromWire(&b.Begun[i]))
+		if b.Begun[i].Answered {
+			g.fleet.MarkAnswered(owner, b.Begun[i].ID)
+		}
 	}
 	for _, id := range b.Answered {
 		g.fleet.MarkAnswered(owner, id)
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -124,3 +124,18 @@
 	is.True(replaced("10.0.0.2:7000", 6))
 	is.True(!replaced("10.0.0.2:7000", 6))
 }
+
+// After a stream between entries was opened again, each prompt whose answer had begun counted as unread
+// until the answer ended, and its engine got no short prompts.
+func TestAnswersThatHaveBegunAreKnownAfterTheStreamIsOpenedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t)
+	e := scribe(0)
+	w.g.fleet.Update(e)
+	b, q := newBookings(), newPeerQueue()
+	b.begin(1, &assign.Booking{Primary: assign.Part{Endpoint: e.Name}, Short: true, PrefillTime: 240 * time.Millisecond, EventGapTarget: 250 * time.Millisecond})
+	b.answered(1)
+	w.g.applyBookings("entry-2", b.takeAll(q, nil))
+	time.Sleep(250 * time.Millisecond) // the predicted reading time
+	is.True(w.canChoose(w.call("/read/1", 100)))
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -388,6 +388,8 @@
 	Short bool `cbor:"5,keyasint,omitempty"`
 	// EventGapTarget is the longest gap between two events of the answer that its caller wants.
 	EventGapTarget time.Duration `cbor:"6,keyasint,omitempty"`
+	// Answered is set once the answer has begun, so that the prefill is complete.
+	Answered bool `cbor:"7,keyasint,omitempty"`
 }
 
 // BookedPart is the part of a booking at one endpoint. Tokens is the KV memory that the
