assign: engines of other cells are not asked for their speed

Callers saw nothing; an entry asked an engine that an entry of another cell had chosen for it, and told its own cell, which does not choose that engine: a connection and messages for nothing. Found by reading; the test failed before.

--- a/assign/cell_test.go
+++ b/assign/cell_test.go
@@ -103,3 +103,15 @@
 		}
 	}
 }
+
+// An entry asked engines of other cells for their speed, and told its own cell, which does not choose them.
+func TestEnginesOfOtherCellsAreNotAskedForTheirSpeed(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf(1)
+	name := f.choicesOf("scribe")[0].Name
+	_, ok := f.MayAskSlowdown(t0, name, false)
+	is.True(ok)
+	f.members[name].elsewhere = true
+	_, ok = f.MayAskSlowdown(t0, name, false)
+	is.True(!ok)
+}
--- a/assign/slowdown.go
+++ b/assign/slowdown.go
@@ -52,11 +52,11 @@
 }
 
 // MayAskSlowdown returns an endpoint if this entry may ask it for its speed. One that names a limit, asks
-// for a pause, is cold or leaves is not asked; nor is one that another entry has found slow, which goes
-// on to ask: foundHere is set if this one has.
+// for a pause, is cold or leaves is not asked; nor is one that entries of another cell choose, or that
+// another entry has found slow, which goes on to ask: foundHere is set if this one has.
 func (f *Fleet) MayAskSlowdown(now time.Time, name string, foundHere bool) (Endpoint, bool) {
 	m := f.members[name]
-	if m == nil || m.slow(now) && !foundHere || m.limit.perSecond > 0 || m.Cold || m.leaves() || m.paused(now) || now.Before(m.distrustedUntil) {
+	if m == nil || m.elsewhere || m.slow(now) && !foundHere || m.limit.perSecond > 0 || m.Cold || m.leaves() || m.paused(now) || now.Before(m.distrustedUntil) {
 		return Endpoint{}, false
 	}
 	return m.Endpoint, true
