gateway: a request that no other cell has room for leaves a line

On-call engineers saw a request wait without a line that says why: only the cells that placed a request told of it. The line has how many were asked, which may become free, and the last refusal.

--- a/gateway/cells.go
+++ b/gateway/cells.go
@@ -152,7 +152,9 @@
 // placeElsewhere places a request in another cell that has room now. If there is none, it returns the
 // address of an entry whose cell has endpoints that are busy.
 func (g *Gateway) placeElsewhere(ctx context.Context, c *call) (p *placement, busy string) {
-	for _, addr := range g.placer.contacts(g.clock.Now(), string(g.Peers), classOf(&c.placementRequest) != route.Short) {
+	contacts := g.placer.contacts(g.clock.Now(), string(g.Peers), classOf(&c.placementRequest) != route.Short)
+	var refusal *verdict.Refusal
+	for _, addr := range contacts {
 		askCtx, cancel := context.WithTimeout(ctx, otherCellTimeout)
 		w := c.newWaiter()
 		w.immediate = true
@@ -161,10 +163,16 @@
 		if p != nil || ctx.Err() != nil {
 			return p, ""
 		}
-		if mayClearWhileWaiting(verdict.From(err).Reason) {
+		if refusal = verdict.From(err); mayClearWhileWaiting(refusal.Reason) {
 			busy = addr
 		}
 	}
+	reason, detail := "", ""
+	if refusal != nil {
+		reason, detail = string(refusal.Reason), refusal.Detail
+	}
+	c.log().Info("request turned away by other cells", "asked", len(contacts), "busy", busy, "reason", reason, "detail", detail,
+		"left", c.deadline.Sub(g.clock.Now()))
 	return nil, busy
 }
 
