platform: memory orders and health checks use the transport of requests

The bound on what the operating system buffers of an answer was missing for orders and health checks, which had a transport of their own with the same settings; an endpoint that sends bytes without end could fill tens of megabytes there. One transport is left, and with it the time in which a connection must open.

--- a/gateway/bounds.go
+++ b/gateway/bounds.go
@@ -11,8 +11,8 @@
 // Bounds on what an endpoint may send, which may be bytes without end. Past them its connection is
 // closed, and the request may have run.
 const (
-	// MaxAnswerHeaderBytes bounds the head of an answer, interim answers included.
-	MaxAnswerHeaderBytes = 64 << 10
+	// maxAnswerHeaderBytes bounds the head of an answer, interim answers included.
+	maxAnswerHeaderBytes = 64 << 10
 	// answerSocketBytes bounds what the operating system holds of an answer that is not read yet; it
 	// would grow to tens of megabytes.
 	answerSocketBytes = 256 << 10
@@ -21,7 +21,7 @@
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
 	// maxHeldBytes bounds what this process holds of all answers, and maxAccountHeldBytes what it
-	// holds for one client account. VMs of entries have 160 MB and more.
+	// holds for one client account.
 	maxHeldBytes        = 32 << 20
 	maxAccountHeldBytes = maxHeldBytes / 2
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -195,7 +195,7 @@
 	g.background, g.stopBackground = context.WithCancel(context.Background())
 	g.retries = newRetryBudget(g.Retries, h.Clock.Now())
 	g.metrics = newMetrics(h.Metrics)
-	g.http = newTransport()
+	g.http = NewTransport()
 	g.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
 	g.client, err = session.New(session.Options{
 		Node: h.Node, Role: wire.RoleEntry, Replicas: settings.Addrs(g.Control), Opener: g.dialer,
@@ -238,10 +238,10 @@
 // lease. Each one that control answers renews the lease.
 const heartbeatsPerLease = 5
 
-// newTransport returns the HTTP transport for endpoints. Each request uses a new
+// NewTransport returns the HTTP transport for endpoints. Each request uses a new
 // connection, so that a late answer to an earlier request cannot be taken for its own,
 // and no request is sent on an idle connection that has silently died.
-func newTransport() *http.Transport {
+func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -259,7 +259,7 @@
 		},
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: MaxAnswerHeaderBytes,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -161,7 +161,7 @@
 	w := &testGateway{t: t, session: &fakeControlClient{}, engines: &fakeEngines{reserved: map[string]int64{}}}
 	g := New(Settings{Retries: RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, TicketTTL: time.Second}, testDialect{}, w.engines)
 	g.log, g.clock, g.node = hclog.NewNullLogger(), kernel.SystemClock{}, settings.Node{Name: "entry-1", Zone: "hall"}
-	g.client, g.http, g.metrics = w.session, newTransport(), newMetrics(metrics.NewSet())
+	g.client, g.http, g.metrics = w.session, NewTransport(), newMetrics(metrics.NewSet())
 	g.retries = newRetryBudget(g.Retries, time.Time{})
 	g.retries.recordEntries(time.Time{}, 1)
 	g.suspects = session.NewSuspects(w.session, g.clock)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -38,13 +38,6 @@
 	cells *assign.Cells
 }
 
-// setAddrs replaces the addresses of the entries, which are sorted.
-func (p *placer) setAddrs(addrs []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.addrs = addrs
-}
-
 // currentAddr returns the address of the entry to ask, "" when there is none.
 func (p *placer) currentAddr(now time.Time) string {
 	p.mu.Lock()
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -37,7 +37,7 @@
 		w.g.deployment.Load().Services["scribe"].Engine = longPromptEngine()
 	}
 	for _, w := range gateways {
-		w.g.placer.setAddrs(addrs)
+		w.g.placer.setCells(nil, addrs)
 		for i := range 2 {
 			w.g.fleet.Update(scribe(i))
 		}
