--- a/wire/messages.go
+++ b/wire/messages.go
@@ -423,13 +423,13 @@
 	RelaxAfter time.Duration `cbor:"11,keyasint,omitempty"`
 	// Immediate asks for a refusal instead of a wait, and of a crowded endpoint.
 	Immediate bool `cbor:"12,keyasint,omitempty"`
-	// YieldIn, if it is not zero, is the time after which a request that still waits is refused, so
-	// that its sender can look for room elsewhere.
-	YieldIn time.Duration `cbor:"14,keyasint,omitempty"`
 	// Hold is set by an entry of another cell, which does not send its bookings here: the placing
 	// entry holds the booking until the sender reports its end on the stream or closes it, and
 	// for this time at most.
 	Hold time.Duration `cbor:"13,keyasint,omitempty"`
+	// YieldIn, if it is not zero, is the time after which a request that still waits is refused, so
+	// that its sender can look for room elsewhere.
+	YieldIn time.Duration `cbor:"14,keyasint,omitempty"`
 }
 
 // Placed answers Place. The placing entry sends it with Waiting set at first and
