--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -107,6 +107,8 @@
 	t.cancel(errSilent)
 }
 
+func (t *silenceTimer) stop() { t.timer.Stop() }
+
 // progressReader calls progressed each time that progressBytes more have been read.
 type progressReader struct {
 	r          io.Reader
@@ -123,8 +125,6 @@
 	return n, err
 }
 
-func (t *silenceTimer) stop() { t.timer.Stop() }
-
 // engineAlive reports whether an engine has shown activity within healthCheckInterval,
 // or else answers a health check. One that a later incarnation has replaced is not alive,
 // whoever answers at its address.
