assign: the bound of the claims says for which spans it holds

After an idle time the claimants of two slots may use all saved rights twice, so a span of less than a second may have more; the tests check spans of one and four seconds.

--- a/assign/pace.go
+++ b/assign/pace.go
@@ -14,10 +14,10 @@
 	turnTolerance = 500 * time.Millisecond
 	// claimSlot is the time in which a booking reaches the other entries.
 	claimSlot = 20 * time.Millisecond
-	// extraClaimants and extraClaimantsPerRate, which is per request per second, give the number of entries beyond
-	// the rights that may use one, because their bookings cross. In any span W, all entries together then
-	// send at most rate * (W + paceTolerance) + 1 requests and what the claimants of two slots send too
-	// many: rate * (W + 0.5 s) + 5.
+	// extraClaimants and extraClaimantsPerRate, which is per request per second, are how many entries
+	// more than there are rights to send may claim one in a slot. Bookings of two slots cross, so that
+	// all entries together may send more than the rate: in a span W of a second and more, at
+	// most rate * (W + 0.5 s) + 5 requests.
 	extraClaimants        = 1
 	extraClaimantsPerRate = 0.1
 	// ticketSends is how many requests a memory reservation adds to a part of a prompt: the
