--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,402 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+// errReplaced is the cause with which an attempt is cancelled when another one has gone on.
+var errReplaced = errors.New("another attempt has gone on")
+
+// attempt is one try of a call at endpoints. It runs on a goroutine of its own and tells its call
+// what comes from the endpoint. Of the call it reads only what does not change while attempts run.
+type attempt struct {
+	c *call
+	// ctx ends when the call no longer wants the attempt, and sendCtx also when its endpoint has been
+	// found to have ended.
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	sendCtx context.Context
+	giveUp  context.CancelCauseFunc
+	// request is the input for the choice of endpoints.
+	request assign.Request
+	// lastEvent is the last event that the caller has, and resumes is set if the answer to the
+	// caller has begun.
+	lastEvent string
+	resumes   bool
+	// sends and runs are those of the call when the attempt began, for the log.
+	sends, runs int
+	// placed is nil until endpoints have been chosen, and reserved holds their reservations.
+	placed *placement
+	// sentAt is when the request was sent.
+	sentAt time.Time
+	timer  *silenceTimer
+	// begun is set once an event or a complete answer has come from the endpoint, and ran once
+	// the endpoint may have executed the request.
+	begun, ran bool
+	// excluded are endpoints at fault other than the primary one.
+	excluded []string
+	// permitHolder identifies the permit of the attempt; empty if it needs none. interrupted is
+	// set once the attempt ended without a complete answer, so that its permit is returned only
+	// when the endpoint proves to be running.
+	permitHolder string
+	interrupted  bool
+	// permitWait is how long to wait before a permit is requested again.
+	permitWait time.Duration
+	// taken is sent to when the call has dealt with a message. It is buffered for it.
+	taken chan struct{}
+	// done is closed at the end.
+	done chan struct{}
+
+	// sent is set once the call has agreed that the request is sent, and spent if the attempt has
+	// spent a retry. Both belong to the call.
+	sent, spent bool
+}
+
+// message is what an attempt tells its call. Exactly one of sending, event, ended and err is set.
+type message struct {
+	from *attempt
+	// sending is set when the request is about to be sent.
+	sending bool
+	// event is an event of a stream; more is set if a part of the next one has been read.
+	event *event
+	more  bool
+	// ended is set when the answer is complete; body is that of an answer that is no stream.
+	ended bool
+	body  []byte
+	// head is the head of the answer that the event or the end belongs to.
+	head *http.Response
+	// err is why the attempt failed, and failure the endpoint's error answer if there is one.
+	err     error
+	failure *failureAnswer
+}
+
+// failureAnswer is an error answer of an endpoint.
+type failureAnswer struct {
+	head *http.Response
+	body []byte
+}
+
+// newAttempt returns an attempt that goes on after what the caller has of the answer.
+func (c *call) newAttempt(ctx context.Context) *attempt {
+	a := &attempt{
+		c: c, request: c.placementRequest, lastEvent: c.LastEvent, resumes: c.committed, sends: c.sends, runs: c.runs,
+		taken: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+	a.request.Tried = slices.Clone(c.placementRequest.Tried)
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	a.sendCtx, a.giveUp = context.WithCancelCause(a.ctx)
+	a.timer = newSilenceTimer(a)
+	return a
+}
+
+// run places and sends the request and tells the call how that ended.
+func (a *attempt) run() {
+	defer close(a.done)
+	defer a.cancel(nil)
+	failure, err := a.try()
+	a.endPermit(err)
+	if err != nil {
+		a.tell(message{err: err, failure: failure})
+	}
+}
+
+// tell sends a message to the call and waits until the call has dealt with it. It returns false if
+// the attempt has been cancelled.
+func (a *attempt) tell(m message) bool {
+	m.from = a
+	if a.ctx.Err() != nil {
+		return false
+	}
+	select {
+	case a.c.messages <- m:
+	case <-a.ctx.Done():
+		return false
+	}
+	select {
+	case <-a.taken:
+		return true
+	case <-a.ctx.Done():
+		return false
+	}
+}
+
+// endpoint returns the name of the primary endpoint, "" before the attempt is placed.
+func (a *attempt) endpoint() string {
+	if a.placed == nil {
+		return ""
+	}
+	return a.placed.Primary.Name
+}
+
+// log returns a logger that adds the fields of the request and the attempt to each line.
+func (a *attempt) log() logger { return a.c.logFor(a.endpoint(), a.sends, a.runs) }
+
+// try places the request and sends it. It returns the endpoint's error answer, if there is one, with
+// the refusal.
+func (a *attempt) try() (failure *failureAnswer, err error) {
+	if err := a.place(); err != nil {
+		return nil, err
+	}
+	defer func() { a.placed.release(!a.begun) }()
+	p, left := a.placed, a.c.deadline.Sub(a.c.g.clock.Now())
+	a.log().Info("request placed", "addr", p.Primary.Addr, "zone", p.Primary.Zone, "helpers", len(p.Helpers), "helper_names", helperNames(p.Assignment), "considered", p.Candidates,
+		"prompt_tokens", a.request.PromptTokens, "predicted", p.PredictedPrefill, "left", left,
+		"placer", p.placer, "placer_revision", p.revision, "revision", a.c.g.client.Permission().Revision)
+	return a.send()
+}
+
+// place waits for endpoints and, if the request is suspect, for its permit.
+func (a *attempt) place() error {
+	for {
+		if _, err := a.c.checkQuarantine(); err != nil {
+			return err
+		}
+		p, err := a.c.g.place(a.ctx, a)
+		if err != nil {
+			return err
+		}
+		permitted, err := a.mayRun(p.Assignment)
+		if permitted {
+			a.placed = p
+			return nil
+		}
+		p.release(true)
+		if err == nil {
+			err = a.awaitPermit()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// send sends the request to the placed endpoints and tells the call what comes back.
+func (a *attempt) send() (failure *failureAnswer, err error) {
+	helpers, free, err := a.reserve()
+	defer free()
+	if err == nil {
+		err = a.checkSend()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !a.tell(message{sending: true}) {
+		return nil, context.Cause(a.ctx)
+	}
+	a.sentAt = a.c.g.clock.Now()
+	defer a.timer.stop()
+	a.timer.reset(a.firstEventTimeout())
+	res, err := a.c.g.http.RoundTrip(a.endpointRequest(helpers))
+	if err != nil {
+		return nil, a.handleTransportError(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	return a.handleAnswer(res)
+}
+
+// endpointRequest returns the HTTP request for the primary endpoint.
+func (a *attempt) endpointRequest(helpers []Helper) *http.Request {
+	c := a.c
+	header := c.r.Header.Clone()
+	for _, name := range connectionHeaders(header) {
+		header.Del(name)
+	}
+	header.Del("Authorization")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	c.g.dialect.WriteDispatch(header, &Dispatch{
+		Instance: a.endpoint(), Account: c.account, Deadline: c.deadline.Sub(c.g.clock.Now()), Priority: c.enginePriority(),
+		Helpers: helpers, LastEvent: a.lastEvent,
+	})
+	out := (&http.Request{
+		Method: c.r.Method, Host: c.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL:           &url.URL{Scheme: "http", Host: a.placed.Primary.Addr, Opaque: c.r.RequestURI},
+		ContentLength: int64(len(c.body)),
+	}).WithContext(a.sendCtx)
+	if len(c.body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(c.body))
+	}
+	return out
+}
+
+// handleTransportError returns the refusal for an attempt that got no answer.
+func (a *attempt) handleTransportError(err error) error {
+	var dial *dialError
+	if errors.As(err, &dial) {
+		a.distrust(a.endpoint(), "connection failed", err)
+		return verdict.Refuse(verdict.ReasonUnreachable, defaultRetryAfter, "endpoint %s takes no connection", a.endpoint())
+	}
+	a.ran = true
+	return a.handleBrokenAnswer(err)
+}
+
+// handleBrokenAnswer returns the refusal for an answer that did not arrive completely.
+func (a *attempt) handleBrokenAnswer(err error) error {
+	cause, name := context.Cause(a.sendCtx), a.endpoint()
+	if errors.Is(err, errHeldBytes) {
+		a.log().Warn("answer given up for lack of memory", "error", err)
+		return verdict.Uncertain(verdict.ReasonTooLarge, defaultRetryAfter, "the answer of endpoint %s: %v", name, err)
+	}
+	// A broken connection may be the first sign that the endpoint has ended.
+	a.recordInterruption(cause == nil)
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
+		target := a.c.route.LatencyTarget
+		if target > 0 && a.c.g.clock.Now().Sub(a.sentAt) > latencyTimeoutFactor*target && !a.begun {
+			a.distrust(name, "silent until the deadline", err)
+		}
+		return verdict.Uncertain(verdict.ReasonDeadline, 0, "the time is over at endpoint %s", name)
+	case errors.Is(cause, errEndpointReplaced):
+		err = cause
+	case cause != nil:
+		return cause
+	}
+	a.distrust(name, "answer broken off", err)
+	return verdict.Uncertain(verdict.ReasonEndpointLost, defaultRetryAfter, "endpoint %s: %v", name, err)
+}
+
+// distrust excludes a failed endpoint from placements for a while. The argument failure
+// describes the failure in the log.
+func (a *attempt) distrust(name, failure string, err error) {
+	g := a.c.g
+	g.mu.Lock()
+	duration := g.fleet.MarkFailed(g.clock.Now(), name)
+	g.mu.Unlock()
+	g.metrics.distrusts.Inc()
+	a.log().Warn("endpoint distrusted", "suspect", name, "what", failure, "content", a.c.contentField(), "for", duration, "error", err)
+}
+
+// handleAnswer classifies the head of the answer and tells the call what follows.
+func (a *attempt) handleAnswer(res *http.Response) (failure *failureAnswer, err error) {
+	outcome, at := a.c.g.dialect.ClassifyAnswer(res, a.c.ID)
+	if outcome == Answered || outcome == NotRun {
+		a.observeHead(res)
+	}
+	switch outcome {
+	case NotRun, Misdirected:
+		return nil, a.handleNotRun(outcome, at, res.StatusCode)
+	case Mismatched:
+		a.ran = true
+		return nil, a.handleBrokenAnswer(errors.Errorf("an answer with status %d that is none to this request", res.StatusCode))
+	}
+	a.ran = true
+	if res.StatusCode < http.StatusMultipleChoices && a.c.route.Stream {
+		return nil, a.readStream(res)
+	}
+	return a.readComplete(res)
+}
+
+// handleNotRun records an endpoint's statement that it has not executed the request,
+// and returns the refusal. The argument at is the address of the endpoint at fault, if
+// the answer names one.
+func (a *attempt) handleNotRun(outcome Outcome, at string, status int) error {
+	g, primary := a.c.g, a.endpoint()
+	name := primary
+	g.mu.Lock()
+	if at != "" {
+		if other, ok := g.fleet.AtAddr(at); ok {
+			name = other.Name
+		}
+	}
+	if outcome == NotRun && name == primary {
+		g.fleet.MarkBusy(g.clock.Now(), name)
+	}
+	g.mu.Unlock()
+	if name != primary {
+		a.recordHelperInterruption(name)
+	}
+	if outcome == Misdirected || name != primary {
+		a.distrust(name, "refused the request", errors.Errorf("status %d", status))
+		a.excluded = append(a.excluded, name)
+	}
+	return verdict.Refuse(verdict.ReasonEndpointBusy, defaultRetryAfter, "endpoint %s turned the request away with status %d", name, status)
+}
+
+// readComplete reads a complete answer.
+func (a *attempt) readComplete(res *http.Response) (failure *failureAnswer, err error) {
+	held := a.c.holdAnswer(maxAnswerBytes)
+	defer held.reset()
+	progress := &progressReader{r: res.Body, progressed: func() { a.timer.reset(a.firstEventTimeout()) }}
+	body, err := io.ReadAll(&heldReader{progress, held})
+	if err != nil {
+		return nil, a.handleBrokenAnswer(err)
+	}
+	a.timer.stop()
+	name := a.endpoint()
+	switch {
+	case a.resumes:
+		return nil, verdict.Uncertain(verdict.ReasonStreamBroken, 0, "endpoint %s did not resume the stream: status %d", name, res.StatusCode)
+	case impliesNotRun(res.StatusCode):
+		return nil, verdict.Uncertain(verdict.ReasonEngineError, 0, "endpoint %s answered %d without saying that it has not run the request", name, res.StatusCode)
+	case res.StatusCode >= http.StatusInternalServerError && a.c.route.Kind == Repeatable:
+		return &failureAnswer{head: res, body: body}, verdict.Uncertain(verdict.ReasonEngineError, defaultRetryAfter, "endpoint %s answered %d", name, res.StatusCode)
+	}
+	a.begun = true
+	a.markAlive()
+	if !a.tell(message{ended: true, head: res, body: body}) {
+		return nil, context.Cause(a.ctx)
+	}
+	return nil, nil
+}
+
+// readStream reads a stream event by event.
+func (a *attempt) readStream(res *http.Response) error {
+	held := a.c.holdAnswer(maxEventBytes)
+	defer held.reset()
+	events := newEventReader(res.Body, held)
+	for {
+		ev, err := events.next()
+		switch {
+		case errors.Is(err, io.EOF):
+			a.timer.stop()
+			if !a.tell(message{ended: true, head: res}) {
+				return context.Cause(a.ctx)
+			}
+			return nil
+		case err != nil:
+			return a.handleBrokenAnswer(err)
+		case ev.hasData:
+			a.begun = true
+			a.timer.stop() // a slow caller is no silence of the endpoint
+			a.markAlive()
+		}
+		if !a.tell(message{event: &ev, more: events.hasBuffered(), head: res}) {
+			return a.handleBrokenAnswer(context.Cause(a.ctx))
+		}
+		if ev.hasData {
+			a.timer.reset(a.eventGapTimeout())
+		}
+	}
+}
+
+// impliesNotRun reports whether callers take the status as a statement that the request
+// was not executed.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// markAlive records activity of the primary endpoint.
+func (a *attempt) markAlive() {
+	g := a.c.g
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.MarkAlive(now, a.endpoint())
+	g.returnPermits(g.losses.Active(now, instanceOf(a.placed.Primary)))
+}
--- a/gateway/cells.go
+++ b/gateway/cells.go
@@ -110,25 +110,25 @@
 
 // placeAmongCells places a request in this entry's cell if there is room, else in one of the others
 // that has room now, and otherwise waits. From time to time it looks for room elsewhere again.
-func (g *Gateway) placeAmongCells(ctx context.Context, c *call) (*placement, error) {
+func (g *Gateway) placeAmongCells(ctx context.Context, a *attempt) (*placement, error) {
 	for {
-		w := c.newWaiter()
+		w := a.newWaiter()
 		w.immediate = true
 		p, err := g.placeInCell(ctx, w)
 		if p != nil || !mayFitElsewhere(err) {
 			return p, err
 		}
-		p, waitAt := g.placeElsewhere(ctx, c)
+		p, waitAt := g.placeElsewhere(ctx, a)
 		if p != nil {
 			return p, nil
 		}
-		w = c.newWaiter()
+		w = a.newWaiter()
 		w.yieldAt = g.clock.Now().Add(cellWait)
 		switch {
 		case mayClearWhileWaiting(verdict.From(err).Reason):
 			p, err = g.placeInCell(ctx, w)
 		case waitAt != "":
-			p, err = g.placeAtOtherCell(ctx, c, waitAt, w)
+			p, err = g.placeAtOtherCell(ctx, a, waitAt, w)
 		}
 		// A refusal before yieldAt is final: waiting would not have helped.
 		if p != nil || ctx.Err() != nil || g.clock.Now().Before(w.yieldAt) || !g.clock.Now().Before(w.giveUpAt) || !mayFitElsewhere(err) {
@@ -151,14 +151,14 @@
 
 // placeElsewhere places a request in another cell that has room now. If there is none, it returns the
 // address of an entry whose cell has endpoints that are busy.
-func (g *Gateway) placeElsewhere(ctx context.Context, c *call) (p *placement, busy string) {
-	contacts := g.placer.contacts(g.clock.Now(), string(g.Peers), classOf(&c.placementRequest) != route.Short)
+func (g *Gateway) placeElsewhere(ctx context.Context, a *attempt) (p *placement, busy string) {
+	contacts := g.placer.contacts(g.clock.Now(), string(g.Peers), classOf(&a.request) != route.Short)
 	var refusal *verdict.Refusal
 	for _, addr := range contacts {
 		askCtx, cancel := context.WithTimeout(ctx, otherCellTimeout)
-		w := c.newWaiter()
+		w := a.newWaiter()
 		w.immediate = true
-		p, err := g.placeAtOtherCell(askCtx, c, addr, w)
+		p, err := g.placeAtOtherCell(askCtx, a, addr, w)
 		cancel()
 		if p != nil || ctx.Err() != nil {
 			return p, ""
@@ -171,17 +171,17 @@
 	if refusal != nil {
 		reason, detail = string(refusal.Reason), refusal.Detail
 	}
-	c.log().Info("request turned away by other cells", "asked", len(contacts), "busy", busy, "reason", reason, "detail", detail,
-		"left", c.deadline.Sub(g.clock.Now()))
+	a.log().Info("request turned away by other cells", "asked", len(contacts), "busy", busy, "reason", reason, "detail", detail,
+		"left", a.c.deadline.Sub(g.clock.Now()))
 	return nil, busy
 }
 
 // placeAtOtherCell lets an entry of another cell place a request. That entry holds the booking until
 // the placement is released. An error is the refusal of the other cell.
-func (g *Gateway) placeAtOtherCell(ctx context.Context, c *call, addr string, w *waiter) (*placement, error) {
+func (g *Gateway) placeAtOtherCell(ctx context.Context, a *attempt, addr string, w *waiter) (*placement, error) {
 	now := g.clock.Now()
 	m := w.toWire(now)
-	m.Hold = c.deadline.Sub(now)
+	m.Hold = a.c.deadline.Sub(now)
 	answer, stream := g.askPlacer(ctx, addr, m, true)
 	switch {
 	case answer == nil:
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -1,66 +1,14 @@
 package gateway
 
 import (
-	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
-	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
-// forwardComplete reads a complete answer and sends it to the caller.
-func (c *call) forwardComplete(ctx context.Context, a *assign.Assignment, res *http.Response, timer *silenceTimer) error {
-	held := c.holdAnswer(maxAnswerBytes)
-	defer held.reset()
-	progress := &progressReader{r: res.Body, progressed: func() { timer.reset(c.firstEventTimeout(a)) }}
-	body, err := io.ReadAll(&heldReader{progress, held})
-	if err != nil {
-		return c.handleBrokenAnswer(ctx, a, err)
-	}
-	if c.committed {
-		return verdict.Uncertain(verdict.ReasonStreamBroken, 0, "endpoint %s did not resume the stream: status %d", a.Primary.Name, res.StatusCode)
-	}
-	if impliesNotRun(res.StatusCode) {
-		return verdict.Uncertain(verdict.ReasonEngineError, 0, "endpoint %s answered %d without saying that it has not run the request", a.Primary.Name, res.StatusCode)
-	}
-	if res.StatusCode >= http.StatusInternalServerError && c.route.Kind == Repeatable {
-		c.failure = &failureAnswer{head: res, body: body}
-		return verdict.Uncertain(verdict.ReasonEngineError, defaultRetryAfter, "endpoint %s answered %d", a.Primary.Name, res.StatusCode)
-	}
-	c.markAlive(a)
-	c.writeHead(res)
-	return c.write(body)
-}
-
-// failureAnswer is an error answer of an endpoint.
-type failureAnswer struct {
-	head *http.Response
-	body []byte
-}
-
-// impliesNotRun reports whether callers take the status as a statement that the request
-// was not executed.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// markAlive records activity of the primary endpoint.
-func (c *call) markAlive(a *assign.Assignment) {
-	now := c.g.clock.Now()
-	c.g.mu.Lock()
-	defer c.g.mu.Unlock()
-	c.g.fleet.MarkAlive(now, a.Primary.Name)
-	c.g.returnPermits(c.g.losses.Active(now, instanceOf(a.Primary)))
-}
-
 // writeHead sends the status and the headers of the answer to the caller.
 func (c *call) writeHead(res *http.Response) {
 	c.committed = true
@@ -88,66 +36,24 @@
 	return nil
 }
 
-// relayStream forwards a stream event by event.
-func (c *call) relayStream(ctx context.Context, a *assign.Assignment, res *http.Response, timer *silenceTimer) error {
-	held := c.holdAnswer(maxEventBytes)
-	defer held.reset()
-	events := newEventReader(res.Body, held)
-	for {
-		ev, err := events.next()
-		if errors.Is(err, io.EOF) {
-			if !c.committed {
-				c.writeHead(res)
-			}
-			return nil
-		}
-		if err != nil {
-			return firstErr(c.flush(), c.handleBrokenAnswer(ctx, a, err))
-		}
-		if !ev.hasData {
-			if err := c.forwardComment(ev, events.hasBuffered()); err != nil {
-				return err
-			}
-			continue
-		}
-		timer.reset(c.eventGapTimeout())
-		c.markAlive(a)
-		if err := c.deliverEvent(res, a, ev, events.hasBuffered()); err != nil {
-			return err
-		}
-	}
-}
-
-// forwardComment sends an event without data to the caller, which may rely on it as a sign that the
-// connection is open. It begins no answer and is no progress of the endpoint.
-func (c *call) forwardComment(ev event, more bool) error {
-	if !c.committed {
-		return nil
+// takeEvent sends an event of a stream to the caller, unless the caller already has it. The attempt that
+// it comes from has gone on, so the others are cancelled.
+func (c *call) takeEvent(m message) error {
+	ev := m.event
+	if !ev.hasData {
+		return c.forwardComment(m)
 	}
-	if err := c.write(ev.raw); err != nil || more {
-		return err
-	}
-	return c.flush()
-}
-
-// deliverEvent sends one event to the caller, unless the caller already has it. It
-// flushes unless more events are buffered.
-func (c *call) deliverEvent(res *http.Response, a *assign.Assignment, ev event, more bool) error {
 	if ev.id != "" && c.LastEvent != "" && alreadyDelivered(ev.id, c.LastEvent) {
 		return nil
 	}
-	now := c.g.clock.Now()
+	c.keepOnly(m.from)
+	a, now := m.from.placed.Assignment, c.g.clock.Now()
 	if c.delivered > 0 {
 		c.recordPause(now.Sub(c.lastDelivery), a)
 	}
 	c.lastDelivery = now
 	if !c.committed {
-		c.writeHead(res)
-		c.placed.markAnswered()
-		c.g.metrics.observeFirstEvent(c.class(), now.Sub(c.started))
-		c.suspectLateEngines(a, now.Sub(c.sentAt))
-		c.log().Info("stream begun", "took", now.Sub(c.started), "predicted", a.PredictedPrefill, "waited", now.Sub(c.sentAt),
-			"prompt_tokens", c.PromptTokens, "helpers", len(a.Helpers))
+		c.beginStream(m)
 	}
 	if err := c.write(ev.raw); err != nil {
 		return err
@@ -156,9 +62,34 @@
 	if ev.id != "" {
 		c.LastEvent = ev.id
 	}
-	if more {
+	if m.more {
+		return nil
+	}
+	return c.flush()
+}
+
+// beginStream sends the head of a stream to the caller.
+func (c *call) beginStream(m message) {
+	a, now := m.from.placed, c.g.clock.Now()
+	c.writeHead(m.head)
+	a.markAnswered()
+	waited := now.Sub(m.from.sentAt)
+	c.g.metrics.observeFirstEvent(c.class(), now.Sub(c.started))
+	c.suspectLateEngines(a.Assignment, waited)
+	c.log().Info("stream begun", "took", now.Sub(c.started), "predicted", a.PredictedPrefill, "waited", waited,
+		"prompt_tokens", c.PromptTokens, "helpers", len(a.Helpers))
+}
+
+// forwardComment sends an event without data to the caller, which may rely on it as a sign that the
+// connection is open. It begins no answer and is no progress of the endpoint, nor is it passed on
+// while it is open which attempt goes on.
+func (c *call) forwardComment(m message) error {
+	if !c.committed || len(c.open) > 1 {
 		return nil
 	}
+	if err := c.write(m.event.raw); err != nil || m.more {
+		return err
+	}
 	return c.flush()
 }
 
@@ -187,11 +118,3 @@
 	}
 	return nil
 }
-
-// firstErr returns first if it is not nil, and otherwise second.
-func firstErr(first, second error) error {
-	if first != nil {
-		return first
-	}
-	return second
-}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -66,8 +66,6 @@
 	// Requests with the same content differ in ID and deadline only.
 	content uint64
 	started time.Time
-	// sentAt is when the latest attempt was sent.
-	sentAt time.Time
 	// deadline is when the answer to the caller is due.
 	deadline time.Time
 	// placementRequest is the input for the choice of endpoints.
@@ -75,13 +73,6 @@
 	// runs is the number of endpoints that may have executed the request, and sends is
 	// the number of times that it was sent to an endpoint.
 	runs, sends int
-	// permitHolder identifies the permit of the current attempt; empty if it needs none.
-	// interrupted is set once the attempt ended without a complete answer, so that its permit
-	// is returned only when the endpoint proves to be running.
-	permitHolder string
-	interrupted  bool
-	// permitWait is how long to wait before a permit is requested again.
-	permitWait time.Duration
 	// failedReserves counts the attempts that failed to reserve memory.
 	failedReserves int
 	// committed is set once the status has been sent to the caller.
@@ -93,10 +84,23 @@
 	delivered    int
 	lastDelivery time.Time
 	longestPause time.Duration
-	// placed is the placement of the current attempt, and endpoint its primary
-	// endpoint.
-	placed   *placement
+	// endpoint is the primary endpoint of the latest attempt that was sent.
 	endpoint string
+	// open are the attempts that have neither ended nor been cancelled. At most one of them has not
+	// been sent yet. spent is set if the next one has spent a retry.
+	open  []*attempt
+	spent bool
+	// messages and silences are what open attempts send.
+	messages chan message
+	silences chan *attempt
+}
+
+// newCall returns the call for a request.
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request) *call {
+	return &call{
+		g: g, w: w, r: r, started: g.clock.Now(), Request: g.dialect.ReadRequest(r.Header),
+		messages: make(chan message), silences: make(chan *attempt),
+	}
 }
 
 // serve handles one request of a caller.
@@ -106,7 +110,7 @@
 	}
 	g.metrics.inFlight.Add(1)
 	defer g.metrics.inFlight.Add(-1)
-	c := &call{g: g, w: w, r: r, started: g.clock.Now(), Request: g.dialect.ReadRequest(r.Header)}
+	c := g.newCall(w, r)
 	err := c.prepare()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -307,13 +311,17 @@
 }
 
 // log returns a logger that adds the fields of the request to each line.
-func (c *call) log() logger {
+func (c *call) log() logger { return c.logFor(c.endpoint, c.sends, c.runs) }
+
+// logFor returns a logger that adds the fields of the request, an endpoint, and how often the request
+// was sent and may have run.
+func (c *call) logFor(endpoint string, sends, runs int) logger {
 	route := ""
 	if c.route != nil {
 		route = c.route.Name
 	}
 	return logger{log: c.g.log, fields: []any{
-		"request", c.ID, "account", c.account, "route", route, "endpoint", c.endpoint, "sends", c.sends, "runs", c.runs,
+		"request", c.ID, "account", c.account, "route", route, "endpoint", endpoint, "sends", sends, "runs", runs,
 	}}
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -16,17 +16,18 @@
 
 // observeHead records what an endpoint says of itself in the head of its answer: the limit that
 // it names, or that it names none, and whether it leaves. What cannot be decoded changes nothing.
-func (c *call) observeHead(e assign.Endpoint, res *http.Response) {
-	c.g.observeLeaving(c.sentAt, e, res.Header)
-	c.g.observePause(c.sentAt, e, res)
-	named, err := c.g.dialect.ReadLimit(res.Header)
+func (a *attempt) observeHead(res *http.Response) {
+	g, e := a.c.g, a.placed.Primary
+	g.observeLeaving(a.sentAt, e, res.Header)
+	g.observePause(a.sentAt, e, res)
+	named, err := g.dialect.ReadLimit(res.Header)
 	if err != nil {
-		c.log().Warn("endpoint limit not understood", "limited", e.Name, "status", res.StatusCode, "error", err)
+		a.log().Warn("endpoint limit not understood", "limited", e.Name, "status", res.StatusCode, "error", err)
 		return
 	}
-	if limit, changed := c.g.recordLimit(c.sentAt, e.Name, e.Incarnation, named); changed {
-		c.log().Info("endpoint limit changed", "limited", e.Name, "incarnation", e.Incarnation, "per_second", limit.PerSecond, "version", limit.Version,
-			"status", res.StatusCode, "header", named.Header, "age", c.g.clock.Now().Sub(c.sentAt))
+	if limit, changed := g.recordLimit(a.sentAt, e.Name, e.Incarnation, named); changed {
+		a.log().Info("endpoint limit changed", "limited", e.Name, "incarnation", e.Incarnation, "per_second", limit.PerSecond, "version", limit.Version,
+			"status", res.StatusCode, "header", named.Header, "age", g.clock.Now().Sub(a.sentAt))
 	}
 }
 
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -1,17 +1,14 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"net/url"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -40,60 +37,187 @@
 	return c.write(c.failure.body)
 }
 
-// runAttempts places and sends the request until an attempt succeeds or mayTryAgain
-// forbids another one.
+// runAttempts lets attempts place and send the request until one succeeds or mayTryAgain forbids
+// another one. An attempt whose endpoint is silent stays open beside the next one: the first to go
+// on is kept, and the others are cancelled.
 func (c *call) runAttempts(ctx context.Context) error {
 	c.g.retries.recordRequest(c.started, c.service.Name)
+	defer c.endAttempts()
+	c.begin(ctx)
 	for {
-		tried, err := c.attemptNext(ctx)
-		switch {
-		case err == nil && !tried:
-			continue
-		case err == nil:
-			c.recordCompletion()
-			return nil
-		case !tried:
-			return c.checkInterrupted(ctx, c.adjustVerdict(err))
-		case ctx.Err() != nil:
-			return c.checkInterrupted(ctx, err)
-		}
-		r := verdict.From(err)
-		if !c.mayTryAgain(r) {
-			return c.adjustVerdict(r)
+		select {
+		case m := <-c.messages:
+			done, err := c.take(ctx, m)
+			m.from.taken <- struct{}{}
+			if done {
+				return err
+			}
+		case a := <-c.silences:
+			if done, err := c.takeSilence(ctx, a); done {
+				return err
+			}
+		case <-ctx.Done():
+			c.endAttempts()
+			return c.interrupted(ctx)
 		}
+	}
+}
+
+// begin starts an attempt.
+func (c *call) begin(ctx context.Context) {
+	a := c.newAttempt(ctx)
+	a.spent, c.spent = c.spent, false
+	c.open = append(c.open, a)
+	go a.run()
+}
+
+// take deals with a message of an attempt. It returns true if the request ends with err. Messages of
+// an attempt that has been replaced are dropped.
+func (c *call) take(ctx context.Context, m message) (done bool, err error) {
+	switch {
+	case !slices.Contains(c.open, m.from):
+		return false, nil
+	case m.sending:
+		c.recordSend(m.from)
+		return false, nil
+	case m.event != nil:
+		err := c.takeEvent(m)
+		return err != nil, err
+	case m.err != nil:
+		return c.takeFailure(ctx, m)
+	}
+	c.keepOnly(m.from)
+	if !c.committed {
+		c.writeHead(m.head)
+	}
+	if err := c.write(m.body); err != nil {
+		return true, err
+	}
+	c.recordCompletion()
+	return true, nil
+}
+
+// recordSend counts an attempt that is about to be sent.
+func (c *call) recordSend(a *attempt) {
+	c.g.metrics.countSend(c.sendReason())
+	c.sends++
+	c.endpoint = a.endpoint()
+	c.placementRequest.Tried = append(c.placementRequest.Tried, c.endpoint)
+	a.sent = true
+}
+
+// sendReason returns the reason of the current attempt as a label value for metrics.
+func (c *call) sendReason() string {
+	switch {
+	case c.committed:
+		return sendResume
+	case c.sends > 0:
+		return sendRetry
+	}
+	return sendFirst
+}
+
+// takeFailure deals with the end of an attempt. While another one is open, the request goes on.
+func (c *call) takeFailure(ctx context.Context, m message) (done bool, err error) {
+	a := m.from
+	c.close(a, a.ran)
+	if m.failure != nil {
+		c.failure = m.failure
+	}
+	c.placementRequest.Tried = append(c.placementRequest.Tried, a.excluded...)
+	if err := c.flush(); err != nil {
+		return true, err
+	}
+	if ctx.Err() != nil {
+		return false, nil
+	}
+	r := verdict.From(m.err)
+	if c.awaitsOpen() {
+		c.log().Info("attempt failed beside another one", "failed", a.endpoint(), "reason", string(r.Reason), "detail", r.Detail)
+		return false, nil
+	}
+	// A request that could not be placed has no better chance now.
+	if a.placed != nil && c.mayTryAgain(r) {
 		c.log().Info("request retried", "reason", string(r.Reason), "verdict", r.Verdict.String(), "detail", r.Detail,
 			"content", c.contentField(), "entries", c.g.retrySharing(), "left", c.deadline.Sub(c.g.clock.Now()))
+		c.begin(ctx)
+		return false, nil
+	}
+	if len(c.open) > 0 {
+		c.log().Info("request waits for a silent endpoint", "waits_for", c.open[0].endpoint(), "failed", a.endpoint(), "reason", string(r.Reason), "detail", r.Detail)
+		return false, nil
+	}
+	return true, c.adjustVerdict(r)
+}
+
+// takeSilence deals with an attempt whose endpoint sends nothing. Another one is begun if the retry
+// rules allow it; the silent one stays open, because its endpoint may go on.
+func (c *call) takeSilence(ctx context.Context, a *attempt) (done bool, err error) {
+	if !slices.Contains(c.open, a) || !a.timer.isSilent() {
+		return false, nil
+	}
+	a.timer.askAgain()
+	if c.awaitsOpen() {
+		return false, nil
+	}
+	if err := c.flush(); err != nil {
+		return true, err
+	}
+	r := verdict.Uncertain(verdict.ReasonEndpointLost, 0, "endpoint %s sends nothing", a.endpoint())
+	replaced := c.mayTryAgain(r)
+	c.log().Info("endpoint silent", "silent", a.endpoint(), "for", c.g.clock.Now().Sub(a.sentAt), "events", c.delivered, "open", len(c.open), "another_attempt", replaced,
+		"entries", c.g.retrySharing(), "left", c.deadline.Sub(c.g.clock.Now()))
+	if replaced {
+		c.begin(ctx)
+	}
+	return false, nil
+}
+
+// awaitsOpen reports whether an open attempt has not fallen silent.
+func (c *call) awaitsOpen() bool {
+	return slices.ContainsFunc(c.open, func(a *attempt) bool { return !a.timer.isSilent() })
+}
+
+// keepOnly cancels all attempts but one, which has gone on.
+func (c *call) keepOnly(kept *attempt) {
+	for _, a := range slices.Clone(c.open) {
+		if a == kept {
+			continue
+		}
+		c.log().Info("attempt replaced", "replaced", a.endpoint(), "kept", kept.endpoint(), "events", c.delivered)
+		a.cancel(errReplaced)
+		c.close(a, a.sent)
 	}
 }
 
-// attemptNext waits for endpoints and sends the request there. The result tried reports whether
-// it was sent. If it was not and err is nil, a suspect request has to wait for its permit, and
-// attemptNext has to be called again.
-func (c *call) attemptNext(ctx context.Context) (tried bool, err error) {
-	if _, err := c.checkQuarantine(); err != nil {
-		return false, err
+// close removes an attempt that has ended or has been cancelled. The argument ran is set if its
+// endpoint may have executed the request.
+func (c *call) close(a *attempt, ran bool) {
+	c.open = slices.DeleteFunc(c.open, func(o *attempt) bool { return o == a })
+	if ran {
+		c.runs++
 	}
-	p, err := c.g.place(ctx, c)
-	if err != nil {
-		return false, err
+	if a.spent && !a.sent {
+		c.g.retries.giveBack(c.service.Name)
 	}
-	if permitted, err := c.mayRun(ctx, p.Assignment); !permitted {
-		p.release(true)
-		if err == nil {
-			err = c.awaitPermit(ctx)
+}
+
+// endAttempts cancels all open attempts. It waits for those that were sent, which end at once, so
+// that it is known what may have run.
+func (c *call) endAttempts() {
+	for _, a := range slices.Clone(c.open) {
+		a.cancel(nil)
+		if a.sent {
+			<-a.done
 		}
-		return false, err
+		c.close(a, a.sent && a.ran)
 	}
-	err = c.attempt(ctx, p)
-	p.release(c.delivered == 0)
-	c.endPermit(err)
-	return true, err
 }
 
 // mayTryAgain reports whether the request may be sent to another endpoint after the
-// failure r.
+// failure r. An open attempt counts as one that runs.
 func (c *call) mayTryAgain(r *verdict.Refusal) bool {
-	if r.Verdict != verdict.NotRun && (c.route.Kind == AtMostOnce || c.runs >= max(c.route.MaxEndpoints, 1)) {
+	if r.Verdict != verdict.NotRun && (c.route.Kind == AtMostOnce || c.runs+len(c.open) >= max(c.route.MaxEndpoints, 1)) {
 		return false
 	}
 	if r.Reason == verdict.ReasonEndpointMemory {
@@ -108,7 +232,8 @@
 		// The request reached no endpoint, so it spends no retry.
 		return true
 	}
-	return c.g.retries.trySpend(c.g.clock.Now(), c.service.Name, c.g.retrySharing())
+	c.spent = c.g.retries.trySpend(c.g.clock.Now(), c.service.Name, c.g.retrySharing())
+	return c.spent
 }
 
 // adjustVerdict returns err as a refusal with the verdict for the whole request. The
@@ -126,96 +251,20 @@
 	return r
 }
 
-// checkInterrupted replaces err if the request ended because its deadline passed or its
-// caller has disconnected.
-func (c *call) checkInterrupted(ctx context.Context, err error) error {
+// interrupted returns why the request ended before its attempts: its caller has disconnected or its
+// deadline has passed.
+func (c *call) interrupted(ctx context.Context) error {
 	switch {
-	case err == nil:
-		return nil
 	case c.r.Context().Err() != nil:
 		return errCallerGone
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return err
+		return ctx.Err()
 	case c.runs == 0:
 		return verdict.Refuse(verdict.ReasonDeadline, defaultRetryAfter, "no endpoint took the request in time")
 	}
 	return verdict.Uncertain(verdict.ReasonDeadline, 0, "the time is over at endpoint %s", c.endpoint)
 }
 
-// attempt sends the request to the placed endpoints and the answer to the caller.
-func (c *call) attempt(ctx context.Context, placed *placement) error {
-	a := placed.Assignment
-	c.placed = placed
-	c.endpoint = a.Primary.Name
-	c.log().Info("request placed", "addr", a.Primary.Addr, "zone", a.Primary.Zone, "helpers", len(a.Helpers), "helper_names", helperNames(a), "considered", a.Candidates,
-		"prompt_tokens", c.PromptTokens, "predicted", a.PredictedPrefill, "left", c.deadline.Sub(c.g.clock.Now()),
-		"placer", placed.placer, "placer_revision", placed.revision, "revision", c.g.client.Permission().Revision)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	helpers, free, err := c.reserve(ctx, cancel, a)
-	defer free()
-	if err == nil {
-		err = c.checkSend(ctx, a)
-	}
-	if err != nil {
-		return err
-	}
-	c.placementRequest.Tried = append(c.placementRequest.Tried, a.Primary.Name)
-	c.g.metrics.countSend(c.sendReason())
-	c.sends++
-	c.sentAt = c.g.clock.Now()
-	timer := c.newSilenceTimer(a.Primary, cancel)
-	defer timer.stop()
-	timer.reset(c.firstEventTimeout(a))
-	res, err := c.g.http.RoundTrip(c.endpointRequest(ctx, a, helpers))
-	if err != nil {
-		err = c.handleTransportError(ctx, a, err)
-	} else {
-		defer func() { _ = res.Body.Close() }()
-		err = c.handleAnswer(ctx, a, res, timer)
-	}
-	if errors.Is(err, errCallerGone) {
-		c.recordInterruption(a, false)
-	}
-	return err
-}
-
-// sendReason returns the reason of the current attempt as a label value for metrics.
-func (c *call) sendReason() string {
-	switch {
-	case c.committed:
-		return sendResume
-	case c.sends > 0:
-		return sendRetry
-	}
-	return sendFirst
-}
-
-// endpointRequest returns the HTTP request for the primary endpoint.
-func (c *call) endpointRequest(ctx context.Context, a *assign.Assignment, helpers []Helper) *http.Request {
-	header := c.r.Header.Clone()
-	for _, name := range connectionHeaders(header) {
-		header.Del(name)
-	}
-	header.Del("Authorization")
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = nil // keeps net/http from adding its own
-	}
-	c.g.dialect.WriteDispatch(header, &Dispatch{
-		Instance: a.Primary.Name, Account: c.account, Deadline: c.deadline.Sub(c.g.clock.Now()), Priority: c.enginePriority(),
-		Helpers: helpers, LastEvent: c.LastEvent,
-	})
-	out := (&http.Request{
-		Method: c.r.Method, Host: c.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL:           &url.URL{Scheme: "http", Host: a.Primary.Addr, Opaque: c.r.RequestURI},
-		ContentLength: int64(len(c.body)),
-	}).WithContext(ctx)
-	if len(c.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(c.body))
-	}
-	return out
-}
-
 // enginePriority returns the priority of the request at the engine, from 0, the most
 // urgent, to 9. It follows the priority of the account or route; among requests of
 // equal priority, those with a latency target of up to urgentTarget come first.
@@ -242,93 +291,3 @@
 	}
 	return names
 }
-
-// handleTransportError returns the refusal for an attempt that got no answer.
-func (c *call) handleTransportError(ctx context.Context, a *assign.Assignment, err error) error {
-	var dial *dialError
-	if errors.As(err, &dial) {
-		c.distrust(a.Primary.Name, "connection failed", err)
-		return verdict.Refuse(verdict.ReasonUnreachable, defaultRetryAfter, "endpoint %s takes no connection", a.Primary.Name)
-	}
-	c.runs++
-	return c.handleBrokenAnswer(ctx, a, err)
-}
-
-// handleBrokenAnswer returns the refusal for an answer that did not arrive completely.
-func (c *call) handleBrokenAnswer(ctx context.Context, a *assign.Assignment, err error) error {
-	if c.r.Context().Err() != nil {
-		return errCallerGone
-	}
-	if errors.Is(err, errHeldBytes) {
-		c.log().Warn("answer given up for lack of memory", "error", err)
-		return verdict.Uncertain(verdict.ReasonTooLarge, defaultRetryAfter, "the answer of endpoint %s: %v", a.Primary.Name, err)
-	}
-	// A broken connection may be the first sign that the endpoint has ended.
-	c.recordInterruption(a, context.Cause(ctx) == nil)
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		if silentFor := c.g.clock.Now().Sub(c.sentAt); c.route.LatencyTarget > 0 && silentFor > latencyTimeoutFactor*c.route.LatencyTarget && c.delivered == 0 {
-			c.distrust(a.Primary.Name, "silent until the deadline", err)
-		}
-		return verdict.Uncertain(verdict.ReasonDeadline, 0, "the time is over at endpoint %s", a.Primary.Name)
-	}
-	if cause := context.Cause(ctx); cause != nil {
-		err = cause
-	}
-	c.distrust(a.Primary.Name, "answer broken off", err)
-	return verdict.Uncertain(verdict.ReasonEndpointLost, defaultRetryAfter, "endpoint %s: %v", a.Primary.Name, err)
-}
-
-// distrust excludes a failed endpoint from placements for a while. The argument failure
-// describes the failure in the log.
-func (c *call) distrust(name, failure string, err error) {
-	c.g.mu.Lock()
-	duration := c.g.fleet.MarkFailed(c.g.clock.Now(), name)
-	c.g.mu.Unlock()
-	c.g.metrics.distrusts.Inc()
-	c.log().Warn("endpoint distrusted", "suspect", name, "what", failure, "content", c.contentField(), "for", duration, "error", err)
-}
-
-// handleAnswer classifies the head of the answer and forwards the answer to the caller.
-func (c *call) handleAnswer(ctx context.Context, a *assign.Assignment, res *http.Response, timer *silenceTimer) error {
-	outcome, at := c.g.dialect.ClassifyAnswer(res, c.ID)
-	if outcome == Answered || outcome == NotRun {
-		c.observeHead(a.Primary, res)
-	}
-	switch outcome {
-	case NotRun, Misdirected:
-		return c.handleNotRun(a, outcome, at, res.StatusCode)
-	case Mismatched:
-		c.runs++
-		return c.handleBrokenAnswer(ctx, a, errors.Errorf("an answer with status %d that is none to this request", res.StatusCode))
-	}
-	c.runs++
-	if res.StatusCode < http.StatusMultipleChoices && c.route.Stream {
-		return c.relayStream(ctx, a, res, timer)
-	}
-	return c.forwardComplete(ctx, a, res, timer)
-}
-
-// handleNotRun records an endpoint's statement that it has not executed the request,
-// and returns the refusal. The argument at is the address of the endpoint at fault, if
-// the answer names one.
-func (c *call) handleNotRun(a *assign.Assignment, outcome Outcome, at string, status int) error {
-	name := a.Primary.Name
-	c.g.mu.Lock()
-	if at != "" {
-		if other, ok := c.g.fleet.AtAddr(at); ok {
-			name = other.Name
-		}
-	}
-	if outcome == NotRun && name == a.Primary.Name {
-		c.g.fleet.MarkBusy(c.g.clock.Now(), name)
-	}
-	c.g.mu.Unlock()
-	if name != a.Primary.Name {
-		c.recordHelperInterruption(a, name)
-	}
-	if outcome == Misdirected || name != a.Primary.Name {
-		c.distrust(name, "refused the request", errors.Errorf("status %d", status))
-		c.placementRequest.Tried = append(c.placementRequest.Tried, name)
-	}
-	return verdict.Refuse(verdict.ReasonEndpointBusy, defaultRetryAfter, "endpoint %s turned the request away with status %d", name, status)
-}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -51,51 +51,50 @@
 
 // mayRun reports whether the request may be sent to the placed endpoints. A suspect request needs
 // a permit of control for that. If control does not grant it yet, the result is false without an
-// error, and c.permitWait is set.
-func (c *call) mayRun(ctx context.Context, a *assign.Assignment) (bool, error) {
+// error, and a.permitWait is set.
+func (a *attempt) mayRun(placed *assign.Assignment) (bool, error) {
+	c := a.c
 	status, err := c.checkQuarantine()
 	if err != nil || status == quarantine.Clear {
 		return err == nil, err
 	}
 	holder := fmt.Sprintf("%s-%08x-%d", c.g.node.Name, c.g.startID, c.g.permitSeq.Add(1))
 	left := c.deadline.Sub(c.g.clock.Now())
-	answer, err := c.g.suspects.RequestPermit(ctx, command.Permit{
-		Digest: c.content, Holder: holder, Endpoint: a.Primary.Name, Incarnation: a.Primary.Incarnation, MaxRunTime: left,
+	answer, err := c.g.suspects.RequestPermit(a.ctx, command.Permit{
+		Digest: c.content, Holder: holder, Endpoint: placed.Primary.Name, Incarnation: placed.Primary.Incarnation, MaxRunTime: left,
 	})
 	if err != nil {
 		return false, verdict.Refuse(verdict.ReasonNoQuorum, defaultRetryAfter, "content %s is suspected of crashing endpoints, and control gives no permit: %v", c.contentField(), err)
 	}
 	status = quarantine.Status(answer.Status)
-	c.log().Info("permit requested", "content", c.contentField(), "status", status.String(), "granted", answer.Granted, "retry_after", answer.RetryAfter)
+	a.log().Info("permit requested", "content", c.contentField(), "status", status.String(), "granted", answer.Granted, "retry_after", answer.RetryAfter)
 	if !answer.Granted && answer.RetryAfter > left {
 		return false, verdict.Refuse(verdict.ReasonSuspect, answer.RetryAfter, "requests with content %s were in flight when endpoints failed", c.contentField())
 	}
 	if answer.Granted && status == quarantine.Suspect {
-		c.permitHolder, c.interrupted = holder, false
+		a.permitHolder, a.interrupted = holder, false
 	}
-	c.permitWait = min(answer.RetryAfter, maxPermitWait)
+	a.permitWait = min(answer.RetryAfter, maxPermitWait)
 	return answer.Granted, nil
 }
 
 // awaitPermit waits before a permit is requested again.
-func (c *call) awaitPermit(ctx context.Context) error {
+func (a *attempt) awaitPermit() error {
 	select {
-	case <-ctx.Done():
-		return verdict.Refuse(verdict.ReasonDeadline, defaultRetryAfter, "no permit for content %s in time", c.contentField())
-	case <-c.g.clock.After(c.permitWait):
+	case <-a.ctx.Done():
+		return verdict.Refuse(verdict.ReasonDeadline, defaultRetryAfter, "no permit for content %s in time", a.c.contentField())
+	case <-a.c.g.clock.After(a.permitWait):
 		return nil
 	}
 }
 
 // endPermit returns the permit of an attempt that ended with err, unless its endpoint may have
 // ended too.
-func (c *call) endPermit(err error) {
-	holder := c.permitHolder
-	c.permitHolder = ""
-	if holder == "" || c.interrupted {
+func (a *attempt) endPermit(err error) {
+	if a.permitHolder == "" || a.interrupted {
 		return
 	}
-	go c.g.reportRunEnd(command.Ended{Digest: c.content, Holder: holder, Completed: err == nil})
+	go a.c.g.reportRunEnd(command.Ended{Digest: a.c.content, Holder: a.permitHolder, Completed: err == nil})
 }
 
 // returnPermits returns the permits of interrupted attempts whose endpoint is running.
@@ -126,38 +125,41 @@
 
 // recordInterruption records that the attempt at the assigned endpoints ended without a complete
 // answer. With check set, it is found out at once whether they still accept connections.
-func (c *call) recordInterruption(a *assign.Assignment, check bool) {
-	c.interrupted = true
-	attempt := &quarantine.Attempt{Digest: c.content, Holder: c.permitHolder}
-	c.interrupt(attempt, a.Primary, check)
-	for _, h := range a.Helpers {
-		c.interrupt(attempt, h, check)
+func (a *attempt) recordInterruption(check bool) {
+	a.interrupted = true
+	tracked := &quarantine.Attempt{Digest: a.c.content, Holder: a.permitHolder}
+	a.c.g.interrupt(tracked, a.placed.Primary, check)
+	for _, h := range a.placed.Helpers {
+		a.c.g.interrupt(tracked, h, check)
 	}
 }
 
 // recordHelperInterruption is recordInterruption for the helper that the primary endpoint
 // named as the cause of its refusal. A helper that was gone before did not end under the request.
-func (c *call) recordHelperInterruption(a *assign.Assignment, name string) {
-	if c.g.clock.Now().Sub(c.sentAt) < minHelperLossTime {
+func (a *attempt) recordHelperInterruption(name string) {
+	if a.c.g.clock.Now().Sub(a.sentAt) < minHelperLossTime {
 		return
 	}
-	for _, h := range a.Helpers {
+	for _, h := range a.placed.Helpers {
 		if h.Name == name {
-			c.interrupt(&quarantine.Attempt{Digest: c.content}, h, true)
+			a.c.g.interrupt(&quarantine.Attempt{Digest: a.c.content}, h, true)
 		}
 	}
 }
 
 // interrupt records an interrupted attempt at one endpoint.
-func (c *call) interrupt(a *quarantine.Attempt, e assign.Endpoint, check bool) {
-	at, now := instanceOf(e), c.g.clock.Now()
-	c.g.mu.Lock()
-	c.g.losses.Interrupt(now, at, a, c.g.fleet.Leaving(e.Name))
-	check = check && c.g.losses.BeginCheck(now, at)
-	c.g.mu.Unlock()
-	c.g.wakeLossReports()
+func (g *Gateway) interrupt(a *quarantine.Attempt, e assign.Endpoint, check bool) {
+	at, now := instanceOf(e), g.clock.Now()
+	g.mu.Lock()
+	g.losses.Interrupt(now, at, a, g.fleet.Leaving(e.Name))
+	if g.fleet.Replaced(e) {
+		g.losses.End(at)
+	}
+	check = check && g.losses.BeginCheck(now, at)
+	g.mu.Unlock()
+	g.wakeLossReports()
 	if check {
-		go c.g.checkRefusal(at)
+		go g.checkRefusal(at)
 	}
 }
 
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -136,6 +136,15 @@
 	return true
 }
 
+// giveBack undoes the last trySpend of a service, for a retry that was not sent.
+func (b *retryBudget) giveBack(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.usage(service); len(s.retries) > 0 {
+		s.retries = s.retries[:len(s.retries)-1]
+	}
+}
+
 // remaining returns how many retries this entry's share allows now.
 func (b *retryBudget) remaining(now time.Time, service string, entries int64) float64 {
 	b.mu.Lock()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -16,12 +15,13 @@
 // checkSend returns a refusal if the request must not be sent as it was placed. Time has passed since
 // then: the permission of this entry may have lapsed, or an endpoint may have been taken out of
 // service.
-func (c *call) checkSend(ctx context.Context, a *assign.Assignment) error {
-	if c.needsPermission && !c.awaitPermission(ctx) {
+func (a *attempt) checkSend() error {
+	c := a.c
+	if c.needsPermission && !c.awaitPermission(a.ctx) {
 		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry's permission has lapsed at revision %d", c.g.client.Permission().Revision)
 	}
 	c.g.mu.Lock()
-	endpoint, reason := c.g.fleet.Withdrawn(c.g.clock.Now(), a, &c.placementRequest)
+	endpoint, reason := c.g.fleet.Withdrawn(c.g.clock.Now(), a.placed.Assignment, &a.request)
 	c.g.mu.Unlock()
 	if reason == "" {
 		return nil
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"sync"
 	"time"
@@ -34,58 +33,66 @@
 	progressBytes = 16 << 10
 )
 
-// errSilent is the cause with which an attempt is cancelled when its endpoint sends
-// nothing for too long.
+// errEndpointReplaced is the cause with which an attempt is cancelled when its endpoint has fallen
+// silent and a later incarnation has taken its place.
+var errEndpointReplaced = errors.New("the endpoint has started again")
+
+// errSilent is why an endpoint that sends nothing is distrusted.
 var errSilent = errors.New("the endpoint says nothing")
 
-// firstEventTimeout is how long the call waits for the head of the endpoint's answer or
-// for its first event. Zero means no limit other than the caller's deadline. It is zero
+// firstEventTimeout is how long the attempt waits for the head of the endpoint's answer or
+// for its first event before the endpoint is checked. Zero means no limit other than the caller's deadline. It is zero
 // for AtMostOnce requests, because these are not sent to another endpoint.
-func (c *call) firstEventTimeout(a *assign.Assignment) time.Duration {
-	switch {
-	case c.route.Kind == AtMostOnce:
+func (a *attempt) firstEventTimeout() time.Duration {
+	switch route := a.c.route; {
+	case route.Kind == AtMostOnce:
 		return 0
-	case c.route.Stream:
-		return max(prefillTimeoutFactor*a.PredictedPrefill, minFirstEventTimeout)
+	case route.Stream:
+		return max(prefillTimeoutFactor*a.placed.PredictedPrefill, minFirstEventTimeout)
+	default:
+		return latencyTimeoutFactor * route.LatencyTarget
 	}
-	return latencyTimeoutFactor * c.route.LatencyTarget
 }
 
 // eventGapTimeout is how long a stream may pause before its endpoint is checked. Zero
 // means no limit.
-func (c *call) eventGapTimeout() time.Duration {
-	if c.route.Kind == AtMostOnce {
+func (a *attempt) eventGapTimeout() time.Duration {
+	if a.c.route.Kind == AtMostOnce {
 		return 0
 	}
-	return max(eventGapTimeoutFactor*c.route.EventGapTarget, minEventGapTimeout)
+	return max(eventGapTimeoutFactor*a.c.route.EventGapTarget, minEventGapTimeout)
 }
 
-// silenceTimer cancels an attempt whose endpoint sends nothing for too long. An engine
+// silenceTimer tells the call when the endpoint of an attempt sends nothing for too long. An engine
 // that still answers health checks is busy rather than lost, and gets more time.
 type silenceTimer struct {
-	c        *call
-	endpoint assign.Endpoint
-	cancel   context.CancelCauseFunc
-	timer    *time.Timer
+	a     *attempt
+	timer *time.Timer
 
-	// mu guards checksLeft. No other lock is taken under it.
+	// mu guards the fields below. No other lock is taken under it.
 	mu         sync.Mutex
 	checksLeft int
+	// resets counts the calls of reset, so that progress during a health check is noticed.
+	resets int
+	silent bool
 }
 
-// newSilenceTimer returns a timer for an attempt at endpoint e. The caller sets its
-// duration with reset and stops it at the end of the attempt.
-func (c *call) newSilenceTimer(e assign.Endpoint, cancel context.CancelCauseFunc) *silenceTimer {
-	t := &silenceTimer{c: c, endpoint: e, cancel: cancel}
+// newSilenceTimer returns a timer that does not run. The attempt sets its duration with reset and
+// stops it at its end.
+func newSilenceTimer(a *attempt) *silenceTimer {
+	t := &silenceTimer{a: a}
 	t.timer = time.AfterFunc(time.Hour, t.expired)
+	t.timer.Stop()
 	return t
 }
 
-// reset restarts the timer with duration d; zero stops it.
+// reset records progress and restarts the timer with duration d; zero stops it.
 func (t *silenceTimer) reset(d time.Duration) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.checksLeft = maxAliveChecks
-	t.mu.Unlock()
+	t.resets++
+	t.silent = false
 	if d <= 0 {
 		t.timer.Stop()
 		return
@@ -93,21 +100,81 @@
 	t.timer.Reset(d)
 }
 
-// expired extends the wait while the engine answers health checks, and else cancels the
-// attempt.
+func (t *silenceTimer) stop() { t.reset(0) }
+
+// askAgain lets a timer that has told the call of a silence do so again after a while.
+func (t *silenceTimer) askAgain() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.silent {
+		t.timer.Reset(healthCheckInterval)
+	}
+}
+
+// isSilent reports whether the endpoint has sent nothing since the call was told.
+func (t *silenceTimer) isSilent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silent
+}
+
+// expired extends the wait while the engine answers health checks, and else tells the call.
 func (t *silenceTimer) expired() {
 	t.mu.Lock()
 	t.checksLeft--
-	mayCheck := t.checksLeft >= 0
+	mayCheck, resets := t.checksLeft >= 0, t.resets
 	t.mu.Unlock()
-	if mayCheck && t.c.service.Engine != nil && t.c.g.engineAlive(t.endpoint) {
+	if !mayCheck || t.a.c.service.Engine == nil || !t.a.c.g.engineAlive(t.a.placed.Primary) {
+		t.declareSilent(resets)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.resets == resets {
 		t.timer.Reset(healthCheckInterval)
+	}
+}
+
+// progress returns a number that changes with each sign of progress.
+func (t *silenceTimer) progress() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.resets
+}
+
+// declareSilent tells the call that the endpoint is silent, unless there has been progress since.
+func (t *silenceTimer) declareSilent(since int) {
+	t.mu.Lock()
+	progressed, first := t.resets != since, !t.silent
+	t.silent = !progressed
+	t.mu.Unlock()
+	if !progressed {
+		t.a.fellSilent(first)
+	}
+}
+
+// fellSilent tells the call that the endpoint sends nothing. The attempt goes on, unless a later
+// incarnation shows that the endpoint has ended. An endpoint is distrusted once for a silence.
+func (a *attempt) fellSilent(first bool) {
+	if a.c.g.replaced(a.placed.Primary) {
+		a.giveUp(errEndpointReplaced)
 		return
 	}
-	t.cancel(errSilent)
+	if first {
+		a.distrust(a.endpoint(), "silent", errSilent)
+	}
+	select {
+	case a.c.silences <- a:
+	case <-a.ctx.Done():
+	}
 }
 
-func (t *silenceTimer) stop() { t.timer.Stop() }
+// replaced reports whether a later incarnation has taken the place of an endpoint.
+func (g *Gateway) replaced(e assign.Endpoint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fleet.Replaced(e)
+}
 
 // progressReader calls progressed each time that progressBytes more have been read.
 type progressReader struct {
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -50,26 +49,26 @@
 // currentTicketTTL is the TTL of a reservation.
 func (g *Gateway) currentTicketTTL() time.Duration { return time.Duration(g.ticketTTL.Load()) }
 
-// reserve makes the memory reservations of the assignment and renews them until ctx ends or
-// free is called. The returned function free releases them and is never nil. The attempt is
-// cancelled if its primary endpoint has failed silently.
-func (c *call) reserve(ctx context.Context, cancel context.CancelCauseFunc, a *assign.Assignment) (helpers []Helper, free func(), err error) {
+// reserve makes the memory reservations of the attempt and renews them until its end or until
+// free is called. The returned function free releases them and is never nil.
+func (a *attempt) reserve() (helpers []Helper, free func(), err error) {
+	g := a.c.g
 	var reserved []ticket
-	for i, h := range a.Helpers {
-		t := ticket{Helper: Helper{Addr: h.Addr}, endpoint: h.Name, tokens: a.Booking.Helpers[i].Tokens, unacknowledged: &atomic.Bool{}}
+	for i, h := range a.placed.Helpers {
+		t := ticket{Helper: Helper{Addr: h.Addr}, endpoint: h.Name, tokens: a.placed.Booking.Helpers[i].Tokens, unacknowledged: &atomic.Bool{}}
 		if t.tokens > 0 {
-			t.Ticket = c.g.newTicket()
+			t.Ticket = g.newTicket()
 			reserved = append(reserved, t)
 		}
 		helpers = append(helpers, t.Helper)
 	}
-	renewCtx, stop := context.WithCancel(ctx)
-	c.g.metrics.ticketsHeld.Add(int64(len(reserved)))
+	renewCtx, stop := context.WithCancel(a.ctx)
+	g.metrics.ticketsHeld.Add(int64(len(reserved)))
 	free = func() {
 		stop()
-		c.g.metrics.ticketsHeld.Add(-int64(len(reserved)))
+		g.metrics.ticketsHeld.Add(-int64(len(reserved)))
 		for _, t := range reserved {
-			go c.release(t)
+			go a.release(t)
 		}
 	}
 	if len(reserved) == 0 {
@@ -77,7 +76,7 @@
 	}
 	failed := make(chan error, len(reserved))
 	for _, t := range reserved {
-		go func() { failed <- t.reserve(c.g.engines, c.g.currentTicketTTL()) }()
+		go func() { failed <- t.reserve(g.engines, g.currentTicketTTL()) }()
 	}
 	for range reserved {
 		if reserveErr := <-failed; reserveErr != nil {
@@ -85,41 +84,47 @@
 		}
 	}
 	if err != nil {
-		return nil, free, c.markMemoryFull(a, reserved, err)
+		return nil, free, a.markMemoryFull(reserved, err)
 	}
-	go c.renew(renewCtx, cancel, a.Primary, reserved)
+	go a.renew(renewCtx, reserved)
 	return helpers, free, nil
 }
 
 // markMemoryFull marks the memory of all helpers as full for a moment, because the
 // error does not show which of them refused, and returns the refusal.
-func (c *call) markMemoryFull(a *assign.Assignment, reserved []ticket, err error) error {
-	c.g.mu.Lock()
+func (a *attempt) markMemoryFull(reserved []ticket, err error) error {
+	g, tokens := a.c.g, a.request.PromptTokens
+	g.mu.Lock()
 	for _, t := range reserved {
-		c.g.fleet.MarkMemoryFull(c.g.clock.Now(), t.endpoint)
+		g.fleet.MarkMemoryFull(g.clock.Now(), t.endpoint)
 	}
-	c.g.mu.Unlock()
-	c.log().Info("memory reservation failed", "helpers", len(reserved), "tokens", c.PromptTokens, "error", err)
-	return verdict.Refuse(verdict.ReasonEndpointMemory, defaultRetryAfter, "no memory for %d tokens beside endpoint %s", c.PromptTokens, a.Primary.Name)
+	g.mu.Unlock()
+	a.log().Info("memory reservation failed", "helpers", len(reserved), "tokens", tokens, "error", err)
+	return verdict.Refuse(verdict.ReasonEndpointMemory, defaultRetryAfter, "no memory for %d tokens beside endpoint %s", tokens, a.endpoint())
 }
 
-// renew renews the reservations until ctx ends or the primary endpoint, without which they
-// serve nothing, no longer answers health checks. It then cancels the attempt, unless the
-// request must not be sent to another endpoint.
-func (c *call) renew(ctx context.Context, cancel context.CancelCauseFunc, primary assign.Endpoint, reserved []ticket) {
-	for {
+// renew renews the reservations until ctx ends. While the primary endpoint, without which they serve
+// nothing, answers no health checks, they are not renewed and the call is told of its silence, unless
+// the request must not be sent to another endpoint.
+func (a *attempt) renew(ctx context.Context, reserved []ticket) {
+	g := a.c.g
+	wait := func() time.Duration { return time.Duration(renewAfterFraction * float64(g.currentTicketTTL())) }
+	for next := wait(); ; {
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.g.clock.After(time.Duration(renewAfterFraction * float64(c.g.currentTicketTTL()))):
+		case <-g.clock.After(next):
 		}
-		if c.route.Kind == Repeatable && !c.g.engineAlive(primary) {
-			cancel(errSilent)
-			return
+		progress := a.timer.progress()
+		if a.c.route.Kind == Repeatable && !g.engineAlive(a.placed.Primary) {
+			next = min(wait(), healthCheckInterval)
+			a.timer.declareSilent(progress)
+			continue
 		}
+		next = wait()
 		for _, t := range reserved {
-			if err := t.reserve(c.g.engines, c.g.currentTicketTTL()); err != nil && ctx.Err() == nil {
-				c.log().Warn("memory reservation not renewed", "ticket", t.Ticket, "addr", t.Addr, "error", err)
+			if err := t.reserve(g.engines, g.currentTicketTTL()); err != nil && ctx.Err() == nil {
+				a.log().Warn("memory reservation not renewed", "ticket", t.Ticket, "addr", t.Addr, "error", err)
 			}
 		}
 	}
@@ -128,16 +133,17 @@
 // release ends a reservation. A reserve or release request that got no answer may be
 // executed later, even after newer requests, so the release is then repeated for a
 // while.
-func (c *call) release(t ticket) {
+func (a *attempt) release(t ticket) {
+	g := a.c.g
 	for try := range maxReleaseAttempts {
-		err := c.g.engines.Release(t.Addr, t.Ticket)
+		err := g.engines.Release(t.Addr, t.Ticket)
 		if err == nil && !t.unacknowledged.Load() {
 			return
 		}
 		if err != nil {
 			t.unacknowledged.Store(true)
-			c.log().Warn("memory reservation not released", "ticket", t.Ticket, "addr", t.Addr, "try", try, "error", err)
+			a.log().Warn("memory reservation not released", "ticket", t.Ticket, "addr", t.Addr, "try", try, "error", err)
 		}
-		<-c.g.clock.After(releaseRetryInterval)
+		<-g.clock.After(releaseRetryInterval)
 	}
 }
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -91,10 +91,11 @@
 	err        error
 }
 
-// newWaiter returns a waiter for the call with a new booking ID.
-func (c *call) newWaiter() *waiter {
+// newWaiter returns a waiter for the attempt with a new booking ID.
+func (a *attempt) newWaiter() *waiter {
+	c := a.c
 	return &waiter{
-		request: &c.placementRequest, bookingID: c.g.bookings.newID(), account: c.account, arrived: c.started, startBy: c.startBy(),
+		request: &a.request, bookingID: c.g.bookings.newID(), account: c.account, arrived: c.started, startBy: c.startBy(),
 		giveUpAt: c.started.Add(c.maxWait()), result: make(chan placeResult, 1),
 	}
 }
@@ -118,13 +119,13 @@
 	return at
 }
 
-// place chooses and books endpoints for the call, waiting in the queue while none are
+// place chooses and books endpoints for the attempt, waiting in the queue while none are
 // available.
-func (g *Gateway) place(ctx context.Context, c *call) (*placement, error) {
+func (g *Gateway) place(ctx context.Context, a *attempt) (*placement, error) {
 	if g.placer.otherCells() {
-		return g.placeAmongCells(ctx, c)
+		return g.placeAmongCells(ctx, a)
 	}
-	return g.placeInCell(ctx, c.newWaiter())
+	return g.placeInCell(ctx, a.newWaiter())
 }
 
 // placeInCell places a request at endpoints of this entry's cell. Long prompts are placed by the
