gateway: a retry that was not sent stays granted to the next attempt

The attempt after it needs no grant after such a failure, so it was sent without being counted: more repeats than the share of this entry. It is kept for the next attempt now, and given back once at the end of the request.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,9 +58,9 @@
 	// done is closed at the end.
 	done chan struct{}
 
-	// sent is set once the call has agreed that the request is sent, and spent if the attempt has
-	// spent a retry. Both belong to the call.
-	sent, spent bool
+	// sent is set once the call has agreed that the request is sent, spent if the attempt has
+	// spent a retry, and toldSilent once its silence was logged. They belong to the call.
+	sent, spent, toldSilent bool
 }
 
 // message is what an attempt tells its call. Exactly one of sending, event, ended and err is set.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -87,7 +87,8 @@
 	// endpoint is the primary endpoint of the latest attempt that was sent.
 	endpoint string
 	// open are the attempts that have neither ended nor been cancelled. At most one of them has not
-	// been sent yet. spent is set if the next one has spent a retry.
+	// been sent yet. spent is set if a retry was granted for
+	// the next one.
 	open  []*attempt
 	spent bool
 	// messages and silences are what open attempts send.
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -165,14 +165,22 @@
 	}
 	r := verdict.Uncertain(verdict.ReasonEndpointLost, 0, "endpoint %s sends nothing", a.endpoint())
 	replaced := c.mayTryAgain(r)
-	c.log().Info("endpoint silent", "silent", a.endpoint(), "for", c.g.clock.Now().Sub(a.sentAt), "events", c.delivered, "open", len(c.open), "another_attempt", replaced,
-		"entries", c.g.retrySharing(), "left", c.deadline.Sub(c.g.clock.Now()))
+	if replaced || !a.toldSilent {
+		c.logSilence(a, replaced)
+	}
+	a.toldSilent = true
 	if replaced {
 		c.begin(ctx)
 	}
 	return false, nil
 }
 
+// logSilence logs that the endpoint of an attempt sends nothing and whether another attempt is begun.
+func (c *call) logSilence(a *attempt, replaced bool) {
+	c.log().Info("endpoint silent", "silent", a.endpoint(), "for", c.g.clock.Now().Sub(a.sentAt), "events", c.delivered, "open", len(c.open), "another_attempt", replaced,
+		"entries", c.g.retrySharing(), "left", c.deadline.Sub(c.g.clock.Now()))
+}
+
 // awaitsOpen reports whether an open attempt has not fallen silent.
 func (c *call) awaitsOpen() bool {
 	return slices.ContainsFunc(c.open, func(a *attempt) bool { return !a.timer.isSilent() })
@@ -197,13 +205,12 @@
 	if ran {
 		c.runs++
 	}
-	if a.spent && !a.sent {
-		c.g.retries.giveBack(c.service.Name)
-	}
+	// A retry that was granted but not sent is used for the next attempt.
+	c.spent = c.spent || a.spent && !a.sent
 }
 
-// endAttempts cancels all open attempts. It waits for those that were sent, which end at once, so
-// that it is known what may have run.
+// endAttempts cancels all open attempts and gives back a retry that was not sent. It waits for the
+// attempts that were sent, which end at once, so that it is known what may have run.
 func (c *call) endAttempts() {
 	for _, a := range slices.Clone(c.open) {
 		a.cancel(nil)
@@ -212,6 +219,10 @@
 		}
 		c.close(a, a.sent && a.ran)
 	}
+	if c.spent {
+		c.spent = false
+		c.g.retries.giveBack(c.service.Name)
+	}
 }
 
 // mayTryAgain reports whether the request may be sent to another endpoint after the
@@ -232,7 +243,7 @@
 		// The request reached no endpoint, so it spends no retry.
 		return true
 	}
-	c.spent = c.g.retries.trySpend(c.g.clock.Now(), c.service.Name, c.g.retrySharing())
+	c.spent = c.spent || c.g.retries.trySpend(c.g.clock.Now(), c.service.Name, c.g.retrySharing())
 	return c.spent
 }
 
--- a/gateway/retries_test.go
+++ b/gateway/retries_test.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
 func TestShareOfExtraRetries(t *testing.T) {
@@ -103,3 +107,28 @@
 	w.session.expired.Store(true)
 	is.Equal(w.g.retrySharing(), int64(0))
 }
+
+// A retry that was given back when its attempt was not sent let the next attempt pass without one.
+func TestRetryThatIsNotSentIsGivenBackOnce(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, answering(http.StatusOK, "good"))
+	w.g.retries.setLimits(RetryLimits{Extra: 1, Window: 10 * time.Second})
+	left := func() float64 { return w.g.retries.remaining(w.g.clock.Now(), "desk", 1) }
+	c := w.call("/status/1", 0)
+	lost := verdict.Uncertain(verdict.ReasonEndpointLost, 0, "lost")
+	is.True(c.mayTryAgain(lost))
+	is.Equal(left(), 0.0)
+	for range 2 {
+		a := c.newAttempt(context.Background())
+		a.spent, c.spent = c.spent, false
+		c.open = append(c.open, a)
+		c.close(a, false)
+		is.True(c.mayTryAgain(verdict.Refuse(verdict.ReasonEndpointMemory, 0, "full")))
+		is.True(c.spent) // for the next attempt
+	}
+	is.True(c.mayTryAgain(lost))
+	is.Equal(left(), 0.0)
+	c.endAttempts()
+	c.endAttempts()
+	is.Equal(left(), 1.0)
+}
