gateway, platform: an endpoint that lost power and started again is noticed within a second

Connections to endpoints are probed each second now; the new start of the VM resets them. A health check whose report names a start after the incarnation that is asked for counts as not answered.

--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -254,8 +254,9 @@
 // EngineClient sends engines health checks and memory reservations. Unlike requests,
 // these occupy no slot of the engine.
 type EngineClient interface {
-	// Alive reports whether the engine at addr answers a health check.
-	Alive(addr string) bool
+	// Alive reports whether the engine at addr answers a health check, and does not say that it has
+	// started after this incarnation.
+	Alive(addr string, incarnation uint64) bool
 	// Slowdown returns the time that the engine at addr takes for its work, as a multiple of the usual
 	// time. Zero means that the engine does not tell.
 	Slowdown(addr string) (float64, error)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,11 @@
 	// connectTimeout bounds the time to connect to an endpoint. After a lost packet, a
 	// new attempt is faster than the retransmission timeout of the operating system.
 	connectTimeout = 300 * time.Millisecond
+	// keepAliveInterval is the time between two keep-alive probes on an idle connection to an
+	// endpoint. An endpoint VM that has started again resets the connection at the next one. After
+	// maxKeepAliveProbes without an answer the connection is broken.
+	keepAliveInterval  = time.Second
+	maxKeepAliveProbes = 9
 	// stopReserve is the length of the last part of the grace time, which is left for
 	// closing connections and ending the process.
 	stopReserve = 500 * time.Millisecond
@@ -242,7 +247,9 @@
 // connection, so that a late answer to an earlier request cannot be taken for its own,
 // and no request is sent on an idle connection that has silently died.
 func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxKeepAliveProbes,
+	}}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -111,7 +111,7 @@
 	slow map[string]float64
 }
 
-func (e *fakeEngines) Alive(string) bool { return !e.dead.Load() }
+func (e *fakeEngines) Alive(string, uint64) bool { return !e.dead.Load() }
 
 func (e *fakeEngines) Slowdown(addr string) (float64, error) {
 	e.mu.Lock()
@@ -541,7 +541,7 @@
 // unresponsiveEngines answer no health checks.
 type unresponsiveEngines struct{ *fakeEngines }
 
-func (unresponsiveEngines) Alive(string) bool { return false }
+func (unresponsiveEngines) Alive(string, uint64) bool { return false }
 
 func TestStreamThatCannotBeResumedIsAborted(t *testing.T) {
 	tests := map[string]struct {
--- a/gateway/send_test.go
+++ b/gateway/send_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -76,3 +78,25 @@
 		close(c.messages)
 	}
 }
+
+// A connection to an endpoint VM that had lost power and started again was not found to be broken.
+func TestConnectionsToEndpointsAreProbed(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	conn, err := NewTransport().DialContext(context.Background(), "tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	options := map[int]int{}
+	err = raw.Control(func(fd uintptr) {
+		for _, option := range []int{syscall.TCP_KEEPIDLE, syscall.TCP_KEEPINTVL} {
+			options[option], err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, option)
+			is.NoErr(err)
+		}
+	})
+	is.NoErr(err)
+	is.Equal(options, map[int]int{syscall.TCP_KEEPIDLE: 1, syscall.TCP_KEEPINTVL: 1}) // seconds
+}
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -210,7 +210,7 @@
 	if recentlyAlive {
 		return true
 	}
-	if !g.engines.Alive(e.Addr) {
+	if !g.engines.Alive(e.Addr, e.Incarnation) {
 		return false
 	}
 	g.mu.Lock()
