--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -248,6 +248,36 @@
 	is.Equal(len(c.nodes[id].sm.Commands), 32)
 }
 
+// A snapshot that the leader sent before a follower had acknowledged later entries arrives after
+// them. The follower must not drop these entries, as they may be committed.
+func TestLateSnapshotDoesNotDropAcknowledgedEntries(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 23, 3, nil)
+	lead := c.elect()
+	lead.r.opts.SnapshotEvery = 6
+	c.commitAll(8)
+	is.True(lead.r.core.snap.Index > 0)
+	holder, away := c.followers()[0], c.followers()[1]
+	c.converge()
+	c.isolate(away.id, true)
+	c.commit("last")
+	is.True(lead.r.core.snap.Index < lead.r.core.log.last())
+	c.kill(holder.id)
+	holder = c.restart(holder.id) // it forgets the commit index
+	snap := lead.r.core.snap
+	late := &Message{
+		Type: MsgSnapshot, From: lead.id, To: holder.id, Term: lead.r.core.term, Index: snap.Index,
+		LogTerm: snap.Term, Members: snap.Members, Size: snap.Size, Checksum: snap.Checksum,
+	}
+	is.True(lead.r.fillChunk(late))
+	holder.r.Receive(late)
+	c.runOnce(holder)
+	c.kill(lead.id)
+	c.isolate(away.id, false)
+	c.commit("next")
+	is.True(slices.Contains(c.leader().sm.Commands, "last"))
+}
+
 func TestFailedSyncStopsTheReplicaForGood(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 17, 3, nil)
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -68,8 +68,15 @@
 // handleSnapshot adds a chunk to the incoming snapshot and answers with the offset of the
 // next one. The last chunk installs the snapshot; if the checksum of the complete data is
 // wrong, the stream starts over at offset zero.
+//
+// A log that holds the last entry of the snapshot stays: the entries after it may have been
+// acknowledged to the leader, which counts them towards commits. Such a snapshot was sent before
+// the acknowledgement arrived.
 func (c *core) handleSnapshot(m *Message) {
 	c.recordLeaderContact(m.From)
+	if c.log.matches(m.Index, m.LogTerm) {
+		c.log.commitTo(m.Index)
+	}
 	if m.Index <= c.log.committed {
 		c.incoming = nil
 		c.send(Message{Type: MsgAppendReply, To: m.From, Index: c.log.committed})
