replica: a loss of power after a compaction leaves no gap in the log

A replica refused its sound disk ("frames 6 to 10 are missing: file damaged") and did not start again, when its VM lost power after a compaction that had removed several segments of the log. The removals were not synced until the folder was synced for another reason, and of removals that are not synced each one may take effect or not: the first segment came back and the second did not. All replicas compact at nearly the same entry, so a loss of power of all VMs could cost more disks than the group tolerates, and with them accepted changes.

compact now syncs the folder after each removal, so at most one is in doubt, and the log that is left has no gap.

The disk of the tests lost all unsynced names at a crash, and of unsynced content kept a prefix at most, so no test could show this. It now keeps or loses each creation, renaming, removal, write and truncation independently, tears writes, and can lose power in the middle of any operation. The marker of a failed sync may therefore survive a crash, so the random test clears it where its faults end.

--- a/replica/files.go
+++ b/replica/files.go
@@ -44,6 +44,7 @@
 	segments []segment
 	file     File   // the last segment, open for writing
 	size     int64  // size of the last segment, in whole frames
+	full     int64  // size from which a segment is full
 	reserve  int    // size of the reserve file in bytes; zero for none
 	failed   error  // the error that stopped the store, or nil
 	buf      []byte // reused by writeFrame
@@ -53,7 +54,7 @@
 // openStore reads the log and the description of the latest snapshot, and cuts off a torn
 // tail of the log.
 func openStore(disk Disk, reserve int) (*store, restored, error) {
-	s := &store{disk: disk, reserve: reserve, sequence: 1}
+	s := &store{disk: disk, reserve: reserve, full: segmentBytes, sequence: 1}
 	names, err := disk.List()
 	if err != nil {
 		return nil, restored{}, errors.Wrap(err, "replica: list files")
@@ -217,7 +218,7 @@
 	if s.failed != nil {
 		return s.failed
 	}
-	if s.file == nil || s.size >= segmentBytes {
+	if s.file == nil || s.size >= s.full {
 		if err := s.startSegment(); err != nil {
 			return err
 		}
@@ -292,13 +293,18 @@
 }
 
 // compact removes the segments without entries after index. Only a prefix of the segments
-// is removed, as entries in a later segment may overwrite those in an earlier one.
+// is removed, as entries in a later segment may overwrite those in an earlier one. The folder
+// is synced after each: of two removals that are not synced, a loss of power may undo only the
+// first, which leaves a gap.
 func (s *store) compact(index uint64) error {
 	n := 0
 	for n < len(s.segments)-1 && s.segments[n].last <= index {
 		if err := s.disk.Remove(s.segments[n].name); err != nil {
 			return s.fail(err, "remove segment")
 		}
+		if err := s.disk.SyncDir(); err != nil {
+			return s.fail(err, "sync folder")
+		}
 		n++
 	}
 	s.segments = slices.Delete(s.segments, 0, n)
--- a/replica/files_test.go
+++ b/replica/files_test.go
@@ -167,6 +167,32 @@
 	is.True(errors.Is(err, ErrDamaged))
 }
 
+// The VM loses power after a compaction that removed several segments. If only some of the
+// removals took effect, the log would have a gap, and the replica would refuse a sound disk.
+func TestCrashAfterACompactionLeavesNoGap(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(100) {
+		disk := newMemDisk()
+		s, _, err := openStore(disk, 0)
+		is.NoErr(err)
+		for i := range 10 {
+			rd := batchOf(uint64(1+10*i), 10)
+			is.NoErr(s.save(&rd))
+			s.size = segmentBytes
+		}
+		is.NoErr(s.saveSnapshot(snapshotMeta{Index: 60, Term: 3}, nil))
+		rng := rand.New(rand.NewPCG(seed, 6))
+		disk.powerLeft = rng.IntN(12)
+		if err := s.compact(55); err != nil {
+			is.True(errors.Is(err, errNoPower))
+		}
+		disk.crash(rng)
+		_, from, err := openStore(disk, 0)
+		is.NoErr(err)
+		is.Equal(from.entries[len(from.entries)-1].Index, uint64(100))
+	}
+}
+
 func TestFullDiskUndoesAPartialWrite(t *testing.T) {
 	is := is.New(t)
 	disk, _ := writtenDisk(t)
--- a/replica/memdisk_test.go
+++ b/replica/memdisk_test.go
@@ -13,26 +13,48 @@
 
 var errSyncFailed = errors.New("sync failed")
 
-// memDisk is a Disk in memory, with crashes that lose unsynced writes and with injected
-// faults.
+// errNoPower is the error of all operations after the VM has lost power.
+var errNoPower = errors.New("no power")
+
+// memDisk is a Disk in memory, with injected faults. A crash keeps or loses each change that
+// is not synced independently of the others.
 type memDisk struct {
 	names    map[string]*memFile // the files that the process sees
-	durable  map[string]*memFile // the files whose names survive a crash
+	durable  map[string]*memFile // the files after the last SyncDir
+	renames  []nameChange        // changes of names since the last SyncDir
 	capacity int                 // in bytes; zero for no limit
 	failSync bool                // syncs fail
 	noSync   bool                // syncs report success and do nothing
-	syncs    int
-	written  int
+	// powerLeft is the number of changes until the VM loses power in the middle of one;
+	// zero for no limit.
+	powerLeft int
+	off       bool // the VM has lost power, and nothing has an effect before the next crash
+	syncs     int
+	written   int
+}
+
+// nameChange is a created, renamed or removed file. The name from or to is empty if there is
+// none.
+type nameChange struct {
+	from, to string
+	file     *memFile
 }
 
 type memFile struct {
-	data   []byte // as the process sees it
-	synced []byte // as it is after a crash
+	data     []byte          // as the process sees it
+	synced   []byte          // as of the last sync
+	unsynced []contentChange // the changes since then
 	// dropped is set by a failed sync: the operating system treats the data that it
 	// could not write as written, and later syncs succeed without writing it.
 	dropped bool
 }
 
+// contentChange is a write at an offset, or a truncation to that offset if data is nil.
+type contentChange struct {
+	offset int
+	data   []byte
+}
+
 func newMemDisk() *memDisk {
 	return &memDisk{names: map[string]*memFile{}, durable: map[string]*memFile{}}
 }
@@ -50,13 +72,46 @@
 	return n
 }
 
+// usePower counts a change, and fails if the VM has no power or loses it now. The change that
+// loses the power takes effect without being synced.
+func (d *memDisk) usePower() error {
+	if d.powerLeft > 0 {
+		d.powerLeft--
+		d.off = d.powerLeft == 0
+	}
+	if d.off {
+		return errNoPower
+	}
+	return nil
+}
+
+// change records a change of names, unless the VM had lost power before.
+func (d *memDisk) change(c nameChange) error {
+	if d.off {
+		return errNoPower
+	}
+	delete(d.names, c.from)
+	if c.to != "" {
+		d.names[c.to] = c.file
+	}
+	d.renames = append(d.renames, c)
+	return d.usePower()
+}
+
 func (h memHandle) Write(b []byte) (int, error) {
+	if h.disk.off {
+		return 0, errNoPower
+	}
 	space := len(b)
 	if h.disk.capacity > 0 {
 		space = max(0, min(space, h.disk.capacity-h.disk.used()))
 	}
+	h.file.unsynced = append(h.file.unsynced, contentChange{len(h.file.data), slices.Clone(b[:space])})
 	h.file.data = append(h.file.data, b[:space]...)
 	h.disk.written += space
+	if err := h.disk.usePower(); err != nil {
+		return space, err
+	}
 	if space < len(b) {
 		return space, syscall.ENOSPC
 	}
@@ -64,13 +119,17 @@
 }
 
 func (h memHandle) Sync() error {
+	if err := h.disk.usePower(); err != nil {
+		return err
+	}
 	if h.disk.failSync {
 		h.file.dropped = true
 		return errSyncFailed
 	}
 	h.disk.syncs++
 	if !h.disk.noSync && !h.file.dropped {
-		h.file.synced = append(h.file.synced, h.file.data[len(h.file.synced):]...)
+		h.file.synced = slices.Clone(h.file.data)
+		h.file.unsynced = nil
 	}
 	return nil
 }
@@ -79,8 +138,7 @@
 
 func (d *memDisk) Create(name string) (File, error) {
 	f := &memFile{}
-	d.names[name] = f
-	return memHandle{d, f}, nil
+	return memHandle{d, f}, d.change(nameChange{to: name, file: f})
 }
 
 func (d *memDisk) find(name string) (*memFile, error) {
@@ -123,9 +181,12 @@
 	if err != nil {
 		return err
 	}
+	if d.off {
+		return errNoPower
+	}
 	f.data = f.data[:size:size]
-	f.synced = f.synced[:min(len(f.synced), int(size))]
-	return nil
+	f.unsynced = append(f.unsynced, contentChange{offset: int(size)})
+	return d.usePower()
 }
 
 func (d *memDisk) Rename(from, to string) error {
@@ -133,17 +194,14 @@
 	if err != nil {
 		return err
 	}
-	delete(d.names, from)
-	d.names[to] = f
-	return nil
+	return d.change(nameChange{from: from, to: to, file: f})
 }
 
 func (d *memDisk) Remove(name string) error {
 	if _, err := d.find(name); err != nil {
 		return err
 	}
-	delete(d.names, name)
-	return nil
+	return d.change(nameChange{from: name})
 }
 
 func (d *memDisk) List() ([]string, error) {
@@ -156,37 +214,88 @@
 }
 
 func (d *memDisk) SyncDir() error {
+	if err := d.usePower(); err != nil {
+		return err
+	}
 	if d.failSync {
 		return errSyncFailed
 	}
-	d.durable = map[string]*memFile{}
-	for name, f := range d.names {
-		d.durable[name] = f
-	}
+	d.durable = maps.Clone(d.names)
+	d.renames = nil
 	return nil
 }
 
-// crash drops unsynced writes. Of each file a random part of the unsynced tail may be kept,
-// possibly with a flipped bit.
+// crash drops unsynced changes: at some crashes all of them, at others each one independently
+// of the others. A write may also be torn.
 func (d *memDisk) crash(rng *rand.Rand) {
-	d.names = map[string]*memFile{}
-	for _, name := range slices.Sorted(maps.Keys(d.durable)) {
-		f := d.durable[name]
-		kept := slices.Clone(f.synced)
-		if extra := len(f.data) - len(f.synced); extra > 0 && !d.noSync && rng.IntN(2) == 0 {
-			tail := slices.Clone(f.data[len(f.synced):][:rng.IntN(extra+1)])
-			if len(tail) > 0 && rng.IntN(2) == 0 {
-				tail[rng.IntN(len(tail))] ^= 0x40
-			}
-			kept = append(kept, tail...)
+	allLost := rng.IntN(3) == 0
+	names := maps.Clone(d.durable)
+	for _, c := range d.renames {
+		if allLost || rng.IntN(2) == 0 {
+			continue
+		}
+		delete(names, c.from)
+		if c.to != "" {
+			names[c.to] = c.file
 		}
-		d.names[name] = &memFile{data: kept, synced: slices.Clone(kept)}
 	}
-	d.durable = map[string]*memFile{}
-	for name, f := range d.names {
-		d.durable[name] = f
+	d.names = map[string]*memFile{}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		kept := names[name].afterCrash(rng, allLost || d.noSync)
+		d.names[name] = &memFile{data: kept, synced: slices.Clone(kept)}
 	}
+	d.durable = maps.Clone(d.names)
+	d.renames = nil
 	d.failSync = false
+	d.off, d.powerLeft = false, 0
+}
+
+// afterCrash returns the content of the file after a crash.
+func (f *memFile) afterCrash(rng *rand.Rand, allLost bool) []byte {
+	kept := slices.Clone(f.synced)
+	if allLost || f.dropped {
+		return kept
+	}
+	for _, c := range f.unsynced {
+		kind := rng.IntN(3)
+		switch {
+		case kind == 0: // missing
+		case c.data == nil:
+			kept = kept[:min(len(kept), c.offset)]
+		case kind == 1:
+			kept = writeAt(kept, c.offset, c.data)
+		default:
+			kept = tear(rng, kept, c)
+		}
+	}
+	return kept
+}
+
+// writeAt writes data at an offset, after zeros if the content ends before the offset.
+func writeAt(content []byte, offset int, data []byte) []byte {
+	if grow := offset + len(data) - len(content); grow > 0 {
+		content = append(content, make([]byte, grow)...)
+	}
+	copy(content[offset:], data)
+	return content
+}
+
+// tear writes a part of a change: a prefix, possibly with a flipped bit, or some of its blocks.
+func tear(rng *rand.Rand, content []byte, c contentChange) []byte {
+	const block = 16
+	if rng.IntN(2) == 0 {
+		prefix := slices.Clone(c.data[:rng.IntN(len(c.data)+1)])
+		if len(prefix) > 0 && rng.IntN(2) == 0 {
+			prefix[rng.IntN(len(prefix))] ^= 0x40
+		}
+		return writeAt(content, c.offset, prefix)
+	}
+	for at := 0; at < len(c.data); at += block {
+		if rng.IntN(2) == 0 {
+			content = writeAt(content, c.offset+at, c.data[at:min(at+block, len(c.data))])
+		}
+	}
+	return content
 }
 
 // flip inverts one bit of a file.
--- a/replica/random_test.go
+++ b/replica/random_test.go
@@ -136,7 +136,7 @@
 }
 
 // check checks the safety properties on all replicas.
-func (s *scenario) check(t *rapid.T) {
+func (s *scenario) check(t testT) {
 	for _, id := range s.order {
 		n := s.nodes[id]
 		if n.r == nil {
@@ -153,7 +153,7 @@
 }
 
 // checkCommitted fails if two different entries were committed at one index.
-func (s *scenario) checkCommitted(t *rapid.T, n *node) {
+func (s *scenario) checkCommitted(t testT, n *node) {
 	l := &n.r.core.log
 	for _, e := range l.entries {
 		if e.Index > l.committed {
@@ -169,7 +169,7 @@
 
 // checkPrefix fails if neither of the two lists of applied commands is a prefix of the
 // other.
-func checkPrefix(t *rapid.T, a, b *node) {
+func checkPrefix(t testT, a, b *node) {
 	if a.r.core.pendingSnap != nil || b.r.core.pendingSnap != nil {
 		return
 	}
@@ -181,7 +181,7 @@
 
 // checkLogMatching checks Raft's log matching property: two logs that have an entry of the
 // same index and term are equal up to that entry.
-func checkLogMatching(t *rapid.T, a, b *node) {
+func checkLogMatching(t testT, a, b *node) {
 	la, lb := &a.r.core.log, &b.r.core.log
 	agree := false
 	for i := min(la.last(), lb.last()); i > max(la.base, lb.base); i-- {
@@ -205,6 +205,7 @@
 		n.disk.failSync = false
 		if n.r == nil {
 			s.kill(id)
+			delete(n.disk.names, failedName) // the marker may survive the crash; the disk has been checked
 			s.restart(id)
 		}
 	}
@@ -232,16 +233,21 @@
 		}
 		s.heal()
 		s.check(rt)
-		final := s.leader().sm.Commands
-		for _, command := range s.answered {
-			if !slices.Contains(final, command) {
-				rt.Fatalf("%s was answered and is lost; applied: %v", command, final)
-			}
+		s.checkOutcomes(rt)
+	})
+}
+
+// checkOutcomes fails if the leader lacks an answered command or has applied a refused one.
+func (s *scenario) checkOutcomes(t testT) {
+	final := s.leader().sm.Commands
+	for _, command := range s.answered {
+		if !slices.Contains(final, command) {
+			t.Fatalf("%s was answered and is lost; applied: %v", command, final)
 		}
-		for _, command := range s.refused {
-			if slices.Contains(final, command) {
-				rt.Fatalf("%s was refused as not run and has run", command)
-			}
+	}
+	for _, command := range s.refused {
+		if slices.Contains(final, command) {
+			t.Fatalf("%s was refused as not run and has run", command)
 		}
-	})
+	}
 }
