replica: an answer to a read of an earlier process is ignored

A read of the replicated state, such as that of the configuration, could return a state older than one acknowledged before it, on a replica whose process had just started again. Reads were numbered from one in each process, and the answer of the leader names only the number. An answer that was still on its way to the earlier process, because the leader's queue holds messages for a replica that is down, was taken for the answer to the read of the same number of the new process; the index in it says nothing about entries committed since. The permissions of entries and sidecars rest on the same reads.

Numbers now start at a random 64-bit value, so an old answer matches no read.

TestAnswerToAReadOfAnEarlierProcessIsIgnored failed before: the read was answered while the replica lacked a committed command. It takes two starts within a few reads of each other, so it has not been seen outside of the test.

--- a/replica/driver.go
+++ b/replica/driver.go
@@ -150,6 +150,8 @@
 		proposals: map[uint64]*proposal{},
 		orders:    map[uint64]*order{},
 	}
+	// An answer to a read of an earlier process may still arrive, and must match none of this one.
+	r.barrierQueue.number = o.Rand.Uint64()
 	if err := r.load(); err != nil {
 		return nil, err
 	}
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -151,6 +151,41 @@
 	})
 }
 
+// A follower's process ends while the answer to its read is on the way, and the answer arrives
+// at the next process, after another command was committed. It must not answer a read of this
+// process.
+func TestAnswerToAReadOfAnEarlierProcessIsIgnored(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 24, 3, nil)
+	c.commit("old")
+	c.converge()
+	lead, id := c.leader(), c.followers()[0].id
+	var late []inFlightMessage
+	c.barrier(c.nodes[id])
+	c.until("an answer on the way", func() bool {
+		late = slices.DeleteFunc(slices.Clone(c.inFlight[id]), func(f inFlightMessage) bool {
+			m := &Message{}
+			is.NoErr(m.Unmarshal(f.encoded))
+			return m.Type != MsgReadIndexReply
+		})
+		return len(late) > 0
+	})
+	c.exit(id)
+	n := c.restart(id)
+	c.until("the old state", func() bool { return len(n.sm.Commands) == 1 })
+	c.cut[link{lead.id, id}] = true
+	c.commit("new")
+	b := c.barrier(n)
+	c.runOnce(n)
+	c.inFlight[id] = late
+	c.deliver(n)
+	c.runOnce(n)
+	is.Equal(len(b.done), 0)
+	c.cut = map[link]bool{}
+	is.NoErr(c.await(&b.call).err)
+	is.Equal(n.sm.Commands, []string{"old", "new"})
+}
+
 func TestResumedLeaderDoesNotCommitAnOldProposal(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, 15, 3, nil)
