gateway: a whole request is answered if its time ends during the wait for a permission

What callers saw: the connection of a whole request was closed without an answer or a refusal while the entry had no valid permission, as beside a change of the configuration. Hit were requests whose deadline, or whose route's time limit as a change had shortened it, ended during the wait.

Cause: awaitDeployment waited for up to 0.8 s whatever time the request had. readBody then set a read deadline that had passed, so that bytes that had arrived could not be read any more, and the time-out was taken for a caller that had gone. A request without a body was hit too: net/http reads its connection in the background by then, and the same deadline cancelled it.

Fix: the wait ends at seven tenths of the request's own time, by the newest time limit of the route; a request whose time is over is refused before its body is read; the read deadline is set only for a request with a body; its time-out is a refusal with the verdict not_run. A body with invalid chunks is a bad request, not a caller that has gone.

--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+// readBody reads the body until the deadline of the call; limit is in bytes.
+func (c *call) readBody(limit int64) error {
+	var body []byte
+	// net/http reads the connection in the background once the body has ended. A deadline that
+	// ends this read would cancel the request as if its caller had gone.
+	if c.hasBody() {
+		var err error
+		if body, err = c.readLimited(limit); err != nil {
+			return err
+		}
+	}
+	c.body, c.bodyComplete = body, true
+	c.content = contentDigest(c.account, c.r.Method, c.r.RequestURI, body)
+	return nil
+}
+
+// hasBody reports whether the request has a body.
+func (c *call) hasBody() bool { return c.r.Body != nil && c.r.Body != http.NoBody }
+
+// readLimited reads a body of up to limit bytes until the deadline of the call.
+func (c *call) readLimited(limit int64) ([]byte, error) {
+	tooLarge := verdict.Refuse(verdict.ReasonTooLarge, 0, "the body is over %d bytes", limit)
+	if c.r.ContentLength > limit {
+		return nil, tooLarge
+	}
+	control := http.NewResponseController(c.w)
+	if err := control.SetReadDeadline(c.deadline); err != nil {
+		return nil, errors.Wrap(err, "set the read deadline of the body")
+	}
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	switch {
+	case err != nil:
+		c.bodyFailed = true
+		return nil, classifyReadError(err)
+	case int64(len(body)) > limit:
+		return nil, tooLarge
+	}
+	return body, errors.Wrap(control.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
+}
+
+// classifyReadError returns the error of a request whose body was not read to its end.
+func classifyReadError(err error) error {
+	var network net.Error
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.Refuse(verdict.ReasonDeadline, defaultRetryAfter, "the body has not arrived in time")
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), errors.As(err, &network):
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	return verdict.Refuse(verdict.ReasonBadRequest, 0, "the body is not valid: %v", err)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -32,8 +31,10 @@
 	// entry's configuration may be out of date.
 	staleRetryAfter = 500 * time.Millisecond
 	// maxStaleWait bounds the wait for a current configuration, which is checked every
-	// stalePollInterval.
+	// stalePollInterval. It is at most staleWaitFraction of the request's time limit, which leaves
+	// time for the answer.
 	maxStaleWait      = 800 * time.Millisecond
+	staleWaitFraction = 0.7
 	stalePollInterval = 20 * time.Millisecond
 	// retryJitter is the maximum random addition to Retry-After, which spreads the
 	// retries of refused callers.
@@ -43,7 +44,7 @@
 )
 
 // errCallerGone is the error of a request whose caller has closed the connection or
-// does not read.
+// does not read its answer.
 var errCallerGone = errors.New("the caller has gone")
 
 // call is one request of a caller.
@@ -62,6 +63,9 @@
 	// current. Anonymous requests, which need no key, are served without.
 	needsPermission bool
 	body            []byte
+	// bodyComplete is set once the whole body has been read, and bodyFailed once a read of it
+	// has failed.
+	bodyComplete, bodyFailed bool
 	// content identifies what endpoints execute: the account, method, path and body.
 	// Requests with the same content differ in ID and deadline only.
 	content uint64
@@ -140,7 +144,10 @@
 	if c.route == nil {
 		return verdict.Refuse(verdict.ReasonUnknownRoute, 0, "no route for host %q and path %q in version %d", c.r.Host, c.r.URL.Path, d.Version)
 	}
-	c.deadline = c.started.Add(c.timeout())
+	c.deadline = c.started.Add(c.timeout(c.route))
+	if !c.g.clock.Now().Before(c.deadline) {
+		return verdict.Refuse(verdict.ReasonDeadline, defaultRetryAfter, "the time is over before the request was read")
+	}
 	c.service = d.pickService(c.route)
 	c.placementRequest = assign.Request{
 		Service: c.service.Name, Engine: c.service.Engine, PromptTokens: c.PromptTokens, OutputTokens: c.OutputTokens,
@@ -153,13 +160,12 @@
 // awaitDeployment returns the newest deployment and whether it is known to be current.
 // If it is not, awaitDeployment waits for up to maxStaleWait: after the loss of a
 // replica of control, the lease on the configuration is renewed before a refused caller
-// would retry. Requests to anonymous routes, which are served without a valid lease, do
-// not wait.
+// would retry. The wait ends while a part of the request's own time is left. Requests to
+// anonymous routes, which are served without a valid lease, do not wait.
 //
 // After a start of this process, awaitDeployment also waits for the other entries to tell it the
 // limits of endpoints, for as long as awaitsPeers says.
 func (c *call) awaitDeployment() (d *Deployment, fresh bool) {
-	limit := c.g.clock.Now().Add(maxStaleWait)
 	for {
 		// The lease must be read first, because it covers the publications received up
 		// to the moment of reading. The deployment that is loaded afterwards must be at
@@ -168,18 +174,27 @@
 		published := c.g.client.Config().PublishedVersion()
 		d = c.g.deployment.Load()
 		fresh = fresh && d != nil && d.Version >= published
-		if fresh && !c.g.awaitsPeers() || c.g.clock.Now().After(limit) || c.r.Context().Err() != nil {
+		var route *Route
+		if d != nil {
+			route = d.Route(hostOf(c.r.Host), c.r.URL.Path)
+		}
+		waited := c.g.clock.Now().Sub(c.started)
+		if fresh && !c.g.awaitsPeers() || waited > c.maxDeploymentWait(route) || c.r.Context().Err() != nil {
 			return d, fresh
 		}
-		if d != nil {
-			if route := d.Route(hostOf(c.r.Host), c.r.URL.Path); route != nil && route.Anonymous {
-				return d, false
-			}
+		if route != nil && route.Anonymous {
+			return d, false
 		}
 		<-c.g.clock.After(stalePollInterval)
 	}
 }
 
+// maxDeploymentWait is how long awaitDeployment may wait. A change may shorten the time limit of
+// the route, which is nil if it is not known, during the wait.
+func (c *call) maxDeploymentWait(route *Route) time.Duration {
+	return min(maxStaleWait, time.Duration(staleWaitFraction*float64(c.timeout(route))))
+}
+
 // hostOf returns the host without its port.
 func hostOf(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -188,11 +203,11 @@
 	return host
 }
 
-// timeout is the shorter one of the route's and the caller's time limit.
-func (c *call) timeout() time.Duration {
-	t := c.route.Timeout
-	if t <= 0 {
-		t = defaultTimeout
+// timeout is the shorter one of the route's and the caller's time limit. The route may be nil.
+func (c *call) timeout(route *Route) time.Duration {
+	t := defaultTimeout
+	if route != nil && route.Timeout > 0 {
+		t = route.Timeout
 	}
 	if c.Deadline > 0 {
 		t = min(t, c.Deadline)
@@ -216,25 +231,6 @@
 	return d.Services[r.Services[0].Name]
 }
 
-// readBody reads the body until the deadline of the call; limit is in bytes.
-func (c *call) readBody(limit int64) error {
-	control := http.NewResponseController(c.w)
-	if err := control.SetReadDeadline(c.deadline); err != nil {
-		return errors.Wrap(err, "set the read deadline of the body")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return verdict.Refuse(verdict.ReasonTooLarge, 0, "the body is over %d bytes", limit)
-	case err != nil:
-		return errors.Wrap(errCallerGone, err.Error())
-	}
-	c.body = body
-	c.content = contentDigest(c.account, c.r.Method, c.r.RequestURI, body)
-	return errors.Wrap(control.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
-}
-
 // contentDigest returns a hash of what endpoints execute. Lengths separate the fields.
 func contentDigest(account, method, uri string, body []byte) uint64 {
 	var h xxhash.Digest
@@ -317,7 +313,7 @@
 	}}
 }
 
-// writeRefusal answers with a refusal.
+// writeRefusal answers with a refusal. The connection is closed if the body could not be read.
 func (c *call) writeRefusal(r *verdict.Refusal) {
 	h := c.w.Header()
 	h.Set("Content-Type", "application/json")
@@ -325,11 +321,18 @@
 		after := r.RetryAfter + rand.N(retryJitter)
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
-	c.w.WriteHeader(statusOf(r))
-	body := map[string]any{"error": map[string]any{
+	body, err := json.Marshal(map[string]any{"error": map[string]any{
 		"verdict": r.Verdict.String(), "reason": string(r.Reason), "message": r.Detail, "request_id": c.ID,
-	}}
-	if err := json.NewEncoder(c.w).Encode(body); err != nil {
+	}})
+	if err != nil {
+		c.log().Warn("refusal not encoded", "error", err)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if c.bodyFailed {
+		h.Set("Connection", "close")
+	}
+	c.w.WriteHeader(statusOf(r))
+	if _, err := c.w.Write(body); err != nil {
 		c.log().Debug("refusal not delivered", "error", err)
 	}
 }
