--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+)
+
+const (
+	// maxDiscardBytes and maxDiscardTime bound the rest of a body that is read before its request
+	// is refused, so that the caller can use the connection again.
+	maxDiscardBytes = 256 << 10
+	maxDiscardTime  = 100 * time.Millisecond
+	// lingerTime bounds how long a connection that is to be closed is read after a refusal.
+	lingerTime = 5 * time.Second
+)
+
+// readBody reads the body until the deadline of the call; limit is in bytes.
+func (c *call) readBody(limit int64) error {
+	var body []byte
+	// net/http reads the connection in the background once the body has ended. A deadline that
+	// ends this read would cancel the request as if its caller had gone.
+	if c.hasBody() {
+		var err error
+		if body, err = c.readLimited(limit); err != nil {
+			return err
+		}
+	}
+	c.body, c.bodyComplete = body, true
+	c.content = contentDigest(c.account, c.r.Method, c.r.RequestURI, body)
+	return nil
+}
+
+// hasBody reports whether the request has a body.
+func (c *call) hasBody() bool { return c.r.Body != nil && c.r.Body != http.NoBody }
+
+// readLimited reads a body of up to limit bytes until the deadline of the call.
+func (c *call) readLimited(limit int64) ([]byte, error) {
+	tooLarge := verdict.Refuse(verdict.ReasonTooLarge, 0, "the body is over %d bytes", limit)
+	if c.r.ContentLength > limit {
+		return nil, tooLarge
+	}
+	control := http.NewResponseController(c.w)
+	if err := control.SetReadDeadline(c.deadline); err != nil {
+		return nil, errors.Wrap(err, "set the read deadline of the body")
+	}
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	switch {
+	case err != nil:
+		c.bodyFailed = true
+		return nil, classifyReadError(err)
+	case int64(len(body)) > limit:
+		return nil, tooLarge
+	}
+	return body, errors.Wrap(control.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
+}
+
+// classifyReadError returns the error of a request whose body was not read to its end.
+func classifyReadError(err error) error {
+	var network net.Error
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.Refuse(verdict.ReasonDeadline, defaultRetryAfter, "the body has not arrived in time")
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF), errors.As(err, &network):
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	return verdict.Refuse(verdict.ReasonBadRequest, 0, "the body is not valid: %v", err)
+}
+
+// discardBody reads the rest of the body, within limits, and reports whether the connection can be
+// used for another request.
+func (c *call) discardBody() bool {
+	switch {
+	case c.bodyComplete || !c.hasBody():
+		return true
+	case c.bodyFailed || c.r.ContentLength > maxDiscardBytes || c.r.Header.Get("Expect") != "":
+		// The body of a caller that expects a go-ahead is sent only once it is read.
+		return false
+	}
+	control := http.NewResponseController(c.w)
+	if err := control.SetReadDeadline(c.g.clock.Now().Add(maxDiscardTime)); err != nil {
+		c.log().Debug("body not discarded", "error", err)
+		return false
+	}
+	if _, err := io.CopyN(io.Discard, c.r.Body, maxDiscardBytes+1); !errors.Is(err, io.EOF) {
+		return false
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		c.log().Debug("read deadline not cleared", "error", err)
+		return false
+	}
+	return true
+}
+
+// lingerClose ends a connection on which a body is still on its way. It reads until the caller has
+// closed, because a connection that is closed with unread data is reset, and a reset can discard
+// the answer before the caller has read it.
+func (c *call) lingerClose() {
+	control := http.NewResponseController(c.w)
+	if err := control.Flush(); err != nil {
+		c.log().Debug("refusal not delivered", "error", err)
+		return
+	}
+	conn, _, err := control.Hijack()
+	if err != nil {
+		c.log().Debug("connection not taken over", "error", err)
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		if err := half.CloseWrite(); err != nil {
+			c.log().Debug("connection not closed for writing", "error", err)
+			return
+		}
+	}
+	if err := conn.SetReadDeadline(c.g.clock.Now().Add(lingerTime)); err != nil {
+		c.log().Debug("read deadline not set", "error", err)
+		return
+	}
+	// The caller ends the connection, or the deadline does.
+	_, _ = io.Copy(io.Discard, conn)
+}
--- /dev/null
+++ b/gateway/connections_test.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// answerTimeout ends a test whose caller gets no answer.
+const answerTimeout = 10 * time.Second
+
+// rawCaller is a caller that writes its requests to a TCP connection byte by byte.
+type rawCaller struct {
+	t    *testing.T
+	conn *net.TCPConn
+	in   *bufio.Reader
+}
+
+// dialRaw connects a caller to a gateway.
+func dialRaw(t *testing.T, url string) *rawCaller {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetReadDeadline(time.Now().Add(answerTimeout))
+	return &rawCaller{t: t, conn: conn.(*net.TCPConn), in: bufio.NewReader(conn)}
+}
+
+// send writes parts of a request.
+func (c *rawCaller) send(parts ...string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, strings.Join(parts, "")); err != nil {
+		c.t.Fatalf("send the request: %v", err)
+	}
+}
+
+// receive reads one answer with its body. The reply is broken if the connection ends before.
+func (c *rawCaller) receive() reply {
+	res, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return reply{broken: true}
+	}
+	body, err := io.ReadAll(res.Body)
+	if res.Close {
+		res.Header.Set("Connection", "close") // http.ReadResponse takes the header out
+	}
+	return reply{status: res.StatusCode, header: res.Header, body: string(body), broken: err != nil}
+}
+
+// requestHead returns the head of a request with more header lines.
+func requestHead(method, path string, lines ...string) string {
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nId: attempt-1\r\nAuthorization: Bearer key-1\r\n", method, path)
+	for _, line := range lines {
+		head += line + "\r\n"
+	}
+	return head + "\r\n"
+}
+
+// shortenTimeouts publishes a deployment whose routes have this time limit.
+func (w *testGateway) shortenTimeouts(timeout time.Duration) {
+	old := w.g.deployment.Load()
+	next := &Deployment{Version: old.Version + 1, MaxBodyBytes: old.MaxBodyBytes, Services: old.Services, Accounts: old.Accounts}
+	for _, r := range old.Routes {
+		r.Timeout = timeout
+		next.Routes = append(next.Routes, r)
+	}
+	w.g.deployment.Store(next.Index())
+}
+
+// The connection of a whole request was closed without an answer if its time ended while the
+// entry waited for its permission.
+func TestWholeRequestGetsNoAnswerWhilePermissionIsMissing(t *testing.T) {
+	const (
+		missing          = 400 * time.Millisecond
+		timeoutShortened = time.Duration(0) // a change shortens the route's time limit during the wait
+	)
+	bodies := map[string]struct {
+		method, length string
+		delay          time.Duration
+		parts          []string
+	}{
+		"body with the head":           {"POST", "Content-Length: 4", 0, []string{"body"}},
+		"body after the head":          {"POST", "Content-Length: 4", 20 * time.Millisecond, []string{"body"}},
+		"body in chunks, with head":    {"POST", "Transfer-Encoding: chunked", 0, []string{"4\r\nbody\r\n0\r\n\r\n"}},
+		"body in chunks, after it":     {"POST", "Transfer-Encoding: chunked", 20 * time.Millisecond, []string{"4\r\nbo", "dy\r\n0\r\n\r\n"}},
+		"long body, after the head":    {"POST", "Content-Length: 900", 20 * time.Millisecond, []string{strings.Repeat("x", 900)}},
+		"no body":                      {"GET", "Accept: */*", 0, nil},
+		"body of length 0":             {"POST", "Content-Length: 0", 0, nil},
+		"body over the limit, delayed": {"POST", "Content-Length: 300000", 20 * time.Millisecond, []string{strings.Repeat("x", 300_000)}},
+	}
+	routes := map[string]string{"idempotent": "/status/1", "at most once": "/seal/1", "stream": "/read/1", "stream at most once": "/tell/1"}
+	for bodyName, b := range bodies {
+		for kind, path := range routes {
+			for _, deadline := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, timeoutShortened} {
+				t.Run(fmt.Sprintf("%s/%s/%v", bodyName, kind, deadline), func(t *testing.T) {
+					t.Parallel()
+					is := is.New(t)
+					w := newTestGateway(t, streaming(3, 3, nil), streaming(3, 3, nil))
+					w.session.expired.Store(true)
+					time.AfterFunc(missing, func() {
+						if deadline == timeoutShortened {
+							w.shortenTimeouts(200 * time.Millisecond)
+						}
+						w.session.expired.Store(false)
+					})
+					lines := []string{b.length}
+					if deadline != timeoutShortened {
+						lines = append(lines, fmt.Sprintf("Wait: %d", deadline.Milliseconds()))
+					}
+					c := dialRaw(t, w.url)
+					started := time.Now()
+					c.send(requestHead(b.method, path, lines...))
+					for _, part := range b.parts {
+						time.Sleep(b.delay)
+						c.send(part)
+					}
+					got := c.receive()
+					if w.arrivalCount() > 0 && time.Since(started) > deadline {
+						return // its time ended at the endpoint
+					}
+					is.True(!got.broken) // the caller gets an answer or a refusal
+					if got.status == http.StatusOK {
+						return
+					}
+					is.Equal(w.arrivalCount(), 0)
+					if strings.HasPrefix(bodyName, "body over") && got.status == http.StatusRequestEntityTooLarge {
+						return
+					}
+					is.Equal(got.status, http.StatusServiceUnavailable)
+					is.True(strings.Contains(got.body, `"verdict":"not_run"`))
+					is.True(got.header.Get("Retry-After") != "")
+				})
+			}
+		}
+	}
+}
+
+// A refusal did not come, or was discarded by a reset, while the body of its request was on its
+// way.
+func TestRefusalIsLostWhileTheBodyIsOnItsWay(t *testing.T) {
+	const size = 1 << 20
+	tests := map[string]struct {
+		path, length string
+		lines        []string
+		// first is sent with the head, and rest in parts with pauses of the same length.
+		first string
+		rest  []string
+		pause time.Duration
+		want  int
+	}{
+		"the body stalls":                              {"/seal/1", "Content-Length: 4", []string{"Authorization: Bearer no"}, "b", nil, 0, http.StatusUnauthorized},
+		"the body stalls, in chunks":                   {"/none/1", "Transfer-Encoding: chunked", nil, "4\r\nbo", nil, 0, http.StatusNotFound},
+		"the body stalls until the deadline":           {"/seal/1", "Content-Length: 4", []string{"Wait: 200"}, "b", nil, 0, http.StatusServiceUnavailable},
+		"the body comes after the deadline":            {"/seal/1", "Content-Length: 4", []string{"Wait: 200"}, "b", []string{"o", "d", "y"}, 300 * time.Millisecond, http.StatusServiceUnavailable},
+		"the body comes after the deadline, in chunks": {"/read/1", "Transfer-Encoding: chunked", []string{"Wait: 200"}, "4\r\nbo", []string{"dy\r\n", "0\r\n", "\r\n"}, 300 * time.Millisecond, http.StatusServiceUnavailable},
+		"the body is too large": {"/seal/1", "Content-Length: 1048576", nil, strings.Repeat("x", size/4),
+			[]string{strings.Repeat("x", size/4), strings.Repeat("x", size/4), strings.Repeat("x", size/4)}, 300 * time.Millisecond, http.StatusRequestEntityTooLarge},
+		"the body is too large, in chunks": {"/seal/1", "Transfer-Encoding: chunked", nil, "100000\r\n" + strings.Repeat("x", size/4),
+			[]string{strings.Repeat("x", size/4), strings.Repeat("x", size/4), strings.Repeat("x", size/4) + "\r\n0\r\n\r\n"}, 300 * time.Millisecond, http.StatusRequestEntityTooLarge},
+		"the body waits for a go-ahead": {"/seal/1", "Content-Length: 2000", []string{"Expect: 100-continue"}, "", nil, 0, http.StatusRequestEntityTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := startGateway(t, time.Second, 0, answering(http.StatusOK, "good"))
+			c := dialRaw(t, s.url)
+			head := requestHead("POST", test.path, append(test.lines, test.length)...)
+			if len(test.lines) > 0 && strings.HasPrefix(test.lines[0], "Authorization") {
+				head = strings.Replace(head, "Authorization: Bearer key-1\r\n", "", 1)
+			}
+			c.send(head, test.first)
+			for _, part := range test.rest {
+				time.Sleep(test.pause)
+				c.send(part)
+			}
+			got := c.receive()
+			is.True(!got.broken)
+			is.Equal(got.status, test.want)
+			is.True(strings.Contains(got.body, `"verdict":"not_run"`))
+			is.Equal(got.header.Get("Connection"), "close")
+			is.Equal(s.arrivalCount(), 0)
+		})
+	}
+}
+
+// A refusal closes no connection whose body has come.
+func TestConnectionIsKeptAfterARefusal(t *testing.T) {
+	for name, body := range map[string]string{"small body": "body", "body over the limit": strings.Repeat("x", 100_000)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startGateway(t, time.Second, 0, answering(http.StatusOK, "good"))
+			c := dialRaw(t, s.url)
+			for range 3 {
+				c.send(requestHead("POST", "/none/1", fmt.Sprintf("Content-Length: %d", len(body))), body)
+				got := c.receive()
+				is.Equal(got.status, http.StatusNotFound)
+				c.send(requestHead("POST", "/seal/1", "Content-Length: 4"), "body")
+				is.Equal(c.receive().body, "good")
+			}
+		})
+	}
+}
