gateway: a refusal comes at once and is not lost to a reset while the body is on its way

What callers saw: no answer at all for as long as the body of a refused request was on its way (an unknown key, an unknown path), or a connection that was reset while they were sending, with the refusal unread (a body over the limit, or one that came after the deadline).

Cause: net/http reads up to 256 KiB of an unread body before it writes an answer, without a time limit, and closes a connection on which more is to come half a second after the answer or at once. Data that arrives at a closed connection resets it. Nor did net/http end its sending side, because the connections of package framing had no CloseWrite.

Fix: a refusal waits for the rest of the body for at most 0.1 s and 256 KiB. If the rest has not come by then, the refusal goes out with Connection: close, the sending side is ended, and the connection is read until the caller closes it, for at most 5 s. A connection whose body has come is kept, as TestConnectionIsKeptAfterARefusal shows.

--- a/framing/framing.go
+++ b/framing/framing.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
 // Protect makes the server refuse requests with ambiguous framing: it answers with status
@@ -75,6 +77,16 @@
 	return n, err
 }
 
+// CloseWrite ends the sending side of the connection. The server uses it to end a connection whose
+// caller is still sending, before it closes it.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.Errorf("a connection of type %T has no sending side to end", c.Conn)
+	}
+	return half.CloseWrite()
+}
+
 // nextIsAmbiguous reports whether the next request has ambiguous framing. It is called once
 // for each request: the server handles the requests of a connection one after the other,
 // each after its header was read. If the scanner has given up, all requests count as
--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -88,13 +88,14 @@
 		delay          time.Duration
 		parts          []string
 	}{
-		"body with the head":        {"POST", "Content-Length: 4", 0, []string{"body"}},
-		"body after the head":       {"POST", "Content-Length: 4", 20 * time.Millisecond, []string{"body"}},
-		"body in chunks, with head": {"POST", "Transfer-Encoding: chunked", 0, []string{"4\r\nbody\r\n0\r\n\r\n"}},
-		"body in chunks, after it":  {"POST", "Transfer-Encoding: chunked", 20 * time.Millisecond, []string{"4\r\nbo", "dy\r\n0\r\n\r\n"}},
-		"long body, after the head": {"POST", "Content-Length: 900", 20 * time.Millisecond, []string{strings.Repeat("x", 900)}},
-		"no body":                   {"GET", "Accept: */*", 0, nil},
-		"body of length 0":          {"POST", "Content-Length: 0", 0, nil},
+		"body with the head":           {"POST", "Content-Length: 4", 0, []string{"body"}},
+		"body after the head":          {"POST", "Content-Length: 4", 20 * time.Millisecond, []string{"body"}},
+		"body in chunks, with head":    {"POST", "Transfer-Encoding: chunked", 0, []string{"4\r\nbody\r\n0\r\n\r\n"}},
+		"body in chunks, after it":     {"POST", "Transfer-Encoding: chunked", 20 * time.Millisecond, []string{"4\r\nbo", "dy\r\n0\r\n\r\n"}},
+		"long body, after the head":    {"POST", "Content-Length: 900", 20 * time.Millisecond, []string{strings.Repeat("x", 900)}},
+		"no body":                      {"GET", "Accept: */*", 0, nil},
+		"body of length 0":             {"POST", "Content-Length: 0", 0, nil},
+		"body over the limit, delayed": {"POST", "Content-Length: 300000", 20 * time.Millisecond, []string{strings.Repeat("x", 300_000)}},
 	}
 	routes := map[string]string{"idempotent": "/status/1", "at most once": "/seal/1", "stream": "/read/1", "stream at most once": "/tell/1"}
 	for bodyName, b := range bodies {
@@ -131,6 +132,9 @@
 						return
 					}
 					is.Equal(w.arrivalCount(), 0)
+					if strings.HasPrefix(bodyName, "body over") && got.status == http.StatusRequestEntityTooLarge {
+						return
+					}
 					is.Equal(got.status, http.StatusServiceUnavailable)
 					is.True(strings.Contains(got.body, `"verdict":"not_run"`))
 					is.True(got.header.Get("Retry-After") != "")
@@ -139,3 +143,70 @@
 		}
 	}
 }
+
+// A refusal did not come, or was discarded by a reset, while the body of its request was on its
+// way.
+func TestRefusalIsLostWhileTheBodyIsOnItsWay(t *testing.T) {
+	const size = 1 << 20
+	tests := map[string]struct {
+		path, length string
+		lines        []string
+		// first is sent with the head, and rest in parts with pauses of the same length.
+		first string
+		rest  []string
+		pause time.Duration
+		want  int
+	}{
+		"the body stalls":                              {"/seal/1", "Content-Length: 4", []string{"Authorization: Bearer no"}, "b", nil, 0, http.StatusUnauthorized},
+		"the body stalls, in chunks":                   {"/none/1", "Transfer-Encoding: chunked", nil, "4\r\nbo", nil, 0, http.StatusNotFound},
+		"the body stalls until the deadline":           {"/seal/1", "Content-Length: 4", []string{"Wait: 200"}, "b", nil, 0, http.StatusServiceUnavailable},
+		"the body comes after the deadline":            {"/seal/1", "Content-Length: 4", []string{"Wait: 200"}, "b", []string{"o", "d", "y"}, 300 * time.Millisecond, http.StatusServiceUnavailable},
+		"the body comes after the deadline, in chunks": {"/read/1", "Transfer-Encoding: chunked", []string{"Wait: 200"}, "4\r\nbo", []string{"dy\r\n", "0\r\n", "\r\n"}, 300 * time.Millisecond, http.StatusServiceUnavailable},
+		"the body is too large": {"/seal/1", "Content-Length: 1048576", nil, strings.Repeat("x", size/4),
+			[]string{strings.Repeat("x", size/4), strings.Repeat("x", size/4), strings.Repeat("x", size/4)}, 300 * time.Millisecond, http.StatusRequestEntityTooLarge},
+		"the body is too large, in chunks": {"/seal/1", "Transfer-Encoding: chunked", nil, "100000\r\n" + strings.Repeat("x", size/4),
+			[]string{strings.Repeat("x", size/4), strings.Repeat("x", size/4), strings.Repeat("x", size/4) + "\r\n0\r\n\r\n"}, 300 * time.Millisecond, http.StatusRequestEntityTooLarge},
+		"the body waits for a go-ahead": {"/seal/1", "Content-Length: 2000", []string{"Expect: 100-continue"}, "", nil, 0, http.StatusRequestEntityTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := startGateway(t, time.Second, 0, answering(http.StatusOK, "good"))
+			c := dialRaw(t, s.url)
+			head := requestHead("POST", test.path, append(test.lines, test.length)...)
+			if len(test.lines) > 0 && strings.HasPrefix(test.lines[0], "Authorization") {
+				head = strings.Replace(head, "Authorization: Bearer key-1\r\n", "", 1)
+			}
+			c.send(head, test.first)
+			for _, part := range test.rest {
+				time.Sleep(test.pause)
+				c.send(part)
+			}
+			got := c.receive()
+			is.True(!got.broken)
+			is.Equal(got.status, test.want)
+			is.True(strings.Contains(got.body, `"verdict":"not_run"`))
+			is.Equal(got.header.Get("Connection"), "close")
+			is.Equal(s.arrivalCount(), 0)
+		})
+	}
+}
+
+// A refusal closes no connection whose body has come.
+func TestConnectionIsKeptAfterARefusal(t *testing.T) {
+	for name, body := range map[string]string{"small body": "body", "body over the limit": strings.Repeat("x", 100_000)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startGateway(t, time.Second, 0, answering(http.StatusOK, "good"))
+			c := dialRaw(t, s.url)
+			for range 3 {
+				c.send(requestHead("POST", "/none/1", fmt.Sprintf("Content-Length: %d", len(body))), body)
+				got := c.receive()
+				is.Equal(got.status, http.StatusNotFound)
+				c.send(requestHead("POST", "/seal/1", "Content-Length: 4"), "body")
+				is.Equal(c.receive().body, "good")
+			}
+		})
+	}
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -313,8 +313,10 @@
 	}}
 }
 
-// writeRefusal answers with a refusal. The connection is closed if the body could not be read.
+// writeRefusal answers with a refusal. The connection is closed if the rest of the body is still
+// on its way.
 func (c *call) writeRefusal(r *verdict.Refusal) {
+	reusable := c.discardBody()
 	h := c.w.Header()
 	h.Set("Content-Type", "application/json")
 	if r.RetryAfter > 0 {
@@ -325,16 +327,19 @@
 		"verdict": r.Verdict.String(), "reason": string(r.Reason), "message": r.Detail, "request_id": c.ID,
 	}})
 	if err != nil {
-		c.log().Warn("refusal not encoded", "error", err)
+		c.log().Debug("refusal not encoded", "error", err)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	if c.bodyFailed {
+	if !reusable {
 		h.Set("Connection", "close")
 	}
 	c.w.WriteHeader(statusOf(r))
 	if _, err := c.w.Write(body); err != nil {
 		c.log().Debug("refusal not delivered", "error", err)
 	}
+	if !reusable {
+		c.lingerClose()
+	}
 }
 
 // statusOf returns the HTTP status of a refusal. Status 503 guarantees that the request
