drain: a stopping entry closes no connection from which it has read a whole request

What callers saw: after SIGTERM, a whole request on a kept connection got neither an answer nor a refusal if it came while the entry closed its idle connections. Its caller can't know that it has not run. None of these requests had been passed on to an endpoint.

Cause: http.Server.Shutdown drops every request whose head it reads after it has begun, and it closes a connection as idle until net/http has parsed the head of the next request, however many bytes of it have been read.

Evidence: TestWholeRequestIsLostAsAStoppingEntryClosesIdleConnections sends 200 requests on kept connections within 3 ms of the close. Requests that the entry had not read still end with a reset.

Fix: package drain ends the pending read of a connection that waits for a request, instead of closing it. The read returns what has arrived, or the time-out upon which net/http closes the connection itself. The entry closes its listener, waits until nothing is accepted any more, and then for all connections, within the grace time as before.

--- a/framing/framing.go
+++ b/framing/framing.go
@@ -77,6 +77,9 @@
 	return n, err
 }
 
+// NetConn returns the connection without the scan.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite ends the sending side of the connection. The server uses it to end a connection whose
 // caller is still sending, before it closes it.
 func (c *conn) CloseWrite() error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/drain"
 	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
@@ -121,7 +122,10 @@
 	listener net.Listener
 	ready    net.Listener
 	server   *http.Server
-	stopping atomic.Bool
+	// callers are the connections of callers. acceptEnded is closed once no more are accepted.
+	callers     *drain.Connections
+	acceptEnded chan struct{}
+	stopping    atomic.Bool
 	// deployment is the newest published deployment, nil before the first one.
 	deployment atomic.Pointer[Deployment]
 	// entries is the number of entries known, including this one.
@@ -213,7 +217,8 @@
 	if g.listener, err = net.Listen("tcp", string(g.Listen)); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	g.listener = framing.Listen(g.listener)
+	g.callers, g.acceptEnded = drain.New(h.Clock), make(chan struct{})
+	g.listener = g.trackCallers(g.listener)
 	if g.ready, err = net.Listen("tcp", string(g.Ready)); err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
@@ -223,9 +228,15 @@
 	framing.Protect(g.server, func(caller string) {
 		g.log.Warn("request with ambiguous body framing refused", "caller", caller)
 	})
+	g.callers.Observe(g.server)
 	return nil
 }
 
+// trackCallers wraps a listener for callers.
+func (g *Gateway) trackCallers(l net.Listener) net.Listener {
+	return framing.Listen(g.callers.Listen(l))
+}
+
 // Reconfigure applies settings that may change at run time: the addresses of control,
 // the TTL of memory reservations, and the retry limits.
 func (g *Gateway) Reconfigure(control []settings.Addr, ticketTTL time.Duration, retries RetryLimits) {
@@ -368,16 +379,17 @@
 	tasks.Go(func() { g.checkSlowdowns(g.background) })
 	tasks.Go(func() { g.reportLosses(g.background) })
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
-	for _, s := range []struct {
-		server   *http.Server
-		listener net.Listener
-	}{{g.server, g.listener}, {ready, g.ready}} {
-		tasks.Go(func() {
-			if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-				failed <- err
-			}
-		})
-	}
+	tasks.Go(func() {
+		defer close(g.acceptEnded)
+		if err := g.server.Serve(g.listener); !g.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	})
+	tasks.Go(func() {
+		if err := ready.Serve(g.ready); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	})
 	var err error
 	select {
 	case <-ctx.Done():
@@ -403,7 +415,11 @@
 	<-g.clock.After(g.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(g.clock.Now()))
 	defer cancel()
-	if err := g.server.Shutdown(ctx); err != nil {
+	if err := g.listener.Close(); err != nil {
+		g.log.Warn("listener for callers not closed", "error", err)
+	}
+	<-g.acceptEnded
+	if err := g.callers.Close(ctx); err != nil {
 		g.log.Warn("requests aborted at the end of the grace time", "error", err)
 		return
 	}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +31,12 @@
 // startGateway runs a gateway with this grace time and drain delay until stop or the
 // end of the test.
 func startGateway(t *testing.T, grace, delay time.Duration, endpoints ...http.HandlerFunc) *runningGateway {
+	t.Helper()
+	return startAdjusted(t, grace, delay, func(*Gateway) {}, endpoints...)
+}
+
+// startAdjusted is startGateway with changes to the gateway before it runs.
+func startAdjusted(t *testing.T, grace, delay time.Duration, adjust func(*Gateway), endpoints ...http.HandlerFunc) *runningGateway {
 	t.Helper()
 	is := is.New(t)
 	w := newTestGateway(t, endpoints...)
@@ -39,6 +48,7 @@
 	is.NoErr(g.Provision(h))
 	g.client, g.fleet = w.session, w.g.fleet
 	g.deployment.Store(w.g.deployment.Load())
+	adjust(g)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &runningGateway{testGateway: w, addr: g.listener.Addr().String(), ready: g.ready.Addr().String(), stop: cancel, stopped: make(chan error, 1)}
 	go func() { s.stopped <- g.Run(ctx) }()
@@ -128,3 +138,82 @@
 	is.NoErr(<-s.stopped)
 	is.True((<-slow).broken) // no status, as any could state that the request has not run
 }
+
+// countingListener counts the bytes that a process reads from each caller.
+type countingListener struct {
+	net.Listener
+	// read holds an *atomic.Int64 for the address of each caller.
+	read *sync.Map
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	read := &atomic.Int64{}
+	l.read.Store(conn.RemoteAddr().String(), read)
+	return countingConn{conn, read}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// A stopping entry closed connections from which it had just read a whole request.
+func TestWholeRequestIsLostAsAStoppingEntryClosesIdleConnections(t *testing.T) {
+	const (
+		delay   = 200 * time.Millisecond
+		spread  = 3 * time.Millisecond
+		callers = 200
+	)
+	for round := range 5 {
+		t.Run(strconv.Itoa(round), func(t *testing.T) {
+			is := is.New(t)
+			var read sync.Map
+			s := startAdjusted(t, 30*time.Second, delay, func(g *Gateway) {
+				is.NoErr(g.listener.Close())
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				g.listener = g.trackCallers(countingListener{l, &read})
+			}, answering(http.StatusOK, "good"))
+			request := requestHead("POST", "/seal/1", "Content-Length: 4") + "body"
+			var connected []*rawCaller
+			for range callers {
+				c := dialRaw(t, s.url)
+				c.send(request)
+				is.Equal(c.receive().status, http.StatusOK)
+				connected = append(connected, c)
+			}
+			s.stop()
+			closing := time.Now().Add(delay)
+			var answered, lost atomic.Int64
+			var tasks sync.WaitGroup
+			for i, c := range connected {
+				tasks.Go(func() {
+					time.Sleep(time.Until(closing.Add(spread * time.Duration(2*i-callers) / callers)))
+					counter, _ := read.Load(c.conn.LocalAddr().String())
+					before := counter.(*atomic.Int64).Load()
+					// The connection may have been closed.
+					_, _ = io.WriteString(c.conn, request)
+					if got := c.receive(); !got.broken {
+						answered.Add(1)
+					} else if counter.(*atomic.Int64).Load()-before >= int64(len(request)) {
+						lost.Add(1)
+					}
+				})
+			}
+			tasks.Wait()
+			is.NoErr(<-s.stopped)
+			is.Equal(lost.Load(), int64(0))                          // whole requests that were read and not answered
+			is.Equal(s.arrivalCount(), callers+int(answered.Load())) // none that was passed on
+		})
+	}
+}
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -22,4 +22,5 @@
 	"sidecar.gate",
 	"stream.Budget",
 	"wire.Pool",
+	"drain.Connections",
 }
