entry: a stopping entry closes no connection from which it has read a whole request

What callers saw: as with package gateway, a whole request on a kept connection got neither an answer nor a refusal if it came while a stopping entry closed its idle connections.

Cause: http.Server.Shutdown, as in package gateway.

Fix: the entry closes its connections by package drain. While it stops, each answer says Connection: close.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/drain"
 	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
@@ -132,7 +133,10 @@
 
 	listener net.Listener
 	server   *http.Server
-	stopping atomic.Bool
+	// callers are the connections of callers. acceptEnded is closed once no more are accepted.
+	callers     *drain.Connections
+	acceptEnded chan struct{}
+	stopping    atomic.Bool
 	// sharesRequestedAt is when shares of account limits were last requested, in nanoseconds
 	// since 1970.
 	sharesRequestedAt atomic.Int64
@@ -200,7 +204,14 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	e.listener = framing.Listen(e.listener)
+	e.prepareServer(e.listener)
+	return nil
+}
+
+// prepareServer creates the server for the callers that connect to the listener.
+func (e *Entry) prepareServer(l net.Listener) {
+	e.callers, e.acceptEnded = drain.New(e.clock), make(chan struct{})
+	e.listener = framing.Listen(e.callers.Listen(l))
 	e.server = &http.Server{
 		Handler:           e.handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -208,14 +219,17 @@
 		ConnContext:       limitSocketBuffer,
 	}
 	framing.Protect(e.server, func(caller string) {
-		h.Log.Warn("request with ambiguous body framing refused", "caller", caller)
+		e.log.Warn("request with ambiguous body framing refused", "caller", caller)
 	})
-	return nil
+	e.callers.Observe(e.server)
 }
 
 // limitSocketBuffer limits how much the operating system buffers for a caller that does not
 // read.
 func limitSocketBuffer(ctx context.Context, c net.Conn) context.Context {
+	if wrapper, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapper.NetConn()
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetWriteBuffer(callerSocketBytes)
 	}
@@ -236,7 +250,7 @@
 	tasks.Go(func() { failed <- e.dispatcher.run(work) })
 	tasks.Go(func() { failed <- e.runProbes(work) })
 	tasks.Go(func() {
-		if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := e.serveCallers(); err != nil {
 			failed <- err
 		}
 	})
@@ -254,6 +268,15 @@
 	return errors.Wrap(err, "serve callers")
 }
 
+// serveCallers accepts callers until the entry stops.
+func (e *Entry) serveCallers() error {
+	defer close(e.acceptEnded)
+	if err := e.server.Serve(e.listener); !e.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
 // runInBackground runs a task that no caller waits for on the background pool. If the pool's
 // queue is full, it runs the task in the calling goroutine.
 func (e *Entry) runInBackground(task func()) {
@@ -279,5 +302,10 @@
 	<-e.clock.After(e.DrainDelay.Std())
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	return e.server.Shutdown(ctx)
+	closeErr := e.listener.Close()
+	<-e.acceptEnded
+	if err := e.callers.Close(ctx); err != nil {
+		return err
+	}
+	return errors.Wrap(closeErr, "close the listener for callers")
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -32,7 +32,12 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		e.answerRefusal(w, nil, verdict.Refuse(verdict.ReasonBadRequest, 0, "no such path %s", r.URL.Path))
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // serveHealth answers health checks. On a planned stop they fail before the listener closes,
