entry: a refusal comes at once and is not lost to a reset while the body is on its way

What callers saw: no refusal (unknown key, unknown path) for as long as the body was on its way; a body that had not come at the request's own deadline was waited for without end; a caller that was still sending a body over the limit had its connection reset.

Cause: as in package gateway, net/http reads an unread body without a time limit before it writes an answer, and closes a connection with more to come. The entry set no read deadline.

Fix: DiscardBody and Linger move to package drain and serve both packages. The body is read until the deadline that the header or the settings name; the time-out is refused as the deadline, with the verdict not_run.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/drain"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -173,21 +174,58 @@
 	return body
 }
 
-// answerRefusal writes a refusal to the caller. It also counts and logs the refusal, unless
-// c is nil because the request's path is unknown.
-func (e *Entry) answerRefusal(w http.ResponseWriter, c *call, r *verdict.Refusal) {
+// answerRefusal writes a refusal to the caller and closes the connection if the rest of the body is
+// still on its way. It also counts and logs the refusal, unless c is nil because the request's path
+// is unknown.
+func (e *Entry) answerRefusal(w http.ResponseWriter, req *http.Request, c *call, r *verdict.Refusal) {
 	if c != nil {
 		e.metrics.refused(c, r)
 		e.log.Info("request refused", c.logFields("verdict", r.Verdict.String(), "reason", string(r.Reason), "retry_after", r.RetryAfter, "detail", r.Detail)...)
 		w.Header().Set(HeaderRequestID, requestID(c))
 	}
+	reusable := e.discardBody(w, req, c)
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("X-Verdict", r.Verdict.String())
 	if r.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
+	body, err := json.Marshal(refusalBody(c, r))
+	if err != nil {
+		e.log.Debug("refusal not encoded", "error", err)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if !reusable {
+		w.Header().Set("Connection", "close")
+	}
 	w.WriteHeader(statusOf(r))
-	_ = json.NewEncoder(w).Encode(refusalBody(c, r))
+	if _, err := w.Write(body); err != nil {
+		e.log.Debug("refusal not delivered", "error", err)
+	}
+	if reusable {
+		return
+	}
+	if c != nil {
+		e.freeMemory(c)
+	}
+	if err := drain.Linger(w, e.clock.Now()); err != nil {
+		e.log.Debug("connection not closed in order", "error", err)
+	}
+}
+
+// discardBody reads the rest of the body, within limits, and reports whether the connection can be
+// used for another request.
+func (e *Entry) discardBody(w http.ResponseWriter, req *http.Request, c *call) bool {
+	switch {
+	case c != nil && c.bodyComplete:
+		return true
+	case c != nil && c.bodyFailed:
+		return false
+	}
+	reusable, err := drain.DiscardBody(w, req, e.clock.Now())
+	if err != nil {
+		e.log.Debug("body not discarded", "error", err)
+	}
+	return reusable
 }
 
 // statusOf returns the HTTP status for a refusal, by its reason.
--- a/entry/call.go
+++ b/entry/call.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -48,6 +49,9 @@
 	path      string
 	header    map[string]string
 	body      []byte
+	// bodyComplete is set once the whole body has been read, and bodyFailed once a read of it has
+	// failed.
+	bodyComplete, bodyFailed bool
 	// memory is the part of the entry's memory budget that the request holds.
 	memory *stream.Reservation
 	// digest is a hash of the content, for at-most-once execution and quarantine.
@@ -136,7 +140,6 @@
 	if r.ContentLength > e.MaxBodyBytes {
 		return bodyTooLarge(e.MaxBodyBytes)
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, e.MaxBodyBytes)
 	body := &bodyBuffer{memory: c.memory}
 	if r.ContentLength > 0 {
 		if !c.memory.TryGrow(r.ContentLength) {
@@ -146,19 +149,41 @@
 		// The spare capacity is for a model name that is longer than the route name.
 		body.data = make([]byte, 0, r.ContentLength+modelNameHeadroomBytes)
 	}
-	_, err := io.Copy(body, r.Body)
-	var large *http.MaxBytesError
+	if err := e.copyBody(w, r, c, body); err != nil {
+		return err
+	}
+	c.body, c.bodyComplete = body.data, true
+	c.digest = xxhash.Sum64(c.body)
+	return nil
+}
+
+// copyBody reads the request's body until the deadline that is known before the body is parsed.
+func (e *Entry) copyBody(w http.ResponseWriter, r *http.Request, c *call, body *bodyBuffer) error {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil
+	}
+	deadline := c.deadline
+	if d, err := parseTimeout(c.timeoutHeader); err == nil {
+		deadline = c.startedAt.Add(d)
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(deadline); err != nil {
+		return errors.Wrap(err, "set the read deadline of the body")
+	}
+	n, err := io.Copy(body, io.LimitReader(r.Body, e.MaxBodyBytes+1))
 	switch {
-	case errors.As(err, &large):
-		return bodyTooLarge(e.MaxBodyBytes)
 	case errors.Is(err, errMemoryLimit):
 		return memoryLimitRefusal()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.bodyFailed = true
+		return verdict.Refuse(verdict.ReasonDeadline, 0, "the body has not arrived in time")
 	case err != nil:
+		c.bodyFailed = true
 		return verdict.Refuse(verdict.ReasonBadRequest, 0, "the body broke off")
+	case n > e.MaxBodyBytes:
+		return bodyTooLarge(e.MaxBodyBytes)
 	}
-	c.body = body.data
-	c.digest = xxhash.Sum64(c.body)
-	return nil
+	return errors.Wrap(control.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
 }
 
 // errMemoryLimit is returned by bodyBuffer.Write when the memory budget is exhausted.
--- a/entry/connections_test.go
+++ b/entry/connections_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -41,8 +42,52 @@
 	return conn, bufio.NewReader(conn)
 }
 
-// refused is a request line and a header without a key.
-const refused = "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+const (
+	head    = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + testKey + "\r\n"
+	refused = "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+)
+
+// A refusal did not come, or was discarded by a reset, while the body of its request was on its
+// way.
+func TestRefusalIsLostWhileTheBodyIsOnItsWay(t *testing.T) {
+	quarter := strings.Repeat(" ", 256<<10)
+	tests := map[string]struct {
+		head   string
+		rest   []string // parts of the body that follow, each after a pause
+		status int
+	}{
+		"the body stalls":                    {refused + "Content-Length: 4\r\n\r\nb", nil, http.StatusUnauthorized},
+		"the body stalls, in chunks":         {refused + "Transfer-Encoding: chunked\r\n\r\n4\r\nbo", nil, http.StatusUnauthorized},
+		"the body stalls, unknown path":      {"POST /v2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nb", nil, http.StatusBadRequest},
+		"the body stalls until the deadline": {head + HeaderTimeout + ": 200ms\r\nContent-Length: 4\r\n\r\nb", nil, http.StatusGatewayTimeout},
+		"the body comes after the deadline":  {head + HeaderTimeout + ": 200ms\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbo", []string{"dy\r\n", "0\r\n", "\r\n"}, http.StatusGatewayTimeout},
+		"the body is too large":              {head + "Content-Length: 1048576\r\n\r\n", []string{quarter, quarter, quarter, quarter}, http.StatusRequestEntityTooLarge},
+		"the body is too large, in chunks":   {head + "Transfer-Encoding: chunked\r\n\r\n100000\r\n", []string{quarter, quarter, quarter, quarter + "\r\n0\r\n\r\n"}, http.StatusRequestEntityTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e := newEntry(t, func(wire.Attempt) []wire.Message { t.Error("refused request was dispatched"); return nil })
+			startServer(t, e, func(l net.Listener) net.Listener { return l })
+			conn, in := dial(t, e)
+			_, err := io.WriteString(conn, test.head)
+			is.NoErr(err)
+			for _, part := range test.rest {
+				time.Sleep(300 * time.Millisecond)
+				_, err := io.WriteString(conn, part)
+				is.NoErr(err)
+			}
+			res, err := http.ReadResponse(in, nil)
+			is.NoErr(err)
+			_, err = io.ReadAll(res.Body)
+			is.NoErr(err)
+			is.Equal(res.StatusCode, test.status)
+			is.Equal(res.Header.Get("X-Verdict"), "not_run")
+			is.True(res.Close)
+		})
+	}
+}
 
 // countingListener counts the bytes that a process reads from each caller.
 type countingListener struct {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -30,7 +30,7 @@
 	mux.HandleFunc(PathServices+"{route}/{path...}", e.serveService)
 	mux.HandleFunc("GET "+PathHealth, e.serveHealth)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		e.answerRefusal(w, nil, verdict.Refuse(verdict.ReasonBadRequest, 0, "no such path %s", r.URL.Path))
+		e.answerRefusal(w, r, nil, verdict.Refuse(verdict.ReasonBadRequest, 0, "no such path %s", r.URL.Path))
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.stopping.Load() {
@@ -81,22 +81,22 @@
 	defer e.freeMemory(c)
 	doc := e.control.Config()
 	if doc.Revision == 0 {
-		e.answerRefusal(w, c, verdict.Refuse(verdict.ReasonStaleConfiguration, time.Second, "the entry has no configuration yet"))
+		e.answerRefusal(w, r, c, verdict.Refuse(verdict.ReasonStaleConfiguration, time.Second, "the entry has no configuration yet"))
 		return
 	}
 	account, err := e.keys.authenticate(doc, r.Header.Get("Authorization"))
 	if err != nil {
-		e.answerRefusal(w, c, verdict.From(err))
+		e.answerRefusal(w, r, c, verdict.From(err))
 		return
 	}
 	c.account = account
 	c.memory = e.budget.Account(account.Name)
 	if err := parse(c); err != nil {
-		e.answerRefusal(w, c, verdict.From(err))
+		e.answerRefusal(w, r, c, verdict.From(err))
 		return
 	}
 	if err := e.reserveQuota(c); err != nil {
-		e.answerRefusal(w, c, verdict.From(err))
+		e.answerRefusal(w, r, c, verdict.From(err))
 		return
 	}
 	defer e.releaseQuota(c)
@@ -109,14 +109,14 @@
 		e.log.Info("request answered", c.logFields("bytes", answer.sentBytes)...)
 		return
 	}
-	e.answerFailure(c, answer, verdict.From(err))
+	e.answerFailure(r, c, answer, verdict.From(err))
 }
 
 // answerFailure ends a failed call: with a refusal, or by aborting an answer that has been
 // written in part.
-func (e *Entry) answerFailure(c *call, a *answer, r *verdict.Refusal) {
+func (e *Entry) answerFailure(req *http.Request, c *call, a *answer, r *verdict.Refusal) {
 	if !a.committed {
-		e.answerRefusal(a.w, c, r)
+		e.answerRefusal(a.w, req, c, r)
 		return
 	}
 	e.metrics.refused(c, r)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -9,18 +9,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rosemaryproxy/rosemaryproxy/drain"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
-const (
-	// maxDiscardBytes and maxDiscardTime bound the rest of a body that is read before its request
-	// is refused, so that the caller can use the connection again.
-	maxDiscardBytes = 256 << 10
-	maxDiscardTime  = 100 * time.Millisecond
-	// lingerTime bounds how long a connection that is to be closed is read after a refusal.
-	lingerTime = 5 * time.Second
-)
-
 // readBody reads the body until the deadline of the call; limit is in bytes.
 func (c *call) readBody(limit int64) error {
 	var body []byte
@@ -77,52 +69,14 @@
 // used for another request.
 func (c *call) discardBody() bool {
 	switch {
-	case c.bodyComplete || !c.hasBody():
+	case c.bodyComplete:
 		return true
-	case c.bodyFailed || c.r.ContentLength > maxDiscardBytes || c.r.Header.Get("Expect") != "":
-		// The body of a caller that expects a go-ahead is sent only once it is read.
-		return false
-	}
-	control := http.NewResponseController(c.w)
-	if err := control.SetReadDeadline(c.g.clock.Now().Add(maxDiscardTime)); err != nil {
-		c.log().Debug("body not discarded", "error", err)
-		return false
-	}
-	if _, err := io.CopyN(io.Discard, c.r.Body, maxDiscardBytes+1); !errors.Is(err, io.EOF) {
-		return false
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		c.log().Debug("read deadline not cleared", "error", err)
+	case c.bodyFailed:
 		return false
 	}
-	return true
-}
-
-// lingerClose ends a connection on which a body is still on its way. It reads until the caller has
-// closed, because a connection that is closed with unread data is reset, and a reset can discard
-// the answer before the caller has read it.
-func (c *call) lingerClose() {
-	control := http.NewResponseController(c.w)
-	if err := control.Flush(); err != nil {
-		c.log().Debug("refusal not delivered", "error", err)
-		return
-	}
-	conn, _, err := control.Hijack()
+	reusable, err := drain.DiscardBody(c.w, c.r, c.g.clock.Now())
 	if err != nil {
-		c.log().Debug("connection not taken over", "error", err)
-		return
-	}
-	defer func() { _ = conn.Close() }()
-	if half, ok := conn.(interface{ CloseWrite() error }); ok {
-		if err := half.CloseWrite(); err != nil {
-			c.log().Debug("connection not closed for writing", "error", err)
-			return
-		}
-	}
-	if err := conn.SetReadDeadline(c.g.clock.Now().Add(lingerTime)); err != nil {
-		c.log().Debug("read deadline not set", "error", err)
-		return
+		c.log().Debug("body not discarded", "error", err)
 	}
-	// The caller ends the connection, or the deadline does.
-	_, _ = io.Copy(io.Discard, conn)
+	return reusable
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/drain"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -337,8 +338,11 @@
 	if _, err := c.w.Write(body); err != nil {
 		c.log().Debug("refusal not delivered", "error", err)
 	}
-	if !reusable {
-		c.lingerClose()
+	if reusable {
+		return
+	}
+	if err := drain.Linger(c.w, c.g.clock.Now()); err != nil {
+		c.log().Debug("connection not closed in order", "error", err)
 	}
 }
 
