wire: a connection can be replaced while its streams go on

A peer that did not answer could only be dropped, with all streams on its connection. Pool.Replace makes the next Open dial, and closes the old connection after its last stream.

For that the pool has to know when a stream has ended. It counted one as ended when its sending side was, which a peer that has sent its whole answer brings about while the answer is still to be read. A pool with CloseUnused could so close a connection under a slow reader. Both sides count now.

TestReplacedConnectionServesItsStreamsToTheEnd reads after the peer has ended both streams.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -92,6 +93,8 @@
 	q       *quic.Stream
 	peer    Peer
 	traffic *Traffic
+	// readEnded is called once nothing more is read; nil if nobody has to know.
+	readEnded func()
 }
 
 var _ Stream = (*stream)(nil)
@@ -111,12 +114,23 @@
 func (s *stream) Recv() (Message, error) {
 	m, n, err := ReadMessage(s.q)
 	s.traffic.Received.Add(int64(n))
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		s.endRead()
+	}
 	return m, err
 }
 
+// endRead reports that nothing more is read.
+func (s *stream) endRead() {
+	if s.readEnded != nil {
+		s.readEnded()
+	}
+}
+
 func (s *stream) Abort() {
 	s.q.CancelRead(cancelCode)
 	s.q.CancelWrite(cancelCode)
+	s.endRead()
 }
 
 // Handler serves one stream. When it returns, the sending side is closed and whatever
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,9 +46,11 @@
 	dialing     context.Context
 	stopDialing context.CancelFunc
 
-	mu     sync.Mutex
-	conns  map[string]*pooledConn
-	closed bool
+	mu    sync.Mutex
+	conns map[string]*pooledConn
+	// replaced are the connections that Replace has taken out of use and that have open streams.
+	replaced map[*pooledConn]bool
+	closed   bool
 }
 
 // pooledConn is a connection of a Pool that is being dialed, open, or closed.
@@ -55,8 +60,8 @@
 	conn  *quic.Conn
 	err   error
 
-	// streams is the number of open streams, including those that Open is about to open,
-	// and lastUsed is when it last changed. Pool.mu guards both.
+	// streams is the number of streams of which a side is open, including those that Open is
+	// about to open, and lastUsed is when it last changed. Pool.mu guards both.
 	streams  int
 	lastUsed time.Time
 }
@@ -82,6 +87,7 @@
 		traffic:     traffic,
 		transport:   &quic.Transport{Conn: packet},
 		conns:       map[string]*pooledConn{},
+		replaced:    map[*pooledConn]bool{},
 	}, nil
 }
 
@@ -97,8 +103,16 @@
 		p.removeBroken(addr, c)
 		return nil, errors.Wrapf(err, "open stream to %s", addr)
 	}
-	context.AfterFunc(q.Context(), func() { p.addStreams(c, -1) })
-	return &stream{q: q, peer: peerOf(c.conn.ConnectionState().TLS), traffic: p.traffic}, nil
+	// The peer may end the sending side while data that it has sent is still to be read.
+	var sides atomic.Int32
+	sides.Store(2)
+	ended := func() {
+		if sides.Add(-1) == 0 {
+			p.addStreams(c, -1)
+		}
+	}
+	context.AfterFunc(q.Context(), ended)
+	return &stream{q: q, peer: peerOf(c.conn.ConnectionState().TLS), traffic: p.traffic, readEnded: sync.OnceFunc(ended)}, nil
 }
 
 // addStreams adds n to the number of open streams of c.
@@ -107,6 +121,7 @@
 	defer p.mu.Unlock()
 	c.streams += n
 	c.lastUsed = time.Now()
+	p.closeReplaced(c)
 }
 
 // connect returns an open connection to addr, which it dials if there is none. It adds the
@@ -182,6 +197,41 @@
 	}
 }
 
+// Replace makes the next Open dial a new connection to addr. The streams that are open go on, and
+// their connection closes after the last of them. It is for a peer that may have restarted, or may
+// only be slow to answer.
+func (p *Pool) Replace(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.conns[addr]
+	if c == nil || !c.dialDone() {
+		return
+	}
+	delete(p.conns, addr)
+	if c.conn != nil {
+		p.replaced[c] = true
+		p.closeReplaced(c)
+		context.AfterFunc(c.conn.Context(), func() { p.forgetReplaced(c) })
+	}
+}
+
+// closeReplaced closes a connection that Replace has taken out of use, if it has no open streams. The
+// caller holds p.mu.
+func (p *Pool) closeReplaced(c *pooledConn) {
+	if !p.replaced[c] || c.streams > 0 {
+		return
+	}
+	delete(p.replaced, c)
+	go func() { _ = c.conn.CloseWithError(closeCode, "") }()
+}
+
+// forgetReplaced forgets a connection that has ended.
+func (p *Pool) forgetReplaced(c *pooledConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.replaced, c)
+}
+
 // broken reports whether dialing failed or the connection has ended.
 func (c *pooledConn) broken() bool {
 	return c.dialDone() && (c.err != nil || c.conn.Context().Err() != nil)
@@ -219,8 +269,9 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	conns := p.conns
-	p.conns = map[string]*pooledConn{}
+	conns := slices.Concat(slices.Collect(maps.Values(p.conns)), slices.Collect(maps.Keys(p.replaced)))
+	clear(p.conns)
+	clear(p.replaced)
 	p.mu.Unlock()
 	p.stopDialing()
 	for _, c := range conns {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -166,3 +166,55 @@
 	is.True(time.Since(startedAt) < handshakeTimeout/3)
 	is.True(<-opened != nil)
 }
+
+// A stream lost what its reader had not read yet, if the peer had ended it and the pool replaced or
+// closed its connection.
+func TestReplacedConnectionServesItsStreamsToTheEnd(t *testing.T) {
+	is := is.New(t)
+	trusted := &settings.TLS{Trust: settings.TrustNetwork}
+	open := func(name string, role Role) *Identity {
+		id, err := OpenIdentity(trusted, settings.Node{Name: name, BindIP: "127.0.0.1"}, role)
+		is.NoErr(err)
+		return id
+	}
+	ended := make(chan struct{})
+	srv, err := Listen("127.0.0.1:0", open("sidecar-1", RoleSidecar), &Traffic{}, func(s Stream) {
+		if _, err := s.Recv(); err == nil {
+			_ = s.Send(&Grant{})
+		}
+		ended <- struct{}{}
+	})
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(ctx) }()
+	pool, err := NewPool(open("entry-1", RoleEntry), PoolOptions{}, &Traffic{})
+	is.NoErr(err)
+	first, err := pool.Open(ctx, srv.Addr())
+	is.NoErr(err)
+	pool.mu.Lock()
+	old := pool.conns[srv.Addr()]
+	pool.mu.Unlock()
+	pool.Replace(srv.Addr())
+	second, err := pool.Open(ctx, srv.Addr())
+	is.NoErr(err)
+	for _, s := range []Stream{first, second} {
+		is.NoErr(s.Send(&Dispatch{}))
+		<-ended
+		<-s.Context().Done() // the peer reads nothing more
+	}
+	for _, s := range []Stream{first, second} {
+		_, err = s.Recv()
+		is.NoErr(err)
+		_, err = s.Recv()
+		is.Equal(err, io.EOF)
+	}
+	<-old.conn.Context().Done()
+	pool.mu.Lock()
+	is.Equal(pool.conns[srv.Addr()].conn.Context().Err(), nil)
+	pool.mu.Unlock()
+	pool.Close()
+	cancel()
+	is.NoErr(<-served)
+}
