entry: a silent second of a sidecar ends no request

A sidecar that had not decided on one dispatch within a second lost its connection, with all answers under way on it: streams that had begun broke off, calls and calls that run at most once got 502, and each of them was reported to control as the loss of an endpoint, so that the requests became suspect of crashing endpoints and needed permits.

An attempt without a decision is now given up only once the call has been granted its retry, and a claimed call, which has no other attempt, waits to its deadline. The connection is replaced, not closed: what runs on it goes on. A dispatch without a grant is no evidence against its content, so it is not reported. It still counts against the health of the endpoint.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -17,8 +17,8 @@
 	answerWindowBytes = 32 << 10
 	// connectTimeout bounds the time to open a stream to a sidecar.
 	connectTimeout = time.Second
-	// grantTimeout bounds the wait for a sidecar's decision on a dispatch, which does
-	// not depend on the engine.
+	// grantTimeout is the wait for a sidecar's decision on a dispatch, which does not depend on
+	// the engine, after which the call moves on to another endpoint if it may be retried.
 	grantTimeout = time.Second
 	// maxEagerBodyBytes is the longest body that is sent before the sidecar grants the
 	// attempt.
@@ -64,13 +64,13 @@
 // newExchange returns an exchange for an attempt at the ticket's endpoint. The caller must
 // call close.
 func (e *Entry) newExchange(c *call, t *ticket, a *answer) *exchange {
-	c.endpoint = t.endpoint.Name
+	c.endpoint, c.granted, c.retryGranted = t.endpoint.Name, false, false
 	return &exchange{e: e, c: c, t: t, a: a}
 }
 
-// close aborts the stream unless the answer is complete, and releases the ticket.
+// close ends the stream and releases the ticket.
 func (x *exchange) close() {
-	if x.sidecarStream != nil && (x.assembler == nil || !x.assembler.Complete()) {
+	if x.sidecarStream != nil {
 		x.sidecarStream.Abort()
 	}
 	x.e.dispatcher.releaseTicket(x.t, x.load)
@@ -130,23 +130,24 @@
 
 // sendAndReceive sends the dispatch and the body, waits for the grant and relays the answer.
 func (x *exchange) sendAndReceive() error {
-	_ = x.sidecarStream.SetDeadline(x.sentAt.Add(grantTimeout))
-	if err := x.sidecarStream.Send(x.dispatch); err != nil {
-		return x.dropUnresponsive()
+	_ = x.sidecarStream.SetDeadline(x.c.deadline.Add(refusalReadGrace))
+	if err := x.sendDispatch(); err != nil {
+		x.e.pool.Replace(x.t.endpoint.Addr)
+		return x.endpointLost()
 	}
 	eager := len(x.c.body) <= maxEagerBodyBytes
 	if eager {
 		// An error is ignored: a sidecar that refuses the attempt stops reading the body, and
 		// awaitGrant returns its refusal.
-		_ = x.sendBody()
+		go func() { _ = x.sendBody() }()
 	}
 	granted, err := x.awaitGrant()
 	if err != nil {
 		return err
 	}
+	x.c.granted = true
 	x.e.dispatcher.granted(x.t, granted.Load)
 	x.e.control.ReceivePermission(x.sidecarStream.Peer().Name, granted.Permission)
-	_ = x.sidecarStream.SetDeadline(x.c.deadline.Add(refusalReadGrace))
 	if !eager {
 		// The body is sent while the answer is read, because an endpoint may answer before it
 		// has read the complete body.
@@ -155,6 +156,15 @@
 	return x.relayAnswer()
 }
 
+// sendDispatch sends the dispatch within grantTimeout.
+func (x *exchange) sendDispatch() error {
+	_ = x.sidecarStream.SetSendDeadline(x.sentAt.Add(grantTimeout))
+	if err := x.sidecarStream.Send(x.dispatch); err != nil {
+		return err
+	}
+	return x.sidecarStream.SetSendDeadline(x.c.deadline.Add(refusalReadGrace))
+}
+
 // sendBody sends the request's body in chunks of at most wire.BodyChunkBytes.
 func (x *exchange) sendBody() error {
 	body := x.c.body
@@ -173,20 +183,40 @@
 	return verdict.Uncertain(verdict.ReasonEndpointLost, lossRetryAfter, "endpoint %s broke off", x.t.endpoint.Name)
 }
 
-// dropUnresponsive drops the connection of a sidecar that sent neither a grant nor a refusal,
-// because its process may have stopped, and returns the refusal of the attempt.
-func (x *exchange) dropUnresponsive() error {
-	x.e.pool.Drop(x.t.endpoint.Addr)
-	return x.endpointLost()
+// received is a message of the sidecar, or the error with which the stream ended.
+type received struct {
+	message wire.Message
+	err     error
 }
 
-// awaitGrant returns the sidecar's grant, or its refusal as an error.
+// awaitGrant returns the sidecar's grant, or its refusal as an error. After grantTimeout it gives the
+// attempt up, but only if the call has been granted a retry: a sidecar that is silent for a while may
+// go on.
 func (x *exchange) awaitGrant() (*wire.Grant, error) {
-	m, err := x.sidecarStream.Recv()
-	if err != nil {
-		return nil, x.dropUnresponsive()
+	decision := make(chan received, 1)
+	go func() {
+		m, err := x.sidecarStream.Recv()
+		decision <- received{m, err}
+	}()
+	select {
+	case r := <-decision:
+		return x.receiveGrant(r)
+	case <-x.e.clock.After(grantTimeout):
+	}
+	if x.dispatch.Claim == nil && x.e.grantRetry(x.c) {
+		x.e.log.Info("attempt given up", x.c.logFields("endpoint", x.t.endpoint.Name, "reason", "the sidecar has not decided", "after", grantTimeout)...)
+		x.e.pool.Replace(x.t.endpoint.Addr)
+		return nil, x.endpointLost()
+	}
+	return x.receiveGrant(<-decision)
+}
+
+// receiveGrant returns the grant that was received, or a refusal as an error.
+func (x *exchange) receiveGrant(r received) (*wire.Grant, error) {
+	if r.err != nil {
+		return nil, x.endpointLost()
 	}
-	switch m := m.(type) {
+	switch m := r.message.(type) {
 	case *wire.Grant:
 		if m.Attempt == x.dispatch.Attempt {
 			return m, nil
@@ -194,7 +224,7 @@
 	case *wire.Refused:
 		return nil, x.receiveRefusal(m)
 	}
-	return nil, x.unexpectedMessage(m)
+	return nil, x.unexpectedMessage(r.message)
 }
 
 // receiveRefusal returns the sidecar's refusal as an error. It keeps the load sent with the
--- a/entry/call.go
+++ b/entry/call.go
@@ -72,6 +72,11 @@
 	backoffs  int
 	// uncertainAttempts counts the attempts that ended without proof that they did not run.
 	uncertainAttempts int
+	// granted is set once the sidecar has granted the latest attempt, and retryGranted once that
+	// attempt may be followed by another one.
+	granted, retryGranted bool
+	// probe is set for the call of a probe.
+	probe bool
 	// reservedQuota is the part of its account's limits that the request reserves while it
 	// runs.
 	reservedQuota quota.Cost
--- a/entry/contract_test.go
+++ b/entry/contract_test.go
@@ -48,8 +48,8 @@
 // script, no sidecar is reachable.
 type fakeSidecars struct{ script script }
 
-func (f *fakeSidecars) Drop(string) {}
-func (f *fakeSidecars) Close()      {}
+func (f *fakeSidecars) Replace(string) {}
+func (f *fakeSidecars) Close()         {}
 func (f *fakeSidecars) Open(context.Context, string) (wire.Stream, error) {
 	if f.script == nil {
 		return nil, io.ErrClosedPipe
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,8 +96,8 @@
 // dialer opens streams to sidecars over pooled connections.
 type dialer interface {
 	wire.Opener
-	// Drop closes the connection to a sidecar that does not respond.
-	Drop(addr string)
+	// Replace makes the next Open use a new connection. Open streams go on.
+	Replace(addr string)
 	// Close closes all connections.
 	Close()
 }
--- a/entry/health.go
+++ b/entry/health.go
@@ -155,6 +155,7 @@
 	body, _ := json.Marshal(engine.Completion{Model: endpoint.Target, Prompt: probePrompt, MaxTokens: probeTokens, Stream: true})
 	return &call{
 		id:        uuid.New(),
+		probe:     true,
 		startedAt: now,
 		deadline:  now.Add(probeTimeout),
 		account:   config.Account{Name: probeAccount},
--- a/entry/perform.go
+++ b/entry/perform.go
@@ -61,7 +61,7 @@
 	} else {
 		tried, err = true, e.runAttempt(ctx, c, t, a)
 	}
-	if tried && isEndpointLost(err) && c.route.Kind == config.ModelRoute {
+	if tried && c.granted && isEndpointLost(err) && c.route.Kind == config.ModelRoute {
 		e.reportLoss(c, t)
 	}
 	return tried, err
@@ -88,17 +88,29 @@
 	if a.committed || ctx.Err() != nil || errors.Is(err, errCallerGone) || !retryable(r.Reason) {
 		return false
 	}
-	if c.attempts >= maxAttempts || c.uncertainAttempts >= maxUncertainAttempts {
-		return false
-	}
-	if r.Verdict != verdict.NotRun && !e.dispatcher.spendRetry() {
-		return false
+	if !c.retryGranted {
+		if !c.attemptsLeft(c.uncertainAttempts) || r.Verdict != verdict.NotRun && !e.dispatcher.spendRetry() {
+			return false
+		}
 	}
 	c.recordFailure(r)
 	e.metrics.retried(r)
 	return true
 }
 
+// attemptsLeft reports whether the bounds on the attempts of one request allow another one, if
+// uncertain of those before may have run.
+func (c *call) attemptsLeft(uncertain int) bool {
+	return c.attempts < maxAttempts && uncertain < maxUncertainAttempts
+}
+
+// grantRetry reports whether the present attempt of the call may be given up although it may run,
+// and takes the retry from the budget. A probe is not retried.
+func (e *Entry) grantRetry(c *call) bool {
+	c.retryGranted = !c.probe && c.attemptsLeft(c.uncertainAttempts+1) && e.dispatcher.spendRetry()
+	return c.probe || c.retryGranted
+}
+
 // recordFailure excludes the endpoint of the latest attempt from the next one. An endpoint that
 // only had too much work waiting is not excluded, because its refusal contained a new load
 // report, from which the next choice is made.
