gateway: a request outlasts other cells that cannot answer

A caller got 503 within 0.15 s where the cell of its entry had no endpoint for the request and the entry asked in another cell was silent, or had no valid permission for a moment. The request had most of its time left; a stream to be resumed broke off.

"Does not answer" was taken for the answer that the cell has no endpoint. It is now a reason of its own, and while a cell has not answered the request asks again every cellWait, within its usual bound on waiting. A request that every cell turns away is still refused at once.

TestRequestOutlastsOtherCellsThatCannotAnswer failed before in all four cases, silent and without a permission for 0.3 and 1.2 s, with "no_endpoint".

--- a/gateway/cells.go
+++ b/gateway/cells.go
@@ -89,23 +89,25 @@
 }
 
 // contacts returns the entries of the other cells that the entry called self asks to place a request,
-// one a cell, in random order: the placing entry of the cell if the prompt is long.
-func (p *placer) contacts(now time.Time, self string, long bool) []string {
+// one a cell, in random order: the placing entry of the cell if the prompt is long. The result silent
+// reports whether a cell is left out because none of its entries has answered lately.
+func (p *placer) contacts(now time.Time, self string, long bool) (out []string, silent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	unusable := func(addr string) bool { return !p.usable(now, addr) }
-	var out []string
 	for _, cell := range p.cells.Others() {
 		addr := p.cells.Contact(cell, self, unusable)
 		if i := slices.IndexFunc(p.cells.Entries(cell), func(a string) bool { return !unusable(a) }); long && i >= 0 {
 			addr = p.cells.Entries(cell)[i]
 		}
-		if addr != "" {
-			out = append(out, addr)
+		if addr == "" {
+			silent = true
+			continue
 		}
+		out = append(out, addr)
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out
+	return out, silent
 }
 
 // placeAmongCells places a request in this entry's cell if there is room, else in one of the others
@@ -118,41 +120,69 @@
 		if p != nil || !mayFitElsewhere(err) {
 			return p, err
 		}
-		p, waitAt := g.placeElsewhere(ctx, c)
-		if p != nil {
-			return p, nil
+		elsewhere := g.placeElsewhere(ctx, c)
+		if elsewhere.placement != nil {
+			return elsewhere.placement, nil
 		}
 		w = c.newWaiter()
 		w.yieldAt = g.clock.Now().Add(cellWait)
 		switch {
 		case mayClearWhileWaiting(verdict.From(err).Reason):
 			p, err = g.placeInCell(ctx, w)
-		case waitAt != "":
-			p, err = g.placeAtOtherCell(ctx, c, waitAt, w)
+		case elsewhere.busy != "":
+			p, err = g.placeAtOtherCell(ctx, c, elsewhere.busy, w)
+		case elsewhere.silent:
+			g.awaitOtherCells(ctx, w)
+		}
+		if p != nil || ctx.Err() != nil || !g.clock.Now().Before(w.giveUpAt) || !mayFitElsewhere(err) {
+			return p, err
 		}
 		// A refusal before yieldAt is final: waiting would not have helped.
-		if p != nil || ctx.Err() != nil || g.clock.Now().Before(w.yieldAt) || !g.clock.Now().Before(w.giveUpAt) || !mayFitElsewhere(err) {
+		if g.clock.Now().Before(w.yieldAt) && !verdict.IsReason(err, verdict.ReasonUnreachable) {
 			return p, err
 		}
 	}
 }
 
+// awaitOtherCells waits before the other cells are asked again. An entry that has not answered may go
+// on, and may have room.
+func (g *Gateway) awaitOtherCells(ctx context.Context, w *waiter) {
+	until := w.yieldAt
+	if w.giveUpAt.Before(until) {
+		until = w.giveUpAt
+	}
+	select {
+	case <-ctx.Done():
+	case <-g.clock.After(until.Sub(g.clock.Now())):
+	}
+}
+
 // mayFitElsewhere reports whether a request that was refused in one cell may find room in another one.
 func mayFitElsewhere(err error) bool {
 	if errors.Is(err, errCallerGone) {
 		return false
 	}
 	switch verdict.From(err).Reason {
-	case verdict.ReasonOverloaded, verdict.ReasonEndpointMemory, verdict.ReasonNoEndpoint, verdict.ReasonDeadline:
+	case verdict.ReasonOverloaded, verdict.ReasonEndpointMemory, verdict.ReasonNoEndpoint, verdict.ReasonDeadline, verdict.ReasonUnreachable:
 		return true
 	}
 	return false
 }
 
-// placeElsewhere places a request in another cell that has room now. If there is none, it returns the
-// address of an entry whose cell has endpoints that are busy.
-func (g *Gateway) placeElsewhere(ctx context.Context, c *call) (p *placement, busy string) {
-	contacts := g.placer.contacts(g.clock.Now(), string(g.Peers), classOf(&c.placementRequest) != route.Short)
+// elsewhere is what the other cells say about a request.
+type elsewhere struct {
+	// placement is set if a cell has placed the request.
+	placement *placement
+	// busy is the address of an entry whose cell has endpoints that are busy, or "".
+	busy string
+	// silent is set if a cell did not answer, or the entry asked had no valid permission.
+	silent bool
+}
+
+// placeElsewhere places a request in another cell that has room now.
+func (g *Gateway) placeElsewhere(ctx context.Context, c *call) elsewhere {
+	contacts, silent := g.placer.contacts(g.clock.Now(), string(g.Peers), classOf(&c.placementRequest) != route.Short)
+	out := elsewhere{silent: silent}
 	var refusal *verdict.Refusal
 	for _, addr := range contacts {
 		askCtx, cancel := context.WithTimeout(ctx, otherCellTimeout)
@@ -161,19 +191,22 @@
 		p, err := g.placeAtOtherCell(askCtx, c, addr, w)
 		cancel()
 		if p != nil || ctx.Err() != nil {
-			return p, ""
+			return elsewhere{placement: p}
 		}
-		if refusal = verdict.From(err); mayClearWhileWaiting(refusal.Reason) {
-			busy = addr
+		switch refusal = verdict.From(err); {
+		case mayClearWhileWaiting(refusal.Reason):
+			out.busy = addr
+		case refusal.Reason == verdict.ReasonUnreachable, refusal.Reason == verdict.ReasonStaleConfiguration:
+			out.silent = true
 		}
 	}
 	reason, detail := "", ""
 	if refusal != nil {
 		reason, detail = string(refusal.Reason), refusal.Detail
 	}
-	c.log().Info("request turned away by other cells", "asked", len(contacts), "busy", busy, "reason", reason, "detail", detail,
+	c.log().Info("request turned away by other cells", "asked", len(contacts), "busy", out.busy, "silent", out.silent, "reason", reason, "detail", detail,
 		"left", c.deadline.Sub(g.clock.Now()))
-	return nil, busy
+	return out
 }
 
 // placeAtOtherCell lets an entry of another cell place a request. That entry holds the booking until
@@ -186,7 +219,7 @@
 	switch {
 	case answer == nil:
 		g.placer.markUnusable(g.clock.Now(), addr)
-		return nil, verdict.Refuse(verdict.ReasonNoEndpoint, defaultRetryAfter, "entry %s of another cell does not answer", addr)
+		return nil, verdict.Refuse(verdict.ReasonUnreachable, defaultRetryAfter, "entry %s of another cell does not answer", addr)
 	case answer.Refused != nil:
 		return nil, answer.Refused.Refusal()
 	}
--- a/gateway/cells_test.go
+++ b/gateway/cells_test.go
@@ -17,6 +17,14 @@
 // twoCells connects three gateways: the first is in zone-0 with the endpoint scribe-1, the others are
 // in zone-1 with scribe-2, which runs one request at once.
 func twoCells(t *testing.T) (asking *testGateway, other []*testGateway) {
+	t.Helper()
+	asking, other, serve := twoSilentCells(t)
+	serve()
+	return asking, other
+}
+
+// twoSilentCells is twoCells with entries that do not answer until serve is called.
+func twoSilentCells(t *testing.T) (asking *testGateway, other []*testGateway, serve func()) {
 	t.Helper()
 	asking, other = newTestGateway(t), []*testGateway{newTestGateway(t), newTestGateway(t)}
 	addrs, serve := joinPeers(t, asking, other[0], other[1])
@@ -32,8 +40,7 @@
 		}
 		w.g.divide(entries)
 	}
-	serve()
-	return asking, other
+	return asking, other, serve
 }
 
 // canChoose reports whether an entry has room for a short request.
@@ -135,6 +142,52 @@
 	is.Equal(p.Primary.Name, "scribe-2")
 }
 
+// An entry without endpoints refused its callers when the entries of the other cells were silent for
+// 0.15 s or had no valid permission, though it could have asked again.
+func TestRequestOutlastsOtherCellsThatCannotAnswer(t *testing.T) {
+	for name, setSilent := range map[string]func(other []*testGateway, serve func(), silent bool){
+		"silent": func(_ []*testGateway, serve func(), silent bool) {
+			if !silent {
+				serve()
+			}
+		},
+		"permissions lapsed": func(other []*testGateway, serve func(), silent bool) {
+			for _, w := range other {
+				w.session.expired.Store(silent)
+			}
+			if silent {
+				serve()
+			}
+		},
+	} {
+		for _, silence := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " for ", silence), func(t *testing.T) {
+				is := is.New(t)
+				asking, other, serve := twoSilentCells(t)
+				asking.setZonesOut("zone-0")
+				c := asking.call("/read/1", 1_000)
+				c.deadline = c.started.Add(20 * time.Second)
+				c.route.AbandonAfter = 0
+				setSilent(other, serve, true)
+				type result struct {
+					p   *placement
+					err error
+				}
+				placed := make(chan result, 1)
+				go func() {
+					p, err := asking.g.place(context.Background(), c)
+					placed <- result{p, err}
+				}()
+				time.Sleep(silence)
+				setSilent(other, serve, false)
+				r := <-placed
+				is.NoErr(r.err)
+				is.Equal(r.p.Primary.Name, "scribe-2")
+			})
+		}
+	}
+}
+
 // A request that no cell can serve is refused at once, also while its own cell has no endpoint.
 func TestRequestThatNoCellCanServeIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
