gateway: a stream that has begun waits for room to its deadline

A stream whose endpoint broke off late was closed in mid answer if no other endpoint had room at that moment: the bound on the wait for endpoints, half of the time limit or 0.6 of the time after which callers abandon a stream, counts from the start of the request and had passed. The bound lets a caller that is refused try again in time, but a begun stream has no refusal left.

TestBegunStreamWaitsForRoomToItsDeadline failed before (3 of 3 runs) with a closed connection and passes now (5 of 5).

--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -99,8 +99,12 @@
 	}
 }
 
-// maxWait is how long the call may wait for endpoints.
+// maxWait is how long after its start the call may wait for endpoints. A stream that has begun can
+// only break off if it stops waiting, so it waits to its deadline.
 func (c *call) maxWait() time.Duration {
+	if c.committed {
+		return c.deadline.Sub(c.started)
+	}
 	wait := time.Duration(maxWaitFraction * float64(c.deadline.Sub(c.started)))
 	if c.route.AbandonAfter > 0 {
 		wait = min(wait, time.Duration(abandonFraction*float64(c.route.AbandonAfter)))
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -34,3 +34,30 @@
 	c.route.AbandonAfter = 300 * time.Millisecond
 	is.Equal(c.maxWait(), 180*time.Millisecond)
 }
+
+// A begun stream broke off if its endpoint did after the request's usual wait for endpoints, and the
+// others had no room at that moment.
+func TestBegunStreamWaitsForRoomToItsDeadline(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, streaming(9, 4, func(http.ResponseWriter) {
+		time.Sleep(400 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}), streaming(9, 9, nil))
+	d := *w.g.deployment.Load()
+	for i := range d.Routes {
+		d.Routes[i].Timeout = 20 * time.Second
+		d.Routes[i].AbandonAfter = 300 * time.Millisecond // the usual wait is 0.6 of it
+	}
+	w.g.deployment.Store(d.Index())
+	w.addLoad("scribe", 1, 8)
+	go func() {
+		time.Sleep(800 * time.Millisecond)
+		w.g.mu.Lock()
+		defer w.g.mu.Unlock()
+		w.g.fleet.EndAll("other")
+		w.g.placeQueued(w.g.clock.Now())
+	}()
+	got := w.post("/read/1", func(r *http.Request) { r.Header.Set("Tokens", "10") })
+	is.True(!got.broken)
+	is.Equal(got.body, allEvents(1, 9))
+}
