control/session: a command leaves time for others beside a silent replica

A request whose content is suspected of crashing endpoints was refused, and reports of lost endpoints failed, whenever the replica that had led was silent: it was asked first and took all of the second that such a command has, and the next command began with it again.

One try now takes at most half of the time that a command has left, and a replica without an answer is no longer the first to be asked.

TestPermitIsGrantedWhileTheLastLeaderIsSilent failed before (3 of 3 runs) with no_quorum after 1 s. The fake network of the tests now opens no stream for a context that has ended, as the real one does; without that the test passed by chance.

--- a/control/session/command.go
+++ b/control/session/command.go
@@ -122,13 +122,19 @@
 	return answer
 }
 
-// tryOnce sends the command to one replica and returns its answer, or nil.
+// tryOnce sends the command to one replica and returns its answer, or nil. It takes at most half of
+// the time that is left, so that a silent replica leaves time for the others.
 func (d *commandCall) tryOnce(ctx context.Context, addr string) *wire.Answer {
-	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	timeout := d.timeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stream, err := d.client.options.Opener.Open(ctx, addr)
 	if err != nil {
 		d.lastErr = err
+		d.client.forgetLeaderAddr(addr)
 		return nil
 	}
 	defer stream.Abort()
@@ -137,6 +143,7 @@
 	if err != nil {
 		d.mayHaveRun = true
 		d.lastErr = err
+		d.client.forgetLeaderAddr(addr)
 		d.client.dropConnection(addr)
 	}
 	return answer
@@ -208,3 +215,13 @@
 	defer c.mu.Unlock()
 	c.leaderAddr = addr
 }
+
+// forgetLeaderAddr makes the next command begin elsewhere if it would have begun at addr, where no
+// answer came from.
+func (c *Client) forgetLeaderAddr(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaderAddr == addr {
+		c.leaderAddr = ""
+	}
+}
--- a/control/session/fake_test.go
+++ b/control/session/fake_test.go
@@ -89,7 +89,10 @@
 
 var _ Dropper = (*fakeNetwork)(nil)
 
-func (n *fakeNetwork) Open(_ context.Context, addr string) (wire.Stream, error) {
+func (n *fakeNetwork) Open(ctx context.Context, addr string) (wire.Stream, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	n.mu.Lock()
 	n.opened = append(n.opened, addr)
 	n.mu.Unlock()
--- a/control/session/suspects_test.go
+++ b/control/session/suspects_test.go
@@ -70,3 +70,26 @@
 	is.Equal(s.Status(4), quarantine.Suspect)
 	is.Equal(control.names, []string{command.NameSuspect, command.NameSuspect, command.NamePermit, command.NameEnded})
 }
+
+// The replica that had led took all of the second that a command about suspect requests has, whenever
+// it was silent, and each such command began with it again.
+func TestPermitIsGrantedWhileTheLastLeaderIsSilent(t *testing.T) {
+	is := is.New(t)
+	permitted := answerWith(accepted(command.Permitted{Status: uint8(quarantine.Suspect), Granted: true}))
+	silent := func(s *fakeStream) { <-s.Context().Done() }
+	n := &fakeNetwork{replicas: map[string]func(*fakeStream){"a": permitted}}
+	c := newClient(t, n, "a", "b")
+	s := NewSuspects(c, kernel.SystemClock{})
+	_, err := s.RequestPermit(context.Background(), command.Permit{Digest: 1, Holder: "h"})
+	is.NoErr(err)
+	is.Equal(c.commandAddrs(), []string{"a", "b"})
+	n.replicas = map[string]func(*fakeStream){"a": silent, "b": permitted}
+	p, err := s.RequestPermit(context.Background(), command.Permit{Digest: 1, Holder: "h"})
+	is.NoErr(err)
+	is.True(p.Granted)
+	is.Equal(c.commandAddrs(), []string{"b", "a"})
+	n.replicas = map[string]func(*fakeStream){"b": silent}
+	_, err = s.RequestPermit(context.Background(), command.Permit{Digest: 1, Holder: "h"})
+	is.True(err != nil)
+	is.Equal(c.leaderAddr, "") // the next command does not begin with it
+}
