gateway: a placement that the asking entry does not use ends

Endpoints stayed booked at the placing entry, for nobody, until the stream between the two entries ended. It comes about when the placing entry is silent for over 0.5 s and goes on: the asking entry has placed the request by itself by then, and its notice that the booking is over may be handled before the request to book is. Each such booking takes a slot.

The asking entry reports each placement that it uses within milliseconds, so the placing entry now ends one that is not reported within bookingTimeout. A later report books it again.

TestPlacementThatTheAskingEntryDoesNotUseEnds failed before: the booking was still there after 5 s.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -454,6 +454,7 @@
 		book = g.fleet.Restore
 	}
 	for i := range b.Begun {
+		g.placer.confirm(peerBooking{owner: owner, id: b.Begun[i].ID})
 		book(now, owner, b.Begun[i].ID, fromWire(&b.Begun[i]))
 		if b.Begun[i].Answered {
 			g.fleet.MarkAnswered(owner, b.Begun[i].ID)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -36,6 +36,34 @@
 	lastUnusable map[string]time.Time
 	// cells are the cells of the deployment; nil if there is only this entry's.
 	cells *assign.Cells
+	// unconfirmed are the bookings made here for other entries of the cell that these have not
+	// reported as theirs yet.
+	unconfirmed map[peerBooking]bool
+}
+
+// peerBooking identifies a booking of another entry.
+type peerBooking struct {
+	owner string
+	id    uint64
+}
+
+// expectConfirmation records that an entry has yet to report a booking that was made for it.
+func (p *placer) expectConfirmation(b peerBooking) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unconfirmed == nil {
+		p.unconfirmed = map[peerBooking]bool{}
+	}
+	p.unconfirmed[b] = true
+}
+
+// confirm records that an entry has reported a booking, and returns whether that was outstanding.
+func (p *placer) confirm(b peerBooking) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	outstanding := p.unconfirmed[b]
+	delete(p.unconfirmed, b)
+	return outstanding
 }
 
 // currentAddr returns the address of the entry to ask, "" when there is none.
@@ -222,6 +250,11 @@
 	case answer == nil:
 	case answer.Booking != nil && m.Hold > 0:
 		g.holdForPeer(stream, w, answer, m.Hold)
+	case answer.Booking != nil:
+		booked := peerBooking{owner: w.owner, id: w.bookingID}
+		g.placer.expectConfirmation(booked)
+		g.sendPlaced(stream, answer)
+		time.AfterFunc(bookingTimeout, func() { g.endUnconfirmed(booked) })
 	default:
 		g.sendPlaced(stream, answer)
 	}
@@ -298,6 +331,19 @@
 	g.fleet.EndBooking(w.owner, w.bookingID, true)
 }
 
+// endUnconfirmed ends a booking that the entry for which it was made has not reported. That entry may
+// have gone on without it.
+func (g *Gateway) endUnconfirmed(b peerBooking) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.placer.confirm(b) {
+		return
+	}
+	g.log.Info("booking for another entry ended", "peer", b.owner, "booking", b.id, "reason", "that entry has not reported it")
+	g.fleet.EndBooking(b.owner, b.id, true)
+	g.placeQueued(g.clock.Now())
+}
+
 // sendPlaced sends a message to the asking entry and reports whether that succeeded.
 func (g *Gateway) sendPlaced(stream wire.Stream, m *wire.Placed) bool {
 	if err := stream.SetSendDeadline(g.clock.Now().Add(placerTimeout)); err != nil {
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -138,3 +138,33 @@
 		})
 	}
 }
+
+// An entry that places a request after it was silent may learn that the asking one has gone on without
+// it before it has booked. The endpoints stayed booked until the stream between the entries ended.
+func TestPlacementThatTheAskingEntryDoesNotUseEnds(t *testing.T) {
+	is := is.New(t)
+	placing, asking := newTestGateway(t), newTestGateway(t)
+	addrs, serve := joinPeers(t, placing, asking)
+	for i := range 2 {
+		e := scribe(i)
+		e.Slots = 1
+		placing.g.fleet.Update(e)
+	}
+	serve()
+	c := asking.call("/read/1", 1_000)
+	w := c.newWaiter()
+	answer, _ := asking.g.askPlacer(context.Background(), addrs[0], w.toWire(time.Now()), false)
+	is.True(answer.Booking != nil)
+	confirmed := c.newWaiter()
+	used, _ := asking.g.askPlacer(context.Background(), addrs[0], confirmed.toWire(time.Now()), false)
+	is.True(used.Booking != nil)
+	probe := placing.call("/read/1", 1_000)
+	is.True(!placing.canChoose(probe)) // both endpoints are booked
+	placing.g.applyBookings("entry-2", &wire.Bookings{Begun: []wire.Booking{*used.Booking}})
+	eventually(t, "end of the booking that is not used", func() bool { return placing.canChoose(probe) })
+	placing.g.mu.Lock()
+	a, err := placing.g.fleet.Choose(time.Now(), &probe.placementRequest)
+	placing.g.mu.Unlock()
+	is.NoErr(err)
+	is.Equal(a.Primary.Name, answer.Booking.Primary.Endpoint) // the other one is still booked
+}
