--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -96,12 +96,17 @@
 	c := a.c
 	return &waiter{
 		request: &a.request, bookingID: c.g.bookings.newID(), account: c.account, arrived: c.started, startBy: c.startBy(),
-		giveUpAt: c.started.Add(c.maxWait()), result: make(chan placeResult, 1),
+		giveUpAt: c.started.Add(a.maxWait()), result: make(chan placeResult, 1),
 	}
 }
 
-// maxWait is how long the call may wait for endpoints.
-func (c *call) maxWait() time.Duration {
+// maxWait is how long after the start of its call the attempt may wait for endpoints. A stream that
+// has begun can only break off if it stops waiting, so it waits to its deadline.
+func (a *attempt) maxWait() time.Duration {
+	c := a.c
+	if a.resumes {
+		return c.deadline.Sub(c.started)
+	}
 	wait := time.Duration(maxWaitFraction * float64(c.deadline.Sub(c.started)))
 	if c.route.AbandonAfter > 0 {
 		wait = min(wait, time.Duration(abandonFraction*float64(c.route.AbandonAfter)))
