replica: blackouts with duplicates, killed processes and single losses of power

TestAnsweredCommandsSurviveBlackouts now also repeats messages up to 40 ticks later, delivers those that were on their way to a killed process to the next one, stops single replicas in the middle of a write, a sync or a renaming, and starts these again with and without what they had not synced.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -43,6 +43,8 @@
 // link is one direction of the network between two replicas.
 type link struct{ from, to ID }
 
+const dupDelay = 40
+
 type inFlightMessage struct {
 	due     int
 	encoded []byte
@@ -70,6 +72,7 @@
 	now       int // number of steps so far
 	delay     int // maximum extra steps that a message takes
 	loseOneIn int // one message in this many is lost; zero for none
+	dupOneIn  int // one message in this many arrives again, up to dupDelay steps later; zero for none
 	tune      func(*Options)
 	leaders   map[uint64]ID       // by term, to check that each has at most one
 	sent      map[MessageType]int // number of messages by type
@@ -117,6 +120,9 @@
 		due += t.c.rng.IntN(t.c.delay + 1)
 	}
 	t.c.inFlight[to] = append(t.c.inFlight[to], inFlightMessage{due: due, encoded: b})
+	if t.c.dupOneIn > 0 && t.c.rng.IntN(t.c.dupOneIn) == 0 {
+		t.c.inFlight[to] = append(t.c.inFlight[to], inFlightMessage{due: due + t.c.rng.IntN(dupDelay), encoded: b})
+	}
 }
 
 // open opens a replica on disk. With id zero, an empty disk gets a random ID.
--- a/replica/power_test.go
+++ b/replica/power_test.go
@@ -31,6 +31,7 @@
 	}
 	b.delay = b.rng.IntN(4)
 	b.loseOneIn = []int{0, 0, 20}[b.rng.IntN(3)]
+	b.dupOneIn = []int{0, 5, 30}[b.rng.IntN(3)]
 	b.elect()
 	return b
 }
@@ -50,15 +51,29 @@
 	case k == 17 && n.runs():
 		b.submit(n, &order{transfer: true})
 	case k == 18 && n.runs():
-		b.exit(n.id)
+		n.r = nil // messages to it that are on their way arrive at the next process
 		b.reopen(n)
 	case k == 19 && n.runs():
 		n.disk.capacity = n.disk.used() + b.rng.IntN(600)
 	case k == 20:
 		n.disk.capacity = 0
+	case k == 21 && n.runs():
+		n.disk.powerLeft = 1 + b.rng.IntN(12)
+	case k >= 22 && n.r == nil:
+		b.revive(n)
 	}
 }
 
+// revive starts a replica that stopped in the middle of its work: its VM lost power, or only
+// its process was killed.
+func (b *blackout) revive(n *node) {
+	if b.rng.IntN(2) == 0 {
+		n.disk.crash(b.rng)
+	}
+	n.disk.off, n.disk.powerLeft = false, 0
+	b.reopen(n)
+}
+
 // changeMember submits a random membership change that repairs the group, in any order of
 // adding, promoting and removing.
 func (b *blackout) changeMember() {
@@ -166,7 +181,7 @@
 	}
 }
 
-// reopen starts a replica that does not run, as often as it loses power meanwhile.
+// reopen starts a replica that does not run, again after each loss of power meanwhile.
 func (b *blackout) reopen(n *node) {
 	b.order = slices.DeleteFunc(b.order, func(id ID) bool { return id == n.id })
 	delete(b.nodes, n.id)
@@ -192,8 +207,7 @@
 		for _, id := range slices.Clone(b.order) {
 			n := b.nodes[id]
 			if n.r == nil {
-				n.disk.crash(b.rng)
-				b.reopen(n)
+				b.revive(n)
 			}
 		}
 		if b.now%3 == 0 {
@@ -219,7 +233,6 @@
 			b.strike()
 		}
 		b.repair()
-		b.loseOneIn = 0
 		b.until("a commit", func() bool { return b.await(&b.propose(b.elect(), fmt.Sprint("round ", b.now)).call).err == nil })
 		b.converge()
 		b.collect()
