gateway: tests of the ways in which a caller's connection ends

Each way may have a whole request in it. The tests use TCP connections and count the bytes that the process reads from them: new and kept connections as an entry stops, requests that cross the idle timeout, bodies that come later than the time limit of the head, requests that are not valid, callers that end their sending side after or within a request.

A caller that ends its sending side after a whole request gets no answer. It sends the FIN that a caller sends who has closed the connection, and whose request has to be cancelled; only an answer on the connection would tell the two apart.

--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -65,8 +65,8 @@
 	return head + "\r\n"
 }
 
-// shortenTimeouts publishes a deployment whose routes have this time limit.
-func (w *testGateway) shortenTimeouts(timeout time.Duration) {
+// setTimeouts publishes a deployment whose routes have this time limit.
+func (w *testGateway) setTimeouts(timeout time.Duration) {
 	old := w.g.deployment.Load()
 	next := &Deployment{Version: old.Version + 1, MaxBodyBytes: old.MaxBodyBytes, Services: old.Services, Accounts: old.Accounts}
 	for _, r := range old.Routes {
@@ -108,7 +108,7 @@
 					w.session.expired.Store(true)
 					time.AfterFunc(missing, func() {
 						if deadline == timeoutShortened {
-							w.shortenTimeouts(200 * time.Millisecond)
+							w.setTimeouts(200 * time.Millisecond)
 						}
 						w.session.expired.Store(false)
 					})
@@ -210,3 +210,83 @@
 		})
 	}
 }
+
+// A caller that ends its sending side cannot be told from one that has closed the connection: both
+// send a FIN. Its request is cancelled in either case.
+func TestCallerThatEndsItsSendingSideCountsAsGone(t *testing.T) {
+	for name, path := range map[string]string{"call": "/seal/1", "stream": "/tell/1"} {
+		for when, sent := range map[string]string{"after the request": "body", "within the body": "bo"} {
+			t.Run(name+", "+when, func(t *testing.T) {
+				is := is.New(t)
+				cancelled := make(chan bool, 1)
+				w := newTestGateway(t, func(_ http.ResponseWriter, r *http.Request) {
+					<-r.Context().Done()
+					cancelled <- true
+				})
+				w.setTimeouts(time.Minute)
+				c := dialRaw(t, w.url)
+				c.send(requestHead("POST", path, "Content-Length: 4"), sent)
+				for sent == "body" && w.arrivalCount() == 0 {
+					time.Sleep(time.Millisecond) // wait until the request is at the endpoint
+				}
+				is.NoErr(c.conn.CloseWrite())
+				is.True(c.receive().broken)
+				if sent == "body" {
+					<-cancelled
+					return
+				}
+				is.Equal(w.arrivalCount(), 0) // a part of a request is not passed on
+			})
+		}
+	}
+}
+
+func TestRequestsThatAreNotValidAreRefused(t *testing.T) {
+	tests := map[string]struct {
+		request string
+		status  int
+	}{
+		"no request":              {"hello\r\n\r\n", http.StatusBadRequest},
+		"no host":                 {"GET /status/1 HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		"unknown version":         {"GET /status/1 HTTP/3.0\r\nHost: h\r\n\r\n", http.StatusHTTPVersionNotSupported},
+		"unknown transfer coding": {requestHead("POST", "/seal/1", "Transfer-Encoding: gzip"), http.StatusNotImplemented},
+		"unknown expectation":     {requestHead("POST", "/seal/1", "Expect: more", "Content-Length: 0"), http.StatusExpectationFailed},
+		"length is no number":     {requestHead("POST", "/seal/1", "Content-Length: four") + "body", http.StatusBadRequest},
+		"length and chunks":       {requestHead("POST", "/seal/1", "Content-Length: 3", "Transfer-Encoding: chunked") + "0\r\n\r\n", http.StatusBadRequest},
+		"chunk size is no number": {requestHead("POST", "/seal/1", "Transfer-Encoding: chunked") + "four\r\nbody\r\n0\r\n\r\n", http.StatusBadRequest},
+		"header over the limit":   {requestHead("POST", "/seal/1", "Long: "+strings.Repeat("x", 2*maxHeaderBytes), "Content-Length: 4") + "body", http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := startGateway(t, time.Second, 0, answering(http.StatusOK, "good"))
+			c := dialRaw(t, s.url)
+			// The gateway may answer before it has read the whole request.
+			_, _ = io.WriteString(c.conn, test.request)
+			got := c.receive()
+			is.True(!got.broken)
+			is.Equal(got.status, test.status)
+			is.Equal(s.arrivalCount(), 0)
+			_, err := c.in.ReadByte()
+			is.True(err != nil) // the connection is closed
+		})
+	}
+}
+
+func TestBodyMayComeLaterThanTheTimeLimitOfTheHead(t *testing.T) {
+	is := is.New(t)
+	const headTimeout = 200 * time.Millisecond
+	s := startAdjusted(t, time.Second, 0, func(g *Gateway) { g.server.ReadHeaderTimeout = headTimeout }, answering(http.StatusOK, "good"))
+	for range 2 {
+		c := dialRaw(t, s.url)
+		for range 2 {
+			c.send(requestHead("POST", "/seal/1", "Content-Length: 4"))
+			time.Sleep(2 * headTimeout)
+			c.send("body")
+			is.Equal(c.receive().body, "good")
+		}
+		c.send("POST /seal/1 HTTP/1.1\r\n")
+		is.True(c.receive().broken) // a part of a head is no request
+	}
+}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -167,53 +168,110 @@
 	return n, err
 }
 
+// lostRequests counts requests that got no answer.
+type lostRequests struct {
+	// answered counts the others, and read those that had been read whole.
+	answered, read atomic.Int64
+}
+
+// sendAround sends a request on each connection within spread of a moment. counted holds the bytes
+// that were read from each caller.
+func sendAround(moment time.Time, connected []*rawCaller, counted *sync.Map) *lostRequests {
+	const spread = 3 * time.Millisecond
+	request := requestHead("POST", "/seal/1", "Content-Length: 4") + "body"
+	lost := &lostRequests{}
+	bytesRead := func(c *rawCaller) int64 {
+		if counter, ok := counted.Load(c.conn.LocalAddr().String()); ok {
+			return counter.(*atomic.Int64).Load()
+		}
+		return 0
+	}
+	var tasks sync.WaitGroup
+	for i, c := range connected {
+		tasks.Go(func() {
+			before := bytesRead(c)
+			time.Sleep(time.Until(moment.Add(spread * time.Duration(2*i-len(connected)) / time.Duration(len(connected)))))
+			// The connection may have been closed.
+			_, _ = io.WriteString(c.conn, request)
+			if got := c.receive(); !got.broken {
+				lost.answered.Add(1)
+			} else if bytesRead(c)-before >= int64(len(request)) {
+				lost.read.Add(1)
+			}
+		})
+	}
+	tasks.Wait()
+	return lost
+}
+
+// startCounting is startAdjusted with a count of the bytes that are read from each caller.
+func startCounting(t *testing.T, delay time.Duration, adjust func(*Gateway), endpoint http.HandlerFunc) (*runningGateway, *sync.Map) {
+	t.Helper()
+	counted := &sync.Map{}
+	s := startAdjusted(t, 30*time.Second, delay, func(g *Gateway) {
+		adjust(g)
+		is := is.New(t)
+		is.NoErr(g.listener.Close())
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		g.listener = g.trackCallers(countingListener{l, counted})
+	}, endpoint)
+	return s, counted
+}
+
+// connect opens connections and, if used is set, sends a first request on each.
+func (s *runningGateway) connect(t *testing.T, n int, used bool) []*rawCaller {
+	t.Helper()
+	var connected []*rawCaller
+	for range n {
+		c := dialRaw(t, s.url)
+		if used {
+			c.send(requestHead("POST", "/seal/1", "Content-Length: 4"), "body")
+			if got := c.receive(); got.status != http.StatusOK {
+				t.Fatalf("first request: status %d", got.status)
+			}
+		}
+		connected = append(connected, c)
+	}
+	return connected
+}
+
 // A stopping entry closed connections from which it had just read a whole request.
 func TestWholeRequestIsLostAsAStoppingEntryClosesIdleConnections(t *testing.T) {
 	const (
 		delay   = 200 * time.Millisecond
-		spread  = 3 * time.Millisecond
 		callers = 200
 	)
+	for name, used := range map[string]bool{"kept connections": true, "new connections": false} {
+		for round := range 5 {
+			t.Run(fmt.Sprintf("%s, round %d", name, round), func(t *testing.T) {
+				is := is.New(t)
+				s, counted := startCounting(t, delay, func(*Gateway) {}, answering(http.StatusOK, "good"))
+				connected := s.connect(t, callers, used)
+				first := s.arrivalCount()
+				s.stop()
+				lost := sendAround(time.Now().Add(delay), connected, counted)
+				is.NoErr(<-s.stopped)
+				is.Equal(lost.read.Load(), int64(0))
+				is.Equal(s.arrivalCount()-first, int(lost.answered.Load())) // none that was passed on
+			})
+		}
+	}
+}
+
+func TestRequestThatCrossesTheEndOfAnIdleConnectionIsNotRead(t *testing.T) {
+	const (
+		idle    = 300 * time.Millisecond
+		callers = 50
+	)
 	for round := range 5 {
 		t.Run(strconv.Itoa(round), func(t *testing.T) {
 			is := is.New(t)
-			var read sync.Map
-			s := startAdjusted(t, 30*time.Second, delay, func(g *Gateway) {
-				is.NoErr(g.listener.Close())
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				is.NoErr(err)
-				g.listener = g.trackCallers(countingListener{l, &read})
-			}, answering(http.StatusOK, "good"))
-			request := requestHead("POST", "/seal/1", "Content-Length: 4") + "body"
-			var connected []*rawCaller
-			for range callers {
-				c := dialRaw(t, s.url)
-				c.send(request)
-				is.Equal(c.receive().status, http.StatusOK)
-				connected = append(connected, c)
-			}
-			s.stop()
-			closing := time.Now().Add(delay)
-			var answered, lost atomic.Int64
-			var tasks sync.WaitGroup
-			for i, c := range connected {
-				tasks.Go(func() {
-					time.Sleep(time.Until(closing.Add(spread * time.Duration(2*i-callers) / callers)))
-					counter, _ := read.Load(c.conn.LocalAddr().String())
-					before := counter.(*atomic.Int64).Load()
-					// The connection may have been closed.
-					_, _ = io.WriteString(c.conn, request)
-					if got := c.receive(); !got.broken {
-						answered.Add(1)
-					} else if counter.(*atomic.Int64).Load()-before >= int64(len(request)) {
-						lost.Add(1)
-					}
-				})
-			}
-			tasks.Wait()
-			is.NoErr(<-s.stopped)
-			is.Equal(lost.Load(), int64(0))                          // whole requests that were read and not answered
-			is.Equal(s.arrivalCount(), callers+int(answered.Load())) // none that was passed on
+			s, counted := startCounting(t, 0, func(g *Gateway) { g.server.IdleTimeout = idle }, answering(http.StatusOK, "good"))
+			connected := s.connect(t, callers, true)
+			lost := sendAround(time.Now().Add(idle), connected, counted)
+			is.Equal(lost.read.Load(), int64(0))
+			is.Equal(s.arrivalCount()-callers, int(lost.answered.Load())) // none that was passed on
 		})
 	}
 }
