gateway: a caller that reads slowly gets its whole answer, and a stream its end

What callers saw: a connection that was closed in the middle of a complete answer of some megabytes, though they went on reading; and a stream without its end, if the endpoint ended it more than 10 s after its last event. Both were endpoints' whole answers.

Cause: one deadline of 10 s for writing held for a whole answer, however large, and it stayed in force after the last event, so that net/http could not write the end of the stream.

Fix: callerWriter writes an answer in parts of 16 KiB, and each part, each flush and the end of the answer have 10 s of their own. A caller that reads nothing is still cut off after 10 s.

--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -211,6 +211,63 @@
 	}
 }
 
+// smallBuffers is a listener whose connections have small send buffers.
+type smallBuffers struct{ net.Listener }
+
+func (l smallBuffers) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetWriteBuffer(32 << 10)
+}
+
+// A caller that reads slowly, but goes on reading, lost the rest of a large answer.
+func TestLargeAnswerIsCutWhileItsCallerReadsSlowly(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const (
+		size = 3 << 20
+		rate = size / int64(3*writeTimeout/time.Second/2) // bytes in a second
+	)
+	s := startAdjusted(t, time.Second, 0, func(g *Gateway) {
+		is.NoErr(g.listener.Close())
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		g.listener = g.trackCallers(smallBuffers{l})
+	}, answering(http.StatusOK, strings.Repeat("x", size)))
+	c := dialRaw(t, s.url)
+	is.NoErr(c.conn.SetReadBuffer(32 << 10))
+	_ = c.conn.SetReadDeadline(time.Now().Add(10 * writeTimeout))
+	c.send(requestHead("POST", "/seal/1", "Content-Length: 4"), "body")
+	res, err := http.ReadResponse(c.in, nil)
+	is.NoErr(err)
+	for total := int64(0); total < size; {
+		n, err := io.CopyN(io.Discard, res.Body, min(rate/10, size-total))
+		is.NoErr(err)
+		total += n
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// The end of a stream was lost if it came later after the last event than a caller may take to
+// read.
+func TestEndOfAStreamIsLostLongAfterItsLastEvent(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newTestGateway(t, func(rw http.ResponseWriter, r *http.Request) {
+		streaming(3, 3, nil)(rw, r)
+		select {
+		case <-time.After(writeTimeout + time.Second):
+		case <-r.Context().Done():
+		}
+	})
+	w.setTimeouts(time.Minute)
+	got := w.post("/tell/1", nil)
+	is.Equal(got.body, allEvents(1, 3))
+	is.True(!got.broken)
+}
+
 // A caller that ends its sending side cannot be told from one that has closed the connection: both
 // send a FIN. Its request is cancelled in either case.
 func TestCallerThatEndsItsSendingSideCountsAsGone(t *testing.T) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -40,8 +40,6 @@
 	// retryJitter is the maximum random addition to Retry-After, which spreads the
 	// retries of refused callers.
 	retryJitter = 300 * time.Millisecond
-	// writeTimeout ends a request whose caller does not read its answer for this long.
-	writeTimeout = 10 * time.Second
 )
 
 // errCallerGone is the error of a request whose caller has closed the connection or
@@ -116,7 +114,8 @@
 	}
 	g.metrics.inFlight.Add(1)
 	defer g.metrics.inFlight.Add(-1)
-	c := g.newCall(w, r)
+	caller := &callerWriter{ResponseWriter: w, clock: g.clock}
+	c := g.newCall(caller, r)
 	err := c.prepare()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -124,6 +123,12 @@
 		err = c.perform(ctx)
 	}
 	c.finish(err)
+	if err != nil {
+		return
+	}
+	if err := caller.extend(); err != nil {
+		c.log().Debug("end of the answer not sent", "error", err)
+	}
 }
 
 // prepare authenticates the caller, finds the route and the service, and reads the
