gateway: a pause of an entry costs no bookings of its peers

An entry that had been paused for 3 s found the deadlines of the streams of its peers passed, closed them all and dropped what the peers had booked, though their messages had arrived meanwhile. Until the streams were open again it chose among endpoints that looked idle.

The wait for a message now has two steps of 3 s together. After a pause the second one, which begins then, finds what has arrived.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	// dropped.
 	bookingHeartbeat = time.Second
 	bookingTimeout   = 3 * time.Second
+	// bookingRecheck is the last part of bookingTimeout.
+	bookingRecheck = 500 * time.Millisecond
 	// unlistedTimeout is how long the entry keeps retrying to send to a peer that
 	// neither accepts streams nor is listed by control.
 	unlistedTimeout = 10 * time.Second
@@ -428,10 +431,7 @@
 	}()
 	for b := first; ; {
 		g.applyBookings(peer.Name, b)
-		if err := stream.SetDeadline(g.clock.Now().Add(bookingTimeout)); err != nil {
-			return
-		}
-		m, err := stream.Recv()
+		m, err := g.awaitBookings(stream)
 		if err != nil {
 			return
 		}
@@ -443,6 +443,21 @@
 	}
 }
 
+// awaitBookings returns the next message of a peer, for which it waits for up to bookingTimeout. It
+// does so in two steps: after a pause of this process the first deadline has passed, though messages
+// may have arrived.
+func (g *Gateway) awaitBookings(stream wire.Stream) (m wire.Message, err error) {
+	for _, wait := range []time.Duration{bookingTimeout - bookingRecheck, bookingRecheck} {
+		if err := stream.SetDeadline(g.clock.Now().Add(wait)); err != nil {
+			return nil, err
+		}
+		if m, err = stream.Recv(); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return m, err
+		}
+	}
+	return nil, err
+}
+
 // applyBookings applies one message of bookings from the entry called owner.
 func (g *Gateway) applyBookings(owner string, b *wire.Bookings) {
 	now := g.clock.Now()
--- a/gateway/peers_test.go
+++ b/gateway/peers_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -139,3 +142,53 @@
 	time.Sleep(250 * time.Millisecond) // the predicted reading time
 	is.True(w.canChoose(w.call("/read/1", 100)))
 }
+
+// scriptedStream is a stream on which messages and errors arrive as they are sent to received.
+type scriptedStream struct {
+	wire.Stream
+	received chan any
+}
+
+func (s *scriptedStream) Peer() wire.Peer             { return wire.Peer{Name: "entry-2", Role: wire.RoleEntry} }
+func (s *scriptedStream) SetDeadline(time.Time) error { return nil }
+
+func (s *scriptedStream) Recv() (wire.Message, error) {
+	switch r := (<-s.received).(type) {
+	case error:
+		return nil, r
+	case wire.Message:
+		return r, nil
+	}
+	return nil, io.EOF
+}
+
+// An entry that had been paused itself found the deadlines of its streams passed, though the messages
+// of its peers had arrived, and dropped the bookings of all of them.
+func TestPauseOfThisEntryCostsNoBookingsOfPeers(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t)
+	e := scribe(0)
+	e.Slots = 1
+	w.g.fleet.Update(e)
+	stream := &scriptedStream{received: make(chan any)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.g.receiveBookings(stream, &wire.Bookings{Full: true, Begun: []wire.Booking{{ID: 1, Short: true, Primary: wire.BookedPart{Endpoint: e.Name}}}})
+	}()
+	receive := func(r any) {
+		select {
+		case stream.received <- r:
+		case <-done:
+			t.Fatal("the stream was given up")
+		}
+	}
+	late := errors.Wrap(os.ErrDeadlineExceeded, "read")
+	receive(late) // the deadline passed during the pause
+	receive(&wire.Bookings{})
+	receive(late)
+	is.True(!w.canChoose(w.call("/read/1", 10)))
+	receive(late) // the peer is silent
+	<-done
+	is.True(w.canChoose(w.call("/read/1", 10)))
+}
