soak: endpoints that fall silent and go on, and a check that requests are answered

The soak had no such fault: its mute endpoints and silent links never go on, and both suspend its check of closed connections.

The check of connections closed by planned stops becomes the promise that a whole request gets its answer or a refusal. It is wider: a 5xx of ours that is no refusal counts, a request that reached no endpoint counts later than 0.2 s after it was sent, and stops, pauses and kills of control, its cut links and those before operators suspend it no more. It excuses two cases that the users' rules excuse and that it did not know: a deadline or route time-out that has passed, and the last sixth of a grace time.

Routes and callers have the aims and deadlines of the users' sites.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -7,39 +7,38 @@
 import (
 	"bytes"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 )
 
 // The promises of a deployment that a Checker checks. The texts appear in reports.
 const (
-	PromiseAtMostOnce   = "runs at most once"
-	PromiseNotRun       = "a refusal that says not run is true"
-	PromiseAnswer       = "whole answers, of the right request"
-	PromiseOrder        = "events in order, without gaps"
-	PromiseUnaltered    = "endpoints get what callers sent"
-	PromiseRoute        = "requests run only where a configuration sends them"
-	PromiseNoRollback   = "an acknowledged configuration is not followed by an older one"
-	PromiseRevoked      = "a key that was taken away stops in time"
-	PromiseDrained      = "a drained endpoint or zone gets nothing new"
-	PromiseCold         = "a cold endpoint gets no more than it bears"
-	PromiseMemory       = "memory that was set aside is given back, and serves one request"
-	PromiseDurable      = "nothing acknowledged is lost"
-	PromiseRecovered    = "service comes back after the faults"
-	PromiseGracefulStop = "a planned stop cuts no request"
-	PromiseCrashing     = "a request that crashed three endpoints is not sent on"
-	PromiseInnocent     = "no request is refused for crashes that it did not cause"
-	PromiseRetries      = "retries stay within the budget of all entries"
-	PromiseLimit        = "an endpoint gets no more than the limit that it names"
-	PromisePause        = "an entry that an endpoint asked for a pause sends it nothing"
-	PromiseEvacuated    = "a zone that was taken out gets nothing, from processes that are cut off either"
+	PromiseAtMostOnce = "runs at most once"
+	PromiseNotRun     = "a refusal that says not run is true"
+	PromiseAnswer     = "whole answers, of the right request"
+	PromiseOrder      = "events in order, without gaps"
+	PromiseUnaltered  = "endpoints get what callers sent"
+	PromiseRoute      = "requests run only where a configuration sends them"
+	PromiseNoRollback = "an acknowledged configuration is not followed by an older one"
+	PromiseRevoked    = "a key that was taken away stops in time"
+	PromiseDrained    = "a drained endpoint or zone gets nothing new"
+	PromiseCold       = "a cold endpoint gets no more than it bears"
+	PromiseMemory     = "memory that was set aside is given back, and serves one request"
+	PromiseDurable    = "nothing acknowledged is lost"
+	PromiseRecovered  = "service comes back after the faults"
+	PromiseAnswered   = "a whole request gets its answer or a refusal"
+	PromiseCrashing   = "a request that crashed three endpoints is not sent on"
+	PromiseInnocent   = "no request is refused for crashes that it did not cause"
+	PromiseRetries    = "retries stay within the budget of all entries"
+	PromiseLimit      = "an endpoint gets no more than the limit that it names"
+	PromisePause      = "an entry that an endpoint asked for a pause sends it nothing"
+	PromiseEvacuated  = "a zone that was taken out gets nothing, from processes that are cut off either"
 )
 
 // Promises lists all promises.
 var Promises = []string{
 	PromiseAtMostOnce, PromiseNotRun, PromiseAnswer, PromiseOrder, PromiseUnaltered, PromiseRoute, PromiseNoRollback, PromiseRevoked,
-	PromiseDrained, PromiseCold, PromiseMemory, PromiseDurable, PromiseRecovered, PromiseGracefulStop,
+	PromiseDrained, PromiseCold, PromiseMemory, PromiseDurable, PromiseRecovered, PromiseAnswered,
 	PromiseCrashing, PromiseInnocent, PromiseRetries, PromiseLimit, PromisePause, PromiseEvacuated,
 }
 
@@ -73,6 +72,8 @@
 	Body    []byte
 	Account string
 	Key     string
+	// Deadline is the time from its sending to its deadline, or to the time-out of its route.
+	Deadline time.Duration
 	// AtMostOnce is set for a request that must not run more than once.
 	AtMostOnce bool
 	// Services are all services to which any configuration of the run routes the request.
@@ -131,8 +132,9 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	requests map[string]*trackedRequest
-	// boundsSuspended is the time until which time bounds do not apply.
-	boundsSuspended time.Time
+	// boundsSuspended is the time until which time bounds do not apply, and answersSuspended the time
+	// until which requests may end without an answer.
+	boundsSuspended, answersSuspended time.Time
 	// revoked holds when the removal of a key was acknowledged, by key.
 	revoked map[string]time.Time
 	// drained holds when an endpoint or zone was drained, by the name given to Drained.
@@ -144,7 +146,10 @@
 	// arrivals by service.
 	crashing map[string]*crashingContent
 	// ended holds the endpoints whose incarnation has ended.
-	ended    map[string]bool
+	ended map[string]bool
+	// lastEnd is when the last one ended, and stops are the planned stops, by entry.
+	lastEnd  time.Time
+	stops    map[string][]plannedStop
 	retries  map[string]*arrivalTimes
 	findings []Finding
 	// The counts of the report.
@@ -155,7 +160,7 @@
 func NewChecker(now time.Time, b Bounds) *Checker {
 	return &Checker{
 		bounds: b, start: now, requests: map[string]*trackedRequest{}, revoked: map[string]time.Time{}, drained: map[string]time.Time{},
-		crashing: map[string]*crashingContent{}, ended: map[string]bool{}, retries: map[string]*arrivalTimes{},
+		crashing: map[string]*crashingContent{}, ended: map[string]bool{}, stops: map[string][]plannedStop{}, retries: map[string]*arrivalTimes{},
 	}
 }
 
@@ -172,13 +177,22 @@
 }
 
 // SuspendBounds records a fault that lasts until the given time. Time bounds do not apply
-// until Bounds.Reconnect after it.
-func (c *Checker) SuspendBounds(until time.Time) {
+// until Bounds.Reconnect after it, and requests may end without an answer.
+func (c *Checker) SuspendBounds(until time.Time) { c.suspend(until, true) }
+
+// SuspendBoundsOnly is SuspendBounds for a fault that ends no request.
+func (c *Checker) SuspendBoundsOnly(until time.Time) { c.suspend(until, false) }
+
+func (c *Checker) suspend(until time.Time, answers bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if end := until.Add(c.bounds.Reconnect); end.After(c.boundsSuspended) {
+	end := until.Add(c.bounds.Reconnect)
+	if end.After(c.boundsSuspended) {
 		c.boundsSuspended = end
 	}
+	if answers && end.After(c.answersSuspended) {
+		c.answersSuspended = end
+	}
 }
 
 // ContactTime is the time after a fault, or after a new fact became known, from which bounds apply.
@@ -314,26 +328,6 @@
 	c.broken++
 }
 
-// ConnectionClosed records that the connection of a completely sent request ended without a
-// complete answer. While time bounds apply, only a planned stop of the entry and the end of an
-// endpoint can cause this. It is a finding if the request has run only on endpoints that still run.
-func (c *Checker) ConnectionClosed(now time.Time, id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := c.requests[id]
-	brokenOff := slices.ContainsFunc(r.endpoints, func(endpoint string) bool { return c.ended[endpoint] })
-	if r.runs > 0 && !brokenOff && r.sent.After(c.boundsSuspended) && now.After(c.boundsSuspended) {
-		c.addFinding(now, PromiseGracefulStop, "request %s ran and entry %s closed its connection without an answer", id, r.Entry)
-	}
-}
-
-// EndpointEnded records that an incarnation of an endpoint has ended and broken off its answers.
-func (c *Checker) EndpointEnded(endpoint string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ended[endpoint] = true
-}
-
 // Acked records that control acknowledged a configuration, which removes the keys revoked.
 func (c *Checker) Acked(now time.Time, version uint64, revoked []string) {
 	c.mu.Lock()
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -70,7 +70,18 @@
 		{"older configuration at the end", PromiseDurable, func(c *Checker) { c.Acked(at(0), 5, nil); c.FinalVersion(at(1), 4) }},
 		{"no configuration at the end", PromiseDurable, func(c *Checker) { c.Acked(at(0), 5, nil); c.FinalVersion(at(1), 0) }},
 		{"no service afterwards", PromiseRecovered, func(c *Checker) { c.CheckRecovery(at(0), 100, 24) }},
-		{"a planned stop closes a connection", PromiseGracefulStop, func(c *Checker) { c.Ran(at(0), arrival); c.ConnectionClosed(at(1), "a") }},
+		{"an answer is broken off", PromiseAnswered, func(c *Checker) { c.Ran(at(0), arrival); c.Unanswered(at(1), "a", "closed") }},
+		{"an unread request ends late", PromiseAnswered, func(c *Checker) { c.Unanswered(at(closeRace), "a", "closed") }},
+		{"a stop cuts a request in its grace time", PromiseAnswered, func(c *Checker) {
+			c.Ran(at(0), arrival)
+			c.Stopping(at(0), "e", 6*time.Second)
+			c.Unanswered(at(5*time.Second-1), "a", "closed")
+		}},
+		{"a request ends during a fault that ends none", PromiseAnswered, func(c *Checker) {
+			c.SuspendBoundsOnly(at(time.Second))
+			c.Ran(at(1), arrival)
+			c.Unanswered(at(2), "a", "closed")
+		}},
 		{"a request that crashed three endpoints is sent on", PromiseCrashing, func(c *Checker) {
 			sendCrashing(c, 0, 3)
 			sendCrashing(c, 4*time.Second, maxLateArrivals+1)
@@ -132,14 +143,22 @@
 	again.ID = "again"
 	c.Sent(at(3*time.Second), again)
 	c.Ran(at(3*time.Second), arrivalWith(func(a *Arrival) { a.ID = "again" })) // within Bounds.Reconnect after the fault
-	c.ConnectionClosed(at(3*time.Second), "again")
+	c.Unanswered(at(3*time.Second), "again", "closed")
 	broken := call
 	broken.ID, broken.Key = "broken", ""
 	c.Sent(at(8*time.Second), broken)
 	c.Ran(at(8*time.Second), arrivalWith(func(a *Arrival) { a.ID, a.Endpoint = "broken", "i-3" }))
-	c.EndpointEnded("i-3")
-	c.ConnectionClosed(at(8*time.Second), "broken")
-	c.FinalVersion(at(4*time.Second), 6) // newer than acknowledged: a change without an answer may have been applied
+	c.EndpointEnded(at(8*time.Second-1), "i-3")
+	c.Unanswered(at(8*time.Second), "broken", "closed")
+	late := call
+	late.ID, late.Key, late.Deadline = "late", "", 2*time.Second
+	c.Sent(at(9*time.Second), late)
+	c.Unanswered(at(9*time.Second+closeRace-1), "late", "closed") // crosses the close of its connection
+	c.Ran(at(9*time.Second), arrivalWith(func(a *Arrival) { a.ID, a.Endpoint = "late", "i-4" }))
+	c.Unanswered(at(11*time.Second-deadlineMargin), "late", "answered 504")
+	c.Stopping(at(5*time.Second), "e", 6*time.Second)
+	c.Unanswered(at(10*time.Second), "late", "closed") // in the last sixth of the grace time
+	c.FinalVersion(at(4*time.Second), 6)               // newer than acknowledged: a change without an answer may have been applied
 	c.CheckRecovery(at(5*time.Second), 100, 25)
 	sendCrashing(c, 5*time.Second, 5) // before all entries must know of the third crash
 	sendCrashing(c, 9*time.Second, maxLateArrivals)
