gateway: a stream that has begun waits for its permit

A stream that had begun was closed in mid answer if its endpoint broke off, its content was suspected of crashing endpoints, and control gave no answer about the permit within a second, as beside a lost leader. A request without an answer has a refusal for that; a stream that has begun has none, so it asks again to its deadline.

TestBegunStreamWaitsForItsPermit fails without the change: the connection is closed.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,9 +20,11 @@
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/config"
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -85,13 +87,20 @@
 	expired atomic.Bool
 	// published is the version of the newest publication that the session has received.
 	published atomic.Uint64
+	// permitsFrom is the number of the command from which permits are granted; zero for never.
+	permitsFrom, commands atomic.Int64
 }
 
 func (s *fakeControlClient) Run(ctx context.Context) error { <-ctx.Done(); return nil }
 func (s *fakeControlClient) Fresh() bool                   { return !s.expired.Load() }
 func (s *fakeControlClient) SetReplicas([]string)          {}
 func (s *fakeControlClient) Permission() wire.Permission   { return wire.Permission{Left: time.Second} }
-func (s *fakeControlClient) Do(context.Context, string, string, any, any) error {
+func (s *fakeControlClient) Do(_ context.Context, _, _ string, _, out any) error {
+	permitted, ok := out.(*command.Permitted)
+	if from := s.permitsFrom.Load(); ok && from > 0 && s.commands.Add(1) >= from {
+		*permitted = command.Permitted{Granted: true, Status: uint8(quarantine.Suspect)}
+		return nil
+	}
 	return verdict.Refuse(verdict.ReasonNoQuorum, 0, "the test has no control")
 }
 func (s *fakeControlClient) Config() *config.Document {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -63,6 +63,12 @@
 	answer, err := c.g.suspects.RequestPermit(a.ctx, command.Permit{
 		Digest: c.content, Holder: holder, Endpoint: placed.Primary.Name, Incarnation: placed.Primary.Incarnation, MaxRunTime: left,
 	})
+	if err != nil && a.resumes {
+		// A stream that has begun has no refusal left.
+		a.log().Info("permit not decided", "content", c.contentField(), "left", left, "error", err)
+		a.permitWait = min(defaultRetryAfter, maxPermitWait)
+		return false, nil
+	}
 	if err != nil {
 		return false, verdict.Refuse(verdict.ReasonNoQuorum, defaultRetryAfter, "content %s is suspected of crashing endpoints, and control gives no permit: %v", c.contentField(), err)
 	}
