gateway: a whole event is not held back by a part of the next one

A caller got an event only when its endpoint went on, if the endpoint paused within the event after it: the first one was not flushed because bytes of a further event were buffered. The two seconds of patience of the caller began early, and for requests that run at most once, nothing flushed it at all. An event is held back only if a further one is buffered completely.

TestWholeEventIsNotHeldBackByTheNextOne fails without the change, after the deadline of 3 s.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -60,8 +60,12 @@
 	}
 }
 
-// hasBuffered reports whether bytes of a further event are buffered.
-func (e *eventReader) hasBuffered() bool { return e.r.Buffered() > 0 }
+// hasBuffered reports whether a further event is buffered completely.
+func (e *eventReader) hasBuffered() bool {
+	// Peek returns no error for what is buffered.
+	rest, _ := e.r.Peek(e.r.Buffered())
+	return bytes.Contains(rest, []byte("\n\n")) || bytes.Contains(rest, []byte("\n\r\n"))
+}
 
 // alreadyDelivered reports whether the event ID is not greater than last, the ID of the
 // last event delivered. It is false if one of them is not a number.
