--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -29,6 +29,9 @@
 	// failure.
 	healthCheckInterval = 700 * time.Millisecond
 	maxAliveChecks      = 8
+	// MaxSignOfLifeAge is the age of the last sign of life of an engine up to which the memory
+	// reservations of its requests are renewed.
+	MaxSignOfLifeAge = healthCheckInterval
 	// progressBytes is how many bytes of an answer count as a sign of progress.
 	progressBytes = 16 << 10
 )
@@ -142,10 +145,11 @@
 	return t.resets
 }
 
-// declareSilent tells the call that the endpoint is silent, unless there has been progress since.
+// declareSilent tells the call that the endpoint is silent, unless there has been progress since, or
+// the request has not been sent.
 func (t *silenceTimer) declareSilent(since int) {
 	t.mu.Lock()
-	progressed, first := t.resets != since, !t.silent
+	progressed, first := t.resets != since || since == 0, !t.silent
 	t.silent = !progressed
 	t.mu.Unlock()
 	if !progressed {
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,7 +13,10 @@
 const (
 	// renewAfterFraction is the fraction of a reservation's TTL after which it is
 	// renewed.
-	renewAfterFraction = 0.6
+	renewAfterFraction = 0.45
+	// renewRetryInterval is the time until a renewal that failed, or was put off because the primary
+	// endpoint answered no health check, is tried again.
+	renewRetryInterval = 200 * time.Millisecond
 	// maxReleaseAttempts is how many times the release of a ticket is sent if a reserve
 	// or release request for it got no answer. Engines may still execute such requests
 	// some seconds later.
@@ -109,6 +113,7 @@
 func (a *attempt) renew(ctx context.Context, reserved []ticket) {
 	g := a.c.g
 	wait := func() time.Duration { return time.Duration(renewAfterFraction * float64(g.currentTicketTTL())) }
+	due := reserved
 	for next := wait(); ; {
 		select {
 		case <-ctx.Done():
@@ -117,17 +122,38 @@
 		}
 		progress := a.timer.progress()
 		if a.c.route.Kind == Repeatable && !g.engineAlive(a.placed.Primary) {
-			next = min(wait(), healthCheckInterval)
 			a.timer.declareSilent(progress)
+			next = renewRetryInterval
 			continue
 		}
-		next = wait()
-		for _, t := range reserved {
-			if err := t.reserve(g.engines, g.currentTicketTTL()); err != nil && ctx.Err() == nil {
-				a.log().Warn("memory reservation not renewed", "ticket", t.Ticket, "addr", t.Addr, "error", err)
-			}
+		if due = a.renewOnce(ctx, due); len(due) > 0 {
+			next = renewRetryInterval
+			continue
 		}
+		next, due = wait(), reserved
+	}
+}
+
+// renewOnce renews reservations at the same time and returns those for which that failed.
+func (a *attempt) renewOnce(ctx context.Context, due []ticket) (failed []ticket) {
+	failures := make(chan ticket, len(due))
+	var orders sync.WaitGroup
+	for _, t := range due {
+		orders.Go(func() {
+			err := t.reserve(a.c.g.engines, a.c.g.currentTicketTTL())
+			if err == nil || ctx.Err() != nil {
+				return
+			}
+			a.log().Warn("memory reservation not renewed", "ticket", t.Ticket, "addr", t.Addr, "error", err)
+			failures <- t
+		})
+	}
+	orders.Wait()
+	close(failures)
+	for t := range failures {
+		failed = append(failed, t)
 	}
+	return failed
 }
 
 // release ends a reservation. A reserve or release request that got no answer may be
