gateway: a panic in an attempt ends only its request

Attempts run on goroutines of their own, where net/http does not recover: a panic on what an endpoint sent ended the process, and with it all requests of the entry. It is logged with its stack now, and the request fails as one that may have run.

Found by review.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -104,13 +105,27 @@
 func (a *attempt) run() {
 	defer close(a.done)
 	defer a.cancel(nil)
-	failure, err := a.try()
+	failure, err := a.tryRecovering()
 	a.endPermit(err)
 	if err != nil {
 		a.tell(message{err: err, failure: failure})
 	}
 }
 
+// tryRecovering is try, and turns a panic into the failure of the attempt.
+func (a *attempt) tryRecovering() (failure *failureAnswer, err error) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		a.ran = a.ran || !a.sentAt.IsZero()
+		a.log().Warn("attempt panicked", "panic", p, "stack", string(debug.Stack()))
+		failure, err = nil, verdict.Uncertain(verdict.ReasonInternal, 0, "the attempt at endpoint %q failed in the entry", a.endpoint())
+	}()
+	return a.try()
+}
+
 // tell sends a message to the call and waits until the call has dealt with it. It returns false if
 // the attempt has been cancelled.
 func (a *attempt) tell(m message) bool {
