gateway: the log of a replaced attempt does not read what is being placed

When a silent endpoint went on while its replacement was being placed, the call read the placement of the replacement for a log line: a data race. The line names the endpoint only of an attempt that was sent; and lines that follow name the endpoint that was kept.

Found by review.

--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -188,11 +188,16 @@
 
 // keepOnly cancels all attempts but one, which has gone on.
 func (c *call) keepOnly(kept *attempt) {
+	c.endpoint = kept.endpoint()
 	for _, a := range slices.Clone(c.open) {
 		if a == kept {
 			continue
 		}
-		c.log().Info("attempt replaced", "replaced", a.endpoint(), "kept", kept.endpoint(), "events", c.delivered)
+		replaced := "" // the endpoint of an attempt that is being placed is not known yet
+		if a.sent {
+			replaced = a.endpoint()
+		}
+		c.log().Info("attempt replaced", "replaced", replaced, "kept", kept.endpoint(), "events", c.delivered)
 		a.cancel(errReplaced)
 		c.close(a, a.sent)
 	}
--- a/gateway/silent_endpoints_test.go
+++ b/gateway/silent_endpoints_test.go
@@ -185,3 +185,19 @@
 		})
 	}
 }
+
+// An endpoint goes on while its replacement is being placed or waits for a permission.
+func TestSilentEndpointGoesOnBeforeItsReplacementIsSent(t *testing.T) {
+	for i := range 8 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			var w *testGateway
+			e := &pausingEndpoint{total: 9, events: 4, silence: time.Duration(780+20*i) * time.Millisecond, silent: func() { w.session.expired.Store(true) }}
+			w = newTestGateway(t, e.ServeHTTP, answering(http.StatusOK, "another"))
+			w.g.retries.setLimits(RetryLimits{Ratio: 100, Window: 10 * time.Second})
+			w.addLoad("scribe", 1, 7)
+			w.engines.dead.Store(true)
+			w.isAnswered(is.New(t), w.post("/read/1", nil))
+		})
+	}
+}
