gateway: an event costs one timer operation, and a message that was taken counts as taken

The silence timer was stopped before each event was passed on and started again after it. It is marked as held instead. An attempt that was cancelled at the same moment as its last message was taken sometimes ended as one without a complete answer, and its permit was returned as such.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -142,7 +142,12 @@
 	case <-a.taken:
 		return true
 	case <-a.ctx.Done():
-		return false
+		select {
+		case <-a.taken: // both
+			return true
+		default:
+			return false
+		}
 	}
 }
 
@@ -384,7 +389,7 @@
 			return a.handleBrokenAnswer(err)
 		case ev.hasData:
 			a.begun = true
-			a.timer.stop() // a slow caller is no silence of the endpoint
+			a.timer.hold() // a slow caller is no silence of the endpoint
 			a.markAlive()
 		}
 		if !a.tell(message{event: &ev, more: events.hasBuffered(), head: res}) {
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -78,6 +78,8 @@
 	// resets counts the calls of reset, so that progress during a health check is noticed.
 	resets int
 	silent bool
+	// held is set while what the endpoint has sent waits for the caller.
+	held bool
 }
 
 // newSilenceTimer returns a timer that does not run. The attempt sets its duration with reset and
@@ -95,7 +97,7 @@
 	defer t.mu.Unlock()
 	t.checksLeft = maxAliveChecks
 	t.resets++
-	t.silent = false
+	t.silent, t.held = false, false
 	if d <= 0 {
 		t.timer.Stop()
 		return
@@ -105,6 +107,14 @@
 
 func (t *silenceTimer) stop() { t.reset(0) }
 
+// hold records progress, and that the endpoint is not silent until the next reset.
+func (t *silenceTimer) hold() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resets++
+	t.silent, t.held = false, true
+}
+
 // askAgain lets a timer that has told the call of a silence do so again after a while.
 func (t *silenceTimer) askAgain() {
 	t.mu.Lock()
@@ -124,6 +134,10 @@
 // expired extends the wait while the engine answers health checks, and else tells the call.
 func (t *silenceTimer) expired() {
 	t.mu.Lock()
+	if t.held {
+		t.mu.Unlock()
+		return
+	}
 	t.checksLeft--
 	mayCheck, resets := t.checksLeft >= 0, t.resets
 	t.mu.Unlock()
