gateway: a retry counts from its send, and a stream that was passed on whole is not aborted at its deadline

Two faults in the same lines of the call's end, both found by review.

A retry that was granted long before it was sent counted from its grant, and giving back one that was not sent undid the latest retry of the service, which may be that of another request: more repeats in a window than this entry's share. A grant is known by its time now, and moved to the time of the send. TestRetryCountsFromItsSend tests it; the functions did not exist before.

A stream of which the last event had been passed on was aborted if the deadline fell before its end had been. It ends as answered.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -45,6 +45,8 @@
 	// begun is set once an event or a complete answer has come from the endpoint, and ran once
 	// the endpoint may have executed the request.
 	begun, ran bool
+	// complete is set once all of the answer has been read.
+	complete bool
 	// excluded are endpoints at fault other than the primary one.
 	excluded []string
 	// permitHolder identifies the permit of the attempt; empty if it needs none. interrupted is
@@ -59,9 +61,11 @@
 	// done is closed at the end.
 	done chan struct{}
 
-	// sent is set once the call has agreed that the request is sent, spent if the attempt has
-	// spent a retry, and toldSilent once its silence was logged. They belong to the call.
-	sent, spent, toldSilent bool
+	// sent is set once the call has agreed that the request is sent, and toldSilent once its silence
+	// was logged. spent is when the attempt was granted a retry, zero if it needed none. They
+	// belong to the call.
+	sent, toldSilent bool
+	spent            time.Time
 }
 
 // message is what an attempt tells its call. Exactly one of sending, event, ended and err is set.
@@ -380,6 +384,7 @@
 		ev, err := events.next()
 		switch {
 		case errors.Is(err, io.EOF):
+			a.complete = true
 			a.timer.stop()
 			if !a.tell(message{ended: true, head: res}) {
 				return context.Cause(a.ctx)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -90,10 +90,10 @@
 	// endpoint is the primary endpoint of the latest attempt that was sent.
 	endpoint string
 	// open are the attempts that have neither ended nor been cancelled. At most one of them has not
-	// been sent yet. spent is set if a retry was granted for
-	// the next one.
+	// been sent yet. spent is when a retry was granted for
+	// the next one; zero if none was.
 	open  []*attempt
-	spent bool
+	spent time.Time
 	// messages and silences are what open attempts send.
 	messages chan message
 	silences chan *attempt
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -42,7 +42,7 @@
 // on is kept, and the others are cancelled.
 func (c *call) runAttempts(ctx context.Context) error {
 	c.g.retries.recordRequest(c.started, c.service.Name)
-	defer c.endAttempts()
+	defer c.endAttempts(nil)
 	c.begin(ctx)
 	for {
 		select {
@@ -57,7 +57,9 @@
 				return err
 			}
 		case <-ctx.Done():
-			c.endAttempts()
+			if c.endAttempts(context.Cause(ctx)) && c.committed {
+				return nil // all of the stream was passed on, only its end is late
+			}
 			return c.interrupted(ctx)
 		}
 	}
@@ -66,7 +68,7 @@
 // begin starts an attempt.
 func (c *call) begin(ctx context.Context) {
 	a := c.newAttempt(ctx)
-	a.spent, c.spent = c.spent, false
+	a.spent, c.spent = c.spent, time.Time{}
 	c.open = append(c.open, a)
 	go a.run()
 }
@@ -104,6 +106,9 @@
 	c.endpoint = a.endpoint()
 	c.placementRequest.Tried = append(c.placementRequest.Tried, c.endpoint)
 	a.sent = true
+	if !a.spent.IsZero() {
+		c.g.retries.moveTo(c.g.clock.Now(), c.service.Name, a.spent)
+	}
 }
 
 // sendReason returns the reason of the current attempt as a label value for metrics.
@@ -210,24 +215,28 @@
 	if ran {
 		c.runs++
 	}
-	// A retry that was granted but not sent is used for the next attempt.
-	c.spent = c.spent || a.spent && !a.sent
+	if !a.sent && !a.spent.IsZero() {
+		c.spent = a.spent // for the next attempt
+	}
 }
 
 // endAttempts cancels all open attempts and gives back a retry that was not sent. It waits for the
-// attempts that were sent, which end at once, so that it is known what may have run.
-func (c *call) endAttempts() {
+// attempts that were sent, which end at once, so that it is known what may have run. It reports
+// whether one of them had read all of its answer.
+func (c *call) endAttempts(cause error) (complete bool) {
 	for _, a := range slices.Clone(c.open) {
-		a.cancel(nil)
+		a.cancel(cause)
 		if a.sent {
 			<-a.done
+			complete = complete || a.complete
 		}
 		c.close(a, a.sent && a.ran)
 	}
-	if c.spent {
-		c.spent = false
-		c.g.retries.giveBack(c.service.Name)
+	if !c.spent.IsZero() {
+		c.g.retries.giveBack(c.service.Name, c.spent)
+		c.spent = time.Time{}
 	}
+	return complete
 }
 
 // mayTryAgain reports whether the request may be sent to another endpoint after the
@@ -248,8 +257,11 @@
 		// The request reached no endpoint, so it spends no retry.
 		return true
 	}
-	c.spent = c.spent || c.g.retries.trySpend(c.g.clock.Now(), c.service.Name, c.g.retrySharing())
-	return c.spent
+	now := c.g.clock.Now()
+	if c.spent.IsZero() && c.g.retries.trySpend(now, c.service.Name, c.g.retrySharing()) {
+		c.spent = now
+	}
+	return !c.spent.IsZero()
 }
 
 // adjustVerdict returns err as a refusal with the verdict for the whole request. The
--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -136,12 +136,26 @@
 	return true
 }
 
-// giveBack undoes the last trySpend of a service, for a retry that was not sent.
-func (b *retryBudget) giveBack(service string) {
+// giveBack undoes the trySpend of a service at a time, for a retry that was not sent.
+func (b *retryBudget) giveBack(service string, spent time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.usage(service); len(s.retries) > 0 {
-		s.retries = s.retries[:len(s.retries)-1]
+	b.usage(service).remove(spent)
+}
+
+// moveTo counts a retry of a service, granted at the time spent, from now on: that is when it is sent.
+func (b *retryBudget) moveTo(now time.Time, service string, spent time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.usage(service)
+	s.remove(spent)
+	s.retries = append(s.retries, now)
+}
+
+// remove removes a retry, which may have left the window.
+func (s *serviceUsage) remove(spent time.Time) {
+	if i := slices.IndexFunc(s.retries, spent.Equal); i >= 0 {
+		s.retries = slices.Delete(slices.Clone(s.retries), i, i+1)
 	}
 }
 
--- a/gateway/retries_test.go
+++ b/gateway/retries_test.go
@@ -120,15 +120,37 @@
 	is.Equal(left(), 0.0)
 	for range 2 {
 		a := c.newAttempt(context.Background())
-		a.spent, c.spent = c.spent, false
+		a.spent, c.spent = c.spent, time.Time{}
 		c.open = append(c.open, a)
 		c.close(a, false)
 		is.True(c.mayTryAgain(verdict.Refuse(verdict.ReasonEndpointMemory, 0, "full")))
-		is.True(c.spent) // for the next attempt
+		is.True(!c.spent.IsZero()) // for the next attempt
 	}
 	is.True(c.mayTryAgain(lost))
 	is.Equal(left(), 0.0)
-	c.endAttempts()
-	c.endAttempts()
+	c.endAttempts(nil)
+	c.endAttempts(nil)
 	is.Equal(left(), 1.0)
 }
+
+// A retry that was granted long before it was sent counted from its grant, and giving it back undid the
+// retry of another request.
+func TestRetryCountsFromItsSend(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	newBudget := func() *retryBudget {
+		return newRetryBudget(RetryLimits{Extra: 1, Window: 10 * time.Second}, time.Time{})
+	}
+	b := newBudget()
+	is.True(b.trySpend(at(0), "desk", 1))
+	is.True(b.trySpend(at(10.5), "desk", 1))
+	b.giveBack("desk", at(0)) // the first was not sent
+	is.True(!b.trySpend(at(11), "desk", 1))
+
+	b = newBudget()
+	is.True(b.trySpend(at(0), "desk", 1))
+	b.moveTo(at(9), "desk", at(0))
+	is.True(!b.trySpend(at(11), "desk", 1))
+	is.True(b.trySpend(at(19.5), "desk", 1))
+}
