gateway: a dead endpoint does not keep the memory that its prompt needs elsewhere

If it finds no room, and would find some without the silent attempts, these are ended and it begins again. This is the one case in which an attempt is ended before another has gone on; there is room for the other one then.

TestLongPromptOfADeadPrimaryIsAnsweredElsewhere fails without the change, with 504 after 3 s. Found by review.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,6 +47,8 @@
 	begun, ran bool
 	// complete is set once all of the answer has been read.
 	complete bool
+	// immediate is set if the attempt is to be refused instead of waiting for endpoints.
+	immediate bool
 	// excluded are endpoints at fault other than the primary one.
 	excluded []string
 	// permitHolder identifies the permit of the attempt; empty if it needs none. interrupted is
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -69,6 +69,7 @@
 func (c *call) begin(ctx context.Context) {
 	a := c.newAttempt(ctx)
 	a.spent, c.spent = c.spent, time.Time{}
+	a.immediate = slices.ContainsFunc(c.open, (*attempt).holdsHelpers)
 	c.open = append(c.open, a)
 	go a.run()
 }
@@ -137,6 +138,10 @@
 		return false, nil
 	}
 	r := verdict.From(m.err)
+	if a.immediate && a.placed == nil && mayClearWhileWaiting(r.Reason) && c.yieldHelpers(a) {
+		c.begin(ctx)
+		return false, nil
+	}
 	if c.awaitsOpen() {
 		c.log().Info("attempt failed beside another one", "failed", a.endpoint(), "reason", string(r.Reason), "detail", r.Detail)
 		return false, nil
@@ -155,6 +160,32 @@
 	return true, c.adjustVerdict(r)
 }
 
+// yieldHelpers ends the silent attempts with helpers if the request of a has room only without them: the
+// memory of the helpers is of no use to a dead endpoint. It reports whether that is so.
+func (c *call) yieldHelpers(a *attempt) bool {
+	var silent []*attempt
+	for _, o := range c.open {
+		if o.holdsHelpers() {
+			silent = append(silent, o)
+		}
+	}
+	if !c.g.hasRoomWithout(silent, &a.request) {
+		return false
+	}
+	for _, o := range silent {
+		c.log().Info("attempt replaced", "replaced", o.endpoint(), "kept", "", "events", c.delivered, "reason", "its helpers are needed")
+		o.cancel(errReplaced)
+		<-o.done
+		c.close(o, o.ran)
+	}
+	return true
+}
+
+// holdsHelpers reports whether a sent attempt has helpers that are booked at this entry.
+func (a *attempt) holdsHelpers() bool {
+	return a.sent && a.placed.held == nil && len(a.placed.Helpers) > 0
+}
+
 // takeSilence deals with an attempt whose endpoint sends nothing. Another one is begun if the retry
 // rules allow it; the silent one stays open, because its endpoint may go on.
 func (c *call) takeSilence(ctx context.Context, a *attempt) (done bool, err error) {
--- a/gateway/silent_endpoints_test.go
+++ b/gateway/silent_endpoints_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -186,6 +187,26 @@
 	}
 }
 
+// A dead endpoint kept the memory of its helpers, so that no other endpoint had room for its prompt.
+func TestLongPromptOfADeadPrimaryIsAnsweredElsewhere(t *testing.T) {
+	is := is.New(t)
+	var died atomic.Bool
+	endpoint := func(rw http.ResponseWriter, r *http.Request) {
+		if died.CompareAndSwap(false, true) {
+			<-r.Context().Done()
+			return
+		}
+		streaming(9, 9, nil)(rw, r)
+	}
+	w := newTestGateway(t, endpoint, endpoint, endpoint)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.g.pollQueues(ctx)
+	w.engines.dead.Store(true)
+	w.g.deployment.Load().Services["scribe"].Engine.PrefillTokensPerSecond = 10_000
+	w.isAnswered(is, w.post("/read/1", func(r *http.Request) { r.Header.Set("Tokens", "1500") }))
+}
+
 // An endpoint goes on while its replacement is being placed or waits for a permission.
 func TestSilentEndpointGoesOnBeforeItsReplacementIsSent(t *testing.T) {
 	for i := range 8 {
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -96,7 +96,7 @@
 	c := a.c
 	return &waiter{
 		request: &a.request, bookingID: c.g.bookings.newID(), account: c.account, arrived: c.started, startBy: c.startBy(),
-		giveUpAt: c.started.Add(a.maxWait()), result: make(chan placeResult, 1),
+		giveUpAt: c.started.Add(a.maxWait()), immediate: a.immediate, result: make(chan placeResult, 1),
 	}
 }
 
@@ -161,6 +161,19 @@
 	}
 }
 
+// hasRoomWithout reports whether endpoints could be chosen for a request if these attempts ended.
+func (g *Gateway) hasRoomWithout(attempts []*attempt, r *assign.Request) bool {
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range attempts {
+		g.fleet.EndBooking("", a.placed.id, true)
+		defer g.fleet.Restore(now, "", a.placed.id, &a.placed.Booking)
+	}
+	_, err := g.fleet.Choose(now, r)
+	return err == nil
+}
+
 // placeOrEnqueue places the request at once, refuses it, or puts it into the queue.
 func (g *Gateway) placeOrEnqueue(w *waiter) {
 	now := g.clock.Now()
