--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -268,6 +268,57 @@
 	is.True(!got.broken)
 }
 
+func TestCallerThatReadsNothingIsCutOff(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var g *Gateway
+	s := startAdjusted(t, time.Second, 0, func(adjusted *Gateway) {
+		g = adjusted
+		is.NoErr(g.listener.Close())
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		g.listener = g.trackCallers(smallBuffers{l})
+	}, answering(http.StatusOK, strings.Repeat("x", 3<<20)))
+	c := dialRaw(t, s.url)
+	is.NoErr(c.conn.SetReadBuffer(32 << 10))
+	c.send(requestHead("POST", "/seal/1", "Content-Length: 4"), "body")
+	for s.arrivalCount() == 0 || g.metrics.inFlight.Load() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(answerTimeout))
+	got := c.receive()
+	is.Equal(got.status, http.StatusOK)
+	is.True(got.broken) // the rest of the answer does not come
+}
+
+func TestStreamIsAbortedAtItsDeadline(t *testing.T) {
+	for _, path := range []string{"/read/1", "/tell/1"} {
+		is := is.New(t)
+		w := newTestGateway(t, func(rw http.ResponseWriter, r *http.Request) {
+			streaming(3, 3, nil)(rw, r)
+			<-r.Context().Done()
+		})
+		got := w.post(path, func(r *http.Request) { r.Header.Set("Wait", "700") })
+		is.True(got.broken)
+		is.True(got.status == http.StatusOK || got.status == 0) // the end of the answer is missing
+		is.True(strings.HasPrefix(allEvents(1, 3), got.body))
+	}
+}
+
+func TestChangeOfSettingsClosesNoConnection(t *testing.T) {
+	is := is.New(t)
+	var g *Gateway
+	s := startAdjusted(t, time.Second, 0, func(adjusted *Gateway) { g = adjusted }, answering(http.StatusOK, "good"))
+	c := dialRaw(t, s.url)
+	for range 3 {
+		c.send(requestHead("POST", "/seal/1", "Content-Length: 4"), "bo")
+		g.Reconfigure(nil, 2*time.Second, g.Retries)
+		c.send("dy")
+		is.Equal(c.receive().body, "good")
+		g.Reconfigure(nil, time.Second, g.Retries)
+	}
+}
+
 // A caller that ends its sending side cannot be told from one that has closed the connection: both
 // send a FIN. Its request is cancelled in either case.
 func TestCallerThatEndsItsSendingSideCountsAsGone(t *testing.T) {
