drain: a caller that goes on sending after its refusal delays no stop

What it cost: a connection that was read on after a refusal counted as open, so that a stopping entry waited for it for up to 5 s, and could miss the end of its grace time and the message with which it leaves its peers.

Evidence: TestCallerThatGoesOnSendingDelaysNoStop fails without this change.

Fix: a connection that has been taken over from net/http no longer counts. Its request has been answered.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -47,6 +47,9 @@
 	s.ConnState = func(outer net.Conn, state http.ConnState) {
 		if tracked := unwrap(outer); tracked != nil {
 			tracked.setIdle(state == http.StateIdle)
+			if state == http.StateHijacked {
+				c.remove(tracked) // its request has been answered, see Linger
+			}
 		}
 		if previousHook != nil {
 			previousHook(outer, state)
@@ -54,6 +57,13 @@
 	}
 }
 
+// remove takes a connection out of the set.
+func (c *Connections) remove(tracked *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, tracked)
+}
+
 // unwrap returns the connection of the set that a connection wraps, or nil.
 func unwrap(c net.Conn) *conn {
 	for {
@@ -153,9 +163,7 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.set.mu.Lock()
-	delete(c.set.open, c)
-	c.set.mu.Unlock()
+	c.set.remove(c)
 	return c.Conn.Close()
 }
 
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -179,3 +179,33 @@
 	_, err := in.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// A caller that had been refused, and went on sending, kept a stopping process waiting.
+func TestCallerThatGoesOnSendingDelaysNoStop(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	set, lingering := New(kernel.SystemClock{}), make(chan bool, 1)
+	l = framing.Listen(set.Listen(l))
+	h := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "4")
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "body")
+		_ = Linger(w, time.Now())
+		lingering <- false
+	})}
+	framing.Protect(h, func(string) {})
+	set.Observe(h)
+	go func() { _ = h.Serve(l) }()
+	defer func() { _ = h.Close() }()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = caller.Close() }()
+	_, _ = io.WriteString(caller, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n")
+	is.True(answered(bufio.NewReader(caller)))
+	is.NoErr(l.Close())
+	is.NoErr(set.Close(context.Background()))
+	is.Equal(len(lingering), 0) // the connection is still read
+	is.NoErr(caller.Close())
+	<-lingering
+}
