entry: the test of a silent sidecar holds packets too

Beside a sidecar that sends nothing, a relay between entry and sidecar holds all packets for 0.3, 1.2 and 3 s, as a paused VM does.

--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -109,8 +110,57 @@
 	_ = s.CloseSend()
 }
 
+// relayPackets forwards packets between the entry and the sidecar at addr, and returns the address for
+// the entry. Between pause and resume it holds them, as if the VM of the sidecar were paused.
+func (p *pausingSidecar) relayPackets(t *testing.T, addr string) string {
+	t.Helper()
+	is := is.New(t)
+	entrySide, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = entrySide.Close() })
+	server, err := net.ResolveUDPAddr("udp", addr)
+	is.NoErr(err)
+	go func() {
+		sidecarSides := map[string]net.Conn{}
+		packet := make([]byte, 64<<10)
+		for {
+			n, from, err := entrySide.ReadFrom(packet)
+			if err != nil {
+				for _, c := range sidecarSides {
+					_ = c.Close()
+				}
+				return
+			}
+			c := sidecarSides[from.String()]
+			if c == nil {
+				if c, err = net.DialUDP("udp", nil, server); err != nil {
+					return
+				}
+				sidecarSides[from.String()] = c
+				go p.relayBack(c, entrySide, from)
+			}
+			p.await()
+			_, _ = c.Write(packet[:n])
+		}
+	}()
+	return entrySide.LocalAddr().String()
+}
+
+// relayBack forwards the packets of the sidecar.
+func (p *pausingSidecar) relayBack(from net.Conn, to net.PacketConn, entry net.Addr) {
+	packet := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(packet)
+		if err != nil {
+			return
+		}
+		p.await()
+		_, _ = to.WriteTo(packet[:n], entry)
+	}
+}
+
 // newPausingEntry returns an entry whose endpoints have one sidecar, which it reaches over QUIC.
-func newPausingEntry(t *testing.T) (*Entry, *recordingControl, *pausingSidecar) {
+func newPausingEntry(t *testing.T, holdPackets bool) (*Entry, *recordingControl, *pausingSidecar) {
 	t.Helper()
 	is := is.New(t)
 	e := newEntry(t, nil)
@@ -136,9 +186,13 @@
 	is.NoErr(err)
 	e.pool = pool
 	t.Cleanup(func() { pool.Close(); cancel(); is.NoErr(<-served); is.NoErr(<-dispatching) })
+	addr := server.Addr()
+	if holdPackets {
+		addr = sidecar.relayPackets(t, addr)
+	}
 	for _, name := range []string{"scribe-1", "desk-1"} {
 		endpoint, _ := e.dispatcher.findEndpoint(name)
-		endpoint.Addr = server.Addr()
+		endpoint.Addr = addr
 		e.dispatcher.updateEndpoints(control.doc, []wire.Endpoint{endpoint}, nil, false)
 	}
 	return e, control, sidecar
@@ -148,12 +202,20 @@
 // was reported as the loss of an endpoint under the request.
 func TestSilentSecondOfASidecarEndsNoRequest(t *testing.T) {
 	for _, silence := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
-		for name, budget := range map[string]*route.RetryBudget{"retries allowed": route.NewRetryBudget(), "no retry left": {}} {
+		for name, test := range map[string]struct {
+			budget      *route.RetryBudget
+			holdPackets bool
+		}{
+			"retries allowed":                  {route.NewRetryBudget(), false},
+			"no retry left":                    {&route.RetryBudget{}, false},
+			"no packets either":                {route.NewRetryBudget(), true},
+			"no packets either, no retry left": {&route.RetryBudget{}, true},
+		} {
 			t.Run(fmt.Sprint(silence, ", ", name), func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				e, control, sidecar := newPausingEntry(t)
-				e.dispatcher.retries = budget
+				e, control, sidecar := newPausingEntry(t, test.holdPackets)
+				e.dispatcher.retries = test.budget
 				srv := httptest.NewServer(e.handler())
 				defer srv.Close()
 				send := func(path, body string) (*http.Response, error) {
@@ -209,7 +271,7 @@
 // A sidecar that stops for good must not hold what another endpoint can serve.
 func TestRequestMovesOnFromASidecarThatStaysSilent(t *testing.T) {
 	is := is.New(t)
-	e, _, sidecar := newPausingEntry(t)
+	e, _, sidecar := newPausingEntry(t, false)
 	sidecar.pause()
 	defer sidecar.resume()
 	endpoint, _ := e.dispatcher.findEndpoint("scribe-1")
