--- a/control/session/command.go
+++ b/control/session/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -64,12 +65,26 @@
 	lastErr    error
 	// timeout is the timeout of an attempt in the current round.
 	timeout time.Duration
+	// results receives how each attempt ended.
+	results chan attemptResult
+}
+
+// attemptResult is the answer of the replica at addr, or the error of the attempt.
+type attemptResult struct {
+	addr   string
+	answer *wire.Answer
+	err    error
+	// sent is set if the replica may have received the command.
+	sent bool
 }
 
 // run sends the command to the replicas, round by round, until a leader answers. After a round
 // without an answer it fails, unless the command may have taken effect. In that case it
 // continues until ctx ends.
 func (d *commandCall) run(ctx context.Context) (*wire.Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(errAnswered)
+	d.results = make(chan attemptResult)
 	backoff := minBackoff
 	for {
 		for _, addr := range d.client.commandAddrs() {
@@ -103,50 +118,86 @@
 // to the leader. It returns nil if no leader has answered, or if the leader has lost its
 // quorum.
 func (d *commandCall) tryWithRedirects(ctx context.Context, addr string) *wire.Answer {
-	answer := d.tryOnce(ctx, addr)
+	r := d.tryOnce(ctx, addr)
 	for range MaxRedirects {
-		if answer != nil && answer.Leader != "" && answer.Leader != addr {
-			addr = answer.Leader
-			answer = d.tryOnce(ctx, addr)
+		if r.answer != nil && r.answer.Leader != "" && r.answer.Leader != r.addr {
+			r = d.tryOnce(ctx, r.answer.Leader)
 		}
 	}
-	if answer == nil || answer.Leader != "" {
+	if r.answer == nil || r.answer.Leader != "" {
 		return nil
 	}
-	if r := answer.Refused; r != nil && r.Reason == verdict.ReasonNoQuorum {
-		d.mayHaveRun = d.mayHaveRun || r.Verdict != verdict.NotRun
-		d.lastErr = r.Refusal()
+	if refused := r.answer.Refused; refused != nil && refused.Reason == verdict.ReasonNoQuorum {
+		d.mayHaveRun = d.mayHaveRun || refused.Verdict != verdict.NotRun
+		d.lastErr = refused.Refusal()
 		return nil
 	}
-	d.client.setLeaderAddr(addr)
-	return answer
+	d.client.setLeaderAddr(r.addr)
+	return r.answer
 }
 
-// tryOnce sends the command to one replica and returns its answer, or nil. It takes at most half of
-// the time that is left, so that a silent replica leaves time for the others.
-func (d *commandCall) tryOnce(ctx context.Context, addr string) *wire.Answer {
-	timeout := d.timeout
+// tryOnce sends the command to one replica and returns the result. It waits for at most half of the
+// time that is left, so that a silent replica leaves time for the others. The attempt then goes on
+// beside those that follow, and its answer may be the result of one of these.
+func (d *commandCall) tryOnce(ctx context.Context, addr string) attemptResult {
+	patience := d.timeout
 	if deadline, ok := ctx.Deadline(); ok {
-		timeout = min(timeout, time.Until(deadline)/2)
+		patience = min(patience, time.Until(deadline)/2)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	// sent is set once the replica may have received the command.
+	sent := &atomic.Bool{}
+	go d.attempt(ctx, addr, d.timeout, sent)
+	waited := time.NewTimer(patience)
+	defer waited.Stop()
+	for {
+		select {
+		case r := <-d.results:
+			d.mayHaveRun = d.mayHaveRun || r.answer == nil && r.sent
+			if r.err != nil {
+				d.lastErr = r.err
+			}
+			if r.addr == addr || r.answer != nil && r.answer.Leader == "" {
+				return r
+			}
+		case <-waited.C:
+			d.mayHaveRun = d.mayHaveRun || sent.Load()
+			d.lastErr = errors.Errorf("replica %s has not answered for %v", addr, patience)
+			d.client.forgetLeaderAddr(addr)
+			return attemptResult{addr: addr}
+		case <-ctx.Done():
+			d.mayHaveRun = d.mayHaveRun || sent.Load()
+			d.lastErr = ctx.Err()
+			return attemptResult{addr: addr}
+		}
+	}
+}
+
+// errAnswered is the cause with which the remaining attempts of a command end that was answered.
+var errAnswered = errors.New("the command was answered")
+
+// attempt sends the command to one replica and passes the result on, unless ctx ends before.
+func (d *commandCall) attempt(ctx context.Context, addr string, timeout time.Duration, sent *atomic.Bool) {
+	r := attemptResult{addr: addr}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	stream, err := d.client.options.Opener.Open(ctx, addr)
-	if err != nil {
-		d.lastErr = err
-		d.client.forgetLeaderAddr(addr)
-		return nil
+	stream, err := d.client.options.Opener.Open(bounded, addr)
+	if err == nil {
+		defer stream.Abort()
+		defer context.AfterFunc(bounded, stream.Abort)()
+		sent.Store(true)
+		r.answer, err = sendAndReceive(stream, d.command)
 	}
-	defer stream.Abort()
-	defer context.AfterFunc(ctx, stream.Abort)()
-	answer, err := sendAndReceive(stream, d.command)
-	if err != nil {
-		d.mayHaveRun = true
-		d.lastErr = err
+	r.err, r.sent = err, sent.Load()
+	if err != nil && context.Cause(ctx) != errAnswered {
 		d.client.forgetLeaderAddr(addr)
-		d.client.dropConnection(addr)
+		if r.sent {
+			d.client.dropConnection(addr)
+		}
+	}
+	select {
+	case d.results <- r:
+	case <-ctx.Done():
 	}
-	return answer
 }
 
 // dropConnection drops the connection to addr after a missing answer, because the replica may
--- a/control/session/suspects_test.go
+++ b/control/session/suspects_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -93,3 +94,18 @@
 	is.True(err != nil)
 	is.Equal(c.leaderAddr, "") // the next command does not begin with it
 }
+
+// A replica that is slow to answer is not given up for others that cannot answer.
+func TestSlowLeaderAnswersBesideLaterTries(t *testing.T) {
+	is := is.New(t)
+	permitted := answerWith(accepted(command.Permitted{Status: uint8(quarantine.Suspect), Granted: true}))
+	slow := func(s *fakeStream) {
+		time.Sleep(6 * suspectsTimeout / 10)
+		permitted(s)
+	}
+	n := &fakeNetwork{replicas: map[string]func(*fakeStream){"a": slow, "b": answerWith(&wire.Answer{Leader: "c"}), "c": func(s *fakeStream) { <-s.Context().Done() }}}
+	c := newClient(t, n, "a", "b")
+	p, err := NewSuspects(c, kernel.SystemClock{}).RequestPermit(context.Background(), command.Permit{Digest: 1, Holder: "h"})
+	is.NoErr(err)
+	is.True(p.Granted)
+}
