entry: a suspect request outlasts a silent control

A request that needed a permit got 503 at once if control gave no answer to the request for it, as while a leader is elected or is silent for a second. Control is now asked again for 3 s, within the request's deadline.

TestSuspectRequestOutlastsASilentControl failed before at silences of 0.3 and 1.2 s.

The control of the tests in silence_test.go was not the one to which losses are reported, so that the check on reports in TestSilentSecondOfASidecarEndsNoRequest could not fail.

--- a/entry/call.go
+++ b/entry/call.go
@@ -75,6 +75,9 @@
 	// granted is set once the sidecar has granted the latest attempt, and retryGranted once that
 	// attempt may be followed by another one.
 	granted, retryGranted bool
+	// controlSilentSince is when control first gave no answer to the request for a permit; zero if
+	// it has answered since.
+	controlSilentSince time.Time
 	// probe is set for the call of a probe.
 	probe bool
 	// reservedQuota is the part of its account's limits that the request reserves while it
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -14,6 +14,12 @@
 	// idlePollInterval is the delay before another attempt of a request that has to run alone
 	// at an endpoint that is still running other requests.
 	idlePollInterval = 100 * time.Millisecond
+	// permitRetryInterval is the delay before a permit is requested again from a control that gave no
+	// answer.
+	permitRetryInterval = 300 * time.Millisecond
+	// maxControlSilence is the time after which a control that gives no answer counts as being
+	// without a quorum: a leader that is lost has a successor by then.
+	maxControlSilence = 3 * time.Second
 	// maxPermitWait is the longest wait before a request to control for a permit is retried.
 	maxPermitWait = time.Second
 )
@@ -39,8 +45,8 @@
 }
 
 // takePermit asks control for the right to run a suspect request at the ticket's endpoint. If
-// control does not grant it yet, takePermit waits for up to maxPermitWait and returns nil and
-// no error. Before the next attempt, the quarantine is checked again.
+// control does not grant it yet, or does not answer, takePermit waits for up to maxPermitWait and
+// returns nil and no error. Before the next attempt, the quarantine is checked again.
 func (e *Entry) takePermit(ctx context.Context, c *call, t *ticket) (*permit, error) {
 	p := &permit{holder: requestID(c) + "-" + strconv.Itoa(int(c.attempts)+1)}
 	answer, err := e.suspects.RequestPermit(ctx, command.Permit{
@@ -48,8 +54,9 @@
 		MaxRunTime: c.deadline.Sub(e.clock.Now()),
 	})
 	if err != nil {
-		return nil, verdict.Refuse(verdict.ReasonNoQuorum, lossRetryAfter, "the request was in flight when an endpoint fell, and control gives no permit: %v", err)
+		return nil, e.awaitControl(ctx, c, err)
 	}
+	c.controlSilentSince = time.Time{}
 	if answer.Granted {
 		p.alone = answer.Alone
 		return p, nil
@@ -67,6 +74,21 @@
 	return nil, nil
 }
 
+// awaitControl waits before control, which has not answered, is asked for a permit again. It returns a
+// refusal once control has been silent for maxControlSilence.
+func (e *Entry) awaitControl(ctx context.Context, c *call, err error) error {
+	now := e.clock.Now()
+	if c.controlSilentSince.IsZero() {
+		c.controlSilentSince = now
+	}
+	if now.Sub(c.controlSilentSince) >= maxControlSilence {
+		return verdict.Refuse(verdict.ReasonNoQuorum, lossRetryAfter, "the request was in flight when an endpoint fell, and control gives no permit: %v", err)
+	}
+	e.log.Warn("permit not received", c.logFields("left", c.deadline.Sub(now), "error", err)...)
+	e.sleep(ctx, permitRetryInterval)
+	return nil
+}
+
 // attemptWithPermit attempts a suspect request under a permit, or releases the ticket if it
 // gets none. It reports whether an attempt was made.
 func (e *Entry) attemptWithPermit(ctx context.Context, c *call, t *ticket, a *answer) (bool, error) {
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -17,6 +17,8 @@
 	"github.com/matryer/is"
 
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/session"
+	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/route"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
@@ -27,15 +29,23 @@
 type recordingControl struct {
 	fakeControl
 	losses atomic.Int64
+	// silent is set while control answers no request for a permit.
+	silent atomic.Bool
 }
 
 func (f *recordingControl) Claim(context.Context, string, command.Claim) (command.Claimed, error) {
 	return command.Claimed{Fence: 1}, nil
 }
 
-func (f *recordingControl) Do(_ context.Context, name, _ string, _, _ any) error {
-	if name == command.NameSuspect {
+func (f *recordingControl) Do(_ context.Context, name, _ string, _, out any) error {
+	switch name {
+	case command.NameSuspect:
 		f.losses.Add(1)
+	case command.NamePermit:
+		if f.silent.Load() {
+			return verdict.Uncertain(verdict.ReasonNoQuorum, time.Second, "control gave no answer")
+		}
+		*out.(*command.Permitted) = command.Permitted{Status: uint8(quarantine.Suspect), Granted: true}
 	}
 	return nil
 }
@@ -165,7 +175,7 @@
 	is := is.New(t)
 	e := newEntry(t, nil)
 	control := &recordingControl{fakeControl: *e.control.(*fakeControl)}
-	e.control = control
+	e.control, e.suspects = control, session.NewSuspects(control, e.clock)
 	sidecar := &pausingSidecar{going: make(chan struct{})}
 	sidecar.resume()
 	open := func(name string, role wire.Role) *wire.Identity {
@@ -286,3 +296,33 @@
 	is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
 	is.True(e.shouldRetry(ctx, c, a, err))
 }
+
+// A request that needed a permit was refused at once if control gave no answer, as while it elects
+// a leader.
+func TestSuspectRequestOutlastsASilentControl(t *testing.T) {
+	for _, test := range []struct {
+		silence time.Duration
+		served  bool
+	}{{0, true}, {300 * time.Millisecond, true}, {1200 * time.Millisecond, true}, {time.Hour, false}} {
+		t.Run(fmt.Sprint(test.silence), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			e, control, _ := newPausingEntry(t, false)
+			endpoint, _ := e.dispatcher.findEndpoint("scribe-1")
+			c := e.newProbe(&endpoint)
+			c.digest = 7
+			e.suspects.RecordLoss(c.digest)
+			control.silent.Store(test.silence > 0)
+			time.AfterFunc(test.silence, func() { control.silent.Store(false) })
+			ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
+			defer cancel()
+			err := e.perform(ctx, c, newAnswer(discardWriter{header: http.Header{}}, c, time.Second, e.clock))
+			if test.served {
+				is.NoErr(err)
+				return
+			}
+			is.Equal(verdict.From(err).Reason, verdict.ReasonNoQuorum)
+			is.NoErr(ctx.Err())
+		})
+	}
+}
