soak: a request on its way to an endpoint that had ended is no finding

Their trace shows that the endpoints to which they were sent had ended silently under a crashing request shortly before, and the entry, just restarted and without a share of retries, answered once their successors were announced. An endpoint that ended is no reason for a finding. The check excused only ends after the request was sent; it excuses those of up to Bounds.Reconnect before, for requests that ran nowhere.

--- a/soak/answers.go
+++ b/soak/answers.go
@@ -30,7 +30,8 @@
 // it is a finding. A request is excused if
 //   - an unplanned fault applied between its sending and its end, or Bounds.Reconnect before, as links
 //     and entries that fail, and endpoints that truncate, reset or fail, break answers off;
-//   - an endpoint that ran it has ended, or one that it may have been on its way to;
+//   - an endpoint that ran it has ended, or, if none ran it, one ended at most Bounds.Reconnect before
+//     it was sent, so that it may have been on its way there;
 //   - it crashes endpoints, which end helpers in place of the endpoint that ran it;
 //   - its deadline has passed;
 //   - its entry was stopped, and the last sixth of the grace time has begun;
@@ -42,7 +43,7 @@
 	switch {
 	case !r.sent.After(c.answersSuspended) || !now.After(c.answersSuspended) || r.Crashes:
 	case slices.ContainsFunc(r.endpoints, func(endpoint string) bool { return c.ended[endpoint] }):
-	case r.runs == 0 && (now.Sub(r.sent) < closeRace || c.lastEnd.After(r.sent)):
+	case r.runs == 0 && (now.Sub(r.sent) < closeRace || c.lastEnd.Add(c.bounds.Reconnect).After(r.sent)):
 	case r.Deadline > 0 && now.Sub(r.sent) >= r.Deadline-deadlineMargin:
 	case slices.ContainsFunc(c.stops[r.Entry], func(s plannedStop) bool { return s.cutsAt(now) }):
 	default:
