control: each new start of a replica replaces the connections to it

After the leader of three replicas went dark, the other two elected none for 3 s where it takes a third of a second; meanwhile no order was accepted and no permission renewed. One of the two had come back with an empty disk, or had started again after that, some seconds before.

The other one, a follower, still had a connection to the process that had lost power there. Replicas tell each new start of theirs with the first message of a stream, but the connection was replaced only if there was a sender to that ID, and a follower that has never sent it a message of the consensus protocol has none; founders have one since the group formed, IDs that joined don't. So its votes, the answers to those of the other, and its reports on endpoints went to nobody. Votes that arrive count as a sign of life, so the silence that would replace the connection was not noticed either, except by the one that heard nothing; the idle timeout of a connection is 30 s.

Without a sender, a new start now drops the connection to the replica's address at once.

TestNewStartOfAReplicaWithoutASenderReplacesTheConnection failed before.

--- a/control/join_test.go
+++ b/control/join_test.go
@@ -53,3 +53,16 @@
 	is.NoErr(s.join(t.Context(), log, 7, "10.0.0.2:1"))
 	is.Equal(len(log.calls), 0) // a repeated request disturbs nothing
 }
+
+// A replica that this one never sent a message of the consensus protocol starts again. The votes
+// and reports sent to it later must not go over the connection to its earlier process.
+func TestNewStartOfAReplicaWithoutASenderReplacesTheConnection(t *testing.T) {
+	is := is.New(t)
+	log := &callLog{}
+	tr := newTransport(log, nil, hclog.NewNullLogger(), map[replica.ID]string{7: "10.0.0.2:1"})
+	for _, start := range []uint64{1, 1, 2} {
+		tr.peerStarted(startMessage{ID: 7, Start: start, Addr: "10.0.0.2:1"})
+	}
+	is.Equal(log.calls, []string{"drop 10.0.0.2:1", "drop 10.0.0.2:1"})
+	is.Equal(len(tr.senders), 0)
+}
--- a/control/transport.go
+++ b/control/transport.go
@@ -102,22 +102,27 @@
 }
 
 // peerStarted records the start of another replica's process. If it is a new start, the
-// connection to that replica is replaced.
+// connection to that replica is replaced, also while there is no sender to it: reports use the
+// connection, and so does a sender that starts later.
 func (t *transport) peerStarted(m startMessage) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	if t.starts[m.ID] == m.Start {
+		t.mu.Unlock()
 		return
 	}
 	if _, ok := t.addrs[m.ID]; !ok {
 		t.addrs[m.ID] = m.Addr
 	}
 	t.starts[m.ID] = m.Start
-	if s, ok := t.senders[m.ID]; ok {
-		select {
-		case s.redial <- struct{}{}:
-		default:
-		}
+	addr, s := t.addrs[m.ID], t.senders[m.ID]
+	t.mu.Unlock()
+	if s == nil {
+		t.dialer.Drop(addr)
+		return
+	}
+	select {
+	case s.redial <- struct{}{}:
+	default:
 	}
 }
 
