--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -37,7 +37,7 @@
 	resumes   bool
 	// sends and runs are those of the call when the attempt began, for the log.
 	sends, runs int
-	// placed is nil until endpoints have been chosen, and reserved holds their reservations.
+	// placed is nil until endpoints have been chosen.
 	placed *placement
 	// sentAt is when the request was sent.
 	sentAt time.Time
@@ -75,7 +75,7 @@
 	from *attempt
 	// sending is set when the request is about to be sent.
 	sending bool
-	// event is an event of a stream; more is set if a part of the next one has been read.
+	// event is an event of a stream; more is set if the next one has been read, too.
 	event *event
 	more  bool
 	// ended is set when the answer is complete; body is that of an answer that is no stream.
@@ -149,7 +149,7 @@
 		return true
 	case <-a.ctx.Done():
 		select {
-		case <-a.taken: // both
+		case <-a.taken: // before the end of the context
 			return true
 		default:
 			return false
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -26,10 +26,6 @@
 
 // write sends data to the caller. Its errors wrap errCallerGone.
 func (c *call) write(data []byte) error {
-	control := http.NewResponseController(c.w)
-	if err := control.SetWriteDeadline(c.g.clock.Now().Add(writeTimeout)); err != nil {
-		return errors.Wrap(errCallerGone, err.Error())
-	}
 	if _, err := c.w.Write(data); err != nil {
 		return errors.Wrap(errCallerGone, err.Error())
 	}
