replica: a replica starts on a full disk after a crash during an installation

Until there was space the group lacked a voter that could still vote, answer reads and pass on the log.

The start now releases the reserve and writes the frame again.

--- a/replica/files.go
+++ b/replica/files.go
@@ -79,11 +79,22 @@
 		return nil, restored{}, err
 	}
 	if rebase {
-		err = s.writeFrame(appendPairRecord(nil, recordBase, from.base, from.baseTerm), from.hard, from.base)
+		err = s.rebase(&from)
 	}
 	return s, from, err
 }
 
+// rebase replaces the log by an empty one after the snapshot. On a full disk it releases the
+// reserve, as the replica could not start otherwise.
+func (s *store) rebase(from *restored) error {
+	records := appendPairRecord(nil, recordBase, from.base, from.baseTerm)
+	err := s.writeFrame(records, from.hard, from.base)
+	if !errors.Is(err, ErrDiskFull) || s.releaseReserve() != nil {
+		return err
+	}
+	return s.writeFrame(records, from.hard, from.base)
+}
+
 // removeTemporary removes files that an earlier process did not complete.
 func removeTemporary(disk Disk, names []string) error {
 	for _, name := range names {
--- a/replica/files_test.go
+++ b/replica/files_test.go
@@ -145,6 +145,21 @@
 	}
 }
 
+// As before, and the disk is full when the replica starts again.
+func TestCrashDuringAnInstallationOnAFullDisk(t *testing.T) {
+	is := is.New(t)
+	disk, _ := writtenDisk(t)
+	s, _, err := openStore(disk, 512)
+	is.NoErr(err)
+	is.True(s.allocateReserve())
+	is.NoErr(s.saveSnapshot(snapshotMeta{Index: 100, Term: 4, Size: 2, Checksum: checksum([]byte("ab"))}, []byte("ab")))
+	disk.capacity = disk.used()
+	_, from, err := openStore(disk, 512)
+	is.NoErr(err)
+	is.Equal(from.base, uint64(100))
+	is.Equal(from.hard, hardState{Term: 3, Vote: 9})
+}
+
 func TestCompactionKeepsVoteAndLaterEntries(t *testing.T) {
 	is := is.New(t)
 	disk := newMemDisk()
