control: the removal of a replica that is no member any more is acknowledged

An operator's removal was refused (bad_request, not_run) when it came again after its answer was lost, or when the steward had already removed the silent replica. What the operator asked for holds, so it counts as done, with a line.

TestRemovalThatTookEffectIsAcknowledgedAgain fails without the change.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -212,6 +212,16 @@
 	}
 }
 
+// The removal of a replica was refused when the command came again after its answer was lost, or when the
+// steward had already removed the replica.
+func TestRemovalThatTookEffectIsAcknowledgedAgain(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1, shortGrace)
+	operator := d.client("operator-1", wire.RoleOperator, nil)
+	d.leader(operator)
+	is.NoErr(operator.Do(timeoutContext(t), command.NameMember, session.NewID(), command.Member{Action: "remove", ID: 7}, nil))
+}
+
 // TestSettingsThatDropLiveEndpointsAreRefused checks that the grace time must be longer than the
 // lease. Otherwise the endpoint of a sidecar that lost its replica would be removed before the
 // sidecar could detect the loss.
--- a/control/members.go
+++ b/control/members.go
@@ -45,7 +45,7 @@
 	case memberPromote:
 		err = node.Promote(ctx, id)
 	case memberRemove:
-		err = node.Remove(ctx, id)
+		err = s.remove(ctx, node, id)
 	case memberJoin:
 		err = s.join(ctx, node, id, m.Addr)
 	default:
@@ -58,6 +58,17 @@
 	return &wire.Answer{}
 }
 
+// remove removes a member. One that is no member any more counts as removed: the command may have come
+// again after its answer was lost, or the steward may have removed the member before.
+func (s *Server) remove(ctx context.Context, node membershipChanger, id replica.ID) error {
+	err := node.Remove(ctx, id)
+	if errors.Is(err, replica.ErrNotMember) {
+		s.log.Info("membership unchanged", "action", memberRemove, "replica", uint64(id), "reason", "not a member")
+		return nil
+	}
+	return err
+}
+
 // memberRefusal returns the refusal for a failed membership change. ReasonBadRequest means that
 // the current members do not allow the change, other reasons that it may succeed later.
 func memberRefusal(err error) *verdict.Refusal {
