control: the replicas of a test's deployment never get the same address

TestUnknownZoneOutStaysUnknownAfterControlHasStopped failed once beside load because an address was in use; its output is not kept. The addresses of a deployment were chosen one after the other and released in between, so that two could be the same, once in some 7,000 deployments. They are chosen together now. Whether this was it is not shown.

--- a/control/deploy_test.go
+++ b/control/deploy_test.go
@@ -71,9 +71,8 @@
 		stops: map[int]func(){}, intervals: intervals,
 	}
 	is.NoErr(os.WriteFile(d.bootstrap, []byte(bootstrapJSON), 0o600))
-	for range size {
-		d.addrs = append(d.addrs, freeAddr(t))
-	}
+	d.addrs, err = loopback.Addrs(size)
+	is.NoErr(err)
 	for i := range size {
 		d.start(i)
 	}
