--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -49,6 +49,12 @@
 	complete bool
 	// immediate is set if the attempt is to be refused instead of waiting for endpoints.
 	immediate bool
+	// booked are the endpoints that were booked for the attempt before it began; nil if it has to find
+	// some. It waits for the release of the memory of earlier attempts.
+	booked  *placement
+	earlier []*attempt
+	// released is closed once the release of the memory reservations has been tried.
+	released chan struct{}
 	// excluded are endpoints at fault other than the primary one.
 	excluded []string
 	// permitHolder identifies the permit of the attempt; empty if it needs none. interrupted is
@@ -98,7 +104,7 @@
 func (c *call) newAttempt(ctx context.Context) *attempt {
 	a := &attempt{
 		c: c, request: c.placementRequest, lastEvent: c.LastEvent, resumes: c.committed, sends: c.sends, runs: c.runs,
-		taken: make(chan struct{}, 1), done: make(chan struct{}),
+		taken: make(chan struct{}, 1), done: make(chan struct{}), released: make(chan struct{}),
 	}
 	a.request.Tried = slices.Clone(c.placementRequest.Tried)
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
@@ -186,9 +192,10 @@
 func (a *attempt) place() error {
 	for {
 		if _, err := a.c.checkQuarantine(); err != nil {
+			a.releaseBooked()
 			return err
 		}
-		p, err := a.c.g.place(a.ctx, a)
+		p, err := a.findEndpoints()
 		if err != nil {
 			return err
 		}
@@ -207,6 +214,31 @@
 	}
 }
 
+// findEndpoints returns the endpoints that are booked for the attempt, or waits for some.
+func (a *attempt) findEndpoints() (*placement, error) {
+	p := a.booked
+	if p == nil {
+		return a.c.g.place(a.ctx, a)
+	}
+	a.booked = nil
+	for _, o := range a.earlier {
+		select {
+		case <-o.released:
+		case <-a.ctx.Done():
+			p.release(true)
+			return nil, context.Cause(a.ctx)
+		}
+	}
+	return p, nil
+}
+
+// releaseBooked ends the booking that was made for the attempt, if it has not been used.
+func (a *attempt) releaseBooked() {
+	if a.booked != nil {
+		a.booked.release(true)
+	}
+}
+
 // send sends the request to the placed endpoints and tells the call what comes back.
 func (a *attempt) send() (failure *failureAnswer, err error) {
 	helpers, free, err := a.reserve()
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -66,8 +66,13 @@
 }
 
 // begin starts an attempt.
-func (c *call) begin(ctx context.Context) {
+func (c *call) begin(ctx context.Context) { c.beginAt(ctx, nil, nil) }
+
+// beginAt starts an attempt at endpoints that are booked already, if placed is not nil, once the memory
+// of earlier attempts has been released.
+func (c *call) beginAt(ctx context.Context, placed *placement, earlier []*attempt) {
 	a := c.newAttempt(ctx)
+	a.booked, a.earlier = placed, earlier
 	a.spent, c.spent = c.spent, time.Time{}
 	a.immediate = slices.ContainsFunc(c.open, (*attempt).holdsHelpers)
 	c.open = append(c.open, a)
@@ -138,8 +143,7 @@
 		return false, nil
 	}
 	r := verdict.From(m.err)
-	if a.immediate && a.placed == nil && mayClearWhileWaiting(r.Reason) && c.yieldHelpers(a) {
-		c.begin(ctx)
+	if a.immediate && a.placed == nil && mayClearWhileWaiting(r.Reason) && c.takeOverHelpers(ctx, a) {
 		return false, nil
 	}
 	if c.awaitsOpen() {
@@ -160,24 +164,31 @@
 	return true, c.adjustVerdict(r)
 }
 
-// yieldHelpers ends the silent attempts with helpers if the request of a has room only without them: the
-// memory of the helpers is of no use to a dead endpoint. It reports whether that is so.
-func (c *call) yieldHelpers(a *attempt) bool {
+// takeOverHelpers begins an attempt in place of the silent ones with helpers if the request of a, which
+// found no room, has room only without them: the memory of the helpers is of no use to a dead endpoint.
+// An endpoint that may still go on keeps it, and the new attempt is booked before the others end.
+func (c *call) takeOverHelpers(ctx context.Context, a *attempt) bool {
 	var silent []*attempt
 	for _, o := range c.open {
-		if o.holdsHelpers() {
+		switch {
+		case !o.holdsHelpers():
+		case o.timer.silentFor(c.g.clock.Now()) < maxPause:
+			return false
+		default:
 			silent = append(silent, o)
 		}
 	}
-	if !c.g.hasRoomWithout(silent, &a.request) {
+	p := c.g.placeWithout(silent, &a.request)
+	if p == nil {
 		return false
 	}
 	for _, o := range silent {
-		c.log().Info("attempt replaced", "replaced", o.endpoint(), "kept", "", "events", c.delivered, "reason", "its helpers are needed")
+		c.log().Info("attempt replaced", "replaced", o.endpoint(), "kept", p.Primary.Name, "events", c.delivered, "reason", "its helpers are needed")
 		o.cancel(errReplaced)
 		<-o.done
 		c.close(o, o.ran)
 	}
+	c.beginAt(ctx, p, silent)
 	return true
 }
 
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -32,6 +32,8 @@
 	// MaxSignOfLifeAge is the age of the last sign of life of an engine up to which the memory
 	// reservations of its requests are renewed.
 	MaxSignOfLifeAge = healthCheckInterval
+	// maxPause is how long a sound endpoint may send nothing after it was found to be silent.
+	maxPause = 3 * time.Second
 	// progressBytes is how many bytes of an answer count as a sign of progress.
 	progressBytes = 16 << 10
 )
@@ -78,6 +80,8 @@
 	// resets counts the calls of reset, so that progress during a health check is noticed.
 	resets int
 	silent bool
+	// since is when the endpoint was last found to be silent after progress.
+	since time.Time
 	// held is set while what the endpoint has sent waits for the caller.
 	held bool
 }
@@ -131,6 +135,16 @@
 	return t.silent
 }
 
+// silentFor returns for how long the endpoint has been found to be silent.
+func (t *silenceTimer) silentFor(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.silent {
+		return 0
+	}
+	return now.Sub(t.since)
+}
+
 // expired extends the wait while the engine answers health checks, and else tells the call.
 func (t *silenceTimer) expired() {
 	t.mu.Lock()
@@ -165,6 +179,9 @@
 	t.mu.Lock()
 	progressed, first := t.resets != since || since == 0, !t.silent
 	t.silent = !progressed
+	if t.silent && first {
+		t.since = t.a.c.g.clock.Now()
+	}
 	t.mu.Unlock()
 	if !progressed {
 		t.a.fellSilent(first)
--- a/gateway/silent_endpoints_test.go
+++ b/gateway/silent_endpoints_test.go
@@ -203,6 +203,7 @@
 	defer cancel()
 	go w.g.pollQueues(ctx)
 	w.engines.dead.Store(true)
+	w.setTimeouts(20 * time.Second)
 	w.g.deployment.Load().Services["scribe"].Engine.PrefillTokensPerSecond = 10_000
 	w.isAnswered(is, w.post("/read/1", func(r *http.Request) { r.Header.Set("Tokens", "1500") }))
 }
@@ -222,3 +223,26 @@
 		})
 	}
 }
+
+// An endpoint that had fallen silent was ended for the memory of its helpers before another attempt had
+// a place, and its request failed though it would have gone on.
+func TestSilentPrimaryKeepsItsHelpers(t *testing.T) {
+	is := is.New(t)
+	var arrived atomic.Int32
+	pausing := &pausingEndpoint{total: 9, events: 4, silence: 1500 * time.Millisecond}
+	endpoint := func(rw http.ResponseWriter, r *http.Request) {
+		if arrived.Add(1) > 1 {
+			resetting(rw, r)
+			return
+		}
+		pausing.ServeHTTP(rw, r)
+	}
+	w := newTestGateway(t, endpoint, endpoint, endpoint)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.g.pollQueues(ctx)
+	w.engines.dead.Store(true)
+	w.setTimeouts(20 * time.Second)
+	w.g.deployment.Load().Services["scribe"].Engine.PrefillTokensPerSecond = 10_000
+	w.isAnswered(is, w.post("/read/1", func(r *http.Request) { r.Header.Set("Tokens", "1500") }))
+}
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -71,9 +71,7 @@
 	free = func() {
 		stop()
 		g.metrics.ticketsHeld.Add(-int64(len(reserved)))
-		for _, t := range reserved {
-			go a.release(t)
-		}
+		go a.releaseAll(reserved)
 	}
 	if len(reserved) == 0 {
 		return helpers, free, nil
@@ -156,13 +154,27 @@
 	return failed
 }
 
-// release ends a reservation. A reserve or release request that got no answer may be
+// releaseAll ends reservations.
+func (a *attempt) releaseAll(reserved []ticket) {
+	var first sync.WaitGroup
+	for _, t := range reserved {
+		first.Add(1)
+		go a.release(t, first.Done)
+	}
+	first.Wait()
+	close(a.released)
+}
+
+// release ends a reservation, and calls tried after the first try. A reserve or release request that got no answer may be
 // executed later, even after newer requests, so the release is then repeated for a
 // while.
-func (a *attempt) release(t ticket) {
+func (a *attempt) release(t ticket, tried func()) {
 	g := a.c.g
 	for try := range maxReleaseAttempts {
 		err := g.engines.Release(t.Addr, t.Ticket)
+		if try == 0 {
+			tried()
+		}
 		if err == nil && !t.unacknowledged.Load() {
 			return
 		}
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -161,17 +161,26 @@
 	}
 }
 
-// hasRoomWithout reports whether endpoints could be chosen for a request if these attempts ended.
-func (g *Gateway) hasRoomWithout(attempts []*attempt, r *assign.Request) bool {
-	now := g.clock.Now()
+// placeWithout books endpoints for a request in place of those of these attempts. It returns nil, and
+// leaves their bookings, if there is no room without them either.
+func (g *Gateway) placeWithout(attempts []*attempt, r *assign.Request) *placement {
+	now, id := g.clock.Now(), g.bookings.newID()
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	for _, a := range attempts {
 		g.fleet.EndBooking("", a.placed.id, true)
-		defer g.fleet.Restore(now, "", a.placed.id, &a.placed.Booking)
 	}
-	_, err := g.fleet.Choose(now, r)
-	return err == nil
+	chosen, err := g.fleet.Choose(now, r)
+	if err != nil {
+		for _, a := range attempts {
+			g.fleet.Restore(now, "", a.placed.id, &a.placed.Booking)
+		}
+		g.mu.Unlock()
+		return nil
+	}
+	g.fleet.Place(now, "", id, &chosen.Booking)
+	g.mu.Unlock()
+	g.bookings.begin(id, &chosen.Booking)
+	return &placement{Assignment: chosen, g: g, id: id, revision: g.client.Permission().Revision}
 }
 
 // placeOrEnqueue places the request at once, refuses it, or puts it into the queue.
