--- a/drain/body.go
+++ b/drain/body.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/framing"
 )
 
 const (
@@ -56,10 +58,8 @@
 		return errors.Wrap(err, "take over the connection")
 	}
 	defer func() { _ = conn.Close() }()
-	if half, ok := conn.(interface{ CloseWrite() error }); ok {
-		if err := half.CloseWrite(); err != nil {
-			return errors.Wrap(err, "end the sending side")
-		}
+	if err := framing.CloseWrite(conn); err != nil {
+		return errors.Wrap(err, "end the sending side")
 	}
 	if err := conn.SetReadDeadline(now.Add(lingerTime)); err != nil {
 		return errors.Wrap(err, "set the read deadline of the connection")
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 )
 
@@ -142,13 +143,7 @@
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
 // CloseWrite ends the sending side of the connection.
-func (c *conn) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
-		return errors.Errorf("a connection of type %T has no sending side to end", c.Conn)
-	}
-	return half.CloseWrite()
-}
+func (c *conn) CloseWrite() error { return framing.CloseWrite(c.Conn) }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
--- a/framing/framing.go
+++ b/framing/framing.go
@@ -82,10 +82,13 @@
 
 // CloseWrite ends the sending side of the connection. The server uses it to end a connection whose
 // caller is still sending, before it closes it.
-func (c *conn) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
+func (c *conn) CloseWrite() error { return CloseWrite(c.Conn) }
+
+// CloseWrite ends the sending side of a connection.
+func CloseWrite(c net.Conn) error {
+	half, ok := c.(interface{ CloseWrite() error })
 	if !ok {
-		return errors.Errorf("a connection of type %T has no sending side to end", c.Conn)
+		return errors.Errorf("a connection of type %T has no sending side to end", c)
 	}
 	return half.CloseWrite()
 }
