soak: requests whose prompts have a crashing part, and sound ones beside them

The soak gets the fault "part crashes", and the promise that sound requests with the same key and first part are served.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -29,6 +29,7 @@
 	PromiseAnswered   = "a whole request gets its answer or a refusal"
 	PromiseCrashing   = "a request that crashed three endpoints is not sent on"
 	PromiseInnocent   = "no request is refused for crashes that it did not cause"
+	PromiseSoundPart  = "requests that share a route, key and part with crashing ones are served"
 	PromiseRetries    = "retries stay within the budget of all entries"
 	PromiseLimit      = "an endpoint gets no more than the limit that it names"
 	PromisePause      = "an entry that an endpoint asked for a pause sends it nothing"
@@ -39,7 +40,7 @@
 var Promises = []string{
 	PromiseAtMostOnce, PromiseNotRun, PromiseAnswer, PromiseOrder, PromiseUnaltered, PromiseRoute, PromiseNoRollback, PromiseRevoked,
 	PromiseDrained, PromiseCold, PromiseMemory, PromiseDurable, PromiseRecovered, PromiseAnswered,
-	PromiseCrashing, PromiseInnocent, PromiseRetries, PromiseLimit, PromisePause, PromiseEvacuated,
+	PromiseCrashing, PromiseInnocent, PromiseSoundPart, PromiseRetries, PromiseLimit, PromisePause, PromiseEvacuated,
 }
 
 // Bounds holds the time bounds of a deployment's promises.
@@ -80,10 +81,17 @@
 	Services map[string]bool
 	// Entry names the entry that the request was sent to.
 	Entry string
+	// Prefix lists the parts of the prompt as callers and endpoints write them.
+	Prefix string
 	// Crashes is set if the request crashes each endpoint that runs it. Content then
-	// identifies the requests with the same account, path and body.
-	Crashes bool
-	Content string
+	// identifies the requests with the same account, path and body or, if PartCrashes is set,
+	// those with the same crashing part in their prompts.
+	Crashes     bool
+	PartCrashes bool
+	Content     string
+	// Beside is set for a sound request with the account and route of crashing requests, and
+	// with the other parts of their prompts. It is the Content of those.
+	Beside string
 }
 
 // Arrival is a request as an endpoint received it.
@@ -95,6 +103,7 @@
 	Service  string
 	Endpoint string
 	Zone     string
+	Prefix   string
 	// KeyPassed is set if the request contained the caller's key.
 	KeyPassed bool
 }
@@ -121,6 +130,8 @@
 	// refused is set when the caller got an answer that states that the request has not
 	// run.
 	refused bool
+	// share counts a sound request beside crashing ones; nil if it is not counted.
+	share *share
 }
 
 // Checker records what callers and endpoints observe and finds broken promises. Its
@@ -210,7 +221,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
-	c.requests[r.ID] = &trackedRequest{Request: r, sent: now, answers: map[string][]byte{}}
+	c.requests[r.ID] = &trackedRequest{Request: r, sent: now, answers: map[string][]byte{}, share: c.shareOf(now, r)}
 }
 
 // EntryOf returns the entry that a request was sent to, or an empty string for an unknown request.
@@ -233,11 +244,12 @@
 	case r == nil:
 		c.addFinding(now, PromiseUnaltered, "endpoint %s ran %q, which no caller sent", a.Endpoint, a.ID)
 		return
-	case a.Path != r.Path || !bytes.Equal(a.Body, r.Body) || a.Account != r.Account || a.KeyPassed:
-		c.addFinding(now, PromiseUnaltered, "request %s reached endpoint %s with path %q, account %q, %d bytes of body, key passed %v; sent were %q, %q, %d bytes",
-			a.ID, a.Endpoint, a.Path, a.Account, len(a.Body), a.KeyPassed, r.Path, r.Account, len(r.Body))
+	case a.Path != r.Path || !bytes.Equal(a.Body, r.Body) || a.Account != r.Account || a.Prefix != r.Prefix || a.KeyPassed:
+		c.addFinding(now, PromiseUnaltered, "request %s reached endpoint %s with path %q, account %q, parts %q, %d bytes of body, key passed %v; sent were %q, %q, %q, %d bytes",
+			a.ID, a.Endpoint, a.Path, a.Account, a.Prefix, len(a.Body), a.KeyPassed, r.Path, r.Account, r.Prefix, len(r.Body))
 	}
 	c.checkCrashing(now, r, a.Endpoint)
+	r.recordBegin()
 	r.runs++
 	r.endpoints = append(r.endpoints, a.Endpoint)
 	if r.AtMostOnce && r.runs > 1 {
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// crashesBeforeRefusal is the number of crashes after which a request must be refused.
-	crashesBeforeRefusal = 3
+	// crashesBeforeRefusal is the number of crashes after which a request must be refused, and
+	// partCrashesBeforeRefusal the number after which all requests with a part must be.
+	crashesBeforeRefusal     = 3
+	partCrashesBeforeRefusal = 5
 	// maxLateArrivals is the number of arrivals that are allowed once the crashes must be
 	// known to all entries.
 	maxLateArrivals = 3
@@ -20,6 +22,9 @@
 	lastCounted time.Time
 	// arrivals counts all arrivals, and late those that came too late.
 	arrivals, late int
+	// before and after count the sound requests beside it: those sent before the first crash, and
+	// those sent once the crashes must be known to all entries.
+	before, after share
 }
 
 // Crashed records that an endpoint ended while it ran request id.
@@ -30,15 +35,30 @@
 	if r == nil {
 		return
 	}
-	content := c.crashing[r.Content]
+	content := c.crashingContent(r.Content)
+	content.crashes++
+	if content.crashes == r.crashLimit() {
+		content.lastCounted = now
+	}
+}
+
+// crashingContent returns what is known of a content, which may not have crashed anything yet. The
+// caller holds mu.
+func (c *Checker) crashingContent(name string) *crashingContent {
+	content := c.crashing[name]
 	if content == nil {
 		content = &crashingContent{}
-		c.crashing[r.Content] = content
+		c.crashing[name] = content
 	}
-	content.crashes++
-	if content.crashes == crashesBeforeRefusal {
-		content.lastCounted = now
+	return content
+}
+
+// crashLimit returns the number of crashes after which the request must be refused.
+func (r *Request) crashLimit() int {
+	if r.PartCrashes {
+		return partCrashesBeforeRefusal
 	}
+	return crashesBeforeRefusal
 }
 
 // Crashes returns the number of endpoints that ended under the request with this content, and
@@ -60,13 +80,13 @@
 		return
 	}
 	content.arrivals++
-	if content.crashes < crashesBeforeRefusal || now.Sub(content.lastCounted) <= c.bounds.Reconnect || !now.After(c.boundsSuspended) {
+	if content.crashes < r.crashLimit() || now.Sub(content.lastCounted) <= c.bounds.Reconnect || !now.After(c.boundsSuspended) {
 		return
 	}
 	content.late++
 	if content.late > maxLateArrivals {
-		c.addFinding(now, PromiseCrashing, "request %s reached endpoint %s %v after its content had crashed the third; %d endpoints have ended under it",
-			r.ID, endpoint, now.Sub(content.lastCounted), content.crashes)
+		c.addFinding(now, PromiseCrashing, "request %s reached endpoint %s %v after %q had crashed endpoint number %d; %d endpoints have ended under it",
+			r.ID, endpoint, now.Sub(content.lastCounted), r.Content, r.crashLimit(), content.crashes)
 	}
 }
 
