Requests with a part that crashes endpoints are refused, and sound ones beside them served

Cause: the quarantine knew a request by account, method, path and body only. No two of these requests are alike, so no record ever got a second loss, and five losses without a request in common count as an outage, which convicts nothing and revokes what is known.

Now the parts of a prompt but the last are records of the same list. An entry reports, with the requests in flight on an endpoint that ended, their parts, but for those with a complete answer here within 10 s. Control convicts the part with the most losses, from four losses under three different requests on (retries of one request convict that request only). A convicted part explains its losses: they count neither as an outage nor against requests. Requests with it are refused before the choice of an endpoint, before the send, and instead of a retry. No request waits for a permit because of a part. A complete answer, or one that goes on 0.5 s past its first event, clears the part: an entry that saw one keeps serving it and informs control, which then convicts the next likely part at once. A convicted part without other traffic is tried again, one request after 30 s, then 2, 8, 32 min.

--- a/control/command/command.go
+++ b/control/command/command.go
@@ -245,15 +245,27 @@
 	Direct bool `cbor:"5,keyasint,omitempty"`
 	// More reports further endpoints that failed at about the same time.
 	More []Suspect `cbor:"6,keyasint,omitempty"`
+	// Parts are parts of the prompts of the requests.
+	Parts []Part `cbor:"7,keyasint,omitempty"`
+}
+
+// Part is a part of the prompts of requests that were in flight.
+type Part struct {
+	Digest uint64 `cbor:"1,keyasint"`
+	// Carriers are some of the requests with the part; see quarantine.MinPartCarriers.
+	Carriers []uint64 `cbor:"2,keyasint"`
 }
 
 // SuspectStatuses is the answer to Suspect: the quarantine.Status of each digest, in the order of
 // Suspect.Digests, and then in that of Suspect.More.
 type SuspectStatuses struct {
 	Statuses []uint8 `cbor:"1,keyasint"`
+	// PartStatuses are those of the parts, in the same order. Control of an earlier version sends none.
+	PartStatuses []uint8 `cbor:"2,keyasint,omitempty"`
 }
 
-// Permit asks for the right to run a suspect request.
+// Permit asks for the right to run a suspect request, or one with a convicted part, whose digest it
+// then has.
 type Permit struct {
 	Digest uint64 `cbor:"1,keyasint"`
 	// Holder identifies the attempt that will hold the permit.
--- a/control/session/suspects.go
+++ b/control/session/suspects.go
@@ -39,14 +39,47 @@
 }
 
 // Update replaces the lists of suspect and quarantined requests by those in an update from
-// control. It does nothing if the update has none.
-func (s *Suspects) Update(u *wire.Update) {
+// control. It does nothing if the update has none. It returns what is listed although it got a complete
+// answer lately, so that control has to be informed.
+func (s *Suspects) Update(u *wire.Update) (completed []uint64) {
 	if !u.HasQuarantine {
-		return
+		return nil
 	}
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.Update(now, u.Suspects, u.Quarantine)
+}
+
+// WorstStatus returns the least trusted status among a request and the parts of its prompt, and the
+// digest of what has it.
+func (s *Suspects) WorstStatus(request uint64, parts []uint64) (status quarantine.Status, digest uint64) {
+	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.view.Update(u.Suspects, u.Quarantine)
+	status, digest = s.view.Status(now, request), request
+	for _, part := range parts {
+		if worse := s.view.PartStatus(now, part); worse > status {
+			status, digest = worse, part
+		}
+	}
+	return status, digest
+}
+
+// TrialDue reports whether control is to be asked now if a request with a convicted part may be tried.
+func (s *Suspects) TrialDue(part uint64) bool {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.TrialDue(now, part)
+}
+
+// NextTrial returns the time until a request with a convicted part may be tried.
+func (s *Suspects) NextTrial(part uint64) time.Duration {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.NextTrial(now, part)
 }
 
 // Status returns the quarantine status of the request with the digest.
@@ -82,6 +115,36 @@
 	return suspects
 }
 
+// RecordPartLosses records that a direct endpoint was lost while requests with these parts were in flight
+// there, and returns the parts that may have caused it.
+func (s *Suspects) RecordPartLosses(parts []quarantine.PartReport) (suspects []command.Part) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range parts {
+		if s.view.CompletedLately(now, part.Digest) {
+			continue
+		}
+		s.view.RecordDirectLoss(now, part.Digest)
+		suspects = append(suspects, command.Part{Digest: part.Digest, Carriers: part.Carriers})
+	}
+	return suspects
+}
+
+// RecordPartCompletions records that an answer to a request with these parts went on past its beginning.
+// It returns the parts of which control has to be informed.
+func (s *Suspects) RecordPartCompletions(parts []uint64) (inform []uint64) {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, part := range parts {
+		if s.view.RecordPartCompletion(now, part) {
+			inform = append(inform, part)
+		}
+	}
+	return inform
+}
+
 // RecordCompletion records that a request got a complete answer. It reports whether control has
 // to be informed, because the request is not clear.
 func (s *Suspects) RecordCompletion(digest uint64) (inform bool) {
@@ -92,7 +155,7 @@
 }
 
 // Report informs control that endpoints were lost, in one command, and returns the status of each
-// request of the reports. There must be at least one.
+// request and part of the reports. There must be at least one report.
 func (s *Suspects) Report(ctx context.Context, losses ...command.Suspect) (map[uint64]quarantine.Status, error) {
 	all := losses[0]
 	all.More = losses[1:]
@@ -101,17 +164,24 @@
 		return nil, err
 	}
 	statuses := map[uint64]quarantine.Status{}
+	record := func(digest uint64, status quarantine.Status, direct bool) {
+		statuses[digest] = status
+		// The loss of one direct endpoint leaves a request clear, but is remembered.
+		if !direct || status != quarantine.Clear {
+			s.setStatus(digest, status)
+		}
+	}
 	for _, loss := range losses {
 		n := min(len(answer.Statuses), len(loss.Digests))
 		for i, digest := range loss.Digests[:n] {
-			status := quarantine.Status(answer.Statuses[i])
-			statuses[digest] = status
-			// The loss of one direct endpoint leaves a request clear, but is remembered.
-			if !loss.Direct || status != quarantine.Clear {
-				s.setStatus(digest, status)
-			}
+			record(digest, quarantine.Status(answer.Statuses[i]), loss.Direct)
 		}
 		answer.Statuses = answer.Statuses[n:]
+		n = min(len(answer.PartStatuses), len(loss.Parts))
+		for i, part := range loss.Parts[:n] {
+			record(part.Digest, quarantine.Status(answer.PartStatuses[i]), true)
+		}
+		answer.PartStatuses = answer.PartStatuses[n:]
 	}
 	return statuses, nil
 }
@@ -123,6 +193,11 @@
 		return answer, err
 	}
 	s.setStatus(request.Digest, quarantine.Status(answer.Status))
+	if quarantine.Status(answer.Status) == quarantine.Convicted {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.view.SetNextTrial(s.clock.Now(), request.Digest, answer.RetryAfter)
+	}
 	return answer, nil
 }
 
--- a/control/state/suspect.go
+++ b/control/state/suspect.go
@@ -29,7 +29,7 @@
 	reports := append([]command.Suspect{c}, c.More...)
 	for _, r := range reports {
 		m.suspects.list.ReportFailure(m.time(), quarantine.FailureReport{
-			Endpoint: r.Endpoint, Incarnation: r.Incarnation, Digests: r.Digests, Alone: r.Alone, Direct: r.Direct,
+			Endpoint: r.Endpoint, Incarnation: r.Incarnation, Digests: r.Digests, Alone: r.Alone, Direct: r.Direct, Parts: partReports(r.Parts),
 		})
 	}
 	if m.suspects.list.Fingerprint() != before {
@@ -40,10 +40,22 @@
 		for _, digest := range r.Digests {
 			statuses.Statuses = append(statuses.Statuses, uint8(m.suspects.list.Status(digest)))
 		}
+		for _, part := range r.Parts {
+			statuses.PartStatuses = append(statuses.PartStatuses, uint8(m.suspects.list.Status(part.Digest)))
+		}
 	}
 	return accepted(statuses)
 }
 
+// partReports converts the parts of a command.
+func partReports(parts []command.Part) []quarantine.PartReport {
+	var out []quarantine.PartReport
+	for _, p := range parts {
+		out = append(out, quarantine.PartReport{Digest: p.Digest, Carriers: p.Carriers})
+	}
+	return out
+}
+
 // permit grants or refuses a permit to run a suspect request.
 func (m *Machine) permit(e *Entry) *wire.Answer {
 	var c command.Permit
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,6 +62,9 @@
 	// when the endpoint proves to be running.
 	permitHolder string
 	interrupted  bool
+	// permitted is the content or part that the permit is for, and trialOf a convicted part of the
+	// prompt for which control is asked for a trial.
+	permitted, trialOf uint64
 	// permitWait is how long to wait before a permit is requested again.
 	permitWait time.Duration
 	// taken is sent to when the call has dealt with a message. It is buffered for it.
@@ -191,7 +194,7 @@
 // place waits for endpoints and, if the request is suspect, for its permit.
 func (a *attempt) place() error {
 	for {
-		if _, err := a.c.checkQuarantine(); err != nil {
+		if err := a.checkQuarantine(); err != nil {
 			a.releaseBooked()
 			return err
 		}
@@ -414,6 +417,8 @@
 	held := a.c.holdAnswer(maxEventBytes)
 	defer held.reset()
 	events := newEventReader(res.Body, held)
+	var firstEvent time.Time
+	pastBeginning := false
 	for {
 		ev, err := events.next()
 		switch {
@@ -430,6 +435,12 @@
 			a.begun = true
 			a.timer.hold() // a slow caller is no silence of the endpoint
 			a.markAlive()
+			if now := a.c.g.clock.Now(); firstEvent.IsZero() {
+				firstEvent = now
+			} else if !pastBeginning && now.Sub(firstEvent) > beginningTime {
+				pastBeginning = true
+				a.c.recordPartCompletions()
+			}
 		}
 		if !a.tell(message{event: &ev, more: events.hasBuffered(), head: res}) {
 			return a.handleBrokenAnswer(context.Cause(a.ctx))
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -26,6 +26,7 @@
 	}
 	c.body, c.bodyComplete = body, true
 	c.content = contentDigest(c.account, c.r.Method, c.r.RequestURI, body)
+	c.parts = partDigests(c.Parts)
 	return nil
 }
 
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -176,6 +176,9 @@
 	// LastEvent is the ID of the last event that the caller received, after which the
 	// stream is resumed.
 	LastEvent string
+	// Parts are the IDs of the parts of the prompt, but for the last, which belongs to the request
+	// or its session. Requests with the same ID have the same text there.
+	Parts []string
 }
 
 // Dispatch holds what the gateway adds to the caller's request for the endpoint.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -296,7 +296,7 @@
 		g.divide(g.bookings.entries(all, u, assign.Entry{Addr: string(g.Peers), Zone: g.node.Zone}))
 	}
 	doc := g.client.Config()
-	g.suspects.Update(u)
+	g.updateSuspects(u)
 	if u.Snapshot != nil || len(u.Changes) > 0 {
 		g.configure(doc)
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -41,6 +41,7 @@
 	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
 		r.Deadline = time.Duration(ms) * time.Millisecond
 	}
+	r.Parts = h.Values("Part")
 	return r
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -68,6 +68,8 @@
 	// content identifies what endpoints execute: the account, method, path and body.
 	// Requests with the same content differ in ID and deadline only.
 	content uint64
+	// parts identify the parts of the prompt that other requests may have too.
+	parts   []uint64
 	started time.Time
 	// deadline is when the answer to the caller is due.
 	deadline time.Time
@@ -257,6 +259,15 @@
 	return h.Sum64()
 }
 
+// partDigests returns hashes of the IDs of parts, which differ from those of contents.
+func partDigests(ids []string) []uint64 {
+	var digests []uint64
+	for _, id := range ids {
+		digests = append(digests, xxhash.Sum64String("part\x00"+id))
+	}
+	return digests
+}
+
 // contentField returns the content digest as it appears in logs.
 func (c *call) contentField() string { return strconv.FormatUint(c.content, 16) }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -15,6 +15,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
+	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// minHelperLossTime is the shortest time after which an endpoint refuses a request because
 	// it lost a helper meanwhile. It refuses at once if the helper was gone before.
 	minHelperLossTime = 300 * time.Millisecond
+	// beginningTime is how long an endpoint goes on after its first event until the answer shows that
+	// the parts of the prompt do not crash it.
+	beginningTime = 500 * time.Millisecond
 	// lossReportRetry is the pause after a report of lost endpoints that control did not
 	// answer, and lossReportTTL is how long such a report is repeated.
 	lossReportRetry = 300 * time.Millisecond
@@ -38,15 +42,68 @@
 	maxLossesPerReport = 64
 )
 
-// checkQuarantine returns the status of the request's content, and a refusal if the content is
-// known to crash endpoints. The verdict is NotRun, because it speaks of this request and not of
-// earlier ones with the same content.
-func (c *call) checkQuarantine() (quarantine.Status, error) {
-	status := c.g.suspects.Status(c.content)
-	if status == quarantine.Convicted {
-		return status, verdict.Refuse(verdict.ReasonQuarantined, quarantineRetryAfter, "requests with content %s crash endpoints", c.contentField())
+// suspicion is the least trusted status among the content of a request and the parts of its prompt.
+type suspicion struct {
+	status quarantine.Status
+	// digest is that of the content or part that has the status.
+	digest uint64
+}
+
+// suspicion returns what is known of the request.
+func (c *call) suspicion() suspicion {
+	status, digest := c.g.suspects.WorstStatus(c.content, c.parts)
+	return suspicion{status, digest}
+}
+
+// refuseConvicted returns a refusal if the content of the request, or a part of its prompt, is known to
+// crash endpoints. The verdict is NotRun, because it speaks of this request and not of earlier ones.
+func (c *call) refuseConvicted(s suspicion) error {
+	switch {
+	case s.status != quarantine.Convicted:
+		return nil
+	case s.digest == c.content:
+		return verdict.Refuse(verdict.ReasonQuarantined, quarantineRetryAfter, "requests with content %s crash endpoints", c.contentField())
 	}
-	return status, nil
+	return verdict.Refuse(verdict.ReasonQuarantined, min(quarantineRetryAfter, c.g.suspects.NextTrial(s.digest)),
+		"requests with part %s in their prompts crash endpoints", strconv.FormatUint(s.digest, 16))
+}
+
+// checkQuarantine returns a refusal if the request is known to crash endpoints. A request with a
+// convicted part goes on if control is to be asked for a trial.
+func (a *attempt) checkQuarantine() error {
+	s := a.c.suspicion()
+	if a.trialOf == s.digest && s.status == quarantine.Convicted {
+		return nil
+	}
+	if s.status == quarantine.Convicted && s.digest != a.c.content && !a.resumes && a.c.g.suspects.TrialDue(s.digest) {
+		a.trialOf = s.digest
+		return nil
+	}
+	return a.c.refuseConvicted(s)
+}
+
+// updateSuspects applies the lists of requests and parts that may crash endpoints, and informs control of
+// those that got a complete answer lately.
+func (g *Gateway) updateSuspects(u *wire.Update) {
+	if !u.HasQuarantine {
+		return
+	}
+	completed := g.suspects.Update(u)
+	g.log.Info("quarantine updated", "suspects", len(u.Suspects), "convicted", len(u.Quarantine),
+		"contents", contentList(u.Quarantine), "completed_lately", contentList(completed))
+	g.reportCompletions(completed)
+}
+
+// reportCompletions informs control that requests or parts got complete answers.
+func (g *Gateway) reportCompletions(digests []uint64) {
+	if len(digests) == 0 {
+		return
+	}
+	go func() {
+		for _, digest := range digests {
+			g.reportRunEnd(command.Ended{Digest: digest, Completed: true})
+		}
+	}()
 }
 
 // mayRun reports whether the request may be sent to the placed endpoints. A suspect request needs
@@ -54,31 +111,37 @@
 // error, and a.permitWait is set.
 func (a *attempt) mayRun(placed *assign.Assignment) (bool, error) {
 	c := a.c
-	status, err := c.checkQuarantine()
-	if err != nil || status == quarantine.Clear {
-		return err == nil, err
+	if err := a.checkQuarantine(); err != nil {
+		return false, err
+	}
+	s := c.suspicion()
+	if s.status == quarantine.Clear {
+		return true, nil
 	}
 	holder := fmt.Sprintf("%s-%08x-%d", c.g.node.Name, c.g.startID, c.g.permitSeq.Add(1))
 	left := c.deadline.Sub(c.g.clock.Now())
 	answer, err := c.g.suspects.RequestPermit(a.ctx, command.Permit{
-		Digest: c.content, Holder: holder, Endpoint: placed.Primary.Name, Incarnation: placed.Primary.Incarnation, MaxRunTime: left,
+		Digest: s.digest, Holder: holder, Endpoint: placed.Primary.Name, Incarnation: placed.Primary.Incarnation, MaxRunTime: left,
 	})
 	if err != nil && a.resumes {
 		// A stream that has begun has no refusal left.
-		a.log().Info("permit not decided", "content", c.contentField(), "left", left, "error", err)
+		a.log().Info("permit not decided", "content", strconv.FormatUint(s.digest, 16), "left", left, "error", err)
 		a.permitWait = min(defaultRetryAfter, maxPermitWait)
 		return false, nil
 	}
 	if err != nil {
-		return false, verdict.Refuse(verdict.ReasonNoQuorum, defaultRetryAfter, "content %s is suspected of crashing endpoints, and control gives no permit: %v", c.contentField(), err)
+		return false, verdict.Refuse(verdict.ReasonNoQuorum, defaultRetryAfter, "content %x is suspected of crashing endpoints, and control gives no permit: %v", s.digest, err)
+	}
+	status := quarantine.Status(answer.Status)
+	a.log().Info("permit requested", "content", strconv.FormatUint(s.digest, 16), "part", s.digest != c.content, "status", status.String(), "granted", answer.Granted, "retry_after", answer.RetryAfter)
+	if !answer.Granted && status == quarantine.Convicted {
+		return false, c.refuseConvicted(suspicion{status, s.digest})
 	}
-	status = quarantine.Status(answer.Status)
-	a.log().Info("permit requested", "content", c.contentField(), "status", status.String(), "granted", answer.Granted, "retry_after", answer.RetryAfter)
 	if !answer.Granted && answer.RetryAfter > left {
-		return false, verdict.Refuse(verdict.ReasonSuspect, answer.RetryAfter, "requests with content %s were in flight when endpoints failed", c.contentField())
+		return false, verdict.Refuse(verdict.ReasonSuspect, answer.RetryAfter, "requests with content %x were in flight when endpoints failed", s.digest)
 	}
-	if answer.Granted && status == quarantine.Suspect {
-		a.permitHolder, a.interrupted = holder, false
+	if answer.Granted && status != quarantine.Clear {
+		a.permitHolder, a.permitted, a.interrupted = holder, s.digest, false
 	}
 	a.permitWait = min(answer.RetryAfter, maxPermitWait)
 	return answer.Granted, nil
@@ -100,13 +163,13 @@
 	if a.permitHolder == "" || a.interrupted {
 		return
 	}
-	go a.c.g.reportRunEnd(command.Ended{Digest: a.c.content, Holder: a.permitHolder, Completed: err == nil})
+	go a.c.g.reportRunEnd(command.Ended{Digest: a.permitted, Holder: a.permitHolder, Completed: err == nil})
 }
 
 // returnPermits returns the permits of interrupted attempts whose endpoint is running.
 func (g *Gateway) returnPermits(released []*quarantine.Attempt) {
 	for _, a := range released {
-		go g.reportRunEnd(command.Ended{Digest: a.Digest, Holder: a.Holder})
+		go g.reportRunEnd(command.Ended{Digest: a.Permitted, Holder: a.Holder})
 	}
 }
 
@@ -122,6 +185,15 @@
 	if c.g.suspects.RecordCompletion(c.content) {
 		go c.g.reportRunEnd(command.Ended{Digest: c.content, Completed: true})
 	}
+	c.recordPartCompletions()
+}
+
+// recordPartCompletions records that the answer went on past its beginning, which clears the parts of
+// the prompt.
+func (c *call) recordPartCompletions() {
+	if len(c.parts) > 0 {
+		c.g.reportCompletions(c.g.suspects.RecordPartCompletions(c.parts))
+	}
 }
 
 // instanceOf returns the identity of an endpoint's current incarnation.
@@ -133,7 +205,7 @@
 // answer. With check set, it is found out at once whether they still accept connections.
 func (a *attempt) recordInterruption(check bool) {
 	a.interrupted = true
-	tracked := &quarantine.Attempt{Digest: a.c.content, Holder: a.permitHolder}
+	tracked := &quarantine.Attempt{Digest: a.c.content, Parts: a.c.parts, Holder: a.permitHolder, Permitted: a.permitted}
 	a.c.g.interrupt(tracked, a.placed.Primary, check)
 	for _, h := range a.placed.Helpers {
 		a.c.g.interrupt(tracked, h, check)
@@ -148,7 +220,7 @@
 	}
 	for _, h := range a.placed.Helpers {
 		if h.Name == name {
-			a.c.g.interrupt(&quarantine.Attempt{Digest: a.c.content}, h, true)
+			a.c.g.interrupt(&quarantine.Attempt{Digest: a.c.content, Parts: a.c.parts}, h, true)
 		}
 	}
 }
@@ -235,13 +307,13 @@
 	g.mu.Unlock()
 	var out []lossReport
 	for _, e := range ended {
-		suspects := g.suspects.RecordDirectLosses(e.Digests)
+		suspects, parts := g.suspects.RecordDirectLosses(e.Digests), g.suspects.RecordPartLosses(e.Parts)
 		g.metrics.endpointLosses.Inc()
 		g.log.Warn("endpoint lost", "endpoint", e.Endpoint, "addr", e.Addr, "incarnation", e.Incarnation, "in_flight", len(e.Digests),
-			"reported", len(suspects), "contents", contentList(suspects))
-		if len(suspects) > 0 {
+			"reported", len(suspects), "contents", contentList(suspects), "parts", partList(parts))
+		if len(suspects) > 0 || len(parts) > 0 {
 			out = append(out, lossReport{found: now, Suspect: command.Suspect{
-				Endpoint: e.Endpoint, Incarnation: e.Incarnation, Digests: suspects, Direct: true,
+				Endpoint: e.Endpoint, Incarnation: e.Incarnation, Digests: suspects, Direct: true, Parts: parts,
 			}})
 		}
 	}
@@ -278,6 +350,18 @@
 	return slices.DeleteFunc(slices.Clone(reports), func(r lossReport) bool { return now.Sub(r.found) >= lossReportTTL })
 }
 
+// partList is contentList for the parts of a report, each with the number of its carriers.
+func partList(parts []command.Part) string {
+	var out []byte
+	for i, p := range parts[:min(len(parts), maxLoggedContents)] {
+		if i > 0 {
+			out = append(out, ',')
+		}
+		out = fmt.Appendf(out, "%x:%d", p.Digest, len(p.Carriers))
+	}
+	return string(out)
+}
+
 // maxLoggedContents bounds the contents in one log line.
 const maxLoggedContents = 8
 
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -24,3 +28,53 @@
 	is.True(!got.broken)
 	is.Equal(got.body, allEvents(1, 9))
 }
+
+// withPart adds a part to the prompt of a request.
+func withPart(id string) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Set("Part", id) }
+}
+
+// convict makes control's lists name the parts as those that crash endpoints.
+func (w *testGateway) convict(ids ...string) {
+	w.g.updateSuspects(&wire.Update{HasQuarantine: true, Quarantine: partDigests(ids)})
+}
+
+// Requests with a part that had crashed endpoints were sent on, as each has a content of its own.
+func TestRequestWithACrashingPartIsRefused(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, answering(http.StatusOK, "fine"))
+	w.convict("bad")
+	for _, path := range []string{"/status/1", "/seal/1", "/read/1"} {
+		got := w.post(path, withPart("bad"))
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(got.body, string(verdict.ReasonQuarantined)))
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after <= (quarantine.FirstTrial + retryJitter).Seconds()) // the part may come free then
+	}
+	is.Equal(w.arrivalCount(), 0)
+	is.Equal(w.post("/status/1", withPart("sound")).status, http.StatusOK)
+}
+
+// A request that was on its retry when its part was convicted went to another endpoint.
+func TestRequestIsNotSentAgainOnceItsPartIsConvicted(t *testing.T) {
+	is := is.New(t)
+	var w *testGateway
+	convicting := func(http.ResponseWriter, *http.Request) {
+		w.convict("bad")
+		panic(http.ErrAbortHandler)
+	}
+	w = newTestGateway(t, convicting, convicting)
+	got := w.post("/status/1", withPart("bad"))
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(w.arrivalCount(), 1)
+}
+
+func TestPartWithALateAnswerHereIsServed(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, answering(http.StatusOK, "fine"))
+	is.Equal(w.post("/status/1", withPart("shared")).status, http.StatusOK)
+	w.convict("shared", "bad")
+	is.Equal(w.post("/status/2", withPart("shared")).status, http.StatusOK)
+	is.Equal(w.post("/status/3", withPart("bad")).status, http.StatusServiceUnavailable)
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -17,6 +17,9 @@
 // service.
 func (a *attempt) checkSend() error {
 	c := a.c
+	if err := a.checkQuarantine(); err != nil {
+		return err
+	}
 	if c.needsPermission && !c.awaitPermission(a.ctx) {
 		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry's permission has lapsed at revision %d", c.g.client.Permission().Revision)
 	}
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -26,15 +26,32 @@
 	if r.convicted {
 		return Convicted
 	}
-	if len(r.failures) == 1 && r.failures[0].outage {
+	if r.isPart() {
+		return Clear // without a permit for each request that has it
+	}
+	failures, first := r.ownFailures()
+	if failures == 0 || failures == 1 && first.outage {
 		return Clear
 	}
-	if len(r.failures) < MinDirectLosses && r.failures[0].direct {
+	if failures < MinDirectLosses && first.direct {
 		return Clear
 	}
 	return Suspect
 }
 
+// ownFailures returns the number of failures that no convicted part explains, and the first of them.
+func (r *record) ownFailures() (n int, first *failure) {
+	for _, f := range r.failures {
+		if f.explainedByPart {
+			continue
+		}
+		if n++; n == 1 {
+			first = f
+		}
+	}
+	return n, first
+}
+
 // Digests returns the requests with the status, sorted. The status must not be Clear,
 // because clear requests have no record.
 func (l *List) Digests(status Status) []uint64 {
@@ -64,8 +81,12 @@
 
 // lostEndpoints returns how many endpoints may have been lost to the request. It also
 // counts failures that another, convicted request explains, because that conviction may
-// still be revoked.
-func (r *record) lostEndpoints() int { return len(r.failures) + r.expiredPermits }
+// still be revoked. It leaves out those that a convicted part explains: what is wrong with the part is
+// known from several requests.
+func (r *record) lostEndpoints() int {
+	failures, _ := r.ownFailures()
+	return failures + r.expiredPermits
+}
 
 // evidence returns the evidence against a request. It leaves out failures in an outage,
 // failures that another request explains, failures before which the permitted request
@@ -175,21 +196,25 @@
 	}
 }
 
-// updateExplained sets explained: whether a convicted request is among the digests.
+// updateExplained sets explained and explainedByPart.
 func (l *List) updateExplained(f *failure) {
-	f.explained = slices.ContainsFunc(f.digests, func(digest uint64) bool { return l.records[digest].convicted })
+	convicted := func(digest uint64) bool { return l.records[digest].convicted }
+	f.explainedByPart = slices.ContainsFunc(f.parts, convicted)
+	f.explained = f.explainedByPart || slices.ContainsFunc(f.digests, convicted)
 }
 
 // markOutage checks whether at least BurstFailures endpoints failed within BurstWindow.
 // If so, and no request was in flight in nearly all of them, the cause lies outside the
-// requests, and convictions that rest on these failures are revoked.
+// requests, and convictions that rest on these failures are revoked. Failures with a crashing part in
+// flight are not counted.
 func (l *List) markOutage(now time.Time) {
 	since := now.Add(-l.limits.BurstWindow)
 	first := len(l.failures)
 	for first > 0 && !l.failures[first-1].at.Before(since) {
 		first--
 	}
-	burst := l.failures[first:]
+	// A part that crashes endpoints would look like an outage, as its requests have nothing else in common.
+	burst := slices.DeleteFunc(slices.Clone(l.failures[first:]), l.hasCrashingPart)
 	if len(burst) < l.limits.BurstFailures || haveCommonRequest(burst) {
 		return
 	}
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -14,7 +14,7 @@
 	for i := range suspects {
 		suspects[i] = uint64(i)
 	}
-	l.Update(suspects, nil)
+	l.Update(start, suspects, nil)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		l.Status(start, uint64(1_000_000+i))
--- a/quarantine/image.go
+++ b/quarantine/image.go
@@ -28,6 +28,12 @@
 	Incarnation    uint64 `cbor:"6,keyasint"`
 	// PermitDeadline is in nanoseconds since the Unix epoch, or zero if there is no permit.
 	PermitDeadline int64 `cbor:"7,keyasint"`
+	// Part is set for a part of prompts. Carriers, Trials and NextTrial, in nanoseconds since the Unix
+	// epoch, are only set for one.
+	Part      bool     `cbor:"8,keyasint,omitempty"`
+	Carriers  []uint64 `cbor:"9,keyasint,omitempty"`
+	Trials    int      `cbor:"10,keyasint,omitempty"`
+	NextTrial int64    `cbor:"11,keyasint,omitempty"`
 }
 
 // FailureImage is the serializable state of one failure.
@@ -46,6 +52,9 @@
 	HasHolder        bool   `cbor:"10,keyasint,omitempty"`
 	HolderDispatched bool   `cbor:"11,keyasint,omitempty"`
 	Direct           bool   `cbor:"12,keyasint,omitempty"`
+	// Parts and ClearedParts are parts of prompts.
+	Parts        []uint64 `cbor:"13,keyasint,omitempty"`
+	ClearedParts []uint64 `cbor:"14,keyasint,omitempty"`
 }
 
 // Image returns the serializable state of the list.
@@ -53,11 +62,15 @@
 	var img Image
 	for _, digest := range slices.Sorted(maps.Keys(l.records)) {
 		r := l.records[digest]
-		img.Records = append(img.Records, RecordImage{
+		image := RecordImage{
 			Digest: digest, Convicted: r.convicted, ExpiredPermits: r.expiredPermits,
 			Holder: r.permit.holder, Endpoint: r.permit.instance.endpoint,
 			Incarnation: r.permit.instance.incarnation, PermitDeadline: toUnixNanos(r.permit.deadline),
-		})
+		}
+		if p := r.partRecord; p != nil {
+			image.Part, image.Carriers, image.Trials, image.NextTrial = true, slices.Clone(p.carriers), p.trials, toUnixNanos(p.nextTrial)
+		}
+		img.Records = append(img.Records, image)
 	}
 	for _, f := range l.failures {
 		img.Failures = append(img.Failures, FailureImage{
@@ -65,6 +78,7 @@
 			Digests: slices.Clone(f.digests), Cleared: slices.Clone(f.cleared),
 			Alone: f.alone, Outage: f.outage, Explained: f.explained,
 			Holder: f.holder, HasHolder: f.hasHolder, HolderDispatched: f.holderDispatched, Direct: f.direct,
+			Parts: slices.Clone(f.parts), ClearedParts: slices.Clone(f.clearedParts),
 		})
 	}
 	return img
@@ -78,6 +92,9 @@
 		l.records[r.Digest] = &record{convicted: r.Convicted, expiredPermits: r.ExpiredPermits, permit: permit{
 			holder: r.Holder, instance: instance{endpoint: r.Endpoint, incarnation: r.Incarnation}, deadline: fromUnixNanos(r.PermitDeadline),
 		}}
+		if r.Part {
+			l.records[r.Digest].partRecord = &partRecord{carriers: slices.Clone(r.Carriers), trials: r.Trials, nextTrial: fromUnixNanos(r.NextTrial)}
+		}
 	}
 	for _, i := range img.Failures {
 		f := &failure{
@@ -85,15 +102,22 @@
 			digests: slices.Clone(i.Digests), cleared: slices.Clone(i.Cleared),
 			alone: i.Alone, outage: i.Outage, explained: i.Explained,
 			holder: i.Holder, hasHolder: i.HasHolder, holderDispatched: i.HolderDispatched, direct: i.Direct,
+			parts: slices.Clone(i.Parts), clearedParts: slices.Clone(i.ClearedParts),
 		}
 		l.failures = append(l.failures, f)
-		for _, digest := range f.digests {
+		for _, digest := range slices.Concat(f.digests, f.parts) {
 			r := l.records[digest]
 			if r == nil {
-				return nil, errors.Errorf("failure of endpoint %s names request %016x, which has no record", i.Endpoint, digest)
+				return nil, errors.Errorf("failure of endpoint %s names request or part %016x, which has no record", i.Endpoint, digest)
 			}
 			r.failures = append(r.failures, f)
 		}
+		for _, digest := range f.parts {
+			if r := l.records[digest]; !r.isPart() {
+				return nil, errors.Errorf("failure of endpoint %s names part %016x, which has the record of a request", i.Endpoint, digest)
+			}
+			f.explainedByPart = f.explainedByPart || l.records[digest].convicted
+		}
 	}
 	for digest, r := range l.records {
 		if len(r.failures) == 0 {
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -29,6 +29,10 @@
 	// flight too, but don't count, because they have completed elsewhere since.
 	digests []uint64
 	cleared []uint64
+	// parts are the parts of the prompts of these requests that have a record. clearedParts have
+	// been read for complete answers since.
+	parts        []uint64
+	clearedParts []uint64
 	// alone is set if exactly one request was in flight.
 	alone bool
 	// holder is the request that held the permit for the instance, if hasHolder is set.
@@ -41,20 +45,23 @@
 	outage bool
 	// direct is set if the endpoint has no sidecar.
 	direct bool
-	// explained is set while a convicted request is among digests. The failure then
-	// counts against no other request.
-	explained bool
+	// explained is set while a convicted request is among digests or a convicted part among parts.
+	// The failure then counts against no other request. explainedByPart is set for a part.
+	explained       bool
+	explainedByPart bool
 }
 
-// record is what is known of one request.
+// record is what is known of one request, or of one part of prompts.
 type record struct {
-	// failures lists the failures with the request among their digests, oldest first.
+	// failures lists the failures with the request or part in flight, oldest first.
 	failures  []*failure
 	convicted bool
 	permit    permit
 	// expiredPermits counts the permits that expired without a report of how the run
 	// ended.
 	expiredPermits int
+	// partRecord is set for a part.
+	*partRecord
 }
 
 // NewList returns an empty list.
@@ -71,10 +78,14 @@
 	for _, digest := range r.Digests {
 		l.addRequest(f, digest)
 	}
+	for _, part := range r.Parts {
+		l.addPart(f, part)
+	}
 	l.endPermit(f, r.Alone)
 	f.holderDispatched = f.holderDispatched || (f.hasHolder && slices.Contains(r.Digests, f.holder))
 	f.alone = f.requests() == 1 && (f.alone || r.Alone)
 	l.updateExplained(f)
+	l.convictPart(now, f)
 	l.markOutage(now)
 	l.convictCulprit(f)
 }
@@ -135,24 +146,29 @@
 	if slices.Contains(f.digests, digest) || slices.Contains(f.cleared, digest) || f.requests() >= l.limits.DigestsPerFailure {
 		return
 	}
+	if r := l.recordFor(f, digest); r != nil {
+		r.failures = append(r.failures, f)
+		f.digests = append(f.digests, digest)
+	}
+}
+
+// recordFor returns the record of a request or part in a failure, or nil if there is no room for it.
+func (l *List) recordFor(f *failure, digest uint64) *record {
 	r := l.records[digest]
-	if r == nil {
-		if !l.makeRoom(f) {
-			return
-		}
+	if r == nil && l.makeRoom(f) {
 		r = &record{}
 		l.records[digest] = r
 	}
-	r.failures = append(r.failures, f)
-	f.digests = append(f.digests, digest)
+	return r
 }
 
 // Completed records that the request ran to a complete answer, which clears it unless
-// it is convicted as the only suspect of a failure. It reports whether the list changed.
+// it is convicted as the only suspect of a failure. An answer that has gone on past its beginning
+// clears the parts of its prompt. Completed reports whether the list changed.
 func (l *List) Completed(now time.Time, digest uint64) bool {
 	l.expire(now)
 	r := l.records[digest]
-	if r == nil || (r.convicted && l.evidence(digest, nil).alone > 0) {
+	if r == nil || (r.convicted && !r.isPart() && l.evidence(digest, nil).alone > 0) {
 		return false
 	}
 	failures := r.failures
@@ -160,6 +176,9 @@
 	for _, f := range failures {
 		l.updateExplained(f)
 	}
+	if r.isPart() && r.convicted {
+		l.reconsider(now, failures)
+	}
 	return true
 }
 
@@ -167,6 +186,11 @@
 // even if they are reported again.
 func (l *List) clearRequest(digest uint64) {
 	for _, f := range l.records[digest].failures {
+		if slices.Contains(f.parts, digest) {
+			f.parts = remove(f.parts, digest)
+			f.clearedParts = append(f.clearedParts, digest)
+			continue
+		}
 		f.digests = remove(f.digests, digest)
 		f.cleared = append(f.cleared, digest)
 	}
@@ -175,7 +199,7 @@
 
 // dropFailure drops a failure, and the records that have no other failure.
 func (l *List) dropFailure(f *failure) {
-	for _, digest := range f.digests {
+	for _, digest := range slices.Concat(f.digests, f.parts) {
 		r := l.records[digest]
 		r.failures = remove(r.failures, f)
 		if len(r.failures) == 0 {
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -269,17 +269,17 @@
 	is.Equal(l.Status(at(0), crasher), Clear)
 	l.RecordLoss(at(0), crasher)
 	is.Equal(l.Status(at(1), crasher), Suspect)
-	l.Update(nil, nil) // sent before control processed the loss
+	l.Update(start, nil, nil) // sent before control processed the loss
 	is.Equal(l.Status(at(2), crasher), Suspect)
 	l.SetStatus(at(3), crasher, Convicted)
 	is.Equal(l.Status(at(3), crasher), Convicted)
-	l.Update([]uint64{crasher}, nil)
+	l.Update(start, []uint64{crasher}, nil)
 	is.Equal(l.Status(at(4), crasher), Suspect)
 	l.SetStatus(at(5), crasher, Clear)
 	is.Equal(l.Status(at(5), crasher), Clear)
-	l.Update(nil, []uint64{crasher})
+	l.Update(start, nil, []uint64{crasher})
 	is.Equal(l.Status(at(999), crasher), Convicted)
-	l.Update(nil, nil)
+	l.Update(start, nil, nil)
 	is.Equal(l.Status(at(999), crasher), Clear)
 	for i := range 2 * maxLocalLosses {
 		l.RecordLoss(at(1000), uint64(i))
--- a/quarantine/local.go
+++ b/quarantine/local.go
@@ -25,6 +25,8 @@
 	// completions maps requests to the time of their last complete answer. A full map becomes
 	// olderCompletions, so that no completion has to look for the ones that are too old.
 	completions, olderCompletions map[uint64]time.Time
+	// trials maps convicted requests and parts to the time from which control is asked for a trial.
+	trials map[uint64]time.Time
 }
 
 // localLoss is what a process knows of a request from losses that it saw itself.
@@ -38,17 +40,71 @@
 
 // NewLocalView returns an empty LocalView.
 func NewLocalView() *LocalView {
-	return &LocalView{statuses: map[uint64]Status{}, losses: map[uint64]localLoss{}, completions: map[uint64]time.Time{}}
+	return &LocalView{statuses: map[uint64]Status{}, losses: map[uint64]localLoss{}, completions: map[uint64]time.Time{}, trials: map[uint64]time.Time{}}
 }
 
-// Update replaces the statuses by those in control's lists.
-func (l *LocalView) Update(suspects, convicted []uint64) {
+// Update replaces the statuses by those in control's lists. It returns what is listed although it got a
+// complete answer lately, so that control has to be informed.
+func (l *LocalView) Update(now time.Time, suspects, convicted []uint64) (completed []uint64) {
 	clear(l.statuses)
 	for _, digest := range suspects {
 		l.statuses[digest] = Suspect
 	}
+	trials := map[uint64]time.Time{}
 	for _, digest := range convicted {
 		l.statuses[digest] = Convicted
+		due, ok := l.trials[digest]
+		if !ok {
+			due = now.Add(FirstTrial)
+		}
+		trials[digest] = due
+	}
+	l.trials = trials
+	for digest := range l.statuses {
+		if l.CompletedLately(now, digest) {
+			completed = append(completed, digest)
+		}
+	}
+	return completed
+}
+
+// PartStatus returns the status of a part of prompts as far as this process knows. A complete answer that it
+// saw lately goes before what control knows. Without control, requests with a part need a permit
+// from the loss on with which control would convict the part.
+func (l *LocalView) PartStatus(now time.Time, part uint64) Status {
+	status, listed := l.statuses[part]
+	loss, lost := l.losses[part]
+	switch {
+	case !listed && !lost, l.CompletedLately(now, part):
+		return Clear
+	case listed:
+		return status
+	case now.Before(loss.until) && loss.direct >= minPartLosses:
+		return Suspect
+	}
+	return Clear
+}
+
+// TrialDue reports whether control is to be asked if a request with a convicted part may be tried. The next
+// one is due a second later, unless control names another time.
+func (l *LocalView) TrialDue(now time.Time, part uint64) bool {
+	due, ok := l.trials[part]
+	if !ok || now.Before(due) {
+		return false
+	}
+	l.trials[part] = now.Add(permitHeldRetryAfter)
+	return true
+}
+
+// NextTrial returns the time until control may be asked for a trial of a part.
+func (l *LocalView) NextTrial(now time.Time, part uint64) time.Duration {
+	return max(permitHeldRetryAfter, l.trials[part].Sub(now))
+}
+
+// SetNextTrial records from control's answer after how long a trial may be permitted.
+func (l *LocalView) SetNextTrial(now time.Time, part uint64, after time.Duration) {
+	if _, ok := l.trials[part]; ok && after > 0 {
+		l.trials[part] = now.Add(after)
 	}
 }
 
@@ -82,8 +138,8 @@
 	}
 }
 
-// RecordCompletion records a complete answer to a request. It reports whether the request is
-// not clear, so that control has to be informed.
+// RecordCompletion records a complete answer to a request, or to one with a part. It reports whether the
+// request or part is not clear, so that control has to be informed.
 func (l *LocalView) RecordCompletion(now time.Time, digest uint64) (inform bool) {
 	if len(l.completions) >= maxCompletions {
 		l.completions, l.olderCompletions = map[uint64]time.Time{}, l.completions
@@ -92,6 +148,17 @@
 	return l.Status(now, digest) != Clear
 }
 
+// RecordPartCompletion is RecordCompletion for a part. Control is also informed of a part under which this
+// process has lost an endpoint.
+func (l *LocalView) RecordPartCompletion(now time.Time, part uint64) (inform bool) {
+	inform = l.RecordCompletion(now, part)
+	if loss, ok := l.losses[part]; ok {
+		delete(l.losses, part)
+		inform = inform || now.Before(loss.until)
+	}
+	return inform
+}
+
 // CompletedLately reports whether the request got a complete answer within completionTTL. Such a
 // request does not crash endpoints, although one may have failed with a copy of it in flight.
 func (l *LocalView) CompletedLately(now time.Time, digest uint64) bool {
@@ -114,6 +181,9 @@
 	}
 	l.RecordLoss(now, digest)
 	l.statuses[digest] = status
+	if _, ok := l.trials[digest]; !ok && status == Convicted {
+		l.trials[digest] = now.Add(FirstTrial)
+	}
 }
 
 // Status returns the status of a request as far as this process knows.
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -126,7 +126,7 @@
 
 // updateEntry sends control's lists to an entry.
 func (f *fleet) updateEntry(entry int) {
-	f.entries[entry].Update(f.list.Digests(Suspect), f.list.Digests(Convicted))
+	f.entries[entry].Update(f.now, f.list.Digests(Suspect), f.list.Digests(Convicted))
 }
 
 // extraLosses returns how many endpoints beyond MaxLostEndpoints may be lost: one, once
--- a/quarantine/permit.go
+++ b/quarantine/permit.go
@@ -41,6 +41,9 @@
 	case Clear:
 		return Permit{Status: Clear, Granted: true}
 	case Convicted:
+		if r := l.records[req.Digest]; r.isPart() {
+			return l.permitTrial(now, r, req)
+		}
 		return Permit{Status: Convicted}
 	}
 	r := l.records[req.Digest]
@@ -74,6 +77,9 @@
 	}
 	inOutage := 0
 	for _, f := range r.failures {
+		if f.explainedByPart {
+			continue
+		}
 		if !f.direct || (f.outage && f.hasHolder && f.holder == digest) {
 			return lossLimitRetryAfter
 		}
@@ -99,8 +105,9 @@
 // request was refused, never sent, or cancelled while the endpoint was still alive.
 func (l *List) ReleasePermit(now time.Time, digest uint64, holder string) {
 	l.expire(now)
-	if r := l.records[digest]; r != nil && r.permit.holder == holder {
+	if r := l.records[digest]; r != nil && holder != "" && r.permit.holder == holder {
 		r.permit = permit{}
+		r.repeatTrial(now)
 	}
 }
 
@@ -143,6 +150,10 @@
 		return
 	}
 	r.permit = permit{}
+	if r.isPart() {
+		l.addPart(f, PartReport{Digest: digest})
+		return
+	}
 	if !certain || slices.Contains(f.digests, digest) {
 		f.holder, f.hasHolder = digest, true
 		l.addRequest(f, digest)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -12,7 +12,9 @@
 // flight when such an endpoint ended.
 //
 // A request is identified by a digest of its content, so that copies of it that arrive
-// through other entries share one record.
+// through other entries share one record. A part of a prompt that many requests share has a record
+// of its own: it is convicted as the cause once endpoints failed under several requests that have
+// nothing else in common, and requests with it are refused, but for rare trials.
 //
 // Nothing in this package does I/O, reads a clock, starts a goroutine or locks.
 package quarantine
@@ -99,6 +101,16 @@
 	Alone bool
 	// Direct is set for a direct endpoint; see MinDirectLosses.
 	Direct bool
+	// Parts are the parts of the prompts of these requests, but for those that sound requests
+	// have too.
+	Parts []PartReport
+}
+
+// PartReport reports a part of prompts that was in flight on an endpoint that failed.
+type PartReport struct {
+	Digest uint64
+	// Carriers are up to MinPartCarriers requests with the part.
+	Carriers []uint64
 }
 
 // PermitRequest asks for a permit to run a suspect request.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -33,8 +33,12 @@
 // prefills a part of the prompt.
 type Attempt struct {
 	Digest uint64
-	// Holder is the holder of the permit of the attempt, or empty if it needed none.
-	Holder string
+	// Parts are the parts of its prompt that other requests may have too.
+	Parts []uint64
+	// Holder is the holder of the permit of the attempt, or empty if it needed none. Permitted is what the
+	// permit is for: Digest or one of Parts.
+	Holder    string
+	Permitted uint64
 	// counted is set once the end of one endpoint has been counted against the request.
 	counted bool
 }
@@ -164,10 +168,26 @@
 	}
 }
 
-// Ended is an instance that has ended and the requests that were in flight, each once.
+// Ended is an instance that has ended and the requests that were in flight, each once, with the parts
+// of their prompts.
 type Ended struct {
 	Instance
 	Digests []uint64
+	Parts   []PartReport
+}
+
+// addParts adds the parts of an attempt, up to maxPartsPerFailure.
+func (e *Ended) addParts(a *Attempt) {
+	for _, part := range a.Parts {
+		i := slices.IndexFunc(e.Parts, func(p PartReport) bool { return p.Digest == part })
+		if i < 0 && len(e.Parts) < maxPartsPerFailure {
+			i = len(e.Parts)
+			e.Parts = append(e.Parts, PartReport{Digest: part})
+		}
+		if i >= 0 && len(e.Parts[i].Carriers) < MinPartCarriers && !slices.Contains(e.Parts[i].Carriers, a.Digest) {
+			e.Parts[i].Carriers = append(e.Parts[i].Carriers, a.Digest)
+		}
+	}
 }
 
 // TakeEnded returns the ended instances with requests that it has not returned before. An attempt
@@ -184,6 +204,7 @@
 				n.counted = true
 				i.reported = append(i.reported, n.Digest)
 				e.Digests = append(e.Digests, n.Digest)
+				e.addParts(n.Attempt)
 			}
 		}
 		i.interruptions = nil
