Odd announcements take no endpoint out of the list

Reported by other operators: one odd entry of another writer among those of the endpoints. Here an announcement under an endpoint's own ID with port 70000 was acknowledged and listed, and the endpoint got nothing until its next announcement; one under another ID with an endpoint's address and a start at the largest number removed the endpoint until the odd one was forgotten. The same holds for a sequence number at its limit, by which the endpoint's own announcements become older ones, and for another address, service or zone of the incarnation.

Control checks the same for what replicas of an earlier version report, and entries for what control of an earlier version lists. What cannot change while an incarnation runs (address, service, zone) is not changed, and a step of the sequence over 2^20 is not taken.

What remains: a start that is plausible but too late, and a service that no configuration names, under another ID with an endpoint's address.

--- a/control/registry.go
+++ b/control/registry.go
@@ -7,6 +7,10 @@
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
+// maxSequenceStep is the most announcements of an incarnation that a replica may miss. A larger step is
+// another writer's: the endpoint's own announcements would be older from then on.
+const maxSequenceStep = 1 << 20
+
 // roleEndpoint is the role in reports on direct endpoints, which register themselves. They
 // have no session and no permission.
 const roleEndpoint = "endpoint"
@@ -21,12 +25,13 @@
 }
 
 // register records the announcement of a direct endpoint. It returns false for an
-// announcement that was delayed and is older than a recorded one.
+// announcement that was delayed and is older than a recorded one, or that cannot be the endpoint's own.
 func (t *table) register(now time.Time, e wire.Endpoint, sequence uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.registered[e.Name]
-	if old != nil && old.endpoint.Incarnation == e.Incarnation && sequence != 0 && sequence <= old.sequence {
+	if old != nil && old.endpoint.Incarnation == e.Incarnation && sequence != 0 &&
+		(sequence <= old.sequence || old.sequence != 0 && sequence-old.sequence > maxSequenceStep) {
 		return false
 	}
 	e, result := t.list.announceDirect(now, e)
@@ -84,10 +89,10 @@
 
 // announceDirect records the announcement of a direct endpoint, which arrived at this or at
 // another replica, and returns the endpoint as it is listed. The announcement is outdated if
-// a newer endpoint has the same address.
+// a newer endpoint has the same address, or if it cannot be the endpoint's own.
 func (d *directory) announceDirect(now time.Time, e wire.Endpoint) (wire.Endpoint, announceResult) {
 	e = d.keepLeaving(e)
-	if d.addressTaken(&e) {
+	if e.CheckDirect() != nil || d.contradicts(&e) || d.addressTaken(&e) {
 		return e, outdated
 	}
 	return e, d.announce(now, e)
@@ -103,6 +108,16 @@
 	return e
 }
 
+// contradicts reports whether the incarnation is listed with another address, service or availability
+// zone, none of which changes while an endpoint runs.
+func (d *directory) contradicts(e *wire.Endpoint) bool {
+	m, ok := d.members[e.Name]
+	if !ok || e.Incarnation == 0 || m.endpoint.Incarnation != e.Incarnation {
+		return false
+	}
+	return m.endpoint.Addr != e.Addr || m.endpoint.Target != e.Target || m.endpoint.Zone != e.Zone
+}
+
 // addressTaken reports whether a newer direct endpoint has the address of e. It also removes
 // other direct endpoints with this address that are not newer from the list, because e has
 // replaced them.
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -56,6 +56,18 @@
 		"older endpoint at the address, delayed": {
 			[]step{{direct("i-2", a, 6, false), 1, true}, {direct("i-1", a, 5, false), 9, false}}, map[string]bool{"i-2": false},
 		},
+		"address to which no connection is possible": {
+			[]step{{direct("i-1", a, 5, false), 1, true}, {direct("i-1", "10.0.0.1:70000", 5, false), 2, false}}, map[string]bool{"i-1": false},
+		},
+		"address of another endpoint and a start in a distant year": {
+			[]step{{direct("i-1", a, 5, false), 1, true}, {direct("odd", a, 1<<64-1, false), 1, false}}, map[string]bool{"i-1": false},
+		},
+		"other address of the same incarnation": {
+			[]step{{direct("i-1", a, 5, false), 1, true}, {direct("i-1", b, 5, false), 2, false}, {direct("i-1", a, 5, false), 2, true}}, map[string]bool{"i-1": false},
+		},
+		"sequence at its limit": {
+			[]step{{direct("i-1", a, 5, false), 1, true}, {direct("i-1", a, 5, true), 1<<64 - 1, false}, {direct("i-1", a, 5, false), 2, true}}, map[string]bool{"i-1": false},
+		},
 		"two endpoints at two addresses": {
 			[]step{{direct("i-1", a, 5, false), 1, true}, {direct("i-2", b, 6, false), 1, true}}, map[string]bool{"i-1": false, "i-2": false},
 		},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -351,6 +351,11 @@
 	for i := range u.Endpoints {
 		e := &u.Endpoints[i]
 		names[e.Name] = true
+		if err := e.CheckDirect(); err != nil {
+			// Control of an earlier version lists such endpoints.
+			g.log.Warn("endpoint not used", "endpoint", e.Name, "error", err)
+			continue
+		}
 		g.fleet.Update(assign.Endpoint{
 			Name: e.Name, Service: e.Target, Addr: e.Addr, Zone: e.Zone, Incarnation: e.Incarnation,
 			Slots: e.Slots, Leaving: e.Load.Leaving, Cold: e.Cold, LearnedAt: g.clock.Now(),
