What an endpoint writes in place of events is not passed on within a stream

Reported by other operators: a stream broke off, the next endpoint answered with an error, and clients found its text or its whole head in the middle of their stream, or the stream ended as if it were complete. Here a resumed answer with status 200 that was no event stream, and a status line with headers inside a body, were passed on as events without data; a resumed answer without any event looked complete, also one that ended with its connection.

The reader of events now tells lines apart: fields of the format and comments, extensions (lower-case names, which belong to an event with data: rosemaryproxy-weight-versions), and lines that can be no field. The last, and extensions without an event, are a broken answer: the stream is resumed at the next endpoint or broken off. A resumed answer without an event shows the end of the stream only if it is an event stream whose end is not that of its connection.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"net/url"
 	"runtime/debug"
@@ -422,6 +423,8 @@
 	for {
 		ev, err := events.next()
 		switch {
+		case errors.Is(err, io.EOF) && a.resumes && !a.begun && !mayBeEndOfStream(res):
+			return a.handleBrokenAnswer(errors.New("an answer without an event does not show the end of the stream"))
 		case errors.Is(err, io.EOF):
 			a.complete = true
 			a.timer.stop()
@@ -451,6 +454,15 @@
 	}
 }
 
+// mayBeEndOfStream reports whether an answer without an event may say that the stream had ended before it was
+// resumed: it is a stream of events, and has another end than that of its connection.
+func mayBeEndOfStream(res *http.Response) bool {
+	raw := res.Header.Get("Content-Type")
+	kind, _, err := mime.ParseMediaType(raw)
+	events := raw == "" || err == nil && kind == "text/event-stream"
+	return events && (res.ContentLength >= 0 || len(res.TransferEncoding) > 0)
+}
+
 // impliesNotRun reports whether callers take the status as a statement that the request
 // was not executed.
 func impliesNotRun(status int) bool {
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -18,6 +18,37 @@
 	hasData bool
 }
 
+// errNoEvent is the error of bytes in a stream that are no event, such as the head of another answer.
+var errNoEvent = errors.New("the stream holds lines that are no event")
+
+// lineKind is what a line of an event is.
+type lineKind int
+
+const (
+	// fieldLine is a comment or a field of the format other than data.
+	fieldLine lineKind = iota
+	dataLine
+	// extensionLine is a field that the format does not know. Readers of events ignore it.
+	extensionLine
+	// foreignLine has no name that a field could have.
+	foreignLine
+)
+
+// kindOfLine returns the kind of a line that is not empty.
+func kindOfLine(text []byte) lineKind {
+	name, _, _ := bytes.Cut(text, []byte(":"))
+	switch string(name) {
+	case "", "id", "event", "retry":
+		return fieldLine
+	case "data":
+		return dataLine
+	}
+	if len(bytes.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789-_.")) > 0 {
+		return foreignLine
+	}
+	return extensionLine
+}
+
 // eventReader splits a stream of server-sent events into complete events.
 type eventReader struct {
 	r    *bufio.Reader
@@ -30,13 +61,16 @@
 }
 
 // next returns the next event. It returns io.EOF if the stream ends between two events
-// and io.ErrUnexpectedEOF if it ends within one.
+// and io.ErrUnexpectedEOF if it ends within one. An event with a line that cannot be a field, and one
+// with an extension but without data, are errNoEvent.
 func (e *eventReader) next() (event, error) {
 	var ev event
+	extended, continues := false, false
 	e.held.reset()
 	for {
 		line, err := e.r.ReadSlice('\n')
-		if errors.Is(err, bufio.ErrBufferFull) {
+		begins := !continues
+		if continues = errors.Is(err, bufio.ErrBufferFull); continues {
 			err = nil
 		}
 		if err := e.held.grow(len(line)); err != nil {
@@ -50,12 +84,26 @@
 			return ev, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
+		switch {
+		case !begins:
+			continue
+		case len(text) > 0:
+		case extended && !ev.hasData:
+			return ev, errNoEvent
+		default:
+			return ev, nil
+		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(value))
 		}
-		ev.hasData = ev.hasData || bytes.HasPrefix(text, []byte("data"))
-		if len(text) == 0 && line[len(line)-1] == '\n' {
-			return ev, nil
+		switch kindOfLine(text) {
+		case dataLine:
+			ev.hasData = true
+		case extensionLine:
+			extended = true
+		case foreignLine:
+			return ev, errNoEvent
+		case fieldLine:
 		}
 	}
 }
