Requests that wait for endpoints are refused once their part is convicted

A request that waited when control convicted a part of its prompt waited on, for up to half of its time, and was refused only when it had an endpoint or the wait was over. Waits now end with the news of the conviction, at this entry and where another one places the request.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -222,7 +223,7 @@
 func (a *attempt) findEndpoints() (*placement, error) {
 	p := a.booked
 	if p == nil {
-		return a.c.g.place(a.ctx, a)
+		return a.waitForEndpoints()
 	}
 	a.booked = nil
 	for _, o := range a.earlier {
@@ -236,6 +237,17 @@
 	return p, nil
 }
 
+// waitForEndpoints waits for endpoints, as long as the request is not known to crash them.
+func (a *attempt) waitForEndpoints() (*placement, error) {
+	ctx, end := a.c.g.placing.begin(a)
+	defer end()
+	p, err := a.c.g.place(ctx, a)
+	if err != nil && errors.Is(context.Cause(ctx), errConvicted) {
+		return nil, a.c.refuseConvicted(suspicion{quarantine.Convicted, a.c.suspicion().digest})
+	}
+	return p, err
+}
+
 // releaseBooked ends the booking that was made for the attempt, if it has not been used.
 func (a *attempt) releaseBooked() {
 	if a.booked != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -149,6 +149,8 @@
 	// peers accepts the streams from the other entries.
 	bookings *bookings
 	peers    *wire.Server
+	// placing holds the attempts that wait for endpoints.
+	placing *placing
 	// placer selects the entry that chooses the endpoints for the long prompts of all
 	// entries.
 	placer *placer
@@ -185,7 +187,7 @@
 	g := &Gateway{
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1), queued: make(chan struct{}, 1),
-		fleet: assign.NewFleet(), bookings: newBookings(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
+		fleet: assign.NewFleet(), bookings: newBookings(), placing: newPlacing(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
 		leftEntries: map[string]string{}, slowSuspects: map[string]bool{},
 	}
 	g.ticketTTL.Store(int64(s.TicketTTL))
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -92,6 +92,7 @@
 	g.log.Info("quarantine updated", "suspects", len(u.Suspects), "convicted", len(u.Quarantine),
 		"contents", contentList(u.Quarantine), "completed_lately", contentList(completed))
 	g.reportCompletions(completed)
+	g.endConvictedWaits()
 }
 
 // reportCompletions informs control that requests or parts got complete answers.
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -78,3 +79,25 @@
 	is.Equal(w.post("/status/2", withPart("shared")).status, http.StatusOK)
 	is.Equal(w.post("/status/3", withPart("bad")).status, http.StatusServiceUnavailable)
 }
+
+// A request that waited for an endpoint when its part was convicted waited on until it had one.
+func TestWaitEndsOnceThePartIsConvicted(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, streaming(9, 9, nil))
+	w.addLoad("scribe", 0, 8)
+	go func() {
+		for len(w.g.placing.all()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		w.convict("bad")
+	}()
+	began := time.Now()
+	got := w.post("/read/1", func(r *http.Request) {
+		withPart("bad")(r)
+		r.Header.Set("Tokens", "10")
+	})
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(got.body, string(verdict.ReasonQuarantined)))
+	is.True(time.Since(began) < time.Second) // half of its time is left
+	is.Equal(len(w.g.placing.all()), 0)
+}
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -16,6 +16,7 @@
 	"gateway.retries",
 	"gateway.bookings",
 	"gateway.placer",
+	"gateway.placing",
 	"session.Suspects",
 	"entry.watch",
 	"sidecar.orders",
