--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -32,6 +32,18 @@
 			suspects.RecordCompletion(i)
 		}
 	})
+	b.Run("three checks and the completion with four parts", func(b *testing.B) {
+		ids := []string{"5c1e07a2", "91bd3f06", "e4402b7d", "77aa0012"}
+		b.ReportAllocs()
+		for i := uint64(0); b.Loop(); i++ {
+			parts := partDigests(ids)
+			for range 3 {
+				suspects.WorstStatus(i, parts)
+			}
+			suspects.RecordCompletion(i)
+			suspects.RecordPartCompletions(parts)
+		}
+	})
 	b.Run("retry budget", func(b *testing.B) {
 		budget := newRetryBudget(RetryLimits{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, time.Time{})
 		b.ReportAllocs()
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -55,3 +55,29 @@
 	}
 	b.ReportMetric(float64(len(data)), "image-bytes")
 }
+
+// BenchmarkReportParts is BenchmarkReportDirectFailure for requests with four parts each, of which one crashes the
+// endpoints.
+func BenchmarkReportParts(b *testing.B) {
+	l := NewList(DefaultLimits())
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		r := FailureReport{Endpoint: fmt.Sprint(i), Incarnation: 1, Direct: true}
+		for j := range 20 {
+			request := uint64(1_000_000 + i*20 + j)
+			r.Digests = append(r.Digests, request)
+			for k := range uint64(3) {
+				r.Parts = append(r.Parts, PartReport{Digest: 1<<40 + request*4 + k, Carriers: []uint64{request}})
+			}
+		}
+		r.Parts = append(r.Parts, PartReport{Digest: badPart, Carriers: r.Digests[:MinPartCarriers]})
+		l.Fingerprint()
+		l.ReportFailure(at(float64(i)), r)
+		l.Fingerprint()
+	}
+	data, err := cbor.Marshal(l.Image())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(data)), "image-bytes")
+}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -50,6 +50,7 @@
 		{"a stream ends early", PromiseOrder, func(c *Checker) { c.Streamed(at(0), "a", "a", []int{1}, 2) }},
 		{"a request that no caller sent", PromiseUnaltered, func(c *Checker) { c.Ran(at(0), arrivalWith(func(a *Arrival) { a.ID = "z" })) }},
 		{"another path", PromiseUnaltered, func(c *Checker) { c.Ran(at(0), arrivalWith(func(a *Arrival) { a.Path = "/q" })) }},
+		{"other parts", PromiseUnaltered, func(c *Checker) { c.Ran(at(0), arrivalWith(func(a *Arrival) { a.Prefix = "a:1,b:2" })) }},
 		{"another body", PromiseUnaltered, func(c *Checker) { c.Ran(at(0), arrivalWith(func(a *Arrival) { a.Body = nil })) }},
 		{"another account", PromiseUnaltered, func(c *Checker) { c.Ran(at(0), arrivalWith(func(a *Arrival) { a.Account = "notary" })) }},
 		{"the key is passed on", PromiseUnaltered, func(c *Checker) { c.Ran(at(0), arrivalWith(func(a *Arrival) { a.KeyPassed = true })) }},
@@ -90,6 +91,16 @@
 			sendCrashing(c, 0, 3)
 			sendCrashing(c, 4*time.Second, maxLateArrivals+1)
 		}},
+		{"a part that crashed five endpoints is sent on", PromiseCrashing, func(c *Checker) {
+			sendCrashingPart(c, 0, 5)
+			sendCrashingPart(c, 4*time.Second, maxLateArrivals+1)
+		}},
+		{"sound requests beside a crashing part are refused", PromiseSoundPart, func(c *Checker) {
+			sendSound(c, -time.Second, minShareRequests, 0)
+			sendCrashingPart(c, 0, 5)
+			sendSound(c, 7*time.Second, minShareRequests, minShareRequests/2+1)
+			c.CheckSoundShare(at(8*time.Second), "content")
+		}},
 		{"an innocent request is refused for crashes", PromiseInnocent, func(c *Checker) { c.Quarantined(at(0), "a") }},
 		{"retries over the budget", PromiseRetries, func(c *Checker) { arriveRepeatedly(c, 1+2+1) }},
 	}
@@ -114,10 +125,27 @@
 }
 
 // sendCrashing has n requests with the same content crash an endpoint each.
-func sendCrashing(c *Checker, after time.Duration, n int) {
+func sendCrashing(c *Checker, after time.Duration, n int) { crash(c, after, n, false) }
+
+// sendCrashingPart has n requests with the same part crash an endpoint each.
+func sendCrashingPart(c *Checker, after time.Duration, n int) { crash(c, after, n, true) }
+
+// sendSound sends n sound requests beside crashing ones, of which some do not begin.
+func sendSound(c *Checker, after time.Duration, n, refused int) {
+	for i := range n {
+		r, now := call, at(after+time.Duration(i))
+		r.ID, r.Key, r.Beside = fmt.Sprint("sound ", now), "", "content"
+		c.Sent(now, r)
+		if i >= refused {
+			c.Ran(now, arrivalWith(func(a *Arrival) { a.ID, a.Endpoint = r.ID, "i-3" }))
+		}
+	}
+}
+
+func crash(c *Checker, after time.Duration, n int, part bool) {
 	for i := range n {
 		r, now := call, at(after+time.Duration(i))
-		r.ID, r.Key, r.AtMostOnce, r.Crashes, r.Content = fmt.Sprint("crash ", now), "", false, true, "content"
+		r.ID, r.Key, r.AtMostOnce, r.Crashes, r.PartCrashes, r.Content = fmt.Sprint("crash ", now), "", false, true, part, "content"
 		c.Sent(now, r)
 		c.Ran(now, arrivalWith(func(a *Arrival) { a.ID, a.Endpoint = r.ID, "i-2" }))
 		c.Crashed(now, r.ID)
