quarantine: an answer frees a part under which this entry has lost an endpoint, however long ago

Control was informed only within a minute of the loss, so that losses of a sound part with little traffic added up over an hour.

--- a/gateway/foreign_bytes_test.go
+++ b/gateway/foreign_bytes_test.go
@@ -28,16 +28,6 @@
 			_, _ = io.WriteString(w, body)
 		}
 	}
-	closing := func(body string) http.HandlerFunc {
-		return func(w http.ResponseWriter, r *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				return
-			}
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), body)
-			_ = conn.Close()
-		}
-	}
 	writing := func(text string) func(http.ResponseWriter) {
 		return func(w http.ResponseWriter) { _, _ = io.WriteString(w, text) }
 	}
@@ -81,6 +71,43 @@
 	}
 }
 
+// closing is an endpoint whose answer has neither a length nor chunks and ends with its connection.
+func closing(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), body)
+		_ = conn.Close()
+	}
+}
+
+// A stream that ends with its connection is whole if it ends between two events, resumed or not.
+func TestStreamEndsWithItsConnection(t *testing.T) {
+	tests := map[string]struct {
+		first, next http.HandlerFunc
+		want        string
+		broken      bool
+	}{
+		"first answer":                          {closing(allEvents(1, 9)), closing(""), allEvents(1, 9), false},
+		"resumed":                               {streaming(9, 4, abort), closing(allEvents(5, 9)), allEvents(1, 9), false},
+		"resumed after an end within an event":  {closing(allEvents(1, 4) + "id: 5\ndata: ev"), closing(allEvents(5, 9)), allEvents(1, 9), false},
+		"resumed answer ends within an event":   {streaming(9, 4, abort), closing(allEvents(5, 8) + "id: 9\ndata: ev"), allEvents(1, 8), true},
+		"resumed answer ends before its events": {streaming(9, 4, abort), closing(""), allEvents(1, 4), true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newTestGateway(t, test.first, test.next)
+			w.addLoad("scribe", 1, 7)
+			got := w.post("/read/1", nil)
+			is.Equal(got.body, test.want)
+			is.Equal(got.broken, test.broken)
+		})
+	}
+}
+
 // A field that the format of events does not know is passed on with its event.
 func TestExtensionOfAnEventIsPassedOn(t *testing.T) {
 	is := is.New(t)
--- a/quarantine/local.go
+++ b/quarantine/local.go
@@ -152,11 +152,9 @@
 // process has lost an endpoint.
 func (l *LocalView) RecordPartCompletion(now time.Time, part uint64) (inform bool) {
 	inform = l.RecordCompletion(now, part)
-	if loss, ok := l.losses[part]; ok {
-		delete(l.losses, part)
-		inform = inform || now.Before(loss.until)
-	}
-	return inform
+	_, lost := l.losses[part]
+	delete(l.losses, part)
+	return inform || lost
 }
 
 // CompletedLately reports whether the request got a complete answer within completionTTL. Such a
