gateway: the end of a wait carries the refusal of the convicted request

The wait read which part was being tried from another goroutine, and the refusal was worked out a second time, when the part may have come free.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,7 +14,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
-	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -242,8 +241,9 @@
 	ctx, end := a.c.g.placing.begin(a)
 	defer end()
 	p, err := a.c.g.place(ctx, a)
-	if err != nil && errors.Is(context.Cause(ctx), errConvicted) {
-		return nil, a.c.refuseConvicted(suspicion{quarantine.Convicted, a.c.suspicion().digest})
+	var convicted *verdict.Refusal
+	if err != nil && errors.As(context.Cause(ctx), &convicted) {
+		return nil, convicted
 	}
 	return p, err
 }
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -2,57 +2,55 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
-	"github.com/pkg/errors"
-
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 )
 
-// errConvicted is the cause with which the wait of a request for endpoints ends once it is known to
-// crash them.
-var errConvicted = errors.New("the request is known to crash endpoints")
-
 // placing holds the attempts that wait for endpoints.
 type placing struct {
-	// mu guards attempts. It is "gateway.placing" of kernel.LockOrder.
-	mu       sync.Mutex
-	attempts map[*attempt]context.CancelCauseFunc
+	// mu guards waits. It is "gateway.placing" of kernel.LockOrder.
+	mu    sync.Mutex
+	waits map[*attempt]endpointWait
 }
 
-func newPlacing() *placing { return &placing{attempts: map[*attempt]context.CancelCauseFunc{}} }
+// endpointWait is the wait of an attempt for endpoints.
+type endpointWait struct {
+	cancel context.CancelCauseFunc
+	// trialOf is that of the attempt when the wait began.
+	trialOf uint64
+}
+
+func newPlacing() *placing { return &placing{waits: map[*attempt]endpointWait{}} }
 
 // begin adds an attempt and returns the context of its wait. The attempt is removed with end.
 func (p *placing) begin(a *attempt) (ctx context.Context, end func()) {
 	ctx, cancel := context.WithCancelCause(a.ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.attempts[a] = cancel
+	p.waits[a] = endpointWait{cancel: cancel, trialOf: a.trialOf}
 	return ctx, func() {
 		p.mu.Lock()
-		delete(p.attempts, a)
+		delete(p.waits, a)
 		p.mu.Unlock()
 		cancel(nil)
 	}
 }
 
-// all returns the attempts that wait now.
-func (p *placing) all() map[*attempt]context.CancelCauseFunc {
+// all returns the waits of now.
+func (p *placing) all() map[*attempt]endpointWait {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make(map[*attempt]context.CancelCauseFunc, len(p.attempts))
-	for a, cancel := range p.attempts {
-		out[a] = cancel
-	}
-	return out
+	return maps.Clone(p.waits)
 }
 
-// endConvictedWaits ends the waits of requests that are known to crash endpoints. Those that may be tried
-// go on.
+// endConvictedWaits ends the waits of requests that are known to crash endpoints, with the refusal as the
+// cause. Those that may be tried go on.
 func (g *Gateway) endConvictedWaits() {
-	for a, cancel := range g.placing.all() {
-		if s := a.c.suspicion(); s.status == quarantine.Convicted && s.digest != a.trialOf {
-			cancel(errConvicted)
+	for a, wait := range g.placing.all() {
+		if s := a.c.suspicion(); s.status == quarantine.Convicted && s.digest != wait.trialOf {
+			wait.cancel(a.c.refuseConvicted(s))
 		}
 	}
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -55,17 +55,25 @@
 	return suspicion{status, digest}
 }
 
+// subject names in a refusal what the suspicion is about.
+func (c *call) subject(s suspicion) string {
+	if s.digest == c.content {
+		return "content " + c.contentField()
+	}
+	return "part " + strconv.FormatUint(s.digest, 16) + " in their prompts"
+}
+
 // refuseConvicted returns a refusal if the content of the request, or a part of its prompt, is known to
 // crash endpoints. The verdict is NotRun, because it speaks of this request and not of earlier ones.
 func (c *call) refuseConvicted(s suspicion) error {
-	switch {
-	case s.status != quarantine.Convicted:
+	if s.status != quarantine.Convicted {
 		return nil
-	case s.digest == c.content:
-		return verdict.Refuse(verdict.ReasonQuarantined, quarantineRetryAfter, "requests with content %s crash endpoints", c.contentField())
 	}
-	return verdict.Refuse(verdict.ReasonQuarantined, min(quarantineRetryAfter, c.g.suspects.NextTrial(s.digest)),
-		"requests with part %s in their prompts crash endpoints", strconv.FormatUint(s.digest, 16))
+	after := quarantineRetryAfter
+	if s.digest != c.content {
+		after = min(after, c.g.suspects.NextTrial(s.digest))
+	}
+	return verdict.Refuse(verdict.ReasonQuarantined, after, "requests with %s crash endpoints", c.subject(s))
 }
 
 // checkQuarantine returns a refusal if the request is known to crash endpoints. A request with a
@@ -131,7 +139,7 @@
 		return false, nil
 	}
 	if err != nil {
-		return false, verdict.Refuse(verdict.ReasonNoQuorum, defaultRetryAfter, "content %x is suspected of crashing endpoints, and control gives no permit: %v", s.digest, err)
+		return false, verdict.Refuse(verdict.ReasonNoQuorum, defaultRetryAfter, "requests with %s are suspected of crashing endpoints, and control gives no permit: %v", c.subject(s), err)
 	}
 	status := quarantine.Status(answer.Status)
 	a.log().Info("permit requested", "content", strconv.FormatUint(s.digest, 16), "part", s.digest != c.content, "status", status.String(), "granted", answer.Granted, "retry_after", answer.RetryAfter)
@@ -139,7 +147,7 @@
 		return false, c.refuseConvicted(suspicion{status, s.digest})
 	}
 	if !answer.Granted && answer.RetryAfter > left {
-		return false, verdict.Refuse(verdict.ReasonSuspect, answer.RetryAfter, "requests with content %x were in flight when endpoints failed", s.digest)
+		return false, verdict.Refuse(verdict.ReasonSuspect, answer.RetryAfter, "requests with %s were in flight when endpoints failed", c.subject(s))
 	}
 	if answer.Granted && status != quarantine.Clear {
 		a.permitHolder, a.permitted, a.interrupted = holder, s.digest, false
