soak: the version in force at the end is compared with what was acknowledged before it was read

The check compared the answer with what had been acknowledged when it came. It now takes what had been acknowledged when the read was sent, which is as strict for what was acknowledged before.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -363,13 +363,20 @@
 	}
 }
 
-// FinalVersion checks a version that was read at the end, after all faults. Version 0 means
-// that no configuration was read.
-func (c *Checker) FinalVersion(now time.Time, version uint64) {
+// AckedVersion returns the newest acknowledged version.
+func (c *Checker) AckedVersion() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version < c.ackedVersion {
-		c.addFinding(now, PromiseDurable, "at the end version %d is in force; %d was acknowledged", version, c.ackedVersion)
+	return c.ackedVersion
+}
+
+// FinalVersion checks a version that was read at the end, after all faults; acked is the newest version that had
+// been acknowledged when the read was sent. Version 0 means that no configuration was read.
+func (c *Checker) FinalVersion(now time.Time, version, acked uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version < acked {
+		c.addFinding(now, PromiseDurable, "at the end version %d is in force; %d was acknowledged", version, acked)
 	}
 }
 
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -68,8 +68,8 @@
 			c.Drained(at(0), "zone hall")
 			c.Ran(at(6*time.Second), arrival)
 		}},
-		{"older configuration at the end", PromiseDurable, func(c *Checker) { c.Acked(at(0), 5, nil); c.FinalVersion(at(1), 4) }},
-		{"no configuration at the end", PromiseDurable, func(c *Checker) { c.Acked(at(0), 5, nil); c.FinalVersion(at(1), 0) }},
+		{"older configuration at the end", PromiseDurable, func(c *Checker) { c.Acked(at(0), 5, nil); c.FinalVersion(at(1), 4, c.AckedVersion()) }},
+		{"no configuration at the end", PromiseDurable, func(c *Checker) { c.Acked(at(0), 5, nil); c.FinalVersion(at(1), 0, c.AckedVersion()) }},
 		{"no service afterwards", PromiseRecovered, func(c *Checker) { c.CheckRecovery(at(0), 100, 24) }},
 		{"an answer is broken off", PromiseAnswered, func(c *Checker) { c.Ran(at(0), arrival); c.Unanswered(at(1), "a", "closed") }},
 		{"an unread request ends late", PromiseAnswered, func(c *Checker) { c.Unanswered(at(closeRace), "a", "closed") }},
@@ -195,7 +195,7 @@
 	c.Unanswered(at(11*time.Second-deadlineMargin), "late", "answered 504")
 	c.Stopping(at(5*time.Second), "e", 6*time.Second)
 	c.Unanswered(at(10*time.Second), "late", "closed") // in the last sixth of the grace time
-	c.FinalVersion(at(4*time.Second), 6)               // newer than acknowledged: a change without an answer may have been applied
+	c.FinalVersion(at(4*time.Second), 6, 5)            // newer than acknowledged: a change without an answer may have been applied
 	c.CheckRecovery(at(5*time.Second), 100, 25)
 	sendCrashing(c, 5*time.Second, 5) // before all entries must know of the third crash
 	sendCrashing(c, 9*time.Second, maxLateArrivals)
