assign: requests that waited for a cold endpoint are not sent by all entries at once

An endpoint that comes back to full queues crashes again.

Cause: the entries that may claim rights in a slot of time were as many as there are rights and a few more, but each of them could use all rights. Now an entry uses its share of them in a slot.

At least 0.9 of the rate is used.

--- a/assign/pace.go
+++ b/assign/pace.go
@@ -52,7 +52,8 @@
 // While the entries hear one another's bookings, they share one count: next is the time from
 // which the endpoint takes another request, and every entry advances it with each booking,
 // its own or heard. So that entries with waiting requests do not all use the same right to
-// send, only a few of them may use it in each slot of time, and others in the next one.
+// send, only a few of them may use it in each slot of time, and others in the next one. What has gathered
+// while the endpoint was idle is used by all of them, each a share in a slot.
 //
 // An entry that does not hear all others sends only in its own turns. Those of all entries are
 // spaced evenly by the time of day, so that together they do not exceed the rate either. A
@@ -61,6 +62,9 @@
 	next time.Time
 	// usedTurn is the time of the latest own turn that was used.
 	usedTurn time.Time
+	// claims is the number of requests that this entry has sent in the slot of time claimedSlot.
+	claimedSlot int64
+	claims      int
 }
 
 // interval is the time between two requests at a rate per second.
@@ -71,8 +75,12 @@
 	p.next = later(p.next, now.Add(-paceTolerance)).Add(time.Duration(n) * interval(rate))
 }
 
-// takeTurn uses the earliest own turn that is still valid.
+// takeTurn counts a request of this entry, and uses the earliest own turn that is still valid.
 func (p *pacer) takeTurn(now time.Time, s *Sharing, rate float64, phase uint64) {
+	if slot := slotOf(now); slot != p.claimedSlot {
+		p.claimedSlot, p.claims = slot, 0
+	}
+	p.claims++
 	if turn, ok := p.turn(now, s, rate, phase); ok {
 		p.usedTurn = turn
 	}
@@ -99,7 +107,18 @@
 		return wait
 	}
 	rights := 1 + int(now.Sub(next)/interval(rate))
-	return s.claimWait(now, rights+extraClaimants+int(extraClaimantsPerRate*rate), phase)
+	claimants := rights + extraClaimants + int(extraClaimantsPerRate*rate)
+	if p.claimedSlot == slotOf(now) && p.claims >= max(1, claimants/s.Entries) {
+		return slotEnd(now)
+	}
+	return s.claimWait(now, claimants, phase)
+}
+
+// slotOf returns the number of the slot of time that now is in, and slotEnd how long it lasts.
+func slotOf(now time.Time) int64 { return now.UnixNano() / int64(claimSlot) }
+
+func slotEnd(now time.Time) time.Duration {
+	return claimSlot - time.Duration(now.UnixNano()%int64(claimSlot))
 }
 
 // claimWait returns how long this entry leaves rights to send to others, if so many entries may
@@ -110,13 +129,12 @@
 	if groups <= 1 {
 		return 0
 	}
-	nanos := uint64(now.UnixNano())
 	var slot [8]byte
-	binary.LittleEndian.PutUint64(slot[:], nanos/uint64(claimSlot)+phase)
+	binary.LittleEndian.PutUint64(slot[:], uint64(slotOf(now))+phase)
 	if xxhash.Sum64(slot[:])%groups == uint64(s.Position)%groups {
 		return 0
 	}
-	return claimSlot - time.Duration(nanos%uint64(claimSlot))
+	return slotEnd(now)
 }
 
 // turn returns the earliest valid own turn that is not used. If there is none, ok is false and
--- a/assign/pace_test.go
+++ b/assign/pace_test.go
@@ -259,3 +259,23 @@
 		}
 	}
 }
+
+// Requests that waited at all entries when an endpoint came back were sent at once: each entry used all rights to send of an
+// idle endpoint before it heard of the others' bookings, and five sent 38 in a second where 35 are allowed.
+func TestRequestsThatWaitedForAColdEndpointKeepToItsRate(t *testing.T) {
+	for entries, rate := range map[int]float64{3: 20, 5: 20, 8: 26, 21: 14, 40: 14} {
+		p := &pacing{entries: entries, rate: rate, cold: true, adjust: func(_ int, e *pacedEntry) { e.waiting = make([]time.Duration, 20) }}
+		highest, allowed := 0, p.rate*1.5+5
+		for seed := range uint64(20) {
+			arrivals := p.run(seed)
+			most := mostIn(arrivals, time.Second)
+			if highest = max(highest, most); float64(most) > allowed {
+				t.Errorf("%d entries, seed %d: %d requests in a second, %.1f allowed", entries, seed, most, allowed)
+			}
+			if used := float64(len(arrivals)) / (rate * (pacingSpan - time.Second).Seconds()); used < 0.9 {
+				t.Errorf("%d entries, seed %d: %.2f of the rate is used", entries, seed, used)
+			}
+		}
+		t.Logf("%d entries: at most %d requests in a second, %.1f allowed", entries, highest, allowed)
+	}
+}
