quarantine: a part is not convicted for the crashes of another request

As all requests with the part were refused, no answer could clear it before the first trial, 30 s later.

A loss that a convicted request explains now counts against a part only if that request has the part, as far as control remembers: eight requests a part. The first trial comes 1 s after the conviction, the next after a minute, then 8 times later each. TestPartIsNotConvictedForTheCrashesOfAnotherRequest fails without the first change; TestConvictedRequestsDoNotHideTheirPart holds with it.

--- a/control/command/command.go
+++ b/control/command/command.go
@@ -252,7 +252,7 @@
 // Part is a part of the prompts of requests that were in flight.
 type Part struct {
 	Digest uint64 `cbor:"1,keyasint"`
-	// Carriers are some of the requests with the part; see quarantine.MinPartCarriers.
+	// Carriers are some of the requests with the part; see quarantine.MaxPartCarriers.
 	Carriers []uint64 `cbor:"2,keyasint"`
 }
 
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -11,20 +11,24 @@
 	// retries of one crashing request convict only that request.
 	minPartLosses   = 4
 	MinPartCarriers = 3
+	// MaxPartCarriers is the most requests that are remembered of a part.
+	MaxPartCarriers = 8
 	// partLossTTL is how long a failure counts against a part that is not convicted.
 	partLossTTL = time.Hour
 	// maxPartsPerFailure is the most parts in one failure.
 	maxPartsPerFailure = 256
-	// FirstTrial is the time from the conviction of a part to the first trial. Each further one comes
-	// trialFactor times later, up to maxTrialInterval.
-	FirstTrial       = 30 * time.Second
-	trialFactor      = 4
+	// FirstTrial is the time from the conviction of a part to the first trial. It is short, because a sound
+	// part may have had no answer yet when it was convicted. The next trial follows after secondTrial, and
+	// each further one trialFactor times later, up to maxTrialInterval.
+	FirstTrial       = time.Second
+	secondTrial      = time.Minute
+	trialFactor      = 8
 	maxTrialInterval = 24 * time.Hour
 )
 
 // partRecord is what is known of a part in addition to its failures.
 type partRecord struct {
-	// carriers are up to MinPartCarriers requests with the part that were in flight at its failures.
+	// carriers are up to MaxPartCarriers requests with the part that were in flight at its failures.
 	carriers []uint64
 	// trials is the number of requests that were tried since the conviction. The next one is tried
 	// from nextTrial on.
@@ -56,19 +60,22 @@
 	}
 	r := l.records[report.Digest]
 	for _, carrier := range report.Carriers {
-		if len(r.carriers) < MinPartCarriers && !slices.Contains(r.carriers, carrier) {
+		if len(r.carriers) < MaxPartCarriers && !slices.Contains(r.carriers, carrier) {
 			r.carriers = append(r.carriers, carrier)
 		}
 	}
 }
 
-// partLosses returns the number of failures that count against a part: those that no other convicted
-// part explains, within partLossTTL. An outage does not excuse a part, because it would excuse the one that
-// crashes endpoints beside it.
+// partLosses returns the number of failures that count against a part: those within partLossTTL that
+// neither another convicted part explains nor a convicted request without the part. An outage does not excuse a
+// part, because it would excuse the one that crashes endpoints beside it.
 func (l *List) partLosses(now time.Time, part uint64) (losses int) {
-	for _, f := range l.records[part].failures {
-		other := func(digest uint64) bool { return digest != part && l.records[digest].convicted }
-		if now.Sub(f.at) <= partLossTTL && !(f.explainedByPart && slices.ContainsFunc(f.parts, other)) {
+	r := l.records[part]
+	for _, f := range r.failures {
+		otherPart := func(digest uint64) bool { return digest != part && l.records[digest].convicted }
+		otherRequest := func(digest uint64) bool { return l.records[digest].convicted && !slices.Contains(r.carriers, digest) }
+		explained := f.explained && (slices.ContainsFunc(f.parts, otherPart) || slices.ContainsFunc(f.digests, otherRequest))
+		if now.Sub(f.at) <= partLossTTL && !explained {
 			losses++
 		}
 	}
@@ -147,8 +154,8 @@
 
 // trialInterval returns the time from a trial to the next one.
 func trialInterval(trials int) time.Duration {
-	interval := FirstTrial
-	for range trials {
+	interval := secondTrial
+	for range trials - 1 {
 		if interval *= trialFactor; interval >= maxTrialInterval {
 			return maxTrialInterval
 		}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -119,17 +119,47 @@
 		trials++
 		return l.Permit(at(second), PermitRequest{Digest: badPart, Holder: fmt.Sprint("h", trials), Endpoint: fmt.Sprint("t", trials), Incarnation: 1, Deadline: at(second + 10)})
 	}
-	is.Equal(ask(10), Permit{Status: Convicted, RetryAfter: 20 * time.Second})
-	is.True(ask(30).Granted)
-	is.True(!ask(31).Granted) // one at a time
-	l.ReleasePermit(at(32), badPart, "h2")
-	is.True(ask(33).Granted) // as the last one decided nothing
-	partFailure(l, 34, "t4", 200, badPart)
-	is.Equal(ask(60), Permit{Status: Convicted, RetryAfter: 93 * time.Second})
-	is.True(ask(153).Granted)
-	is.True(l.Completed(at(154), badPart))
+	is.Equal(ask(0.5), Permit{Status: Convicted, RetryAfter: 500 * time.Millisecond})
+	is.True(ask(1).Granted)
+	is.True(!ask(2).Granted) // one at a time
+	l.ReleasePermit(at(3), badPart, "h2")
+	is.True(ask(4).Granted) // as the last one decided nothing
+	partFailure(l, 5, "t4", 200, badPart)
+	is.Equal(ask(10), Permit{Status: Convicted, RetryAfter: 54 * time.Second})
+	is.True(ask(64).Granted)
+	partFailure(l, 65, "t6", 201, badPart)
+	is.Equal(ask(66), Permit{Status: Convicted, RetryAfter: 478 * time.Second})
+	is.True(ask(544).Granted)
+	is.True(l.Completed(at(545), badPart))
 	is.Equal(l.Status(badPart), Clear)
-	is.True(ask(155).Granted)
+	is.True(ask(546).Granted)
+}
+
+// A part that all requests of an account share was convicted when another request crashed its endpoints before the first
+// answer had come, and the conviction of the other request was revoked.
+func TestPartIsNotConvictedForTheCrashesOfAnotherRequest(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	for i := range 5 {
+		directFailure(l, 0.01*float64(i), fmt.Sprint("e", i), crasher)
+	}
+	is.Equal(l.Digests(Convicted), []uint64{crasher})
+	for i := range 5 { // the reports of other entries come later
+		partFailure(l, 0.1, fmt.Sprint("e", i), uint64(100+i), sharedPart)
+	}
+	is.Equal(l.Digests(Convicted), []uint64{crasher})
+}
+
+// The requests of a crashing part were convicted one by one, and hid the part.
+func TestConvictedRequestsDoNotHideTheirPart(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultLimits())
+	for i := range 3 {
+		for j := range 3 {
+			partFailure(l, float64(20*i+j), fmt.Sprint("e", i, j), uint64(100+i), badPart)
+		}
+	}
+	is.Equal(l.Digests(Convicted), []uint64{badPart})
 }
 
 func TestImageHoldsParts(t *testing.T) {
@@ -168,7 +198,7 @@
 	}
 	is.True(len(l.records) <= l.limits.Digests)
 	for _, r := range l.records {
-		is.True(!r.isPart() || len(r.carriers) <= MinPartCarriers)
+		is.True(!r.isPart() || len(r.carriers) <= MaxPartCarriers)
 	}
 	for _, f := range l.failures {
 		is.True(len(f.parts) <= maxPartsPerFailure)
@@ -190,8 +220,8 @@
 	is.Equal(l.PartStatus(at(40), sharedPart), Convicted)
 	is.True(l.RecordPartCompletion(at(41), sharedPart))
 
-	is.True(!l.TrialDue(at(35), badPart))
-	is.Equal(l.NextTrial(at(35), badPart), time.Second)
+	is.True(!l.TrialDue(at(6.5), badPart))
+	is.Equal(l.NextTrial(at(6.5), badPart), time.Second)
 	is.True(l.TrialDue(at(36), badPart))
 	is.True(!l.TrialDue(at(36.5), badPart))
 	l.SetNextTrial(at(36), badPart, 90*time.Second)
@@ -209,7 +239,7 @@
 	tr.End(where)
 	ended := tr.TakeEnded()
 	is.Equal(len(ended), 1)
-	is.Equal(ended[0].Parts[0], PartReport{Digest: sharedPart, Carriers: []uint64{0, 1, 2}})
+	is.Equal(ended[0].Parts[0], PartReport{Digest: sharedPart, Carriers: []uint64{0, 1, 2, 3, 4}})
 	is.Equal(len(ended[0].Parts), 6)
 }
 
@@ -298,10 +328,8 @@
 				if lost > 0 && len(l.Digests(Convicted)) == 0 && lost-late > 2*minPartLosses*parts {
 					t.Fatalf("%d losses and no part convicted", lost)
 				}
-				for i := 0; i < trials; i++ {
-					if interval := trialInterval(i); i == trials-1 && now < interval.Seconds() {
-						t.Fatalf("trial %d after %.0f s", trials, now)
-					}
+				if trials > 1 && now < trialInterval(trials-1).Seconds() {
+					t.Fatalf("trial %d after %.0f s", trials, now)
 				}
 				if _, err := Restore(DefaultLimits(), l.Image()); err != nil {
 					t.Fatal(err)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -109,7 +109,7 @@
 // PartReport reports a part of prompts that was in flight on an endpoint that failed.
 type PartReport struct {
 	Digest uint64
-	// Carriers are up to MinPartCarriers requests with the part.
+	// Carriers are up to MaxPartCarriers requests with the part.
 	Carriers []uint64
 }
 
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -184,7 +184,7 @@
 			i = len(e.Parts)
 			e.Parts = append(e.Parts, PartReport{Digest: part})
 		}
-		if i >= 0 && len(e.Parts[i].Carriers) < MinPartCarriers && !slices.Contains(e.Parts[i].Carriers, a.Digest) {
+		if i >= 0 && len(e.Parts[i].Carriers) < MaxPartCarriers && !slices.Contains(e.Parts[i].Carriers, a.Digest) {
 			e.Parts[i].Carriers = append(e.Parts[i].Carriers, a.Digest)
 		}
 	}
