--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -18,7 +18,8 @@
 // crashingContent is what the checker knows of a request that crashes endpoints.
 type crashingContent struct {
 	crashes int
-	// lastCounted is the time of the crash after which the request must be refused.
+	// lastCounted is the time of the crash after which the request must be refused, or of the last one if
+	// there were fewer.
 	lastCounted time.Time
 	// arrivals counts all arrivals, and late those that came too late.
 	arrivals, late int
@@ -37,7 +38,7 @@
 	}
 	content := c.crashingContent(r.Content)
 	content.crashes++
-	if content.crashes == r.crashLimit() {
+	if content.crashes <= r.crashLimit() {
 		content.lastCounted = now
 	}
 }
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -10,7 +10,7 @@
 
 // shareOf returns the share in which a sound request beside crashing ones counts, nil if it counts in
 // none: before the first crash, or from twice Bounds.Reconnect after the crash that the entries
-// must know of. The caller holds mu.
+// must know of, or the last one if there were fewer. The caller holds mu.
 func (c *Checker) shareOf(now time.Time, r Request) *share {
 	if r.Beside == "" || !now.After(c.boundsSuspended) {
 		return nil
@@ -20,7 +20,7 @@
 	switch {
 	case content.crashes == 0:
 		s = &content.before
-	case content.crashes >= partCrashesBeforeRefusal && now.Sub(content.lastCounted) > 2*c.bounds.Reconnect:
+	case now.Sub(content.lastCounted) > 2*c.bounds.Reconnect:
 		s = &content.after
 	default:
 		return nil
