gateway: a stream may begin with a byte order mark

The reader of events took the mark, which the format allows at the beginning of a stream, for a line that is no event, since: such a stream was broken off, where it had been passed on before. TestStreamMayBeginWithAByteOrderMark failed before.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -53,8 +53,13 @@
 type eventReader struct {
 	r    *bufio.Reader
 	held *heldAnswer
+	// begun is set once the first line has been read.
+	begun bool
 }
 
+// byteOrderMark may stand at the beginning of a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 // newEventReader returns a reader that accounts for the current event in held.
 func newEventReader(r io.Reader, held *heldAnswer) *eventReader {
 	return &eventReader{r: bufio.NewReader(r), held: held}
@@ -84,6 +89,9 @@
 			return ev, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
+		if !e.begun {
+			e.begun, text = true, bytes.TrimPrefix(text, byteOrderMark)
+		}
 		switch {
 		case !begins:
 			continue
--- a/gateway/foreign_bytes_test.go
+++ b/gateway/foreign_bytes_test.go
@@ -121,6 +121,22 @@
 	is.Equal(got.body, text)
 }
 
+// The format allows a byte order mark at the beginning of a stream, and only there.
+func TestStreamMayBeginWithAByteOrderMark(t *testing.T) {
+	is := is.New(t)
+	const mark = "\xef\xbb\xbf"
+	w := newTestGateway(t, closing(mark+allEvents(1, 9)))
+	got := w.post("/read/1", nil)
+	is.True(!got.broken)
+	is.Equal(got.body, mark+allEvents(1, 9))
+
+	w = newTestGateway(t, closing(allEvents(1, 4)+mark+allEvents(5, 9)), closing(""))
+	w.addLoad("scribe", 1, 7)
+	got = w.post("/read/1", nil)
+	is.True(got.broken)
+	is.Equal(got.body, allEvents(1, 4))
+}
+
 // Events that are longer than the reader's buffer are one event, whatever stands in their middle.
 func TestLongLineIsOneField(t *testing.T) {
 	is := is.New(t)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -71,7 +71,7 @@
 	is.Equal(w.arrivalCount(), 1)
 }
 
-func TestPartWithALateAnswerHereIsServed(t *testing.T) {
+func TestPartWithARecentAnswerHereIsServed(t *testing.T) {
 	is := is.New(t)
 	w := newTestGateway(t, answering(http.StatusOK, "fine"))
 	is.Equal(w.post("/status/1", withPart("shared")).status, http.StatusOK)
