--- /dev/null
+++ b/review/lab/client.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// caller calls control as the operator and workers do: a second for an answer, on a connection of its own.
+var caller = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// call sends one call to control on a machine. The status is 0 if no answer came.
+func (l *lab) call(method string, m *machine, path string, body any) (status int, answer []byte, err error) {
+	var in io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return 0, nil, err
+		}
+		in = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", m.ip, portControl, path), in)
+	if err != nil {
+		return 0, nil, err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	res, err := caller.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	answer, err = io.ReadAll(res.Body)
+	return res.StatusCode, answer, err
+}
+
+// order sends an order of the operator, to the nodes in turn from one on, until one acknowledges or refuses it.
+func (l *lab) order(method, path string, body any, first int) error {
+	for try := range 40 {
+		m := l.machines[(first+try)%len(zones)]
+		status, answer, err := l.call(method, m, path, body)
+		l.note("operator: %s %s to %s: status %d", method, path, m.name, status)
+		switch {
+		case status >= 200 && status < 300:
+			return nil
+		case err == nil && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
+			return fmt.Errorf("%s %s: status %d: %s", method, path, status, answer)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("%s %s was not acknowledged", method, path)
+}
+
+const (
+	clientHost = "review.example"
+	clientKey  = "reviewkey1"
+	tenant     = "parish"
+	desk       = "desk01"
+)
+
+// configuration is a configuration with one idempotent route to the service desk.
+func configuration(version int) map[string]any {
+	return map[string]any{
+		"Version": version,
+		"Routes": []any{map[string]any{
+			"Name": "r-look", "Host": clientHost, "PathPrefix": "/look/", "RouteType": "idempotent", "TimeoutMs": 2000, "TargetLatencyMs": 300,
+			"Priority": 1, "Service": desk, "MaxAttempts": 2, "Anonymous": false,
+		}},
+		"Services": []any{map[string]any{
+			"Name": desk, "HealthPath": "/healthz", "MaxConnections": 200, "Protocol": "h1", "Tls": false, "WarmupS": 0, "WarmupPerS": 0,
+		}},
+		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants": []any{map[string]any{"Name": tenant, "ApiKeys": []string{clientKey}, "Priority": 1}},
+	}
+}
+
+// request is a request of a client and what came of it.
+type request struct {
+	id      string
+	machine *machine
+	sent    time.Time
+	status  int
+}
+
+// clients send requests to entries, one connection each.
+type clients struct {
+	l    *lab
+	http *http.Client
+	stop context.CancelFunc
+	wait sync.WaitGroup
+
+	mu  sync.Mutex
+	log map[string]*request
+}
+
+// get sends one request to an entry and returns its status, 0 if none came.
+func (c *clients) get(ctx context.Context, m *machine, path string) int {
+	r := &request{id: fmt.Sprintf("%016x", rand.Uint64()), machine: m}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", m.ip, portFrontend, path), nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = clientHost
+	req.Header.Set("Rosemaryproxy-Attempt-Id", r.id)
+	req.Header.Set("Rosemaryproxy-Deadline-Ms", "2000")
+	req.Header.Set("Authorization", "Bearer "+clientKey)
+	r.sent = time.Now()
+	c.mu.Lock()
+	c.log[r.id] = r
+	c.mu.Unlock()
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, _ = io.Copy(io.Discard, res.Body)
+	c.mu.Lock()
+	r.status = res.StatusCode
+	c.mu.Unlock()
+	return res.StatusCode
+}
+
+// newClients returns clients that have not sent anything.
+func (l *lab) newClients() *clients {
+	return &clients{l: l, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}, log: map[string]*request{}}
+}
+
+// run sends requests to each of the machines, one every interval, until finish is called.
+func (c *clients) run(machines []*machine, path string, interval time.Duration) {
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	for _, m := range machines {
+		c.wait.Go(func() {
+			for ctx.Err() == nil {
+				c.get(ctx, m, path)
+				time.Sleep(interval)
+			}
+		})
+	}
+}
+
+// finish ends run.
+func (c *clients) finish() {
+	c.stop()
+	c.wait.Wait()
+}
+
+// sentBy returns the request with an ID.
+func (c *clients) sentBy(id string) *request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.log[id]
+}
+
+// boot starts all machines, publishes a configuration and waits until each entry serves.
+func (l *lab) boot(c *clients, config map[string]any, path string) error {
+	for _, m := range l.machines {
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	limit := time.Now().Add(startupTimeout)
+	for l.order(http.MethodPut, "/api/config", config, 0) != nil {
+		if time.Now().After(limit) {
+			return fmt.Errorf("no node has acknowledged the configuration; logs are in %s", l.folder)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	for _, m := range l.machines {
+		for c.get(context.Background(), m, path) != http.StatusOK {
+			if time.Now().After(limit) {
+				return fmt.Errorf("entry of %s has served no request; logs are in %s", m.name, l.folder)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	l.note("all entries serve")
+	return nil
+}
