--- a/review/lab/lateorder.go
+++ b/review/lab/lateorder.go
@@ -32,8 +32,9 @@
 	const (
 		machines = 8
 		workers  = 6
-		rounds   = 5
-		freeze   = 4 * time.Second
+		// In the first rounds the operator closes the connection of a call without an answer, in the others it leaves it open.
+		closingRounds, rounds = 3, 5
+		freeze                = 4 * time.Second
 	)
 	if err := l.addMachines(machines); err != nil {
 		return false, err
@@ -51,6 +52,8 @@
 	c.run(l.machines, "/look/a", 20*time.Millisecond)
 	defer c.finish()
 	for round := 1; round <= rounds && !broken; round++ {
+		l.leavesOpen = round > closingRounds
+		l.note("round %d: the operator leaves connections open: %v", round, l.leavesOpen)
 		if broken, err = l.lateOrderRound(c, round, freeze); err != nil {
 			return false, err
 		}
