--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -50,9 +50,7 @@
 type lab struct {
 	// trouble is unset for the run without the disruption.
 	trouble bool
-	// leavesOpen is set if the connection of a call without an answer within a second is left open.
-	leavesOpen bool
-	folder     string
+	folder  string
 	// network is the beginning of all addresses, such as "127.33.7.".
 	network     string
 	reservation net.Listener
