--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -63,6 +64,9 @@
 	clientKey  = "reviewkey1"
 	tenant     = "parish"
 	desk       = "desk01"
+	model      = "model01"
+	// shortPatience is for how long the client of a short request waits.
+	shortPatience = 2 * time.Second
 )
 
 // configuration is a configuration with one idempotent route to the service desk.
@@ -81,6 +85,24 @@
 	}
 }
 
+// modelConfiguration is a configuration with one streaming route, which may be resumed, to model workers as on kerlouan-capsules.
+func modelConfiguration(version int) map[string]any {
+	c := configuration(version)
+	c["Routes"] = []any{map[string]any{
+		"Name": "r-read", "Host": clientHost, "PathPrefix": "/read/", "RouteType": "streaming", "TimeoutMs": 15000, "TargetLatencyMs": 2500,
+		"Priority": 1, "Service": model, "MaxAttempts": 2, "Anonymous": false, "SessionAffinity": true, "StreamResume": true, "GapTargetMs": 1000,
+	}}
+	c["Services"] = []any{map[string]any{
+		"Name": model, "HealthPath": "/healthz", "MaxConnections": 454, "Protocol": "h1", "Tls": false, "WarmupS": 3.0, "WarmupPerS": 36.0,
+		"Engine": map[string]any{
+			"Slots": 16, "KvCapacity": 232000, "KvTokenBytes": 327680, "LinkMbps": 400000.0, "Stride": 43, "Models": []any{map[string]any{"Name": "m"}},
+			"step_ms": 1.02, "per_seq_ms": 0.00226, "context_per_k": 0.00431, "read_per_s": 206000.0, "pairs_per_m": 0.138, "chunk": 2048,
+			"report_lag_ms": 200.0, "LoadsPerS": 0.0, "loads_at_once": 8, "usual": map[string]any{"prompt": 12331, "answer": 1303}, "HopMs": 0.075,
+		},
+	}}
+	return c
+}
+
 // request is a request of a client and what came of it.
 type request struct {
 	id      string
@@ -96,14 +118,22 @@
 	stop context.CancelFunc
 	wait sync.WaitGroup
 
+	// tokens is the Token-Count of the requests; empty for none.
+	tokens string
+
 	mu  sync.Mutex
 	log map[string]*request
 }
 
 // get sends one request to an entry and returns its status, 0 if none came.
-func (c *clients) get(ctx context.Context, m *machine, path string) int {
+func (c *clients) get(m *machine, path string, patience time.Duration) int {
+	return c.getWithin(context.Background(), m, path, patience)
+}
+
+// getWithin is get until ctx ends.
+func (c *clients) getWithin(ctx context.Context, m *machine, path string, patience time.Duration) int {
 	r := &request{id: fmt.Sprintf("%016x", rand.Uint64()), machine: m}
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", m.ip, portFrontend, path), nil)
 	if err != nil {
@@ -111,7 +141,10 @@
 	}
 	req.Host = clientHost
 	req.Header.Set("Rosemaryproxy-Attempt-Id", r.id)
-	req.Header.Set("Rosemaryproxy-Deadline-Ms", "2000")
+	req.Header.Set("Rosemaryproxy-Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	if c.tokens != "" {
+		req.Header.Set("Rosemaryproxy-Token-Count", c.tokens)
+	}
 	req.Header.Set("Authorization", "Bearer "+clientKey)
 	r.sent = time.Now()
 	c.mu.Lock()
@@ -141,7 +174,7 @@
 	for _, m := range machines {
 		c.wait.Go(func() {
 			for ctx.Err() == nil {
-				c.get(ctx, m, path)
+				c.getWithin(ctx, m, path, shortPatience)
 				time.Sleep(interval)
 			}
 		})
@@ -176,7 +209,7 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	for _, m := range l.machines {
-		for c.get(context.Background(), m, path) != http.StatusOK {
+		for c.get(m, path, shortPatience) != http.StatusOK {
 			if time.Now().After(limit) {
 				return fmt.Errorf("entry of %s has served no request; logs are in %s", m.name, l.folder)
 			}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -19,7 +19,6 @@
 const (
 	contactTime    = 3000 * time.Millisecond
 	drainTime      = 2000 * time.Millisecond
-	applyTime      = 2000 * time.Millisecond
 	evacuateTime   = 5000 * time.Millisecond
 	partitionBound = 5000 * time.Millisecond
 	catchUpTime    = 4 * time.Second
@@ -59,7 +58,9 @@
 	machines    []*machine
 	workers     []*worker
 
-	// mu guards record.
+	// lost is set once an answer has been lost.
+	lost bool
+	// mu guards record and lost.
 	mu     sync.Mutex
 	record *os.File
 }
--- a/review/lab/lateorder.go
+++ b/review/lab/lateorder.go
@@ -111,13 +111,13 @@
 }
 
 // orderZones evacuates zones, or takes that back, with one order each at the same time.
-func (l *lab) orderZones(method string, zones []string, first int) error {
-	failed := make(chan error, len(zones))
-	for _, zone := range zones {
+func (l *lab) orderZones(method string, names []string, first int) error {
+	failed := make(chan error, len(names))
+	for _, zone := range names {
 		go func() { failed <- l.order(method, "/api/evacuate/"+zone, nil, first) }()
 	}
 	var err error
-	for range zones {
+	for range names {
 		if e := <-failed; e != nil {
 			err = e
 		}
--- a/review/lab/leaving.go
+++ b/review/lab/leaving.go
@@ -36,9 +36,11 @@
 	time.Sleep(time.Second)
 
 	w := l.workers[0]
-	for i := range zones {
-		l.note("worker %s: latest heartbeat acknowledged by %s %v ago", w.id, l.machines[i].name, time.Since(w.beats[l.machines[i].name]).Round(time.Millisecond))
+	w.mu.Lock()
+	for _, m := range l.machines[:len(zones)] {
+		l.note("worker %s: latest heartbeat acknowledged by %s %v ago", w.id, m.name, time.Since(w.beats[m.name]).Round(time.Millisecond))
 	}
+	w.mu.Unlock()
 	holder, err := w.leave()
 	if err != nil {
 		return false, err
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(l *lab) (broken bool, err error){
 	"leaving":   leavingCase,
 	"lateorder": lateOrderCase,
+	"leak":      leakCase,
 	"badconfig": badConfigCase,
 }
 
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -23,8 +23,7 @@
 	addr              string
 	born              int64
 	// work is the time that a request takes.
-	work     time.Duration
-	warmupMs func() int64
+	work time.Duration
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -37,6 +36,9 @@
 	arrivals []arrival
 	// beats are the machines that have acknowledged a heartbeat, by the time of the latest one.
 	beats map[string]time.Time
+	// tickets is the memory that is set aside, and longestLeak for how long some was without use.
+	tickets     map[string]*ticket
+	longestLeak time.Duration
 }
 
 // addWorker starts a worker, which sends heartbeats from now on.
@@ -44,7 +46,7 @@
 	i := len(l.workers)
 	w := &worker{
 		l: l, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zones[i%len(zones)],
-		addr: fmt.Sprintf("%s%d:%d", l.network, 101+i, portWorker), born: time.Now().UnixMilli(), work: work, turn: i, beats: map[string]time.Time{},
+		addr: fmt.Sprintf("%s%d:%d", l.network, 101+i, portWorker), born: time.Now().UnixMilli(), work: work, turn: i, beats: map[string]time.Time{}, tickets: map[string]*ticket{},
 	}
 	listener, err := net.Listen("tcp", w.addr)
 	if err != nil {
@@ -92,9 +94,6 @@
 			"Service": w.service, "Address": w.addr, "Zone": w.zone, "Version": "v1", "Slots": 64, "State": "ready", "WarmupLeftMs": 0,
 			"Sequence": w.sequence, "born": w.born,
 		}
-		if w.warmupMs != nil {
-			body["WarmupLeftMs"] = w.warmupMs()
-		}
 		w.mu.Unlock()
 		status, _, _ := w.l.call(http.MethodPut, m, "/api/instances/"+w.id, body)
 		if status == http.StatusOK {
@@ -146,6 +145,9 @@
 		}
 		return
 	}
+	if w.service == model && w.serveEngine(rw, r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -159,6 +161,10 @@
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, arrival{time.Now(), id})
 	w.mu.Unlock()
+	if w.service == model {
+		w.stream(rw, r)
+		return
+	}
 	time.Sleep(w.work)
 	h.Set("Rosemaryproxy-Server-Seal", w.id+"."+id)
 	_, _ = fmt.Fprintf(rw, "%s ran %s with %d bytes", w.id, id, len(body))
