--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -150,8 +150,10 @@
 	c.mu.Lock()
 	c.log[r.id] = r
 	c.mu.Unlock()
+	c.l.note("client: request %s, %s, sent to %s", r.id, path, m.name)
 	res, err := c.http.Do(req)
 	if err != nil {
+		c.l.note("client: request %s has no answer: %v", r.id, err)
 		return 0
 	}
 	defer func() { _ = res.Body.Close() }()
@@ -159,6 +161,7 @@
 	c.mu.Lock()
 	r.status = res.StatusCode
 	c.mu.Unlock()
+	c.l.note("client: request %s answered %d", r.id, res.StatusCode)
 	return res.StatusCode
 }
 
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -114,6 +114,7 @@
 func (l *lab) loseAnswer(tickets bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ticketsUsed = l.ticketsUsed || tickets
 	if !l.trouble || !tickets || l.lost {
 		return false
 	}
@@ -154,6 +155,12 @@
 	c.tokens = "133000,80"
 	status := c.get(l.machines[4], "/read/long", 15*time.Second)
 	l.note("client: the long prompt was answered with status %d", status)
+	l.mu.Lock()
+	lost, used := l.lost, l.ticketsUsed
+	l.mu.Unlock()
+	if !used || lost != l.trouble {
+		return false, fmt.Errorf("the long prompt used tickets: %v; its answer was lost: %v", used, lost)
+	}
 	time.Sleep(releaseTime)
 	for _, w := range l.workers {
 		w.expireTickets()
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -58,9 +58,9 @@
 	machines    []*machine
 	workers     []*worker
 
-	// lost is set once an answer has been lost.
-	lost bool
-	// mu guards record and lost.
+	// lost is set once an answer has been lost, and ticketsUsed once a request has used tickets.
+	lost, ticketsUsed bool
+	// mu guards the fields above and record.
 	mu     sync.Mutex
 	record *os.File
 }
--- a/review/lab/leaving.go
+++ b/review/lab/leaving.go
@@ -41,6 +41,9 @@
 		l.note("worker %s: latest heartbeat acknowledged by %s %v ago", w.id, m.name, time.Since(w.beats[m.name]).Round(time.Millisecond))
 	}
 	w.mu.Unlock()
+	if len(w.arrivalsAfter(l.started)) == 0 {
+		return false, fmt.Errorf("worker %s has got no request before it leaves", w.id)
+	}
 	holder, err := w.leave()
 	if err != nil {
 		return false, err
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"time"
 )
 
 // The exit codes of a case.
@@ -16,6 +17,9 @@
 	exitNotRun = 2
 )
 
+// maxTime is the longest time that a case may take.
+const maxTime = 117 * time.Second
+
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(l *lab) (broken bool, err error){
 	"leaving":   leavingCase,
@@ -50,6 +54,12 @@
 		return exitNotRun
 	}
 	defer l.close()
+	// The programs end with this process.
+	time.AfterFunc(maxTime, func() {
+		l.note("the case could not run: it has not ended within %v", maxTime)
+		_ = os.RemoveAll(l.folder)
+		os.Exit(exitNotRun)
+	})
 	broken, err := run(l)
 	switch {
 	case err != nil:
--- a/review/lab/oddbeat.go
+++ b/review/lab/oddbeat.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -54,6 +55,9 @@
 		}
 	}
 	l.note("client: %d of %d requests on the first route served, %d of %d on the added one", firstServed, firstSent, laterServed, laterSent)
+	if 2*firstServed < firstSent {
+		return false, fmt.Errorf("only %d of %d requests on the first route were served", firstServed, firstSent)
+	}
 	broken = laterSent >= 20 && 4*laterServed*firstSent < firstServed*laterSent
 	if broken {
 		l.note("CONFIG: the route that was added later is served less than a quarter as often as the first one, for %v", count)
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -161,6 +161,7 @@
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, arrival{time.Now(), id})
 	w.mu.Unlock()
+	w.l.note("worker %s of %s in %s: runs request %s", w.id, w.service, w.zone, id)
 	if w.service == model {
 		w.stream(rw, r)
 		return
