--- a/review/lab/lateorder.go
+++ b/review/lab/lateorder.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// effectTime is the time after the wake of a machine by which a late order would have had an effect.
+const effectTime = 2 * time.Second
+
 // leader returns the machine whose replica was the latest to become leader, by the logs.
 func (l *lab) leader() *machine {
 	var leader *machine
@@ -32,7 +35,7 @@
 	const (
 		machines = 8
 		workers  = 6
-		rounds   = 7
+		rounds   = 18
 		freeze   = 1900 * time.Millisecond
 		// lastStart is the time after which no further round begins.
 		lastStart = 98 * time.Second
@@ -92,6 +95,14 @@
 	m.signal(syscall.SIGCONT)
 	woken := time.Now()
 	l.note("round %d: %s is awake", round, m.name)
+	// A round in which the zones got nothing soon after the wake can't break the rule later.
+	time.Sleep(effectTime)
+	if l.arrivalsIn(c, out[0], woken.Add(effectTime/2)) == 0 && l.arrivalsIn(c, out[1], woken.Add(effectTime/2)) == 0 {
+		l.note("round %d: no request reached workers of the two zones from %v after the wake on", round, effectTime/2)
+		err := l.orderZones(http.MethodDelete, out, 0)
+		time.Sleep(time.Until(woken.Add(catchUpTime)))
+		return false, err
+	}
 	// An unstable core stretches the bound.
 	from := acknowledged.Add(evacuateTime + partitionBound)
 	if inTouch := woken.Add(contactTime); inTouch.After(from) {
