gateway: a forecast decided what a stopping entry still sent, and requests were cut

Callers saw a stream begin late in a planned stop and its connection close 7.3 s after SIGTERM without the rest; calls got a 502 after all the work, also those that may run only once.

Cause: after SIGTERM a request was sent if nine in ten of the route's latest 32 answers, of whatever size, had taken less than the time left. A statistic of other requests decided what must not fail.

Now a request is sent only if it is bound to end in time: its own deadline comes before connections are closed; or, until the listener closes, its prompt and most output tokens fit at an engine that is full by its own cost model, after the backlog of the endpoint chosen. All others are refused at once as not run, with a Retry-After of 0.1 to 0.2 s and "Connection: close". The same holds for late bodies, for requests that wait, that another entry placed, that are to be sent once more, and for streams to be resumed. Answers written during a stop always say that the connection closes, also to requests that came before it.

Tests that failed before: TestLateRequestIsPassedOnSinceEarlierAnswersWereShort (20 of 20 cases), TestWaitingRequestIsSentLateInAStop, TestRequestIsSentOnceMoreLateInAStop (2 of 2), TestRequestsThatFitAreServedInAStop (1 of 6).

--- a/costmodel/engine.go
+++ b/costmodel/engine.go
@@ -13,8 +13,9 @@
 	Slots int
 	// MemoryTokens is the capacity of the KV cache in tokens.
 	MemoryTokens int64
-	// StepTime is the time of one step without any request.
-	StepTime time.Duration
+	// StepTime is the time of one step without any request. Each request that decodes adds
+	// SequenceTime, and each thousand tokens of its context ContextTime.
+	StepTime, SequenceTime, ContextTime time.Duration
 	// PrefillTokensPerSecond is the prefill speed without the cost of attention.
 	PrefillTokensPerSecond float64
 	// TimePerMegapair is the attention time for a million pairs of a prompt token and
@@ -63,3 +64,27 @@
 // DecodeRunTime is the time of Stride consecutive steps, in which an engine that decodes makes one
 // event of each stream.
 func (e *Engine) DecodeRunTime() time.Duration { return time.Duration(max(e.Stride, 1)) * e.StepTime }
+
+// LongestAnswerTime returns how long an engine takes for a prompt and its answer if all of its slots and
+// memory are in use and other prompts are prefilled all the while; false if the engine states no speed. It
+// does not cover the wait for a slot, nor an engine that is slower than it states.
+func (e *Engine) LongestAnswerTime(promptTokens, outputTokens int) (longest time.Duration, ok bool) {
+	if e.StepTime <= 0 || e.PrefillTokensPerSecond <= 0 {
+		return 0, false
+	}
+	runs := ceilDiv(promptTokens, e.Chunk) + ceilDiv(outputTokens, e.Stride)
+	return time.Duration(runs) * e.longestRunTime(), true
+}
+
+// longestRunTime is the time of Stride decode steps and one prefill step of an engine that is full.
+func (e *Engine) longestRunTime() time.Duration {
+	step := e.StepTime + time.Duration(e.Slots)*e.SequenceTime + time.Duration(float64(e.MemoryTokens)/1e3*float64(e.ContextTime))
+	chunk := e.PrefillTime(e.Chunk) + time.Duration(float64(e.Chunk)*float64(e.MemoryTokens)/1e6*float64(e.TimePerMegapair))
+	return time.Duration(max(e.Stride, 1))*step + chunk
+}
+
+// ceilDiv returns n / size rounded up. A size below one counts as one.
+func ceilDiv(n, size int) int {
+	size = max(size, 1)
+	return (n + size - 1) / size
+}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -49,6 +49,9 @@
 	switch {
 	case err != nil:
 		c.bodyFailed = true
+		if c.tooLateToSend() && errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, c.refuseStopping()
+		}
 		return nil, classifyReadError(err)
 	case int64(len(body)) > limit:
 		return nil, tooLarge
@@ -56,8 +59,8 @@
 	return body, errors.Wrap(control.SetReadDeadline(time.Time{}), "clear the read deadline of the body")
 }
 
-// shortenReadOnStop ends the read of the body in time for a refusal if the process stops meanwhile. The
-// returned function ends that, and waits until the deadline no longer changes.
+// shortenReadOnStop ends the read of the body when it is too late to send the request because the process
+// stops. The returned function ends that, and waits until the deadline no longer changes.
 func (c *call) shortenReadOnStop(control *http.ResponseController) (end func()) {
 	read, watched := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -67,8 +70,12 @@
 		case <-read:
 			return
 		}
-		if c.g.stop.answerBy.Before(c.deadline) {
-			if err := control.SetReadDeadline(c.g.stop.answerBy); err != nil {
+		by := c.sendBy()
+		if by.IsZero() {
+			by = c.started // no deadline would be set with a zero time
+		}
+		if by.Before(c.deadline) {
+			if err := control.SetReadDeadline(by); err != nil {
 				c.log().Debug("read of the body not shortened", "error", err)
 			}
 		}
--- a/gateway/caller_writer.go
+++ b/gateway/caller_writer.go
@@ -22,6 +22,16 @@
 type callerWriter struct {
 	http.ResponseWriter
 	clock kernel.Clock
+	// lastAnswer reports whether the caller is to use another connection for its next request.
+	lastAnswer func() bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *callerWriter) WriteHeader(status int) {
+	if w.lastAnswer() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
 }
 
 // Unwrap returns the writer of net/http, for http.ResponseController.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,7 +132,6 @@
 	acceptEnded chan struct{}
 	stopping    atomic.Bool
 	stop        stop
-	answerTimes *answerTimes
 	// deployment is the newest published deployment, nil before the first one.
 	deployment atomic.Pointer[Deployment]
 	// entries is the number of entries known, including this one.
@@ -190,7 +189,7 @@
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1), queued: make(chan struct{}, 1),
 		fleet: assign.NewFleet(), bookings: newBookings(), placing: newPlacing(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
-		leftEntries: map[string]string{}, slowSuspects: map[string]bool{}, stop: stop{began: make(chan struct{})}, answerTimes: newAnswerTimes(),
+		leftEntries: map[string]string{}, slowSuspects: map[string]bool{}, stop: stop{began: make(chan struct{})},
 	}
 	g.ticketTTL.Store(int64(s.TicketTTL))
 	return g
@@ -330,7 +329,6 @@
 			return
 		}
 		g.deployment.Store(d.Index())
-		g.answerTimes.retain(d)
 		g.mu.Lock()
 		g.fleet.SetColdRates(d.coldRates())
 		g.mu.Unlock()
@@ -428,8 +426,9 @@
 func (g *Gateway) drain() {
 	g.stopping.Store(true)
 	g.log.Info("gateway draining", "delay", g.DrainDelay, "grace", g.Grace)
-	end := g.clock.Now().Add(g.Grace - stopReserve)
-	g.stop.begin(end)
+	now := g.clock.Now()
+	end := now.Add(g.Grace - stopReserve)
+	g.stop.begin(now.Add(g.DrainDelay), end)
 	<-g.clock.After(g.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(g.clock.Now()))
 	defer cancel()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -37,7 +37,7 @@
 	staleWaitFraction = 0.7
 	stalePollInterval = 20 * time.Millisecond
 	// retryJitter is the maximum random addition to Retry-After, which spreads the
-	// retries of refused callers.
+	// retries of refused callers. It at most doubles a Retry-After.
 	retryJitter = 300 * time.Millisecond
 )
 
@@ -111,12 +111,9 @@
 
 // serve handles one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	g.metrics.inFlight.Add(1)
 	defer g.metrics.inFlight.Add(-1)
-	caller := &callerWriter{ResponseWriter: w, clock: g.clock}
+	caller := &callerWriter{ResponseWriter: w, clock: g.clock, lastAnswer: g.stop.hasBegun}
 	c := g.newCall(caller, r)
 	err := c.prepare()
 	if err == nil {
@@ -170,6 +167,9 @@
 	if c.route.LatencyTarget > 0 {
 		c.placementRequest.Due = c.started.Add(c.route.LatencyTarget)
 	}
+	if c.tooLateToSend() {
+		return c.refuseStopping()
+	}
 	return c.readBody(d.MaxBodyBytes)
 }
 
@@ -280,7 +280,6 @@
 	took := c.g.clock.Now().Sub(c.started)
 	if err == nil {
 		c.recordEnd("answered", took)
-		c.g.answerTimes.record(c.route.Name, c.g.clock.Now().Sub(c.lastSend))
 		c.log().Info("request answered", "took", took, "events", c.delivered, "longest_pause", c.longestPause, "pause_target", c.pauseTarget())
 		if c.delivered > 0 {
 			c.g.metrics.observeLongestPause(c.class(), c.longestPause)
@@ -350,7 +349,7 @@
 	h := c.w.Header()
 	h.Set("Content-Type", "application/json")
 	if r.RetryAfter > 0 {
-		after := r.RetryAfter + rand.N(retryJitter)
+		after := r.RetryAfter + rand.N(min(retryJitter, r.RetryAfter))
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	body, err := json.Marshal(map[string]any{"error": map[string]any{
--- /dev/null
+++ b/gateway/late_requests_test.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
+)
+
+const (
+	// lateGrace is the grace time of an entry that accepts connections for lateDelay of it.
+	// Requests are answered until 2.3 s.
+	lateGrace = 3 * time.Second
+	lateDelay = 800 * time.Millisecond
+)
+
+// shortThenSlow is an endpoint whose first answers end at once. Later ones work for workTime, streams
+// after their first event.
+func shortThenSlow(short int, workTime time.Duration) http.HandlerFunc {
+	var mu sync.Mutex
+	answers := 0
+	return func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		answers++
+		slow := answers > short
+		mu.Unlock()
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if strings.HasPrefix(r.URL.Path, "/read/") || strings.HasPrefix(r.URL.Path, "/tell/") {
+			_, _ = io.WriteString(w, "id: 1\ndata: first\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+		if !slow {
+			return
+		}
+		select {
+		case <-time.After(workTime):
+		case <-r.Context().Done():
+		}
+	}
+}
+
+// startAfterShortAnswers starts an entry whose routes allow longer than its grace time, and
+// lets it see short answers.
+func startAfterShortAnswers(t *testing.T, paths ...string) *runningGateway {
+	t.Helper()
+	const short = 12
+	s := startGateway(t, lateGrace, lateDelay, shortThenSlow(short*len(paths), 2*time.Second))
+	s.allow(10 * time.Second)
+	for _, path := range paths {
+		for range short {
+			if got := s.post(path, nil); got.status != http.StatusOK {
+				t.Fatalf("%s: status %d", path, got.status)
+			}
+		}
+	}
+	return s
+}
+
+// Requests that were complete late in a stop were passed on since earlier answers had been short, and cut at its end.
+func TestLateRequestIsPassedOnSinceEarlierAnswersWereShort(t *testing.T) {
+	bodies := map[string]func(c *rawCaller, path string, stop func()){
+		"body in pieces": func(c *rawCaller, path string, stop func()) {
+			c.send(requestHead("POST", path, "Content-Length: 4"), "b")
+			time.Sleep(20 * time.Millisecond)
+			stop()
+			time.Sleep(lateDelay)
+			c.send("od")
+			time.Sleep(200 * time.Millisecond)
+			c.trySend("y")
+		},
+		"body in chunks": func(c *rawCaller, path string, stop func()) {
+			c.send(requestHead("POST", path, "Transfer-Encoding: chunked"), "2\r\nbo\r\n")
+			time.Sleep(20 * time.Millisecond)
+			stop()
+			time.Sleep(lateDelay + 200*time.Millisecond)
+			c.trySend("2\r\ndy\r\n0\r\n\r\n")
+		},
+		"first request on an open connection": func(c *rawCaller, path string, stop func()) {
+			stop()
+			time.Sleep(lateDelay - 100*time.Millisecond)
+			fresh := dialRaw(c.t, "http://"+c.conn.RemoteAddr().String())
+			time.Sleep(200 * time.Millisecond)
+			fresh.send(requestHead("POST", path, "Content-Length: 4"), "body")
+			*c = *fresh
+		},
+		"next request on a kept connection": func(c *rawCaller, path string, stop func()) {
+			stop()
+			time.Sleep(lateDelay - 100*time.Millisecond)
+			c.send(requestHead("POST", path, "Content-Length: 4"), "body")
+		},
+	}
+	for name, send := range bodies {
+		for _, path := range []string{"/seal/1", "/status/1", "/open/1", "/read/1", "/tell/1"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s := startAfterShortAnswers(t, path)
+				before := s.arrivalCount()
+				c := dialRaw(t, s.url)
+				send(c, path, s.stop)
+				sent := time.Now()
+				got := c.receive()
+				is.True(!got.broken)
+				is.Equal(got.status, http.StatusServiceUnavailable)
+				is.Equal(s.arrivalCount(), before)
+				is.True(time.Since(sent) < 500*time.Millisecond) // told at once
+				is.True(got.header.Get("Retry-After") != "")
+				is.Equal(got.header.Get("Connection"), "close")
+				is.NoErr(<-s.stopped)
+			})
+		}
+	}
+}
+
+// trySend writes a part of a request that may have been refused already.
+func (c *rawCaller) trySend(part string) { _, _ = io.WriteString(c.conn, part) }
+
+// Requests that waited when the stop began were sent late, as earlier answers had been short, and cut.
+func TestWaitingRequestIsSentLateInAStop(t *testing.T) {
+	const slots = 8
+	is := is.New(t)
+	tokens := func(r *http.Request) { r.Header.Set("Tokens", "10") }
+	s := startAfterShortAnswers(t, "/read/1")
+	var others sync.WaitGroup
+	before := s.arrivalCount()
+	for range slots {
+		others.Go(func() { s.post("/read/1", tokens) })
+	}
+	eventually(t, "all slots taken", func() bool { return s.arrivalCount() == before+slots })
+	waiting := make(chan reply, 1)
+	go func() { waiting <- s.post("/read/1", tokens) }()
+	time.Sleep(50 * time.Millisecond)
+	s.stop()
+	stopped := time.Now()
+	got := <-waiting
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(time.Since(stopped) < lateDelay) // told at once
+	is.Equal(s.arrivalCount(), before+slots)
+	others.Wait()
+	is.NoErr(<-s.stopped)
+}
+
+// A stream whose endpoint broke off late in a stop, and a request to be sent once more, were sent to another endpoint and cut.
+func TestRequestIsSentOnceMoreLateInAStop(t *testing.T) {
+	for name, path := range map[string]string{"stream begun": "/read/1", "nothing sent": "/status/1"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			const short = 12
+			answer := shortThenSlow(short, lateDelay+300*time.Millisecond)
+			breaking := func(w http.ResponseWriter, r *http.Request) {
+				answer(w, r)
+				if r.Header.Get("Break") != "" {
+					resetting(w, r)
+				}
+			}
+			s := startGateway(t, lateGrace, lateDelay, breaking, breaking)
+			s.allow(10 * time.Second)
+			for range short {
+				is.Equal(s.post(path, nil).status, http.StatusOK)
+			}
+			got := make(chan reply, 1)
+			go func() { got <- s.post(path, func(r *http.Request) { r.Header.Set("Break", "1") }) }()
+			eventually(t, "request sent", func() bool { return s.arrivalCount() == short+1 })
+			s.stop()
+			<-got
+			is.Equal(s.arrivalCount(), short+1)
+			is.NoErr(<-s.stopped)
+		})
+	}
+}
+
+// Until the listener closes, requests are served whose longest time at their engine fits; others are told at once.
+func TestRequestsThatFitAreServedInAStop(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		prompt, output int
+		timeout        time.Duration
+		after          time.Duration
+		status         int
+	}{
+		{"short answer", 100, 100, 10 * time.Second, 100 * time.Millisecond, http.StatusOK},
+		{"short answer, listener closed", 100, 100, 10 * time.Second, lateDelay + 100*time.Millisecond, http.StatusServiceUnavailable},
+		{"long answer", 100, 5000, 10 * time.Second, 100 * time.Millisecond, http.StatusServiceUnavailable},
+		{"long prompt", 500_000, 100, 10 * time.Second, 100 * time.Millisecond, http.StatusServiceUnavailable},
+		{"unknown size", 0, 0, 10 * time.Second, 100 * time.Millisecond, http.StatusServiceUnavailable},
+		{"short time limit", 100, 5000, 1200 * time.Millisecond, lateDelay + 100*time.Millisecond, http.StatusOK},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := startGateway(t, lateGrace, lateDelay, shortThenSlow(1, time.Minute))
+			engine := &costmodel.Engine{Slots: 8, MemoryTokens: 1_000_000, PrefillTokensPerSecond: 1e5, Chunk: 1000, Stride: 10, StepTime: time.Millisecond}
+			s.setEngine(engine)
+			s.allow(test.timeout)
+			c := dialRaw(t, s.url)
+			c.send(requestHead("POST", "/read/1", "Content-Length: 4", fmt.Sprint("Tokens: ", test.prompt), fmt.Sprint("Output: ", test.output))[:10])
+			s.stop()
+			time.Sleep(test.after)
+			c.send(requestHead("POST", "/read/1", "Content-Length: 4", fmt.Sprint("Tokens: ", test.prompt), fmt.Sprint("Output: ", test.output))[10:], "body")
+			got := c.receive()
+			is.True(!got.broken)
+			is.Equal(got.status, test.status)
+			is.NoErr(<-s.stopped)
+		})
+	}
+}
+
+// setEngine publishes a deployment with another model of the engines.
+func (w *testGateway) setEngine(e *costmodel.Engine) {
+	old := w.g.deployment.Load()
+	next := *old
+	next.Services = map[string]*Service{}
+	for name, s := range old.Services {
+		changed := *s
+		if s.Engine != nil {
+			changed.Engine = e
+		}
+		next.Services[name] = &changed
+	}
+	w.g.deployment.Store(&next)
+}
+
+// The wait for prompts that the chosen endpoint reads before counts, too.
+func TestSendLimitOfAStop(t *testing.T) {
+	const grace = 8 * time.Second
+	at := func(after time.Duration) time.Time { return time.Unix(1000, 0).Add(after) }
+	s := &stop{began: make(chan struct{})}
+	s.begin(at(2500*time.Millisecond), at(grace-stopReserve))
+	engine := &costmodel.Engine{Slots: 1, MemoryTokens: 1000, PrefillTokensPerSecond: 1e6, Chunk: 1000, Stride: 10, StepTime: 100 * time.Millisecond}
+	sized := &assign.Request{Engine: engine, PromptTokens: 1, OutputTokens: 20} // 3 runs of 1.1 s
+	longest, ok := longestAnswerTime(sized)
+	answerBy := grace - stopReserve - answerReserve
+	if !ok || longest < 3*time.Second || longest > 4*time.Second {
+		t.Fatalf("longest time %v", longest)
+	}
+	for _, test := range []struct {
+		name     string
+		deadline time.Duration
+		request  *assign.Request
+		backlog  time.Duration
+		want     time.Time
+	}{
+		{"deadline before the end", answerBy, &assign.Request{}, time.Hour, at(answerBy)},
+		{"deadline after the end", answerBy + 1, &assign.Request{}, 0, time.Time{}},
+		{"size unknown", time.Minute, &assign.Request{Engine: engine, PromptTokens: 1}, 0, time.Time{}},
+		{"fits until the listener closes", time.Minute, sized, 0, at(2500 * time.Millisecond)},
+		{"fits until earlier, after a backlog", time.Minute, sized, 3 * time.Second, at(answerBy - longest - 3*time.Second)},
+	} {
+		if got := s.sendBy(at(test.deadline), test.request, test.backlog); !got.Equal(test.want) {
+			t.Errorf("%s: to be sent by %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -313,7 +313,7 @@
 		c.failedReserves++
 		return c.failedReserves < maxReserveAttempts
 	}
-	if c.sends >= maxSends || r.Reason == verdict.ReasonStaleConfiguration || r.Reason == verdict.ReasonQuarantined {
+	if c.sends >= maxSends || mayNotRepeat[r.Reason] {
 		return false
 	}
 	if r.Verdict == verdict.NotRun && unsent[r.Reason] {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -12,6 +12,11 @@
 	verdict.ReasonEndpointLeaving: true, verdict.ReasonNoEndpoint: true, verdict.ReasonOverloaded: true,
 }
 
+// mayNotRepeat holds the reasons after which another attempt is of no use.
+var mayNotRepeat = map[verdict.Reason]bool{
+	verdict.ReasonStaleConfiguration: true, verdict.ReasonQuarantined: true, verdict.ReasonStopping: true,
+}
+
 // checkSend returns a refusal if the request must not be sent as it was placed. Time has passed since
 // then: the permission of this entry may have lapsed, or an endpoint may have been taken out of
 // service.
@@ -23,6 +28,9 @@
 	if c.needsPermission && !c.awaitPermission(a.ctx) {
 		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry's permission has lapsed at revision %d", c.g.client.Permission().Revision)
 	}
+	if a.tooLateToSend() {
+		return c.g.refuseToSend()
+	}
 	c.g.mu.Lock()
 	endpoint, reason := c.g.fleet.Withdrawn(c.g.clock.Now(), a.placed.Assignment, &a.request)
 	c.g.mu.Unlock()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -2,11 +2,11 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -14,10 +14,9 @@
 	// answerReserve is how long before connections are closed at the end of a stop the last requests are
 	// answered.
 	answerReserve = 200 * time.Millisecond
-	// recentAnswers is the number of answers of a route from which the time of the next is forecast, and
-	// answeredFraction the fraction of them that took at most as long as the forecast.
-	recentAnswers    = 32
-	answeredFraction = 0.9
+	// stoppingRetryAfter is the Retry-After of requests that a stopping process refuses. Another entry can
+	// serve them at once.
+	stoppingRetryAfter = 100 * time.Millisecond
 )
 
 // errStopping is the cause with which attempts are cancelled at the end of a stop.
@@ -25,14 +24,15 @@
 
 // stop is the planned end of the process.
 type stop struct {
-	// began is closed when it begins, and answerBy is set before.
-	began    chan struct{}
-	answerBy time.Time
+	// began is closed when it begins; the others are set before.
+	began chan struct{}
+	// listenUntil is when the listener closes, and answerBy when the last requests are answered.
+	listenUntil, answerBy time.Time
 }
 
-// begin begins a stop at whose end connections are closed.
-func (s *stop) begin(end time.Time) {
-	s.answerBy = end.Add(-answerReserve)
+// begin begins a stop. The listener closes at listenUntil, and connections at end.
+func (s *stop) begin(listenUntil, end time.Time) {
+	s.listenUntil, s.answerBy = listenUntil, end.Add(-answerReserve)
 	close(s.began)
 }
 
@@ -46,84 +46,54 @@
 	}
 }
 
-// answerTimes holds how long endpoints took for the latest answers, by route. Its lock is
-// "gateway.answerTimes" of kernel.LockOrder.
-type answerTimes struct {
-	mu     sync.Mutex
-	routes map[string]*recentTimes
-}
-
-// recentTimes holds the times of the latest answers; next is the index of the oldest one once it is full.
-type recentTimes struct {
-	times []time.Duration
-	next  int
-}
-
-func newAnswerTimes() *answerTimes { return &answerTimes{routes: map[string]*recentTimes{}} }
-
-// record adds the time of an answer.
-func (a *answerTimes) record(route string, took time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	r := a.routes[route]
-	if r == nil {
-		r = &recentTimes{}
-		a.routes[route] = r
+// sendBy is when a request has to be sent by a stopping process so that it ends before connections are
+// closed; zero means that it is not sent. Until the listener closes, the load balancer may still send requests here;
+// those are served whose longest time fits, after a backlog of other prompts. Later, only requests whose own
+// deadline comes before.
+func (s *stop) sendBy(deadline time.Time, r *assign.Request, backlog time.Duration) time.Time {
+	if !deadline.After(s.answerBy) {
+		return s.answerBy
+	}
+	longest, ok := longestAnswerTime(r)
+	if !ok {
+		return time.Time{}
 	}
-	if len(r.times) < recentAnswers {
-		r.times = append(r.times, took)
-		return
+	by := s.answerBy.Add(-longest - backlog)
+	if by.After(s.listenUntil) {
+		return s.listenUntil
 	}
-	r.times[r.next] = took
-	r.next = (r.next + 1) % recentAnswers
+	return by
 }
 
-// forecast returns how long nearly all of a route's latest answers took at most, and false if there are none.
-func (a *answerTimes) forecast(route string) (time.Duration, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	r := a.routes[route]
-	if r == nil {
+// longestAnswerTime returns the longest time of a request at a full engine; false if nothing bounds it.
+func longestAnswerTime(r *assign.Request) (longest time.Duration, ok bool) {
+	if r.Engine == nil || r.OutputTokens <= 0 {
 		return 0, false
 	}
-	sorted := slices.Sorted(slices.Values(r.times))
-	return sorted[int(answeredFraction*float64(len(sorted)-1))], true
+	return r.Engine.LongestAnswerTime(r.PromptTokens, r.OutputTokens)
 }
 
-// retain removes the times of all routes but those of a deployment.
-func (a *answerTimes) retain(d *Deployment) {
-	known := map[string]bool{}
-	for i := range d.Routes {
-		known[d.Routes[i].Name] = true
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for name := range a.routes {
-		if !known[name] {
-			delete(a.routes, name)
-		}
-	}
+// sendBy is when the request has to be sent by the stopping process.
+func (c *call) sendBy() time.Time { return c.g.stop.sendBy(c.deadline, &c.placementRequest, 0) }
+
+// tooLateToSend reports whether the request might not be answered before the process ends.
+func (c *call) tooLateToSend() bool {
+	return c.g.stop.hasBegun() && c.g.clock.Now().After(c.sendBy())
 }
 
-// sendBy is when the request has to be sent to be answered before the process ends. A route without
-// answers so far may need all of its time.
-func (c *call) sendBy() time.Time {
-	need, ok := c.g.answerTimes.forecast(c.route.Name)
-	if timeout := c.timeout(c.route); !ok || need > timeout {
-		need = timeout
-	}
-	return c.g.stop.answerBy.Add(-need)
+// tooLateToSend is that of the call, once endpoints are chosen.
+func (a *attempt) tooLateToSend() bool {
+	g := a.c.g
+	return g.stop.hasBegun() && g.clock.Now().After(g.stop.sendBy(a.c.deadline, &a.request, a.placed.PredictedPrefill))
 }
 
-// tooLateToSend reports whether the request would probably not be answered before the process ends.
-func (c *call) tooLateToSend() bool {
-	return c.g.stop.hasBegun() && c.g.clock.Now().After(c.sendBy())
+// refuseToSend returns the refusal for an attempt that the stopping process no longer sends.
+func (g *Gateway) refuseToSend() *verdict.Refusal {
+	return verdict.Refuse(verdict.ReasonStopping, stoppingRetryAfter, "entry %s stops before the request would be answered", g.node.Name)
 }
 
 // refuseStopping returns the refusal for a request that the stopping process no longer sends.
-func (c *call) refuseStopping() error {
-	return c.adjustVerdict(verdict.Refuse(verdict.ReasonStopping, defaultRetryAfter, "entry %s stops before it could be answered", c.g.node.Name))
-}
+func (c *call) refuseStopping() error { return c.adjustVerdict(c.g.refuseToSend()) }
 
 // stopped ends the attempts when the process ends and returns the refusal for the caller.
 func (c *call) stopped() error {
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -17,7 +17,6 @@
 	"gateway.bookings",
 	"gateway.placer",
 	"gateway.placing",
-	"gateway.answerTimes",
 	"session.Suspects",
 	"entry.watch",
 	"sidecar.orders",
