gateway: a request that a stop cut had no line of its end

When a stopping entry closes the connections that are left, it did not wait for the handlers of their requests: the process ended before they had logged and counted the end. On-call engineers found `request placed` and nothing after it; those that were in time said "abandoned by its caller", though the process had closed the connection. Panics of a handler went to the log of net/http, without the request.

TestRequestThatAStopCutsHasNoLine failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -132,6 +133,8 @@
 	acceptEnded chan struct{}
 	stopping    atomic.Bool
 	stop        stop
+	// cut is set before the connections that are left are closed.
+	cut atomic.Bool
 	// deployment is the newest published deployment, nil before the first one.
 	deployment atomic.Pointer[Deployment]
 	// entries is the number of entries known, including this one.
@@ -232,6 +235,7 @@
 	}
 	g.server = &http.Server{
 		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: stdlog.New(serverLog{g.log}, "", 0),
 	}
 	framing.Protect(g.server, func(caller string) {
 		g.log.Warn("request with ambiguous body framing refused", "caller", caller)
@@ -411,8 +415,12 @@
 		g.drain()
 	case err = <-failed:
 	}
-	_ = g.server.Close()
+	g.cut.Store(true)
+	if err := g.server.Close(); err != nil {
+		g.log.Warn("connections of callers not closed", "error", err)
+	}
 	_ = ready.Close()
+	g.awaitHandlers()
 	g.stopBackground()
 	tasks.Wait()
 	g.peerTasks.Wait()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -115,6 +116,7 @@
 	defer g.metrics.inFlight.Add(-1)
 	caller := &callerWriter{ResponseWriter: w, clock: g.clock, lastAnswer: g.stop.hasBegun}
 	c := g.newCall(caller, r)
+	defer c.logPanic()
 	err := c.prepare()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -286,6 +288,11 @@
 		}
 		return
 	}
+	if errors.Is(err, errCallerGone) && c.g.cut.Load() {
+		c.recordEnd(string(verdict.ReasonStopping), took)
+		c.log().Warn("request cut at the end of the grace time", "took", took, "committed", c.committed, "events", c.delivered, "detail", err.Error())
+		panic(http.ErrAbortHandler)
+	}
 	if errors.Is(err, errCallerGone) {
 		c.recordEnd("caller_gone", took)
 		c.log().Info("request abandoned by its caller", "took", took, "detail", err.Error())
@@ -302,6 +309,19 @@
 	c.writeRefusal(r)
 }
 
+// logPanic logs the end of a request whose handler panics, and aborts its connection.
+func (c *call) logPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if p != http.ErrAbortHandler {
+		c.recordEnd(string(verdict.ReasonInternal), c.g.clock.Now().Sub(c.started))
+		c.log().Warn("request panicked", "panic", p, "committed", c.committed, "events", c.delivered, "stack", string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // pauseTarget is the longest pause that the caller wants between two events.
 func (c *call) pauseTarget() time.Duration {
 	if c.route == nil {
--- a/gateway/late_requests_test.go
+++ b/gateway/late_requests_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
@@ -229,6 +231,49 @@
 	w.g.deployment.Store(&next)
 }
 
+// syncBuffer is a buffer that several goroutines write.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// The process ended before the handlers of requests that it cut, so that no line told how they had ended.
+func TestRequestThatAStopCutsHasNoLine(t *testing.T) {
+	is := is.New(t)
+	event := "data: " + strings.Repeat("x", 64<<10) + "\n\n"
+	endless := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		for n := 1; r.Context().Err() == nil; n++ {
+			if _, err := fmt.Fprintf(w, "id: %d\n%s", n, event); err != nil {
+				return
+			}
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+	var lines syncBuffer
+	s := startAdjusted(t, time.Second, 50*time.Millisecond, func(g *Gateway) { g.log = hclog.New(&hclog.LoggerOptions{Output: &lines}) }, endless)
+	s.allow(10 * time.Second)
+	c := dialRaw(t, s.url)
+	c.send(requestHead("POST", "/read/1", "Content-Length: 4"), "body")
+	eventually(t, "stream begun", func() bool { return strings.Contains(lines.String(), "stream begun") })
+	time.Sleep(100 * time.Millisecond) // until the caller, which reads nothing, holds the stream up
+	s.stop()
+	is.NoErr(<-s.stopped)
+	is.True(strings.Contains(lines.String(), "request cut at the end of the grace time: request=attempt-1"))
+}
+
 // The wait for prompts that the chosen endpoint reads before counts, too.
 func TestSendLimitOfAStop(t *testing.T) {
 	const grace = 8 * time.Second
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/hashicorp/go-hclog"
+import (
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+)
 
 // logger adds the same fields to each line.
 type logger struct {
@@ -11,3 +15,12 @@
 func (l logger) Info(event string, args ...any)  { l.log.Info(event, append(l.fields, args...)...) }
 func (l logger) Warn(event string, args ...any)  { l.log.Warn(event, append(l.fields, args...)...) }
 func (l logger) Debug(event string, args ...any) { l.log.Debug(event, append(l.fields, args...)...) }
+
+// serverLog writes what net/http reports as lines of one event.
+type serverLog struct{ log hclog.Logger }
+
+// Write implements io.Writer.
+func (l serverLog) Write(line []byte) (int, error) {
+	l.log.Warn("connection of a caller failed", "detail", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -17,6 +17,10 @@
 	// stoppingRetryAfter is the Retry-After of requests that a stopping process refuses. Another entry can
 	// serve them at once.
 	stoppingRetryAfter = 100 * time.Millisecond
+	// handlerEndTime is how long handlers have to end once their connections are closed, and
+	// handlerPollInterval the time between two looks for them.
+	handlerEndTime      = 100 * time.Millisecond
+	handlerPollInterval = 5 * time.Millisecond
 )
 
 // errStopping is the cause with which attempts are cancelled at the end of a stop.
@@ -110,3 +114,14 @@
 func (c *call) hasSent() bool {
 	return slices.ContainsFunc(c.open, func(a *attempt) bool { return a.sent })
 }
+
+// awaitHandlers waits until no request is in flight, for at most handlerEndTime after connections were closed.
+func (g *Gateway) awaitHandlers() {
+	for end := g.clock.Now().Add(handlerEndTime); g.metrics.inFlight.Load() > 0; {
+		if g.clock.Now().After(end) {
+			g.log.Warn("requests in flight left", "requests", g.metrics.inFlight.Load())
+			return
+		}
+		<-g.clock.After(handlerPollInterval)
+	}
+}
