gateway: most requests early in a stop were refused though they would have fitted

The most output tokens that a caller allows are 3 times those of its answer in the median.

Until the listener closes, a request that may be repeated now counts with twice the length that its caller expects, if it states one; one that may run only once still counts with the most. The bound is the decode time of a full engine, and twice the prefill predicted at the endpoints that it got; other prompts' chunks are left out. An engine known to be slow gets no such request.

--- a/assign/slowdown.go
+++ b/assign/slowdown.go
@@ -39,6 +39,16 @@
 // slow reports whether the endpoint was slow when its slowdown was last reported.
 func (m *member) slow(now time.Time) bool { return now.Before(m.slowUntil) }
 
+// Slow reports whether an endpoint of the assignment was slow when its slowdown was last reported.
+func (f *Fleet) Slow(now time.Time, a *Assignment) bool {
+	for _, e := range append([]Endpoint{a.Primary}, a.Helpers...) {
+		if m := f.members[e.Name]; m != nil && m.slow(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // avoidsSlow reports whether slow endpoints are left out of a choice. Where most are slow, the
 // others would get the load of all.
 func avoidsSlow(now time.Time, all []*member) bool {
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -173,6 +173,9 @@
 	// the answer. Both are zero for plain services.
 	PromptTokens int
 	OutputTokens int
+	// ExpectedTokens is the length of the answer that the caller expects; zero if it states none. It may
+	// be far off.
+	ExpectedTokens int
 	// LastEvent is the ID of the last event that the caller received, after which the
 	// stream is resumed.
 	LastEvent string
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,6 +39,7 @@
 	r := Request{ID: h.Get("Id"), LastEvent: h.Get("Last")}
 	r.PromptTokens, _ = strconv.Atoi(h.Get("Tokens"))
 	r.OutputTokens, _ = strconv.Atoi(h.Get("Output"))
+	r.ExpectedTokens, _ = strconv.Atoi(h.Get("Expected"))
 	if ms, err := strconv.Atoi(h.Get("Wait")); err == nil {
 		r.Deadline = time.Duration(ms) * time.Millisecond
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -28,12 +28,14 @@
 	if c.needsPermission && !c.awaitPermission(a.ctx) {
 		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry's permission has lapsed at revision %d", c.g.client.Permission().Revision)
 	}
-	if a.tooLateToSend() {
-		return c.g.refuseToSend()
-	}
+	now := c.g.clock.Now()
 	c.g.mu.Lock()
-	endpoint, reason := c.g.fleet.Withdrawn(c.g.clock.Now(), a.placed.Assignment, &a.request)
+	tooLate := a.tooLateToSend(now)
+	endpoint, reason := c.g.fleet.Withdrawn(now, a.placed.Assignment, &a.request)
 	c.g.mu.Unlock()
+	if tooLate {
+		return c.g.refuseToSend()
+	}
 	if reason == "" {
 		return nil
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -14,6 +15,11 @@
 	// answerReserve is how long before connections are closed at the end of a stop the last requests are
 	// answered.
 	answerReserve = 200 * time.Millisecond
+	// prefillMargin is the time allowed for a prefill, as a multiple of the predicted one: other prompts and
+	// decode runs take turns with it.
+	prefillMargin = 2
+	// expectedMargin is the length allowed for an answer, as a multiple of what its caller expects.
+	expectedMargin = 2
 	// stoppingRetryAfter is the Retry-After of requests that a stopping process refuses. Another entry can
 	// serve them at once.
 	stoppingRetryAfter = 100 * time.Millisecond
@@ -50,45 +56,75 @@
 	}
 }
 
+// work is what bounds the time of a request at its endpoints.
+type work struct {
+	deadline time.Time
+	// engine is nil for a plain service, and outputTokens zero if the length of the answer is not known.
+	engine       *costmodel.Engine
+	outputTokens int
+	// prefill is the predicted time until the prompt is prefilled.
+	prefill time.Duration
+}
+
 // sendBy is when a request has to be sent by a stopping process so that it ends before connections are
 // closed; zero means that it is not sent. Until the listener closes, the load balancer may still send requests here;
-// those are served whose longest time fits, after a backlog of other prompts. Later, only requests whose own
-// deadline comes before.
-func (s *stop) sendBy(deadline time.Time, r *assign.Request, backlog time.Duration) time.Time {
-	if !deadline.After(s.answerBy) {
+// those are served that fit at a full engine by their size. Later, only requests whose own deadline comes
+// before.
+func (s *stop) sendBy(w *work) time.Time {
+	if !w.deadline.After(s.answerBy) {
 		return s.answerBy
 	}
-	longest, ok := longestAnswerTime(r)
+	if w.engine == nil || w.outputTokens <= 0 {
+		return time.Time{}
+	}
+	decode, ok := w.engine.FullDecodeTime(w.outputTokens)
 	if !ok {
 		return time.Time{}
 	}
-	by := s.answerBy.Add(-longest - backlog)
+	by := s.answerBy.Add(-decode - prefillMargin*w.prefill)
 	if by.After(s.listenUntil) {
 		return s.listenUntil
 	}
 	return by
 }
 
-// longestAnswerTime returns the longest time of a request at a full engine; false if nothing bounds it.
-func longestAnswerTime(r *assign.Request) (longest time.Duration, ok bool) {
-	if r.Engine == nil || r.OutputTokens <= 0 {
-		return 0, false
+// work returns the work of the request if its prompt is prefilled in this time.
+func (c *call) work(prefill time.Duration) *work {
+	return &work{deadline: c.deadline, engine: c.service.Engine, outputTokens: c.longestOutput(), prefill: prefill}
+}
+
+// longestOutput returns the length of the answer to allow for, in tokens. A request that may be repeated may
+// exceed it: its caller can have the rest elsewhere.
+func (c *call) longestOutput() int {
+	if c.route.Kind == Repeatable && c.ExpectedTokens > 0 {
+		return min(c.OutputTokens, expectedMargin*c.ExpectedTokens)
 	}
-	return r.Engine.LongestAnswerTime(r.PromptTokens, r.OutputTokens)
+	return c.OutputTokens
 }
 
-// sendBy is when the request has to be sent by the stopping process.
-func (c *call) sendBy() time.Time { return c.g.stop.sendBy(c.deadline, &c.placementRequest, 0) }
+// sendBy is when the request has to be sent by the stopping process, if the largest group of endpoints
+// prefills its prompt.
+func (c *call) sendBy() time.Time {
+	prefill := time.Duration(0)
+	if e := c.service.Engine; e != nil {
+		prefill = e.SharedPrefillTime(c.PromptTokens, 1+assign.MaxHelpers)
+	}
+	return c.g.stop.sendBy(c.work(prefill))
+}
 
 // tooLateToSend reports whether the request might not be answered before the process ends.
 func (c *call) tooLateToSend() bool {
 	return c.g.stop.hasBegun() && c.g.clock.Now().After(c.sendBy())
 }
 
-// tooLateToSend is that of the call, once endpoints are chosen.
-func (a *attempt) tooLateToSend() bool {
+// tooLateToSend is that of the call, once endpoints are chosen. The caller holds c.g.mu.
+func (a *attempt) tooLateToSend(now time.Time) bool {
 	g := a.c.g
-	return g.stop.hasBegun() && g.clock.Now().After(g.stop.sendBy(a.c.deadline, &a.request, a.placed.PredictedPrefill))
+	if !g.stop.hasBegun() {
+		return false
+	}
+	return now.After(g.stop.sendBy(a.c.work(a.placed.PredictedPrefill))) ||
+		a.c.deadline.After(g.stop.answerBy) && g.fleet.Slow(now, a.placed.Assignment)
 }
 
 // refuseToSend returns the refusal for an attempt that the stopping process no longer sends.
