--- a/gateway/late_requests_test.go
+++ b/gateway/late_requests_test.go
@@ -280,6 +280,34 @@
 	is.True(strings.Contains(lines.String(), "request cut at the end of the grace time: request=attempt-1"))
 }
 
+// What the operating system has taken over is delivered after the end of the process.
+func TestAnswerOfASlowReaderIsDeliveredAfterAStop(t *testing.T) {
+	const events, size = 10, 10 << 10
+	whole := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		for n := range events {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n+1, strings.Repeat("x", size))
+		}
+	}
+	for _, path := range []string{"/read/1", "/status/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			s := startGateway(t, time.Second, 50*time.Millisecond, whole)
+			s.allow(10 * time.Second)
+			c := dialRaw(t, s.url)
+			is.NoErr(c.conn.SetReadBuffer(64 << 10))
+			c.send(requestHead("POST", path, "Content-Length: 4"), "body")
+			eventually(t, "request sent", func() bool { return s.arrivalCount() == 1 })
+			s.stop()
+			is.NoErr(<-s.stopped)
+			got := c.receive()
+			is.Equal(got.status, http.StatusOK)
+			is.True(!got.broken)
+			is.True(len(got.body) >= events*size)
+		})
+	}
+}
+
 // The prefill counts, too, also the wait for prompts that the chosen endpoint reads before.
 func TestSendLimitOfAStop(t *testing.T) {
 	const (
