quarantine: requests with a part that was cleared 20 ms later were refused

Endpoints end under one crashing request, whose own losses are found up to 0.5 s later than those of the sound requests beside it; control convicts a part that these have in common, and all entries refused requests with it until an entry with a complete answer had cleared it, 20 ms later.

Cause: a conviction was final for an entry the moment it learned of it, though those who know better are only asked by it. Now requests with a part that was just convicted are held back for up to 200 ms, and refused or placed then; none is sent meanwhile.

TestRequestWithAPartThatIsClearedAtOnceIsNotRefused failed before.

--- a/control/session/suspects.go
+++ b/control/session/suspects.go
@@ -66,6 +66,15 @@
 	return status, digest
 }
 
+// ClearableFor returns for how long requests with a convicted part are still held back before they are
+// refused.
+func (s *Suspects) ClearableFor(part uint64) time.Duration {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.ClearableFor(now, part)
+}
+
 // TrialDue reports whether control is to be asked now if a request with a convicted part may be tried.
 func (s *Suspects) TrialDue(part uint64) bool {
 	now := s.clock.Now()
--- a/gateway/placing.go
+++ b/gateway/placing.go
@@ -49,7 +49,7 @@
 // cause. Those that may be tried go on.
 func (g *Gateway) endConvictedWaits() {
 	for a, wait := range g.placing.all() {
-		if s := a.c.suspicion(); s.status == quarantine.Convicted && s.digest != wait.trialOf {
+		if s := a.c.suspicion(); s.status == quarantine.Convicted && s.digest != wait.trialOf && a.c.clearableFor(s) == 0 {
 			wait.cancel(a.c.refuseConvicted(s))
 		}
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -22,6 +22,8 @@
 	// quarantineRetryAfter is the Retry-After of requests that crash endpoints. No earlier copy
 	// of such a request would be sent.
 	quarantineRetryAfter = time.Hour
+	// clearancePoll is the time between two looks whether a part that was just convicted has been cleared.
+	clearancePoll = 10 * time.Millisecond
 	// maxPermitWait is the longest wait before a permit is requested again.
 	maxPermitWait = time.Second
 	// refusalCheckDelay is the time between the two checks if the address of an endpoint
@@ -77,17 +79,37 @@
 }
 
 // checkQuarantine returns a refusal if the request is known to crash endpoints. A request with a
-// convicted part goes on if control is to be asked for a trial.
+// convicted part goes on if control is to be asked for a trial. If the part has just been convicted, the
+// request waits until it is cleared or can't be any more.
 func (a *attempt) checkQuarantine() error {
-	s := a.c.suspicion()
-	if a.trialOf == s.digest && s.status == quarantine.Convicted {
-		return nil
+	for {
+		s := a.c.suspicion()
+		if a.trialOf == s.digest && s.status == quarantine.Convicted {
+			return nil
+		}
+		if s.status == quarantine.Convicted && s.digest != a.c.content && !a.resumes && a.c.g.suspects.TrialDue(s.digest) {
+			a.trialOf = s.digest
+			return nil
+		}
+		wait := a.c.clearableFor(s)
+		if wait <= 0 {
+			return a.c.refuseConvicted(s)
+		}
+		select {
+		case <-a.ctx.Done():
+			return a.c.refuseConvicted(s)
+		case <-a.c.g.clock.After(min(wait, clearancePoll)):
+		}
 	}
-	if s.status == quarantine.Convicted && s.digest != a.c.content && !a.resumes && a.c.g.suspects.TrialDue(s.digest) {
-		a.trialOf = s.digest
-		return nil
+}
+
+// clearableFor returns for how long a request with a part that has just been convicted waits instead of being
+// refused.
+func (c *call) clearableFor(s suspicion) time.Duration {
+	if s.status != quarantine.Convicted || s.digest == c.content {
+		return 0
 	}
-	return a.c.refuseConvicted(s)
+	return c.g.suspects.ClearableFor(s.digest)
 }
 
 // updateSuspects applies the lists of requests and parts that may crash endpoints, and informs control of
@@ -101,6 +123,9 @@
 		"contents", contentList(u.Quarantine), "completed_lately", contentList(completed))
 	g.reportCompletions(completed)
 	g.endConvictedWaits()
+	if len(u.Quarantine) > 0 {
+		time.AfterFunc(quarantine.ClearanceTime, g.endConvictedWaits)
+	}
 }
 
 // reportCompletions informs control that requests or parts got complete answers.
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -101,3 +101,15 @@
 	is.True(time.Since(began) < time.Second) // half of its time is left
 	is.Equal(len(w.g.placing.all()), 0)
 }
+
+// A sound part that was convicted for another request's crashes had its requests refused until an entry with a complete answer had
+// cleared it.
+func TestRequestWithAPartThatIsClearedAtOnceIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, answering(http.StatusOK, "fine"))
+	w.convict("sound", "bad")
+	time.AfterFunc(quarantine.ClearanceTime/4, func() { w.convict("bad") })
+	is.Equal(w.post("/status/1", withPart("sound")).status, http.StatusOK)
+	is.Equal(w.post("/status/2", withPart("bad")).status, http.StatusServiceUnavailable)
+	is.Equal(w.arrivalCount(), 1)
+}
--- a/quarantine/local.go
+++ b/quarantine/local.go
@@ -11,7 +11,10 @@
 	// completionTTL is for how long a complete answer shows that a request does not crash
 	// endpoints, and maxCompletions is the number of the latest requests for which it is
 	// remembered at least; up to twice as many are.
-	completionTTL  = 10 * time.Second
+	completionTTL = 10 * time.Second
+	// ClearanceTime is how long after it has learned of the conviction of a part a process holds requests
+	// with it back before it refuses them. Meanwhile those that saw complete answers clear the part.
+	ClearanceTime  = 200 * time.Millisecond
 	maxCompletions = 2048
 )
 
@@ -25,8 +28,9 @@
 	// completions maps requests to the time of their last complete answer. A full map becomes
 	// olderCompletions, so that no completion has to look for the ones that are too old.
 	completions, olderCompletions map[uint64]time.Time
-	// trials maps convicted requests and parts to the time from which control is asked for a trial.
-	trials map[uint64]time.Time
+	// trials maps convicted requests and parts to the time from which control is asked for a trial, and
+	// clearable to the time until which they may still be cleared.
+	trials, clearable map[uint64]time.Time
 }
 
 // localLoss is what a process knows of a request from losses that it saw itself.
@@ -40,7 +44,7 @@
 
 // NewLocalView returns an empty LocalView.
 func NewLocalView() *LocalView {
-	return &LocalView{statuses: map[uint64]Status{}, losses: map[uint64]localLoss{}, completions: map[uint64]time.Time{}, trials: map[uint64]time.Time{}}
+	return &LocalView{statuses: map[uint64]Status{}, losses: map[uint64]localLoss{}, completions: map[uint64]time.Time{}, trials: map[uint64]time.Time{}, clearable: map[uint64]time.Time{}}
 }
 
 // Update replaces the statuses by those in control's lists. It returns what is listed although it got a
@@ -50,16 +54,17 @@
 	for _, digest := range suspects {
 		l.statuses[digest] = Suspect
 	}
-	trials := map[uint64]time.Time{}
+	trials, clearable := map[uint64]time.Time{}, map[uint64]time.Time{}
 	for _, digest := range convicted {
 		l.statuses[digest] = Convicted
 		due, ok := l.trials[digest]
+		until := l.clearable[digest]
 		if !ok {
-			due = now.Add(FirstTrial)
+			due, until = now.Add(FirstTrial), now.Add(ClearanceTime)
 		}
-		trials[digest] = due
+		trials[digest], clearable[digest] = due, until
 	}
-	l.trials = trials
+	l.trials, l.clearable = trials, clearable
 	for digest := range l.statuses {
 		if l.CompletedLately(now, digest) {
 			completed = append(completed, digest)
@@ -85,6 +90,12 @@
 	return Clear
 }
 
+// ClearableFor returns for how long requests with a convicted part are still held back before they are
+// refused.
+func (l *LocalView) ClearableFor(now time.Time, part uint64) time.Duration {
+	return max(0, l.clearable[part].Sub(now))
+}
+
 // TrialDue reports whether control is to be asked if a request with a convicted part may be tried. The next
 // one is due a second later, unless control names another time.
 func (l *LocalView) TrialDue(now time.Time, part uint64) bool {
