wire: a stopping server waited for streams that only its peers could end

The line "process stopped" was missing, and whatever handlers had still to do was lost. Control and sidecars serve streams in the same way.

Cause: Server.close closed the socket, and then waited for the handlers; serveConn closed its connection only after its streams. So nothing could arrive any more, and nobody was told. A handler that waits for a message, as the one of another entry's bookings, ended by its own deadline alone: 3 s after the last message, when 0.5 s are left. A failed Accept of the listener had the same effect, as nothing ended the connections.

Now the handlers have 100 ms to return, then the connections are closed, which ends the streams, and the socket is closed last. So peers are told, and a handler that is about to answer still can: before, its answer met a closed socket.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -27,6 +27,9 @@
 	// maxStreams is the maximum number of streams that a peer may have open on a
 	// connection.
 	maxStreams = 4096
+	// handlerEndTime is how long the handlers of a stopping server have to return before their connections
+	// are closed.
+	handlerEndTime = 100 * time.Millisecond
 
 	// cancelCode and closeCode are the QUIC error codes of an aborted stream and of a
 	// connection that is closed without an error.
@@ -145,7 +148,9 @@
 	host    string
 	handler Handler
 	traffic *Traffic
-	wg      sync.WaitGroup
+	// handlerEndTime is the constant of that name, except in tests.
+	handlerEndTime time.Duration
+	conns          sync.WaitGroup
 }
 
 // Listen returns a server on addr, an IP address and port. It counts the bytes of all
@@ -168,7 +173,7 @@
 		_ = packet.Close()
 		return nil, errors.Wrap(err, "listen for peer connections")
 	}
-	return &Server{listener: listener, packet: packet, host: host, handler: h, traffic: traffic}, nil
+	return &Server{listener: listener, packet: packet, host: host, handler: h, traffic: traffic, handlerEndTime: handlerEndTime}, nil
 }
 
 // Addr returns the address at which other processes reach the server.
@@ -176,10 +181,12 @@
 	return net.JoinHostPort(s.host, strconv.Itoa(s.listener.Addr().(*net.UDPAddr).Port))
 }
 
-// Serve accepts streams until ctx ends. It then closes the server and waits for the
-// handlers to return.
+// Serve accepts streams until ctx ends. The handlers then have handlerEndTime to return before their
+// connections are closed, which ends their streams. Serve returns after the last handler.
 func (s *Server) Serve(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
 	defer s.close()
+	defer stop()
 	for {
 		conn, err := s.listener.Accept(ctx)
 		if ctx.Err() != nil {
@@ -188,21 +195,37 @@
 		if err != nil {
 			return errors.Wrap(err, "accept connection")
 		}
-		s.wg.Go(func() { s.serveConn(ctx, conn) })
+		s.conns.Go(func() { s.serveConn(ctx, conn) })
 	}
 }
 
+// close closes the socket after the connections, so that the peers are told of their end.
 func (s *Server) close() {
 	_ = s.listener.Close()
+	s.conns.Wait()
 	_ = s.packet.Close()
-	s.wg.Wait()
 }
 
+// serveConn serves the streams of a connection until it or ctx ends, and closes it.
 func (s *Server) serveConn(ctx context.Context, conn *quic.Conn) {
-	defer func() { _ = conn.CloseWithError(closeCode, "") }()
-	peer := peerOf(conn.ConnectionState().TLS)
 	var streams sync.WaitGroup
-	defer streams.Wait()
+	s.acceptStreams(ctx, conn, &streams)
+	ended := make(chan struct{})
+	go func() {
+		streams.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(s.handlerEndTime):
+	}
+	_ = conn.CloseWithError(closeCode, "")
+	<-ended
+}
+
+// acceptStreams starts the handlers of a connection's streams until it or ctx ends.
+func (s *Server) acceptStreams(ctx context.Context, conn *quic.Conn, streams *sync.WaitGroup) {
+	peer := peerOf(conn.ConnectionState().TLS)
 	for {
 		q, err := conn.AcceptStream(ctx)
 		if err != nil {
