kernel: a process whose log nobody read outlasted its grace time

Seen: with standard output that is not read, each process took a whole second to end after everything else had ended.

Cause: flushTimeout was 1 s. What is queued and not taken within 0.2 s is not taken, as far as a process can know; the log of a reader that reads is written within milliseconds.

TestUnreadLogOutlastsTheGraceTime took 1.00 s before and is bounded by 0.5 s.

--- a/kernel/log.go
+++ b/kernel/log.go
@@ -24,8 +24,9 @@
 	maxQueuedLines = 4096
 	// reportInterval is the time between two reports of omitted lines in the log.
 	reportInterval = time.Second
-	// flushTimeout bounds the time for writing the queued lines at the end of the process.
-	flushTimeout = time.Second
+	// flushTimeout bounds the time for writing the queued lines at the end of the process. It is less than what
+	// an entry has left of its grace time once it has closed its connections.
+	flushTimeout = 200 * time.Millisecond
 )
 
 // Log writes one line of key=value pairs per event. It never blocks on the reader of the
--- a/kernel/log_test.go
+++ b/kernel/log_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -66,3 +67,17 @@
 	stop()
 	is.NoErr(reader.Close())
 }
+
+// An entry whose log nobody read was killed: it has 0.5 s left when it has closed its connections.
+func TestUnreadLogOutlastsTheGraceTime(t *testing.T) {
+	is := is.New(t)
+	reader, writer := io.Pipe()
+	l := NewLog("rosemary-entry", settings.Log{}, writer)
+	stop := startLog(l)
+	l.Info("event")
+	l.Info("event")
+	began := time.Now()
+	stop()
+	is.True(time.Since(began) < 500*time.Millisecond)
+	is.NoErr(reader.Close())
+}
