loopback: a port was chosen twice before its first use

Addrs frees a port between its choice and its use, and chose ports at random, so that a deployment that was set up meanwhile in the same process could get the same one. Which one did is not shown by the log.

Now a process chooses each port once.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -18,6 +19,13 @@
 	maxAttempts = 100
 )
 
+// given holds the ports that this process has chosen. A port is free between its choice and its use, so it is
+// chosen again only once all others were.
+var given struct {
+	mu    sync.Mutex
+	ports map[int]bool
+}
+
 // Addrs returns n different addresses, each with an IP address and a port that is free for
 // both TCP and UDP. Another process can still take a port before the caller uses it.
 func Addrs(n int) ([]string, error) {
@@ -36,7 +44,7 @@
 // reserve listens on a random free address until release is called.
 func reserve() (addr string, release func(), err error) {
 	for range maxAttempts {
-		addr = fmt.Sprintf("%s:%d", processIP(), firstPort+rand.IntN(portCount))
+		addr = fmt.Sprintf("%s:%d", processIP(), choosePort())
 		if release, err = listen(addr); err == nil {
 			return addr, release, nil
 		}
@@ -44,6 +52,20 @@
 	return "", nil, err
 }
 
+// choosePort returns a port that was not chosen before, as long as there are any.
+func choosePort() (port int) {
+	given.mu.Lock()
+	defer given.mu.Unlock()
+	if given.ports == nil || len(given.ports) == portCount {
+		given.ports = map[int]bool{}
+	}
+	for port = firstPort + rand.IntN(portCount); given.ports[port]; {
+		port = firstPort + (port-firstPort+1)%portCount
+	}
+	given.ports[port] = true
+	return port
+}
+
 // processIP returns a loopback IP address that depends on the process ID, so that other
 // processes rarely use it. Tests of many packages run at once, and a port is free between
 // its choice and its use.
