--- a/soak/checker.go
+++ b/soak/checker.go
@@ -80,6 +80,8 @@
 	AtMostOnce bool
 	// Services are all services to which any configuration of the run routes the request.
 	Services map[string]bool
+	// Late is set if the last byte of the request is sent later than its first. Checker.Whole then tells when.
+	Late bool
 	// Entry names the entry that the request was sent to.
 	Entry string
 	// Prefix lists the parts of the prompt as callers and endpoints write them.
@@ -121,7 +123,14 @@
 type trackedRequest struct {
 	Request
 	sent time.Time
-	runs int
+	// whole is when its last byte was sent; zero if it was not.
+	whole time.Time
+	runs  int
+	// working counts the endpoints that are at work on it, and workEnded is when the last one ended.
+	working   int
+	workEnded time.Time
+	// unanswered is set when it ended with neither an answer nor a refusal.
+	unanswered bool
 	// arrivals counts the arrivals at endpoints, including those that did not run.
 	arrivals int
 	// endpoints are those that ran the request.
@@ -222,7 +231,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sent++
-	c.requests[r.ID] = &trackedRequest{Request: r, sent: now, answers: map[string][]byte{}, share: c.shareOf(now, r)}
+	tracked := &trackedRequest{Request: r, sent: now, answers: map[string][]byte{}, share: c.shareOf(now, r)}
+	if !r.Late {
+		tracked.whole = now
+	}
+	c.requests[r.ID] = tracked
 }
 
 // EntryOf returns the entry that a request was sent to, or an empty string for an unknown request.
@@ -252,6 +265,7 @@
 	c.checkCrashing(now, r, a.Endpoint)
 	r.recordBegin()
 	r.runs++
+	r.working++
 	r.endpoints = append(r.endpoints, a.Endpoint)
 	if r.AtMostOnce && r.runs > 1 {
 		c.addFinding(now, PromiseAtMostOnce, "request %s ran %d times, the last at endpoint %s", a.ID, r.runs, a.Endpoint)
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -82,6 +82,33 @@
 			c.Stopping(at(0), "e", 6*time.Second)
 			c.Unanswered(at(5*time.Second-1), "a", "closed")
 		}},
+		{"a stop cuts a request at the end that no endpoint works on", PromiseAnswered, func(c *Checker) {
+			c.Ran(at(0), arrival)
+			c.Stopping(at(0), "e", 6*time.Second)
+			c.WorkEnded(at(5*time.Second-1), "a")
+			c.Unanswered(at(5*time.Second), "a", "closed")
+		}},
+		{"a stop cuts a request at the end that was sent late", PromiseAnswered, func(c *Checker) {
+			c.Stopping(at(0), "e", 6*time.Second)
+			c.Whole(at(maxSentInStop+1), "a")
+			c.Ran(at(4*time.Second), arrival)
+			c.Unanswered(at(5*time.Second), "a", "closed")
+		}},
+		{"a stop cuts a request at the end that it has not passed on", PromiseAnswered, func(c *Checker) {
+			c.Stopping(at(0), "e", 6*time.Second)
+			c.Unanswered(at(5*time.Second), "a", "closed")
+		}},
+		{"a request whose body came late ends unread", PromiseAnswered, func(c *Checker) {
+			c.Whole(at(time.Second), "a")
+			c.Unanswered(at(time.Second+closeRace), "a", "closed")
+		}},
+		{"a request runs and ends before its last byte is known to be sent", PromiseAnswered, func(c *Checker) {
+			r := call
+			r.Late = true
+			c.Sent(at(0), r)
+			c.Ran(at(1), arrival)
+			c.Unanswered(at(time.Second), "a", "closed")
+		}},
 		{"a request ends during a fault that ends none", PromiseAnswered, func(c *Checker) {
 			c.SuspendBoundsOnly(at(time.Second))
 			c.Ran(at(1), arrival)
@@ -194,8 +221,13 @@
 	c.Ran(at(9*time.Second), arrivalWith(func(a *Arrival) { a.ID, a.Endpoint = "late", "i-4" }))
 	c.Unanswered(at(11*time.Second-deadlineMargin), "late", "answered 504")
 	c.Stopping(at(5*time.Second), "e", 6*time.Second)
-	c.Unanswered(at(10*time.Second), "late", "closed") // in the last sixth of the grace time
-	c.FinalVersion(at(4*time.Second), 6, 5)            // newer than acknowledged: a change without an answer may have been applied
+	c.Whole(at(8*time.Second), "late")
+	c.Unanswered(at(10*time.Second), "late", "closed") // its endpoint is at work in the last sixth of the grace time
+	cut := call
+	cut.ID, cut.Key, cut.Late = "cut", "", true
+	c.Sent(at(4*time.Second), cut)
+	c.Unanswered(at(7*time.Second), "cut", "closed") // its last byte was not sent
+	c.FinalVersion(at(4*time.Second), 6, 5)          // newer than acknowledged: a change without an answer may have been applied
 	c.CheckRecovery(at(5*time.Second), 100, 25)
 	sendCrashing(c, 5*time.Second, 5) // before all entries must know of the third crash
 	sendCrashing(c, 9*time.Second, maxLateArrivals)
