soak: a stopped process that had to be killed went unnoticed; stops in series

Process.Stop told whether the process had ended in time, and nothing looked at it. It is a promise now: every process that is stopped by SIGTERM ends by itself before its grace time does, unless it was suspended meanwhile.

The later signals go to the start of the program that is being stopped only.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -35,6 +35,7 @@
 	PromiseLimit      = "an endpoint gets no more than the limit that it names"
 	PromisePause      = "an entry that an endpoint asked for a pause sends it nothing"
 	PromiseEvacuated  = "a zone that was taken out gets nothing, from processes that are cut off either"
+	PromiseEnds       = "a stopped process ends before its grace time does"
 )
 
 // Promises lists all promises.
@@ -42,6 +43,7 @@
 	PromiseAtMostOnce, PromiseNotRun, PromiseAnswer, PromiseOrder, PromiseUnaltered, PromiseRoute, PromiseNoRollback, PromiseRevoked,
 	PromiseDrained, PromiseCold, PromiseMemory, PromiseDurable, PromiseRecovered, PromiseAnswered,
 	PromiseCrashing, PromiseInnocent, PromiseSoundPart, PromiseRetries, PromiseLimit, PromisePause, PromiseEvacuated,
+	PromiseEnds,
 }
 
 // Bounds holds the time bounds of a deployment's promises.
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -109,6 +109,7 @@
 			c.Ran(at(1), arrival)
 			c.Unanswered(at(time.Second), "a", "closed")
 		}},
+		{"a stopped process is killed", PromiseEnds, func(c *Checker) { c.CheckEnd(at(4*time.Second), "e", 4*time.Second, false) }},
 		{"a request ends during a fault that ends none", PromiseAnswered, func(c *Checker) {
 			c.SuspendBoundsOnly(at(time.Second))
 			c.Ran(at(1), arrival)
@@ -227,7 +228,8 @@
 	cut.ID, cut.Key, cut.Late = "cut", "", true
 	c.Sent(at(4*time.Second), cut)
 	c.Unanswered(at(7*time.Second), "cut", "closed") // its last byte was not sent
-	c.FinalVersion(at(4*time.Second), 6, 5)          // newer than acknowledged: a change without an answer may have been applied
+	c.CheckEnd(at(9*time.Second), "e", 4*time.Second, true)
+	c.FinalVersion(at(4*time.Second), 6, 5) // newer than acknowledged: a change without an answer may have been applied
 	c.CheckRecovery(at(5*time.Second), 100, 25)
 	sendCrashing(c, 5*time.Second, 5) // before all entries must know of the third crash
 	sendCrashing(c, 9*time.Second, maxLateArrivals)
--- a/soak/process.go
+++ b/soak/process.go
@@ -22,8 +22,10 @@
 	// was ended. It must not call methods of the process.
 	Running func(bool)
 
-	// mu guards command and ended.
+	// mu guards the fields below.
 	mu sync.Mutex
+	// suspended is when SIGSTOP was sent last, and continued when SIGCONT was sent last.
+	suspended, continued time.Time
 	// command is nil while the program does not run.
 	command *exec.Cmd
 	// ended is closed when command has exited.
@@ -57,6 +59,7 @@
 	}
 	ended := make(chan struct{})
 	p.command, p.ended = c, ended
+	p.suspended, p.continued = time.Time{}, time.Time{}
 	go func() {
 		_ = c.Wait()
 		close(ended)
@@ -68,16 +71,47 @@
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.command != nil {
-		_ = p.command.Process.Signal(s)
+	if p.command == nil {
+		return
+	}
+	switch s {
+	case syscall.SIGSTOP:
+		p.suspended = time.Now()
+	case syscall.SIGCONT:
+		p.continued = time.Now()
 	}
+	_ = p.command.Process.Signal(s)
 }
 
-// Stop sends SIGTERM, and kills the process if it has not exited after grace. It reports
-// whether the process exited in time.
-func (p *Process) Stop(grace time.Duration) (inTime bool) {
-	p.Signal(syscall.SIGTERM)
-	return p.wait(grace)
+// Later is a signal that is sent some time after SIGTERM.
+type Later struct {
+	After  time.Duration
+	Signal syscall.Signal
+}
+
+// Stop sends SIGTERM and the later signals, and kills the process if it has not exited after grace. It
+// reports whether the process exited in time, or did not because it was suspended.
+func (p *Process) Stop(grace time.Duration, later ...Later) (inTime bool) {
+	began := time.Now()
+	p.mu.Lock()
+	c := p.command
+	p.mu.Unlock()
+	if c == nil {
+		return true
+	}
+	// The signals go to this start of the program only. It may have exited.
+	_ = c.Process.Signal(syscall.SIGTERM)
+	for _, l := range later {
+		defer time.AfterFunc(l.After, func() { _ = c.Process.Signal(l.Signal) }).Stop()
+	}
+	return p.wait(grace) || p.suspendedSince(began)
+}
+
+// suspendedSince reports whether the process was suspended at any time since then.
+func (p *Process) suspendedSince(then time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspended.After(p.continued) || p.continued.After(then)
 }
 
 // Kill kills the process and waits for its exit.
@@ -111,3 +145,10 @@
 	}
 	return inTime
 }
+
+// CheckEnd checks that a process ended by itself after SIGTERM, before its grace time did.
+func (c *Checker) CheckEnd(now time.Time, process string, grace time.Duration, inTime bool) {
+	if !inTime {
+		c.AddFinding(now, PromiseEnds, "%s still ran %v after SIGTERM and was killed", process, grace)
+	}
+}
