--- a/cmd/rosemary-soak/main.go
+++ b/cmd/rosemary-soak/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -39,8 +40,9 @@
 			defer stop()
 			reports, err := runSeeds(ctx, o, first, seeds)
 			fmt.Fprintln(c.OutOrStdout(), soak.Table(reports))
-			if err == nil {
-				err = writeReports(out, reports)
+			if writeErr := writeReports(out, reports); writeErr != nil {
+				fmt.Fprintln(c.ErrOrStderr(), writeErr)
+				err = cmp.Or(err, writeErr)
 			}
 			return err
 		},
--- a/soak/report.go
+++ b/soak/report.go
@@ -19,7 +19,9 @@
 	Refused     int            `json:"refused"`
 	BrokenOff   int            `json:"broken_off"`
 	Runs        int            `json:"runs"`
-	Findings    []Finding      `json:"findings"`
+	// Ends counts the ends of requests by group of callers.
+	Ends     map[string]Ends `json:"ends"`
+	Findings []Finding       `json:"findings"`
 }
 
 // Report returns the counts and findings of the checker. The caller adds the seed, the
