kernel: the line of a request's end was left out while lines that say less were kept

Seen: by a test, the end of a request had no line in three ways: more than 1,000 of them at once, as when a stopping or overloaded entry refuses what waits (1,000 of 2,000 were written); a queue that was full of other lines (0 of 512); and a reader that takes a part only before the process ends (0 of 512, as the queue is in order). Warnings were lost in the second way.

Cause: all events had the same rate, and all lines the same queue.

Now plug-ins name the events that end a request.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -148,6 +148,7 @@
 )
 
 func init() {
+	kernel.RegisterRequestEnds("request answered", "request refused", "answer aborted")
 	kernel.Register(kernel.PluginInfo{ID: "entry", RequiresTLS: true, New: func() any { return New(Settings{}) }})
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -4,8 +4,15 @@
 	"strings"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 )
 
+func init() {
+	kernel.RegisterRequestEnds("request answered", "request refused", "request abandoned by its caller",
+		"request cut at the end of the grace time", "request panicked")
+}
+
 // logger adds the same fields to each line.
 type logger struct {
 	log    hclog.Logger
--- a/kernel/log.go
+++ b/kernel/log.go
@@ -19,9 +19,14 @@
 	// 100 requests per second writes about four lines per request, each of another event.
 	maxLinesPerSecond = 200
 	maxLineBurst      = 1000
+	// maxEndsPerSecond and maxEndBurst limit the lines of the events that RegisterRequestEnds names.
+	maxEndsPerSecond = 10 * maxLinesPerSecond
+	maxEndBurst      = maxQueuedLines
 	// maxQueuedLines bounds the lines that are queued while the reader of standard output
-	// does not read. They take about a megabyte.
+	// does not read. They take about a megabyte. The last reservedLines of them are kept for warnings and for
+	// the ends of requests.
 	maxQueuedLines = 4096
+	reservedLines  = maxQueuedLines / 4
 	// reportInterval is the time between two reports of omitted lines in the log.
 	reportInterval = time.Second
 	// flushTimeout bounds the time for writing the queued lines at the end of the process. It is less than what
@@ -115,6 +120,9 @@
 	c := e.events[event]
 	if c == nil {
 		c = &eventState{limiter: rate.NewLimiter(maxLinesPerSecond, maxLineBurst)}
+		if requestEnds[event] {
+			c.limiter = rate.NewLimiter(maxEndsPerSecond, maxEndBurst)
+		}
 		e.events[event] = c
 	}
 	if c.limiter.Allow() {
@@ -136,57 +144,3 @@
 	}
 	return out
 }
-
-// queuedWriter queues lines for a goroutine that writes them to out, and drops lines when
-// the queue is full.
-type queuedWriter struct {
-	out   io.Writer
-	lines chan []byte
-	// dropped counts the lines that did not fit into the queue or could not be written.
-	dropped atomic.Int64
-	// done is closed when run returns.
-	done chan struct{}
-}
-
-func newQueuedWriter(out io.Writer) *queuedWriter {
-	return &queuedWriter{out: out, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
-}
-
-// Write implements io.Writer and never blocks.
-func (w *queuedWriter) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.dropped.Add(1)
-	}
-	return len(line), nil
-}
-
-// run writes the queued lines until it receives nil.
-func (w *queuedWriter) run() {
-	defer close(w.done)
-	for line := range w.lines {
-		if line == nil {
-			return
-		}
-		if _, err := w.out.Write(line); err != nil {
-			// A failure of the log itself cannot be logged, so it is only counted.
-			w.dropped.Add(1)
-		}
-	}
-}
-
-// close makes run return once the queued lines are written, and waits for that for at most
-// limit.
-func (w *queuedWriter) close(limit time.Duration) {
-	end := time.After(limit)
-	select {
-	case w.lines <- nil:
-	case <-end:
-		return
-	}
-	select {
-	case <-w.done:
-	case <-end:
-	}
-}
