soak: requests that reached no endpoint were left out of the retry budget

Now a request counts when it is sent, if all configurations route it to one service; a request with several counts where and when it first arrives, as before. Window, ratio and extra are unchanged.

TestRequestsThatReachNoEndpointCountForTheRetryBudget: its first case failed before, the second holds the stricter count.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -238,6 +238,9 @@
 		tracked.whole = now
 	}
 	c.requests[r.ID] = tracked
+	if service, ok := r.onlyService(); ok {
+		c.recordSent(now, service)
+	}
 }
 
 // EntryOf returns the entry that a request was sent to, or an empty string for an unknown request.
--- a/soak/crashing.go
+++ b/soak/crashing.go
@@ -101,15 +101,40 @@
 }
 
 // RetryBounds limits how often requests arrive at a service again: in any Window at most Ratio
-// times the requests that arrived for the first time, plus Extra.
+// times the requests that callers sent for it, plus Extra.
 type RetryBounds struct {
 	Ratio  float64
 	Extra  int
 	Window time.Duration
 }
 
-// arrivalTimes are the times of a service's first and repeated arrivals in the last two windows.
-type arrivalTimes struct{ first, repeated []time.Time }
+// arrivalTimes are the times in the last two windows at which requests for a service were sent, and
+// arrived there again.
+type arrivalTimes struct{ sent, repeated []time.Time }
+
+// retriesOf returns the times of a service. The caller holds mu.
+func (c *Checker) retriesOf(service string) *arrivalTimes {
+	s := c.retries[service]
+	if s == nil {
+		s = &arrivalTimes{}
+		c.retries[service] = s
+	}
+	return s
+}
+
+// recordSent counts a request for a service. The caller holds mu.
+func (c *Checker) recordSent(now time.Time, service string) {
+	s := c.retriesOf(service)
+	s.sent = append(keepSince(s.sent, now.Add(-2*c.bounds.Retries.Window)), now)
+}
+
+// onlyService returns the service of a request, and false if configurations route it to several.
+func (r *Request) onlyService() (service string, ok bool) {
+	for service = range r.Services {
+		return service, len(r.Services) == 1
+	}
+	return "", false
+}
 
 // Arrived records that request id reached an endpoint of a service, whether it runs or not, and
 // checks the limits on retries.
@@ -121,20 +146,18 @@
 	if b.Window == 0 || r == nil {
 		return
 	}
-	s := c.retries[service]
-	if s == nil {
-		s = &arrivalTimes{}
-		c.retries[service] = s
-	}
+	s := c.retriesOf(service)
 	r.arrivals++
 	if r.arrivals == 1 {
-		s.first = append(keepSince(s.first, now.Add(-2*b.Window)), now)
+		if _, counted := r.onlyService(); !counted {
+			c.recordSent(now, service)
+		}
 		return
 	}
 	s.repeated = append(keepSince(s.repeated, now.Add(-b.Window)), now)
 	// Retries may follow the requests that they belong to by up to a window.
-	requests := max(countBetween(s.first, now.Add(-b.Window), now), countBetween(s.first, now.Add(-2*b.Window), now.Add(-b.Window)),
-		countBetween(s.first, now.Add(-3*b.Window/2), now.Add(-b.Window/2)))
+	requests := max(countBetween(s.sent, now.Add(-b.Window), now), countBetween(s.sent, now.Add(-2*b.Window), now.Add(-b.Window)),
+		countBetween(s.sent, now.Add(-3*b.Window/2), now.Add(-b.Window/2)))
 	if allowed := b.Ratio*float64(requests) + float64(b.Extra); float64(len(s.repeated)) > allowed {
 		c.addFinding(now, PromiseRetries, "service %s got %d repeated arrivals in %v; %.0f are allowed for %d requests", service, len(s.repeated), b.Window, allowed, requests)
 	}
