kernel: a process whose log lost its reader was ended by its next line

Seen: a process whose standard output is a pipe that its reader has closed ends with SIGPIPE at its next line, without a drain, with all requests in flight and without a line. Entry, control and relay, each tried by hand: dead within 2 s of the start.

Cause: the Go runtime ends a process when a write to standard output fails with a broken pipe, unless SIGPIPE is taken or ignored. Log counts lines that it cannot write, but did not get to it.

Now Main ignores SIGPIPE; the lines count as left out.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -81,13 +81,16 @@
 	return ""
 }
 
-func (s *system) start(name string) {
+func (s *system) start(name string) { s.startTo(name, nil) }
+
+// startTo starts a process with this standard output, or none.
+func (s *system) startTo(name string, stdout io.Writer) {
 	s.t.Helper()
 	c := exec.Command(s.program(name), "--settings", filepath.Join(s.dir, name+".json"))
 	if s.logs[name] == nil {
 		s.logs[name] = &bytes.Buffer{}
 	}
-	c.Stderr = s.logs[name]
+	c.Stdout, c.Stderr = stdout, s.logs[name]
 	if err := c.Start(); err != nil {
 		s.t.Fatalf("start %s: %v", name, err)
 	}
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -150,6 +150,8 @@
 // the content of the file changes and on SIGHUP.
 func Main(program, file string, read func() (*settings.File, error)) error {
 	sighup := notifySIGHUP()
+	// A log whose reader has ended must not end the process with its requests: Log counts the lines as left out.
+	signal.Ignore(syscall.SIGPIPE)
 	content := fileContent(file)
 	f, err := read()
 	if err != nil {
