gateway: an entry waited at its end for its peers to end their streams

Seen: an entry with open streams of peers spent the whole time for handlers, 0.1 s, of the 0.5 s that are left of its grace time once its connections are closed. With a load of 30 to 40 on 8 cores this may be what decides whether it is killed.

Cause: the handler of a peer's stream ended only with its connection. Now the end of the background tasks aborts it, as control does with its streams.

TestStreamOfAPeerOutlastsTheEntry hung before.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -177,6 +177,8 @@
 	g.retries = newRetryBudget(g.Retries, time.Time{})
 	g.retries.recordEntries(time.Time{}, 1)
 	g.suspects = session.NewSuspects(w.session, g.clock)
+	g.background, g.stopBackground = context.WithCancel(context.Background())
+	t.Cleanup(g.stopBackground)
 	g.entries.Store(1)
 	w.g = g
 	g.deployment.Store((&Deployment{
--- a/gateway/peer_streams_stop_test.go
+++ b/gateway/peer_streams_stop_test.go
@@ -61,3 +61,38 @@
 		t.Fatal("the gateway has not ended")
 	}
 }
+
+// silentStream is a stream of another entry that sends bookings and then keeps the stream open.
+type silentStream struct {
+	wire.Stream
+	first   chan wire.Message
+	aborted chan struct{}
+}
+
+func (s *silentStream) Peer() wire.Peer             { return wire.Peer{Name: "entry-2", Role: wire.RoleEntry} }
+func (s *silentStream) SetDeadline(time.Time) error { return nil }
+func (s *silentStream) Abort()                      { close(s.aborted) }
+
+func (s *silentStream) Recv() (wire.Message, error) {
+	select {
+	case m := <-s.first:
+		return m, nil
+	case <-s.aborted:
+		return nil, context.Canceled
+	}
+}
+
+// An entry kept the streams of its peers open at its end until the time for its handlers had passed, a fifth of what was
+// left of its grace time.
+func TestStreamOfAPeerOutlastsTheEntry(t *testing.T) {
+	w := newTestGateway(t)
+	stream := &silentStream{first: make(chan wire.Message), aborted: make(chan struct{})}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.g.servePeer(stream)
+	}()
+	stream.first <- &wire.Bookings{Full: true}
+	w.g.stopBackground()
+	<-ended
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -382,8 +382,9 @@
 	return all
 }
 
-// servePeer serves a stream of another entry according to its first message.
+// servePeer serves a stream of another entry according to its first message, until the process ends.
 func (g *Gateway) servePeer(stream wire.Stream) {
+	defer context.AfterFunc(g.background, stream.Abort)()
 	peer := stream.Peer()
 	if peer.Role != wire.RoleEntry {
 		g.log.Warn("stream refused", "peer", peer.Name, "role", string(peer.Role))
