--- a/control/zone_test.go
+++ b/control/zone_test.go
@@ -93,3 +93,23 @@
 	is.Equal(looks, 2)
 	is.Equal(state(), config.Out)
 }
+
+// TestZoneOrdersAtOnceAreAllAccepted guards against orders that keep each other from being carried
+// out, as each one changes the revision that the others expect.
+func TestZoneOrdersAtOnceAreAllAccepted(t *testing.T) {
+	const orders = 8 // operators have as many in progress
+	is := is.New(t)
+	replicas, state := pair(t)
+	order(t, replicas[0], config.In)
+	order(t, replicas[1], config.In)
+	ctx, failed := timeoutContext(t), make(chan error, orders)
+	for i := range orders {
+		go func() {
+			failed <- replicas[i%2].SetZone(ctx, annex(config.Out), func() error { return nil })
+		}()
+	}
+	for range orders {
+		is.NoErr(<-failed)
+	}
+	is.Equal(state(), config.Out)
+}
