control: an endpoint that had left got requests again after replicas restarted

Cause: only the replica that got the DELETE kept the departure, as its registration. The others marked their lists, but kept the endpoint's own announcements from before as available for the grace time, and sent these to a replica that had started again. Entries took that word for an incarnation that they knew to leave.

Now each replica keeps the departure of an incarnation apart from list and registrations, whether by DELETE, by "draining" or by another replica's report, and reports all that it knows on each new stream. Its own registration of the incarnation is marked, too, so that replicas of earlier versions, which ignore the new field, get it as leaving. An announcement that was delayed beyond the grace time no longer brings an endpoint back. Entries keep Leaving for an incarnation also over a removal and another address. The next incarnation is taken in as before.

--- a/assign/fleet.go
+++ b/assign/fleet.go
@@ -130,10 +130,12 @@
 }
 
 // Update adds or changes an endpoint. An endpoint with a new incarnation or address
-// starts without load and failures.
+// starts without load and failures. An incarnation that leaves does so until it ends: a list that says
+// otherwise is older.
 func (f *Fleet) Update(e Endpoint) {
 	clear(f.choices)
 	m, ok := f.members[e.Name]
+	e.Leaving = e.Leaving || ok && m.Incarnation == e.Incarnation && m.leavesByList()
 	if ok && m.Incarnation == e.Incarnation && m.Addr == e.Addr {
 		e.LearnedAt = m.LearnedAt
 		m.Endpoint, m.elsewhere = e, f.isElsewhere(&e)
@@ -159,11 +161,15 @@
 	return slices.ContainsFunc(b.allParts(), func(p Part) bool { return p.Endpoint == endpoint })
 }
 
-// Remove removes an endpoint. What it has said in its answers is kept, because a list that lacks it may
-// be older than these.
+// Remove removes an endpoint. What it has said is kept, because a list that lacks it, or the next one that
+// has it, may be older.
 func (f *Fleet) Remove(name string) {
-	if m := f.members[name]; m != nil && (m.limit.version > 0 || m.limit.leaving) {
-		f.keepUnplaced(m.currentLimit())
+	if m := f.members[name]; m != nil {
+		said := m.currentLimit()
+		said.Leaving = said.Leaving || m.leavesByList()
+		if said.Version > 0 || said.Leaving {
+			f.keepUnplaced(said)
+		}
 	}
 	delete(f.members, name)
 	clear(f.choices)
--- a/assign/limit.go
+++ b/assign/limit.go
@@ -33,6 +33,10 @@
 // registration, or an answer without the word, does not end it.
 func (m *member) leaves() bool { return m.Leaving || m.limit.leaving }
 
+// leavesByList reports whether a list said that the incarnation leaves. An endpoint that names no incarnation
+// may become available again.
+func (m *member) leavesByList() bool { return m.Leaving && m.Incarnation != 0 }
+
 // ObserveLeaving records that an answer of an endpoint, to a request that was sent at a time, says that it
 // leaves. The result is what to tell the other entries, if this is new.
 func (f *Fleet) ObserveLeaving(sent time.Time, endpoint string, incarnation uint64) (Limit, bool) {
--- a/control/directory.go
+++ b/control/directory.go
@@ -32,6 +32,8 @@
 	// log holds the name of the changed endpoint for each of the latest versions. The last
 	// element belongs to version.
 	log []string
+	// departed holds the incarnations of direct endpoints that leave or have left, and when that was learned.
+	departed map[incarnation]time.Time
 }
 
 // member is one endpoint of a directory.
@@ -45,7 +47,9 @@
 
 // newDirectory returns an empty list at version 1, because version 0 stands for a session
 // that has received nothing.
-func newDirectory() *directory { return &directory{version: 1, members: map[string]*member{}} }
+func newDirectory() *directory {
+	return &directory{version: 1, members: map[string]*member{}, departed: map[incarnation]time.Time{}}
+}
 
 // announceResult is the effect of an announcement on the directory.
 type announceResult int
--- a/control/registry.go
+++ b/control/registry.go
@@ -63,6 +63,9 @@
 	}
 	e := m.endpoint
 	e.Load.Leaving = true
+	if e.Direct {
+		t.list.recordDeparture(now, incarnationOf(&e))
+	}
 	if t.list.announce(now, e) == published {
 		t.notifyLocked()
 	}
@@ -96,17 +99,11 @@
 	if e.CheckDirect() != nil || d.contradicts(&e) || d.addressTaken(&e) {
 		return e, outdated
 	}
-	return e, d.announce(now, e)
-}
-
-// keepLeaving returns e, with Leaving set if the listed endpoint of the same incarnation is
-// leaving. A leaving endpoint becomes available again only as a new incarnation.
-func (d *directory) keepLeaving(e wire.Endpoint) wire.Endpoint {
-	old, ok := d.members[e.Name]
-	if ok && old.endpoint.Incarnation == e.Incarnation && e.Incarnation != 0 && old.endpoint.Load.Leaving {
-		e.Load.Leaving = true
+	result := d.announce(now, e)
+	if result != outdated && e.Load.Leaving {
+		d.recordDeparture(now, incarnationOf(&e))
 	}
-	return e
+	return e, result
 }
 
 // contradicts reports whether the incarnation is listed with another address, service or availability
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -116,7 +116,7 @@
 	from := newRemote(replica.ID(1), nil)
 	two.addRemote(from)
 	now := start
-	report := func() { two.report(now, from, one.compose(sent, false)) }
+	report := func() { two.report(now, from, one.compose(now, sent, false)) }
 	is.True(one.register(now, direct("i-1", "10.0.0.1:80", 5, false), 1))
 	is.True(two.register(now, direct("i-2", "10.0.0.2:80", 5, false), 1))
 	report()
--- a/control/report.go
+++ b/control/report.go
@@ -33,6 +33,9 @@
 	Closed   []string        `cbor:"3,keyasint,omitempty"`
 	// Demands are the entries' demands for shares. Only the leader gets them.
 	Demands []demandReport `cbor:"4,keyasint,omitempty"`
+	// Departed are the departures that the stream has not reported yet. Replicas of earlier versions learn of
+	// them only from the registrations in Sessions.
+	Departed []departureReport `cbor:"5,keyasint,omitempty"`
 }
 
 // sessionReport describes one session, or one registration with the role roleEndpoint.
@@ -143,12 +146,17 @@
 		r.sessions = map[string]sessionReport{}
 	}
 	before := t.list.version
+	for _, d := range m.Departed {
+		t.depart(now.Add(-d.Age), incarnation{d.Name, d.Incarnation})
+	}
 	for _, s := range m.Sessions {
 		r.sessions[s.Key] = s
 		switch {
 		case s.Endpoint == nil:
 		case s.Endpoint.Direct:
-			t.list.announceDirect(now, *s.Endpoint)
+			if e, result := t.list.announceDirect(now, *s.Endpoint); result != outdated && e.Load.Leaving {
+				t.depart(now, incarnationOf(&e))
+			}
 		default:
 			t.list.announce(now, *s.Endpoint)
 		}
@@ -185,18 +193,22 @@
 	sessions map[string]sessionReport
 	// demands holds the heartbeat numbers of the newest demands reported.
 	demands map[string]uint64
+	// departed holds the departures that were reported.
+	departed map[incarnation]bool
 }
 
 // compose returns the changes since the last report on the stream and records them in sent.
 // Demands are included if the receiver is the leader.
-func (t *table) compose(sent *reportState, toLeader bool) *report {
+func (t *table) compose(now time.Time, sent *reportState, toLeader bool) *report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m := &report{Full: sent.sessions == nil}
 	if m.Full {
 		sent.sessions = map[string]sessionReport{}
 		sent.demands = map[string]uint64{}
+		sent.departed = map[incarnation]bool{}
 	}
+	m.Departed = t.departureReports(now, sent.departed)
 	addChanged := func(key string, r sessionReport) {
 		if old, ok := sent.sessions[key]; !ok || !sameReport(&old, &r) {
 			m.Sessions = append(m.Sessions, r)
@@ -308,7 +320,7 @@
 	s.running.Go(func() { s.receiveShares(stream) })
 	sent := &reportState{}
 	for {
-		data, err := wire.Marshal(s.table.compose(sent, s.node.Status().Leader == to))
+		data, err := wire.Marshal(s.table.compose(s.clock.Now(), sent, s.node.Status().Leader == to))
 		if err != nil {
 			return err
 		}
--- a/control/table.go
+++ b/control/table.go
@@ -205,6 +205,7 @@
 	deadline := now.Add(-t.grace)
 	expired := t.list.expire(deadline)
 	t.forgetRegistrations(deadline)
+	t.list.forgetDepartures(deadline.Add(-departureMemory))
 	var silent []*peerSession
 	for _, s := range t.sessions {
 		if s.seen.Before(deadline) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -373,7 +373,7 @@
 			g.losses.Started(quarantine.Instance{Endpoint: e.Name, Addr: e.Addr, Incarnation: e.Incarnation})
 		}
 		g.log.Info("endpoint announced", "endpoint", e.Name, "service", e.Target, "addr", e.Addr, "zone", e.Zone,
-			"incarnation", e.Incarnation, "leaving", e.Load.Leaving, "cold", e.Cold)
+			"incarnation", e.Incarnation, "leaving", g.fleet.Leaving(e.Name), "cold", e.Cold)
 	}
 	for _, name := range u.Removed {
 		g.fleet.Remove(name)
