control: a stopping replica waited for replicas that read nothing

Seen: by a test, a replica that sends to another one that reads nothing, as a suspended one, goes on waiting at its end: for a later message up to its deadline of 1 s, for the first one of a stream, which has none, until the connection is given up.

Cause: the senders looked at the end of their context only between two messages.

TestStoppingReplicaWaitsForAReplicaThatReadsNothing hung in both cases before.

--- a/control/transport.go
+++ b/control/transport.go
@@ -224,6 +224,8 @@
 	transport *transport
 	to        replica.ID
 	stream    wire.Stream
+	// detach keeps the end of the senders' context from aborting the stream.
+	detach func() bool
 }
 
 // run sends the queued messages to one replica until ctx ends.
@@ -248,6 +250,7 @@
 // close ends the stream. The next send opens a new one.
 func (o *outbound) close() {
 	if o.stream != nil {
+		o.detach()
 		o.stream.Abort()
 		o.stream = nil
 	}
@@ -277,7 +280,7 @@
 	defer cancel()
 	stream, err := o.transport.dial(bounded, o.to)
 	if err == nil {
-		o.stream = stream
+		o.stream, o.detach = stream, context.AfterFunc(ctx, stream.Abort)
 		return true
 	}
 	o.transport.log.Debug("replica not reached", "replica", o.to, "error", err)
@@ -298,6 +301,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer context.AfterFunc(ctx, stream.Abort)()
 	t.mu.Lock()
 	first := t.start
 	t.mu.Unlock()
