gateway: memory of a request whose answer was lost was renewed for 10 s

An endpoint ran a long prompt to its end, and its answer was lost on the way.

The cause: a renewal asked whether the primary is alive, not whether it still works on the request. Now, when nothing has come for 0.7 s, it asks a holder of the memory whether the ticket is used. If it is not, and the primary has no request waiting, the memory is left to expire; the entry asks again every 0.7 s and renews it if it is used then. An engine that does not say, or has requests waiting, keeps it. An attempt whose memory was seen in use and is not any more asks for another one at once.

Not covered: an answer that its caller reads slowly, as each event passed on counts as progress; and a lost answer at an endpoint with requests waiting at each question.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -68,6 +68,9 @@
 	permitted, trialOf uint64
 	// permitWait is how long to wait before a permit is requested again.
 	permitWait time.Duration
+	// usedMemory is set once an engine has said that a request uses the memory reservations, and loggedLost
+	// once it was logged that none does. They belong to the renewal of the reservations.
+	usedMemory, loggedLost bool
 	// taken is sent to when the call has dealt with a message. It is buffered for it.
 	taken chan struct{}
 	// done is closed at the end.
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -266,6 +266,11 @@
 	// Slowdown returns the time that the engine at addr takes for its work, as a multiple of the usual
 	// time. Zero means that the engine does not tell.
 	Slowdown(addr string) (float64, error)
+	// TicketUsed reports whether a request uses the memory of a ticket at the engine at addr, as the engine
+	// says, some hundred ms late. An error means that it does not say.
+	TicketUsed(addr, ticket string) (bool, error)
+	// Queued returns the number of requests that wait at the engine at addr, as the engine says.
+	Queued(addr string) (int, error)
 	// Reserve reserves KV memory for the given number of tokens until ttl has passed.
 	// The ticket identifies the reservation; another call with the same ticket renews
 	// it.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -123,6 +123,10 @@
 	slow map[string]float64
 }
 
+func (e *fakeEngines) TicketUsed(string, string) (bool, error) { return true, nil }
+
+func (e *fakeEngines) Queued(string) (int, error) { return 0, nil }
+
 func (e *fakeEngines) Alive(string, uint64) bool { return !e.dead.Load() }
 
 func (e *fakeEngines) Slowdown(addr string) (float64, error) {
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -79,7 +79,9 @@
 	checksLeft int
 	// resets counts the calls of reset, so that progress during a health check is noticed.
 	resets int
-	silent bool
+	// lastProgress is when the request was sent or the last progress came.
+	lastProgress time.Time
+	silent       bool
 	// since is when the endpoint was last found to be silent after progress.
 	since time.Time
 	// held is set while what the endpoint has sent waits for the caller.
@@ -101,6 +103,7 @@
 	defer t.mu.Unlock()
 	t.checksLeft = maxAliveChecks
 	t.resets++
+	t.lastProgress = t.a.c.g.clock.Now()
 	t.silent, t.held = false, false
 	if d <= 0 {
 		t.timer.Stop()
@@ -116,6 +119,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.resets++
+	t.lastProgress = t.a.c.g.clock.Now()
 	t.silent, t.held = false, true
 }
 
@@ -145,6 +149,23 @@
 	return now.Sub(t.since)
 }
 
+// quietFor returns the time since the last progress, zero if the request has not been sent.
+func (t *silenceTimer) quietFor(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.resets == 0 {
+		return 0
+	}
+	return now.Sub(t.lastProgress)
+}
+
+// isHeld reports whether what the endpoint has sent waits for the caller.
+func (t *silenceTimer) isHeld() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.held
+}
+
 // expired extends the wait while the engine answers health checks, and else tells the call.
 func (t *silenceTimer) expired() {
 	t.mu.Lock()
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -23,6 +23,9 @@
 	// some seconds later.
 	maxReleaseAttempts   = 10
 	releaseRetryInterval = 600 * time.Millisecond
+	// maxHoldersAsked is how many engines that hold memory of a request are asked before a renewal, until
+	// one answers.
+	maxHoldersAsked = 2
 )
 
 // ticket is a reservation of KV memory at a helper.
@@ -110,9 +113,9 @@
 	return verdict.Refuse(verdict.ReasonEndpointMemory, defaultRetryAfter, "no memory for %d tokens beside endpoint %s", tokens, a.endpoint())
 }
 
-// renew renews the reservations until ctx ends. While the primary endpoint, without which they serve
-// nothing, answers no health checks, they are not renewed and the call is told of its silence, unless
-// the request must not be sent to another endpoint.
+// renew renews the reservations until ctx ends. They are not renewed, and the call is told of the
+// silence, while the primary endpoint, without which they serve nothing, answers no health checks, unless
+// the request must not be sent to another endpoint, and while no request uses them.
 func (a *attempt) renew(ctx context.Context, reserved []ticket) {
 	g := a.c.g
 	wait := func() time.Duration { return time.Duration(renewAfterFraction * float64(g.currentTicketTTL())) }
@@ -129,6 +132,11 @@
 			next = renewRetryInterval
 			continue
 		}
+		if !a.usesMemory(reserved) {
+			a.declareLost(progress)
+			next = healthCheckInterval
+			continue
+		}
 		if due = a.renewOnce(ctx, due); len(due) > 0 {
 			next = renewRetryInterval
 			continue
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -12,16 +12,48 @@
 // ticket is memory that a worker has set aside.
 type ticket struct {
 	expires time.Time
-	// ended is when the request that used it was over, zero before.
+	// tokens is the size of the memory, and since when it was set aside.
+	tokens int64
+	since  time.Time
+	// used is set while a request uses it, and ended is when that was over, zero before.
+	used  bool
 	ended time.Time
 }
 
+// reportedTicket is a ticket as a report lists it.
+type reportedTicket struct {
+	Id     string
+	Tokens int64
+	State  string
+	AgeMs  int64
+}
+
+// listTickets returns the tickets of the worker as its report lists them, as of now.
+func (w *worker) listTickets() []byte {
+	w.expireTickets()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := []reportedTicket{}
+	for id, t := range w.tickets {
+		state := "held"
+		if t.used {
+			state = "used"
+		}
+		list = append(list, reportedTicket{id, t.tokens, state, time.Since(t.since).Milliseconds()})
+	}
+	raw, err := json.Marshal(list)
+	if err != nil {
+		w.l.note("worker %s: list tickets: %v", w.id, err)
+	}
+	return raw
+}
+
 // serveEngine answers orders and reports, which need no slot. It returns false for other requests.
 func (w *worker) serveEngine(rw http.ResponseWriter, r *http.Request) bool {
 	switch r.URL.Path {
 	case "/api/report":
 		rw.Header().Set("Content-Type", "application/json")
-		_, _ = fmt.Fprintf(rw, `{"Stage":"unified","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Busy":false,"Sequence":0,"Queued":0,"Active":0,"KvUsed":0,"KvTotal":232000,"CacheHandles":0,"pace":1.0,"born":%d}`, w.born)
+		_, _ = fmt.Fprintf(rw, `{"Stage":"unified","Models":[{"Name":"m","Version":1,"Adapters":[]}],"Busy":false,"Sequence":0,"Queued":0,"Active":0,"KvUsed":0,"KvTotal":232000,"CacheHandles":0,"pace":1.0,"born":%d,"Tickets":%s}`, w.born, w.listTickets())
 	case "/api/order":
 		var order struct {
 			Operation, Id  string
@@ -31,11 +63,12 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return true
 		}
+		w.expireTickets()
 		w.mu.Lock()
 		switch order.Operation {
 		case "reserve":
 			if w.tickets[order.Id] == nil {
-				w.tickets[order.Id] = &ticket{}
+				w.tickets[order.Id] = &ticket{tokens: order.Tokens, since: time.Now()}
 			}
 			w.tickets[order.Id].expires = time.Now().Add(time.Duration(order.HoldMs) * time.Millisecond)
 		case "release":
@@ -90,6 +123,7 @@
 	id, helpers := r.Header.Get("Rosemaryproxy-Attempt-Id"), helpersOf(r)
 	lost := w.l.loseAnswer(len(helpers) > 0)
 	w.l.note("worker %s: request %s begins, %d helpers with tickets, answer lost: %v", w.id, id, len(helpers), lost)
+	w.l.beginUse(helpers)
 	time.Sleep(w.work)
 	h := rw.Header()
 	h.Set("Content-Type", "text/event-stream")
@@ -122,13 +156,24 @@
 	return true
 }
 
+// beginUse records that a request uses the tickets.
+func (l *lab) beginUse(helpers map[string]string) {
+	for _, w := range l.workers {
+		w.mu.Lock()
+		if t := w.tickets[helpers[w.addr]]; t != nil {
+			t.used = true
+		}
+		w.mu.Unlock()
+	}
+}
+
 // endUse records that the request that used the tickets is over.
 func (l *lab) endUse(helpers map[string]string) {
 	now := time.Now()
 	for _, w := range l.workers {
 		w.mu.Lock()
 		if t := w.tickets[helpers[w.addr]]; t != nil {
-			t.ended = now
+			t.used, t.ended = false, now
 		}
 		w.mu.Unlock()
 	}
