control: the departure of an endpoint that a replica did not know was acknowledged and lost

An endpoint that leaves sent DELETE to a replica that did not know it yet, or that had just started.

Cause: deregister returned for a name that is not listed, and the API acknowledged all the same.

--- a/control/departures.go
+++ b/control/departures.go
@@ -58,6 +58,16 @@
 	delete(d.departed, oldest)
 }
 
+// hasDeparted reports whether an incarnation of an endpoint is known to have left.
+func (d *directory) hasDeparted(name string) bool {
+	for i := range d.departed {
+		if i.name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // keepLeaving returns e, with Leaving set if the incarnation is known to leave. A leaving endpoint becomes
 // available again only as a new incarnation.
 func (d *directory) keepLeaving(e wire.Endpoint) wire.Endpoint {
--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -169,3 +169,22 @@
 	is.Equal(len(d.departed), maxDepartures)
 	is.True(d.keepLeaving(direct(fmt.Sprint("i-", maxDepartures+9), addrOne, 1, false)).Load.Leaving)
 }
+
+// A replica that did not know an endpoint acknowledged that it had left, and kept nothing of it.
+func TestDepartureOfAnUnknownEndpointIsAcknowledged(t *testing.T) {
+	is := is.New(t)
+	g := newReplicaGroup(3)
+	g.tables[0].register(g.now, direct("i-1", addrOne, 5, false), 1)
+	is.True(!g.tables[1].deregister(g.now, "i-1", 0)) // before the first report
+	g.report()
+	is.True(g.tables[1].deregister(g.now, "i-1", 0))
+	g.report()
+	g.restart(2)
+	is.True(!g.tables[2].deregister(g.now, "i-1", 0))
+	g.pass(3 * testGrace)
+	for _, table := range g.tables {
+		_, ok := listed(table)["i-1"]
+		is.True(!ok)
+		is.True(table.deregister(g.now, "i-1", 0)) // sent again
+	}
+}
--- a/control/publish.go
+++ b/control/publish.go
@@ -77,9 +77,10 @@
 }
 
 // Deregister marks a direct endpoint as leaving. Incarnation zero stands for any incarnation;
-// an incarnation older than the listed one is ignored.
-func (p *Plugin) Deregister(name string, incarnation uint64) {
-	p.server.table.deregister(p.server.clock.Now(), name, incarnation)
+// an incarnation older than the listed one is ignored. Deregister returns false if this replica does not
+// know the endpoint; another one may.
+func (p *Plugin) Deregister(name string, incarnation uint64) (known bool) {
+	return p.server.table.deregister(p.server.clock.Now(), name, incarnation)
 }
 
 // submit has the leader execute a command and retries until ctx ends. The command must be
--- a/control/registry.go
+++ b/control/registry.go
@@ -53,13 +53,17 @@
 }
 
 // deregister marks an endpoint as leaving instead of removing it. The endpoint may serve its
-// last requests for a while, and a delayed announcement must not list it as available again.
-func (t *table) deregister(now time.Time, name string, incarnation uint64) {
+// last requests for a while, and a delayed announcement must not list it as available again. It returns
+// false for an endpoint that is not known here; another replica may know it.
+func (t *table) deregister(now time.Time, name string, incarnation uint64) (known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.list.members[name]
-	if !ok || incarnation != 0 && incarnation < m.endpoint.Incarnation {
-		return
+	if !ok {
+		return t.list.hasDeparted(name)
+	}
+	if incarnation != 0 && incarnation < m.endpoint.Incarnation {
+		return true
 	}
 	e := m.endpoint
 	e.Load.Leaving = true
@@ -70,6 +74,7 @@
 		t.notifyLocked()
 	}
 	t.registered[name] = &registration{endpoint: &e, seen: now}
+	return true
 }
 
 // forgetRegistrations drops the registrations whose last announcement arrived before deadline.
