--- a/soak/stops.go
+++ b/soak/stops.go
@@ -60,5 +60,5 @@
 	if !r.workEnded.IsZero() {
 		work = fmt.Sprint("an endpoint ended its work at ", since(r.workEnded))
 	}
-	return fmt.Sprintf("%v after SIGTERM; its last byte was sent at %v, %d endpoints are at work, %s", since(now), since(r.whole), r.working, work)
+	return fmt.Sprintf("%v after the last SIGTERM; its last byte was sent at %v, %d endpoints are at work, %s", since(now), since(r.whole), r.working, work)
 }
