gateway: gaps that a review of the late stop found

A reviewer who had not seen the work found, by reading: - A request whose own check came just before SIGTERM, or before its last moment, was still agreed to and sent after it. The call checks again as it agrees. - Once the last moment to send had passed with an attempt at work, an attempt that waited for endpoints kept its caller waiting after the one at work had failed. The caller is told at once. - A silent attempt was ended in favour of one that the stop then refused.

TestRequestIsAgreedToAfterTheStopBegan, TestUnsentAttemptWaitsOnAfterTheSentOneFailed and TestStoppingEntryWaitsForTheSpeedOfAnEngine fail with the three changes taken out.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -81,6 +81,8 @@
 	// belong to the call.
 	sent, toldSilent bool
 	spent            time.Time
+	// withdrawn is set if the call has not agreed that the request is sent.
+	withdrawn bool
 }
 
 // message is what an attempt tells its call. Exactly one of sending, event, ended and err is set.
@@ -271,6 +273,9 @@
 	if !a.tell(message{sending: true}) {
 		return nil, context.Cause(a.ctx)
 	}
+	if a.withdrawn {
+		return nil, errStopping
+	}
 	a.sentAt = a.c.g.clock.Now()
 	defer a.timer.stop()
 	a.timer.reset(a.firstEventTimeout())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,6 +135,8 @@
 	stop        stop
 	// cut is set before the connections that are left are closed.
 	cut atomic.Bool
+	// lingering counts the handlers that have answered and read on until their callers close.
+	lingering atomic.Int64
 	// deployment is the newest published deployment, nil before the first one.
 	deployment atomic.Pointer[Deployment]
 	// entries is the number of entries known, including this one.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -389,6 +389,8 @@
 	if reusable {
 		return
 	}
+	c.g.lingering.Add(1)
+	defer c.g.lingering.Add(-1)
 	if err := drain.Linger(c.w, c.g.clock.Now()); err != nil {
 		c.log().Debug("connection not closed in order", "error", err)
 	}
--- a/gateway/late_requests_test.go
+++ b/gateway/late_requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +16,7 @@
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
+	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
 const (
@@ -355,12 +357,93 @@
 			placed, err := w.g.placeInCell(t.Context(), a.newWaiter())
 			is.NoErr(err)
 			a.placed = placed
-			w.g.mu.Lock()
-			defer w.g.mu.Unlock()
 			if slow {
+				w.g.mu.Lock()
 				w.g.fleet.ObserveSlowdown(time.Now(), assign.Slowdown{Endpoint: a.endpoint(), Incarnation: 1, Factor: 10})
+				w.g.mu.Unlock()
 			}
-			is.Equal(a.tooLateToSend(time.Now()), slow)
+			is.Equal(a.tooLateToSend(), slow)
 		})
 	}
 }
+
+// placedCall returns a call with a placed attempt that is about to be sent, and whose time limit ends long after
+// a stop.
+func (w *testGateway) placedCall(t *testing.T) (*call, *attempt) {
+	t.Helper()
+	c := w.call("/status/1", 0)
+	c.deadline = time.Now().Add(time.Hour)
+	a := c.newAttempt(t.Context())
+	placed, err := w.g.placeInCell(t.Context(), a.newWaiter())
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.placed = placed
+	c.open = []*attempt{a}
+	return c, a
+}
+
+// A request whose own check came before the stop was sent after it.
+func TestRequestIsAgreedToAfterTheStopBegan(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, answering(http.StatusOK, "done"))
+	c, a := w.placedCall(t)
+	w.g.stop.begin(time.Now(), time.Now().Add(time.Minute))
+	done, err := c.take(t.Context(), message{from: a, sending: true})
+	is.True(done)
+	is.True(verdict.IsReason(err, verdict.ReasonStopping))
+	is.Equal(verdict.From(err).Verdict, verdict.NotRun)
+	is.True(a.withdrawn && !a.sent)
+}
+
+// A request whose sent attempt failed late in a stop waited on for endpoints that it would not be sent to.
+func TestUnsentAttemptWaitsOnAfterTheSentOneFailed(t *testing.T) {
+	is := is.New(t)
+	w := newTestGateway(t, answering(http.StatusOK, "done"))
+	c, sent := w.placedCall(t)
+	sent.sent, sent.ran = true, true
+	close(sent.done)
+	c.open = append(c.open, c.newAttempt(t.Context()))
+	w.g.stop.begin(time.Now(), time.Now().Add(time.Minute))
+	done, err := c.take(t.Context(), message{from: sent, err: verdict.Uncertain(verdict.ReasonEndpointLost, 0, "gone")})
+	is.True(done)
+	is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+	is.Equal(len(c.open), 0)
+}
+
+// slowReports are engines that take long to tell their speed.
+type slowReports struct {
+	*fakeEngines
+	asked chan struct{}
+	end   chan struct{}
+}
+
+func (e *slowReports) Slowdown(string) (float64, error) {
+	close(e.asked)
+	<-e.end
+	return 1, nil
+}
+
+// The end of the process waited for an engine that was asked for its speed.
+func TestStoppingEntryWaitsForTheSpeedOfAnEngine(t *testing.T) {
+	w := newTestGateway(t, answering(http.StatusOK, "done"))
+	engines := &slowReports{w.engines, make(chan struct{}), make(chan struct{})}
+	defer close(engines.end)
+	w.g.engines = engines
+	w.g.mu.Lock()
+	w.g.slowSuspects["scribe-1"] = true
+	w.g.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.g.checkSlowdowns(ctx)
+	}()
+	<-engines.asked
+	cancel()
+	select {
+	case <-ended:
+	case <-time.After(answerTimeout):
+		t.Fatal("it waits on")
+	}
+}
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -67,9 +67,8 @@
 			sendBy, answerBy = c.g.clock.After(c.sendBy().Sub(now)), c.g.clock.After(c.g.stop.answerBy.Sub(now))
 		case <-sendBy:
 			sendBy = nil
-			if !c.hasSent() {
-				c.endAttempts(errStopping)
-				return c.refuseStopping()
+			if done, err := c.endUnsent(); done {
+				return err
 			}
 		case <-answerBy:
 			return c.stopped()
@@ -102,6 +101,11 @@
 	switch {
 	case !slices.Contains(c.open, m.from):
 		return false, nil
+	case m.sending && m.from.tooLateToSend():
+		// The stop began after the attempt's own check.
+		m.from.withdrawn = true
+		c.close(m.from, false)
+		return c.endUnsent()
 	case m.sending:
 		c.recordSend(m.from)
 		return false, nil
@@ -160,6 +164,11 @@
 	if ctx.Err() != nil {
 		return false, nil
 	}
+	if c.tooLateToSend() && len(c.open) > 0 {
+		if done, err := c.endUnsent(); done {
+			return true, err
+		}
+	}
 	r := verdict.From(m.err)
 	if a.immediate && a.placed == nil && mayClearWhileWaiting(r.Reason) && c.takeOverHelpers(ctx, a) {
 		return false, nil
@@ -186,6 +195,9 @@
 // found no room, has room only without them: the memory of the helpers is of no use to a dead endpoint.
 // An endpoint that may still go on keeps it, and the new attempt is booked before the others end.
 func (c *call) takeOverHelpers(ctx context.Context, a *attempt) bool {
+	if c.tooLateToSend() {
+		return false
+	}
 	var silent []*attempt
 	for _, o := range c.open {
 		switch {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -28,14 +28,12 @@
 	if c.needsPermission && !c.awaitPermission(a.ctx) {
 		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry's permission has lapsed at revision %d", c.g.client.Permission().Revision)
 	}
-	now := c.g.clock.Now()
-	c.g.mu.Lock()
-	tooLate := a.tooLateToSend(now)
-	endpoint, reason := c.g.fleet.Withdrawn(now, a.placed.Assignment, &a.request)
-	c.g.mu.Unlock()
-	if tooLate {
+	if a.tooLateToSend() {
 		return c.g.refuseToSend()
 	}
+	c.g.mu.Lock()
+	endpoint, reason := c.g.fleet.Withdrawn(c.g.clock.Now(), a.placed.Assignment, &a.request)
+	c.g.mu.Unlock()
 	if reason == "" {
 		return nil
 	}
--- a/gateway/slowdown.go
+++ b/gateway/slowdown.go
@@ -34,14 +34,25 @@
 			if ctx.Err() != nil {
 				return
 			}
-			g.checkSlowdown(e)
+			g.checkSlowdown(ctx, e)
 		}
 	}
 }
 
-// checkSlowdown asks an engine for its speed.
-func (g *Gateway) checkSlowdown(e assign.Endpoint) {
-	factor, err := g.engines.Slowdown(e.Addr)
+// checkSlowdown asks an engine for its speed. It does not wait for the answer when ctx ends.
+func (g *Gateway) checkSlowdown(ctx context.Context, e assign.Endpoint) {
+	var factor float64
+	var err error
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		factor, err = g.engines.Slowdown(e.Addr)
+	}()
+	select {
+	case <-answered:
+	case <-ctx.Done():
+		return
+	}
 	if err != nil {
 		g.log.Debug("speed of an endpoint not known", "endpoint", e.Name, "error", err)
 		return
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -68,8 +68,8 @@
 
 // sendBy is when a request has to be sent by a stopping process so that it ends before connections are
 // closed; zero means that it is not sent. Until the listener closes, the load balancer may still send requests here;
-// those are served that fit at a full engine by their size. Later, only requests whose own deadline comes
-// before.
+// those are served that fit at a full engine by their size, which a silent engine or other prompts can still
+// exceed. Later, only requests whose own deadline comes before.
 func (s *stop) sendBy(w *work) time.Time {
 	if !w.deadline.After(s.answerBy) {
 		return s.answerBy
@@ -117,12 +117,15 @@
 	return c.g.stop.hasBegun() && c.g.clock.Now().After(c.sendBy())
 }
 
-// tooLateToSend is that of the call, once endpoints are chosen. The caller holds c.g.mu.
-func (a *attempt) tooLateToSend(now time.Time) bool {
+// tooLateToSend is that of the call, once endpoints are chosen.
+func (a *attempt) tooLateToSend() bool {
 	g := a.c.g
 	if !g.stop.hasBegun() {
 		return false
 	}
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return now.After(g.stop.sendBy(a.c.work(a.placed.PredictedPrefill))) ||
 		a.c.deadline.After(g.stop.answerBy) && g.fleet.Slow(now, a.placed.Assignment)
 }
@@ -146,6 +149,16 @@
 	return verdict.Uncertain(verdict.ReasonStopping, 0, "entry %s stops while endpoint %s is at work", c.g.node.Name, c.endpoint)
 }
 
+// endUnsent ends the request if none of its open attempts has been sent, since none will be. It returns the
+// refusal for the caller.
+func (c *call) endUnsent() (done bool, err error) {
+	if c.hasSent() {
+		return false, nil
+	}
+	c.endAttempts(errStopping)
+	return true, c.refuseStopping()
+}
+
 // hasSent reports whether an open attempt has been sent.
 func (c *call) hasSent() bool {
 	return slices.ContainsFunc(c.open, func(a *attempt) bool { return a.sent })
@@ -153,9 +166,13 @@
 
 // awaitHandlers waits until no request is in flight, for at most handlerEndTime after connections were closed.
 func (g *Gateway) awaitHandlers() {
-	for end := g.clock.Now().Add(handlerEndTime); g.metrics.inFlight.Load() > 0; {
+	for end := g.clock.Now().Add(handlerEndTime); ; {
+		left := g.metrics.inFlight.Load() - g.lingering.Load()
+		if left <= 0 {
+			return
+		}
 		if g.clock.Now().After(end) {
-			g.log.Warn("requests in flight left", "requests", g.metrics.inFlight.Load())
+			g.log.Warn("requests in flight left", "requests", left)
 			return
 		}
 		<-g.clock.After(handlerPollInterval)
