--- a/control/publish.go
+++ b/control/publish.go
@@ -30,8 +30,8 @@
 //
 // The function waits returns an error once the sender no longer waits for the answer, and may
 // have given the order to another replica. The order has no effect after a newer one, however
-// long this process, a link or the leader held it up: the revision that it expects was
-// read before the sender was seen to wait, and every order changes the revision.
+// long this process, its link to the leader or the leader held it up: the revision that it expects
+// was read before the sender was seen to wait, and every order changes the revision.
 func (p *Plugin) SetZone(ctx context.Context, zone config.Zone, waits func() error) error {
 	for {
 		err := p.server.setZone(ctx, zone, waits)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -492,13 +492,3 @@
 	}
 	return false
 }
-
-// markAlive records activity of the primary endpoint.
-func (a *attempt) markAlive() {
-	g := a.c.g
-	now := g.clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.fleet.MarkAlive(now, a.endpoint())
-	g.returnPermits(g.losses.Active(now, instanceOf(a.placed.Primary)))
-}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -200,6 +200,16 @@
 	go a.c.g.reportRunEnd(command.Ended{Digest: a.permitted, Holder: a.permitHolder, Completed: err == nil})
 }
 
+// markAlive records activity of the primary endpoint.
+func (a *attempt) markAlive() {
+	g := a.c.g
+	now := g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fleet.MarkAlive(now, a.endpoint())
+	g.returnPermits(g.losses.Active(now, instanceOf(a.placed.Primary)))
+}
+
 // returnPermits returns the permits of interrupted attempts whose endpoint is running.
 func (g *Gateway) returnPermits(released []*quarantine.Attempt) {
 	for _, a := range released {
