schedule: short prompts that cannot be in time are refused at once in an overload

Change: the decisions on waiting requests move from gateway to package schedule, without I/O and clock. In an overload a short prompt waits for two claim slots, and is then refused with a Retry-After of 0.6 to 1 times the longest that its caller bears. While endpoints are nearly full, each free slot is claimed by as many entries as slots are free.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -131,6 +131,8 @@
 	// waiting it does not fall: a small group holds its endpoints for long, and makes the others late, too.
 	Waited, RelaxAfter time.Duration
 	Alone              bool
+	// Contended is set if other entries are likely to want the same free slots. Entries then claim them in turn.
+	Contended bool
 }
 
 // totalTokens is the KV memory that the request uses once its answer is complete, in
@@ -194,6 +196,9 @@
 			return nil, err
 		}
 	default:
+		if all = f.claimable(now, r, all); len(all) == 0 {
+			return nil, verdict.Refuse(verdict.ReasonOverloaded, busyRetryAfter, "no endpoint of %s has a free slot that this entry may claim now", r.Service)
+		}
 		m := f.pickForShort(now, r, all)
 		if m != nil {
 			a = assignSingle(now, r, all, m)
--- a/assign/pace.go
+++ b/assign/pace.go
@@ -12,8 +12,9 @@
 	// for how long an unused turn does.
 	paceTolerance = 300 * time.Millisecond
 	turnTolerance = 500 * time.Millisecond
-	// claimSlot is the time in which a booking reaches the other entries.
-	claimSlot = 20 * time.Millisecond
+	// ClaimSlot is the time in which a booking reaches the other entries. Rights to send and free slots are
+	// claimed by a few entries at a time.
+	ClaimSlot = 20 * time.Millisecond
 	// extraClaimants and extraClaimantsPerRate, which is per request per second, are how many entries
 	// more than there are rights to send may claim one in a slot. Bookings of two slots cross, so that
 	// all entries together may send more than the rate: in a span W of a second and more, at
@@ -115,10 +116,10 @@
 }
 
 // slotOf returns the number of the slot of time that now is in, and slotEnd how long it lasts.
-func slotOf(now time.Time) int64 { return now.UnixNano() / int64(claimSlot) }
+func slotOf(now time.Time) int64 { return now.UnixNano() / int64(ClaimSlot) }
 
 func slotEnd(now time.Time) time.Duration {
-	return claimSlot - time.Duration(now.UnixNano()%int64(claimSlot))
+	return ClaimSlot - time.Duration(now.UnixNano()%int64(ClaimSlot))
 }
 
 // claimWait returns how long this entry leaves rights to send to others, if so many entries may
--- a/gateway/cells.go
+++ b/gateway/cells.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/route"
+	"github.com/rosemaryproxy/rosemaryproxy/schedule"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
@@ -115,7 +116,7 @@
 func (g *Gateway) placeAmongCells(ctx context.Context, a *attempt) (*placement, error) {
 	for {
 		w := a.newWaiter()
-		w.immediate = true
+		w.Immediate = true
 		p, err := g.placeInCell(ctx, w)
 		if p != nil || !mayFitElsewhere(err) {
 			return p, err
@@ -125,20 +126,20 @@
 			return elsewhere.placement, nil
 		}
 		w = a.newWaiter()
-		w.yieldAt = g.clock.Now().Add(cellWait)
+		w.YieldAt = g.clock.Now().Add(cellWait)
 		switch {
-		case mayClearWhileWaiting(verdict.From(err).Reason):
+		case schedule.MayClear(verdict.From(err).Reason):
 			p, err = g.placeInCell(ctx, w)
 		case elsewhere.busy != "":
 			p, err = g.placeAtOtherCell(ctx, a, elsewhere.busy, w)
 		case elsewhere.silent:
 			g.awaitOtherCells(ctx, w)
 		}
-		if p != nil || ctx.Err() != nil || !g.clock.Now().Before(w.giveUpAt) || !mayFitElsewhere(err) {
+		if p != nil || ctx.Err() != nil || !g.clock.Now().Before(w.GiveUpAt) || !mayFitElsewhere(err) {
 			return p, err
 		}
 		// A refusal before yieldAt is final: waiting would not have helped.
-		if g.clock.Now().Before(w.yieldAt) && !verdict.IsReason(err, verdict.ReasonUnreachable) {
+		if g.clock.Now().Before(w.YieldAt) && !verdict.IsReason(err, verdict.ReasonUnreachable) {
 			return p, err
 		}
 	}
@@ -147,9 +148,9 @@
 // awaitOtherCells waits before the other cells are asked again. An entry that has not answered may go
 // on, and may have room.
 func (g *Gateway) awaitOtherCells(ctx context.Context, w *waiter) {
-	until := w.yieldAt
-	if w.giveUpAt.Before(until) {
-		until = w.giveUpAt
+	until := w.YieldAt
+	if w.GiveUpAt.Before(until) {
+		until = w.GiveUpAt
 	}
 	select {
 	case <-ctx.Done():
@@ -181,20 +182,20 @@
 
 // placeElsewhere places a request in another cell that has room now.
 func (g *Gateway) placeElsewhere(ctx context.Context, a *attempt) elsewhere {
-	contacts, silent := g.placer.contacts(g.clock.Now(), string(g.Peers), classOf(&a.request) != route.Short)
+	contacts, silent := g.placer.contacts(g.clock.Now(), string(g.Peers), schedule.ClassOf(&a.request) != route.Short)
 	out := elsewhere{silent: silent}
 	var refusal *verdict.Refusal
 	for _, addr := range contacts {
 		askCtx, cancel := context.WithTimeout(ctx, otherCellTimeout)
 		w := a.newWaiter()
-		w.immediate = true
+		w.Immediate = true
 		p, err := g.placeAtOtherCell(askCtx, a, addr, w)
 		cancel()
 		if p != nil || ctx.Err() != nil {
 			return elsewhere{placement: p}
 		}
 		switch refusal = verdict.From(err); {
-		case mayClearWhileWaiting(refusal.Reason):
+		case schedule.MayClear(refusal.Reason):
 			out.busy = addr
 		case refusal.Reason == verdict.ReasonUnreachable, refusal.Reason == verdict.ReasonStaleConfiguration:
 			out.silent = true
@@ -225,7 +226,7 @@
 	}
 	p, rejected := g.acceptPlacement(addr, w, answer, stream)
 	if p == nil {
-		(&placement{g: g, id: w.bookingID, held: stream}).release(true)
+		(&placement{g: g, id: w.BookingID, held: stream}).release(true)
 		return nil, verdict.Refuse(rejected, defaultRetryAfter, "the choice of entry %s of another cell does not hold", addr)
 	}
 	g.metrics.placedByOtherCells.Inc()
@@ -235,8 +236,8 @@
 // holdForPeer holds the booking that this entry has made for an entry of another cell, until that
 // entry reports its end, closes the stream, or longest has passed.
 func (g *Gateway) holdForPeer(stream wire.Stream, w *waiter, answer *wire.Placed, longest time.Duration) {
-	p := &placement{g: g, id: w.bookingID}
-	g.bookings.begin(w.bookingID, fromWire(answer.Booking))
+	p := &placement{g: g, id: w.BookingID}
+	g.bookings.begin(w.BookingID, fromWire(answer.Booking))
 	if !g.sendPlaced(stream, answer) || stream.SetDeadline(g.clock.Now().Add(longest)) != nil {
 		p.release(true)
 		return
@@ -246,7 +247,7 @@
 		b, ok := m.(*wire.Bookings)
 		switch {
 		case err != nil || !ok:
-			g.log.Debug("booking of another cell ended", "peer", stream.Peer().Name, "booking", w.bookingID, "error", err)
+			g.log.Debug("booking of another cell ended", "peer", stream.Peer().Name, "booking", w.BookingID, "error", err)
 			p.release(!answered)
 			return
 		case len(b.Ended) > 0 || len(b.Unprefilled) > 0:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
+	"github.com/rosemaryproxy/rosemaryproxy/schedule"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/stream"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -171,8 +172,9 @@
 	fleet *assign.Fleet
 	// losses finds out under which requests endpoints ended.
 	losses *quarantine.Tracker
-	// queues holds the requests that wait for an endpoint, by service.
-	queues map[string]*queues
+	// waiting holds the requests that wait for endpoints, and gauged the services that have gauges.
+	waiting *schedule.Scheduler
+	gauged  map[string]bool
 	// bookingStreams counts the open streams over which other entries send their
 	// bookings, by entry name.
 	bookingStreams map[string]int
@@ -193,9 +195,10 @@
 	g := &Gateway{
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1), queued: make(chan struct{}, 1),
-		fleet: assign.NewFleet(), bookings: newBookings(), placing: newPlacing(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
+		fleet: assign.NewFleet(), bookings: newBookings(), placing: newPlacing(), placer: &placer{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
 		leftEntries: map[string]string{}, slowSuspects: map[string]bool{}, stop: stop{began: make(chan struct{})},
 	}
+	g.waiting, g.gauged = schedule.New(g.fleet), map[string]bool{}
 	g.ticketTTL.Store(int64(s.TicketTTL))
 	return g
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -17,6 +17,7 @@
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/drain"
+	"github.com/rosemaryproxy/rosemaryproxy/schedule"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -344,7 +345,7 @@
 	if c.service == nil {
 		return ""
 	}
-	return classOf(&c.placementRequest).String()
+	return schedule.ClassOf(&c.placementRequest).String()
 }
 
 // log returns a logger that adds the fields of the request to each line.
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/schedule"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -127,10 +128,10 @@
 			engine := w.g.deployment.Load().Services["scribe"].Engine
 			var waiters []*waiter
 			for i, startBy := range []time.Duration{test.shortStartBy, test.longStartBy} {
-				waiters = append(waiters, &waiter{
-					request: &assign.Request{Service: "scribe", Engine: engine, PromptTokens: 10 + i*500_000}, bookingID: uint64(i + 1), arrived: now,
-					startBy: now.Add(startBy), giveUpAt: now.Add(time.Minute - time.Duration(i)*time.Second), result: make(chan placeResult, 1),
-				})
+				waiters = append(waiters, newWaiter(schedule.Request{
+					Request: &assign.Request{Service: "scribe", Engine: engine, PromptTokens: 10 + i*500_000}, BookingID: uint64(i + 1), Arrived: now,
+					StartBy: now.Add(startBy), GiveUpAt: now.Add(time.Minute - time.Duration(i)*time.Second),
+				}))
 				engine.MemoryTokens = 10_000_000
 				w.g.placeOrEnqueue(waiters[i])
 			}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -120,16 +120,22 @@
 	return g.fleet.Count(g.clock.Now())
 }
 
-// registerServiceGauges adds the gauges of a service. The caller holds g.mu; the gauges
+// registerServiceGauges adds the gauges of a service, if it has none. The caller holds g.mu; the gauges
 // take that lock themselves when they are read.
-func (g *Gateway) registerServiceGauges(name string, q *queues) {
-	for class, waiting := range map[string]interface{ Len() int }{"short": q.short, "long": q.long} {
-		g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_waiting{service=%q,class=%q}", name, class), func() float64 {
+func (g *Gateway) registerServiceGauges(name string) {
+	if g.gauged[name] {
+		return
+	}
+	g.gauged[name] = true
+	waiting := func(count func(short, long int) int) func() float64 {
+		return func() float64 {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			return float64(waiting.Len())
-		})
+			return float64(count(g.waiting.Len(name)))
+		}
 	}
+	g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_waiting{service=%q,class=%q}", name, "short"), waiting(func(short, _ int) int { return short }))
+	g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_waiting{service=%q,class=%q}", name, "long"), waiting(func(_, long int) int { return long }))
 	g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_retries_left{service=%q}", name), func() float64 {
 		return g.retries.remaining(g.clock.Now(), name, g.retrySharing())
 	})
--- a/gateway/perform.go
+++ b/gateway/perform.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rosemaryproxy/rosemaryproxy/schedule"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -170,7 +171,7 @@
 		}
 	}
 	r := verdict.From(m.err)
-	if a.immediate && a.placed == nil && mayClearWhileWaiting(r.Reason) && c.takeOverHelpers(ctx, a) {
+	if a.immediate && a.placed == nil && schedule.MayClear(r.Reason) && c.takeOverHelpers(ctx, a) {
 		return false, nil
 	}
 	if c.awaitsOpen() {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
+	"github.com/rosemaryproxy/rosemaryproxy/schedule"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
@@ -104,7 +105,7 @@
 		}
 		answer, _ := g.askPlacer(ctx, addr, w.toWire(g.clock.Now()), false)
 		if ctx.Err() != nil {
-			g.bookings.end(w.bookingID, true)
+			g.bookings.end(w.BookingID, true)
 			return nil, g.withdraw(ctx, w)
 		}
 		if answer != nil && answer.Refused != nil && answer.Refused.Refusal().Reason != verdict.ReasonStaleConfiguration {
@@ -114,8 +115,8 @@
 		if p != nil {
 			return p, nil
 		}
-		g.bookings.end(w.bookingID, true)
-		w.bookingID = g.bookings.newID()
+		g.bookings.end(w.BookingID, true)
+		w.BookingID = g.bookings.newID()
 		if rejected != "" && rejected != verdict.ReasonZoneOut {
 			return nil, nil // the lists of endpoints differ for a moment
 		}
@@ -140,26 +141,26 @@
 	a, known := g.fleet.ResolveBooking(fromWire(answer.Booking))
 	endpoint, rejected := "", verdict.ReasonEndpointLost
 	if known {
-		endpoint, rejected = g.fleet.Withdrawn(now, a, w.request)
+		endpoint, rejected = g.fleet.Withdrawn(now, a, w.Request.Request)
 	}
 	if rejected == "" {
 		a.PredictedPrefill, a.Candidates = answer.PredictedPrefill, answer.Candidates
 		if held == nil {
-			g.fleet.Book(now, "", w.bookingID, &a.Booking)
+			g.fleet.Book(now, "", w.BookingID, &a.Booking)
 		}
 	}
 	g.mu.Unlock()
 	if rejected != "" {
 		g.metrics.placementsRejected.Inc()
-		g.log.Warn("placement by another entry rejected", "placer", addr, "booking", w.bookingID, "primary", answer.Booking.Primary.Endpoint, "rejected", endpoint,
+		g.log.Warn("placement by another entry rejected", "placer", addr, "booking", w.BookingID, "primary", answer.Booking.Primary.Endpoint, "rejected", endpoint,
 			"reason", string(rejected), "placer_revision", answer.Revision, "revision", g.client.Permission().Revision)
 		return nil, rejected
 	}
 	g.metrics.placedByPeers.Inc()
 	if held == nil {
-		g.bookings.begin(w.bookingID, &a.Booking)
+		g.bookings.begin(w.BookingID, &a.Booking)
 	}
-	return &placement{Assignment: a, g: g, id: w.bookingID, placer: addr, revision: answer.Revision, held: held}, ""
+	return &placement{Assignment: a, g: g, id: w.BookingID, placer: addr, revision: answer.Revision, held: held}, ""
 }
 
 // askPlacer returns the final answer of the placing entry, or nil when it does not answer. With
@@ -209,17 +210,17 @@
 
 // toWire returns the request as a message to the placing entry.
 func (w *waiter) toWire(now time.Time) *wire.Place {
-	r := w.request
+	r := w.Request.Request
 	m := &wire.Place{
-		Booking: w.bookingID, Service: r.Service, Account: w.account, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
-		Tried: r.Tried, EventGapTarget: r.EventGapTarget, Waited: now.Sub(w.arrived), StartIn: w.startBy.Sub(now), ExpiresIn: w.giveUpAt.Sub(now), RelaxAfter: r.RelaxAfter,
-		Immediate: w.immediate,
+		Booking: w.BookingID, Service: r.Service, Account: w.Account, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
+		Tried: r.Tried, EventGapTarget: r.EventGapTarget, Waited: now.Sub(w.Arrived), StartIn: w.StartBy.Sub(now), ExpiresIn: w.GiveUpAt.Sub(now), RelaxAfter: r.RelaxAfter,
+		Immediate: w.Immediate,
 	}
 	if !r.Due.IsZero() {
 		m.DueIn = r.Due.Sub(now)
 	}
-	if !w.yieldAt.IsZero() {
-		m.YieldIn = w.yieldAt.Sub(now)
+	if !w.YieldAt.IsZero() {
+		m.YieldIn = w.YieldAt.Sub(now)
 	}
 	return m
 }
@@ -227,28 +228,28 @@
 // servePlace places a request for another entry and sends the answer.
 func (g *Gateway) servePlace(stream wire.Stream, m *wire.Place) {
 	now := g.clock.Now()
-	w := &waiter{
-		owner: stream.Peer().Name, bookingID: m.Booking, account: m.Account, arrived: now.Add(-m.Waited),
-		startBy: now.Add(m.StartIn), giveUpAt: now.Add(m.ExpiresIn), immediate: m.Immediate, result: make(chan placeResult, 1),
-		request: &assign.Request{
+	w := newWaiter(schedule.Request{
+		Owner: stream.Peer().Name, BookingID: m.Booking, Account: m.Account, Arrived: now.Add(-m.Waited),
+		StartBy: now.Add(m.StartIn), GiveUpAt: now.Add(m.ExpiresIn), Immediate: m.Immediate,
+		Request: &assign.Request{
 			Service: m.Service, PromptTokens: m.PromptTokens, OutputTokens: m.OutputTokens, Tried: m.Tried, Zone: g.node.Zone, ForPeer: true,
 			EventGapTarget: m.EventGapTarget, RelaxAfter: m.RelaxAfter,
 		},
-	}
+	})
 	g.mu.Lock()
 	for _, endpoint := range m.MemoryFull {
 		g.fleet.MarkMemoryFull(now, endpoint)
 	}
 	g.mu.Unlock()
 	if m.DueIn != 0 {
-		w.request.Due = now.Add(m.DueIn)
+		w.Due = now.Add(m.DueIn)
 	}
 	if m.YieldIn > 0 {
-		w.yieldAt = now.Add(m.YieldIn)
+		w.YieldAt = now.Add(m.YieldIn)
 	}
 	if m.Hold > 0 {
 		// The bookings of an entry of another cell are those of this entry here.
-		w.owner, w.bookingID = "", g.bookings.newID()
+		w.Owner, w.BookingID = "", g.bookings.newID()
 	}
 	answer := &wire.Placed{}
 	switch d := g.deployment.Load(); {
@@ -257,7 +258,7 @@
 	case !g.client.Fresh():
 		answer.Refused = g.refusePlacing(w)
 	default:
-		w.request.Engine, w.request.MinEventGapTarget = d.Services[m.Service].Engine, d.Services[m.Service].minEventGapTarget
+		w.Engine, w.MinEventGapTarget = d.Services[m.Service].Engine, d.Services[m.Service].minEventGapTarget
 		answer = g.placeForPeer(stream, w, m.Hold)
 	}
 	switch {
@@ -265,7 +266,7 @@
 	case answer.Booking != nil && m.Hold > 0:
 		g.holdForPeer(stream, w, answer, m.Hold)
 	case answer.Booking != nil:
-		booked := peerBooking{owner: w.owner, id: w.bookingID}
+		booked := peerBooking{owner: w.Owner, id: w.BookingID}
 		g.placer.expectConfirmation(booked)
 		g.sendPlaced(stream, answer)
 		time.AfterFunc(bookingTimeout, func() { g.endUnconfirmed(booked) })
@@ -278,7 +279,7 @@
 // that the asking entry has.
 func (g *Gateway) refusePlacing(w *waiter) *wire.Refused {
 	revision := g.client.Permission().Revision
-	g.log.Info("placing for another entry refused", "peer", w.owner, "booking", w.bookingID, "service", w.request.Service, "revision", revision)
+	g.log.Info("placing for another entry refused", "peer", w.Owner, "booking", w.BookingID, "service", w.Service, "revision", revision)
 	return wire.NewRefused(wire.Attempt{}, verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the permission of entry %s has lapsed at revision %d", g.node.Name, revision))
 }
 
@@ -296,7 +297,7 @@
 			}
 		}()
 	}
-	if err := stream.SetDeadline(w.giveUpAt.Add(placerTimeout + hold)); err != nil {
+	if err := stream.SetDeadline(w.GiveUpAt.Add(placerTimeout + hold)); err != nil {
 		return nil
 	}
 	done := make(chan placeResult, 1)
@@ -320,11 +321,11 @@
 			}
 			g.metrics.placedForPeers.Inc()
 			permission := g.client.Permission()
-			g.log.Info("request placed for another entry", "peer", stream.Peer().Name, "booking", w.bookingID, "other_cell", hold > 0, "service", w.request.Service,
+			g.log.Info("request placed for another entry", "peer", stream.Peer().Name, "booking", w.BookingID, "other_cell", hold > 0, "service", w.Service,
 				"endpoint", o.assignment.Primary.Name, "zone", o.assignment.Primary.Zone, "helper_names", helperNames(o.assignment),
-				"considered", o.assignment.Candidates, "readers", o.assignment.Readers, "waiting", g.waitingFor(w), "predicted", o.assignment.PredictedPrefill, "queued", g.clock.Now().Sub(w.arrived), "revision", permission.Revision, "permission_left", permission.Left)
+				"considered", o.assignment.Candidates, "readers", o.assignment.Readers, "waiting", g.waitingFor(w), "predicted", o.assignment.PredictedPrefill, "queued", g.clock.Now().Sub(w.Arrived), "revision", permission.Revision, "permission_left", permission.Left)
 			return &wire.Placed{
-				Booking: toWire(w.bookingID, &o.assignment.Booking), PredictedPrefill: o.assignment.PredictedPrefill, Candidates: o.assignment.Candidates,
+				Booking: toWire(w.BookingID, &o.assignment.Booking), PredictedPrefill: o.assignment.PredictedPrefill, Candidates: o.assignment.Candidates,
 				Revision: permission.Revision,
 			}
 		case <-g.clock.After(waitingNoticeInterval):
@@ -339,7 +340,7 @@
 func (g *Gateway) waitingFor(w *waiter) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.serviceQueues(w.request.Service).forRequest(w.request).Len()
+	return g.waiting.WaitingWith(&w.Request)
 }
 
 // cancelBooking ends the booking of an entry that has withdrawn its request.
@@ -349,7 +350,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fleet.EndBooking(w.owner, w.bookingID, true)
+	g.fleet.EndBooking(w.Owner, w.BookingID, true)
 }
 
 // endUnconfirmed ends a booking that the entry for which it was made has not reported. That entry may
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/schedule"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 )
 
@@ -49,7 +50,7 @@
 	}, testDialect{}, w.engines)
 	h := kernel.NewHost(&settings.File{Node: w.g.node, TLS: &settings.TLS{Trust: "network"}}, hclog.NewNullLogger())
 	is.NoErr(g.Provision(h))
-	g.client, g.fleet = w.session, w.g.fleet
+	g.client, g.fleet, g.waiting = w.session, w.g.fleet, schedule.New(w.g.fleet)
 	g.deployment.Store(w.g.deployment.Load())
 	adjust(g)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
-	"github.com/rosemaryproxy/rosemaryproxy/queue"
 	"github.com/rosemaryproxy/rosemaryproxy/route"
+	"github.com/rosemaryproxy/rosemaryproxy/schedule"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
@@ -24,34 +24,8 @@
 	// fraction of the time after which callers abandon the stream. A caller that is
 	// refused before it abandons the stream can try again.
 	abandonFraction = 0.6
-	// longProbes is how many waiting long prompts are tried at once. The first ones may wait for
-	// larger groups than are free.
-	longProbes = 32
-	// limitWaitFactor is the longest wait for the limits of endpoints, as a multiple of the
-	// forecast.
-	limitWaitFactor = 2
 )
 
-// queues hold the requests that wait for endpoints of one service. Short and long
-// prompts use different endpoints and do not wait for one another.
-type queues struct {
-	short, long *queue.EDF
-}
-
-func newQueues() *queues {
-	long := queue.DefaultSettings()
-	long.Probes = longProbes
-	return &queues{short: queue.NewEDF(queue.DefaultSettings()), long: queue.NewEDF(long)}
-}
-
-// forRequest returns the queue for a request by its length class.
-func (q *queues) forRequest(r *assign.Request) *queue.EDF {
-	if classOf(r) == route.Short {
-		return q.short
-	}
-	return q.long
-}
-
 // placement is an assignment that is booked in the fleet.
 type placement struct {
 	*assign.Assignment
@@ -69,23 +43,7 @@
 
 // waiter is a request that waits for endpoints.
 type waiter struct {
-	request *assign.Request
-	// owner is the entry that received the request, "" for this one, and bookingID the
-	// ID of the booking there.
-	owner     string
-	bookingID uint64
-	account   string
-	// arrived is when the request arrived, startBy when it has to be dispatched to meet
-	// its latency target by what was known when it began to wait, and giveUpAt when it stops waiting.
-	arrived, startBy, giveUpAt time.Time
-	// immediate is set for a request that is to be refused if it would wait or find only crowded
-	// endpoints.
-	immediate bool
-	// yieldAt is when the request leaves the queue to look for room in other cells; zero means
-	// that it does not.
-	yieldAt time.Time
-	// queueID identifies the request in the queue.
-	queueID uint64
+	schedule.Request
 	// result receives exactly one placeResult and is buffered for it.
 	result chan placeResult
 }
@@ -96,13 +54,20 @@
 	err        error
 }
 
+// newWaiter returns a waiter for a request.
+func newWaiter(r schedule.Request) *waiter {
+	w := &waiter{Request: r, result: make(chan placeResult, 1)}
+	w.Value = w
+	return w
+}
+
 // newWaiter returns a waiter for the attempt with a new booking ID.
 func (a *attempt) newWaiter() *waiter {
 	c := a.c
-	return &waiter{
-		request: &a.request, bookingID: c.g.bookings.newID(), account: c.account, arrived: c.started, startBy: c.startBy(),
-		giveUpAt: c.started.Add(a.maxWait()), immediate: a.immediate, result: make(chan placeResult, 1),
-	}
+	return newWaiter(schedule.Request{
+		Request: &a.request, BookingID: c.g.bookings.newID(), Account: c.account, Arrived: c.started, StartBy: c.startBy(),
+		GiveUpAt: c.started.Add(a.maxWait()), Deadline: c.deadline, Begun: a.resumes, Immediate: a.immediate,
+	})
 }
 
 // maxWait is how long after the start of its call the attempt may wait for endpoints. A stream that
@@ -148,7 +113,7 @@
 // placeInCell places a request at endpoints of this entry's cell. Long prompts are placed by the
 // placing entry of the cell if it answers.
 func (g *Gateway) placeInCell(ctx context.Context, w *waiter) (*placement, error) {
-	if classOf(w.request) != route.Short {
+	if w.Class() != route.Short {
 		if p, err := g.placeAtPeer(ctx, w); p != nil || err != nil {
 			return p, err
 		}
@@ -157,8 +122,8 @@
 	if err != nil {
 		return nil, err
 	}
-	g.bookings.begin(w.bookingID, &a.Booking)
-	return &placement{Assignment: a, g: g, id: w.bookingID, revision: g.client.Permission().Revision}, nil
+	g.bookings.begin(w.BookingID, &a.Booking)
+	return &placement{Assignment: a, g: g, id: w.BookingID, revision: g.client.Permission().Revision}, nil
 }
 
 // waitForPlacement returns the endpoints for the request once they are booked at this
@@ -195,94 +160,28 @@
 	return &placement{Assignment: chosen, g: g, id: id, revision: g.client.Permission().Revision}
 }
 
-// placeOrEnqueue places the request at once, refuses it, or puts it into the queue.
+// placeOrEnqueue places the request at once, refuses it, or lets it wait.
 func (g *Gateway) placeOrEnqueue(w *waiter) {
 	now := g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	q := g.serviceQueues(w.request.Service).forRequest(w.request)
-	w.request.Waited, w.request.Alone = now.Sub(w.arrived), q.Len() == 0
-	a, err := g.fleet.Choose(now, w.request)
-	if err == nil && w.immediate && (a.Crowded || q.Len() > 0) {
-		err = verdict.Refuse(verdict.ReasonOverloaded, defaultRetryAfter, "the endpoints of %s have no room now", w.request.Service)
-	}
-	switch {
-	case err != nil && w.immediate:
-		w.result <- placeResult{err: err}
-		return
-	case err == nil && q.Len() == 0:
-		g.fleet.Place(now, w.owner, w.bookingID, &a.Booking)
-		w.result <- placeResult{assignment: a}
-		return
-	case err != nil && !mayClearWhileWaiting(verdict.From(err).Reason):
-		w.result <- placeResult{err: err}
-		return
-	}
-	wait := g.fleet.LimitWait(now, w.request, q.Len())
-	if now.Add(wait).After(w.giveUpAt) && wait > 0 {
-		w.result <- placeResult{err: refuseLimited(w.request, wait)}
-		return
-	}
-	g.lastQueueID++
-	w.queueID = g.lastQueueID
-	err = q.Push(now, queue.Item{
-		ID: w.queueID, Account: w.account, Class: classOf(w.request), Tokens: max(1, w.request.PromptTokens+w.request.OutputTokens),
-		StartBy: w.startBy, ExpiresAt: w.queueUntil(now, wait), Value: w,
-	})
-	if err != nil {
-		w.result <- placeResult{err: err}
+	g.registerServiceGauges(w.Service)
+	g.deliver(g.waiting.Offer(now, &w.Request))
+	if g.waiting.Waiting() == 0 {
 		return
 	}
 	select {
 	case g.queued <- struct{}{}:
 	default:
 	}
-	g.placeFromQueues(now, w.request.Service, g.serviceQueues(w.request.Service))
-}
-
-// expiry returns when a queued request gives up, if it is forecast to wait for the limits of
-// endpoints for limitWait; zero means that it waits for something else. A request that others
-// overtake for much longer than forecast will not be served in time either. It waits for at
-// least half of its time, because a forecast may be short.
-func (w *waiter) expiry(now time.Time, limitWait time.Duration) time.Time {
-	at := now.Add(max(limitWaitFactor*limitWait, w.giveUpAt.Sub(now)/2))
-	if at.Before(w.startBy) {
-		at = w.startBy
-	}
-	if limitWait == 0 || at.After(w.giveUpAt) {
-		return w.giveUpAt
-	}
-	return at
 }
 
-// queueUntil returns when a queued request leaves the queue, to give up or to look elsewhere.
-func (w *waiter) queueUntil(now time.Time, limitWait time.Duration) time.Time {
-	at := w.expiry(now, limitWait)
-	if !w.yieldAt.IsZero() && w.yieldAt.Before(at) {
-		return w.yieldAt
+// deliver gives outcomes to the requests that wait for them. The caller holds g.mu.
+func (g *Gateway) deliver(outcomes []schedule.Outcome) {
+	for _, o := range outcomes {
+		w := o.Request.Value.(*waiter)
+		w.result <- placeResult{assignment: o.Assignment, err: o.Err}
 	}
-	return at
-}
-
-// refuseLimited returns the refusal for a request that the limits of all endpoints allow only
-// after a wait.
-func refuseLimited(r *assign.Request, wait time.Duration) error {
-	return verdict.Refuse(verdict.ReasonOverloaded, wait, "the limits and pauses of all endpoints of %s allow the request in %v", r.Service, wait)
-}
-
-// classOf returns the length class of a request. A prompt that one endpoint prefills
-// alone is short, whatever its number of tokens.
-func classOf(r *assign.Request) route.Class {
-	if r.Engine == nil || r.Short() {
-		return route.Short
-	}
-	return max(route.Medium, route.ClassOf(r.PromptTokens))
-}
-
-// mayClearWhileWaiting reports whether a refusal is due to a lack of capacity, which
-// may end while the request waits.
-func mayClearWhileWaiting(r verdict.Reason) bool {
-	return r == verdict.ReasonOverloaded || r == verdict.ReasonEndpointMemory
 }
 
 // withdraw removes a request whose deadline has passed or whose caller has disconnected
@@ -290,11 +189,11 @@
 func (g *Gateway) withdraw(ctx context.Context, w *waiter) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.serviceQueues(w.request.Service).forRequest(w.request).Remove(w.queueID)
+	g.waiting.Withdraw(&w.Request)
 	select {
 	case o := <-w.result:
 		if o.assignment != nil {
-			g.fleet.EndBooking(w.owner, w.bookingID, true)
+			g.fleet.EndBooking(w.Owner, w.BookingID, true)
 		}
 	default:
 	}
@@ -304,17 +203,6 @@
 	return errCallerGone
 }
 
-// serviceQueues returns the queues of a service. The caller holds g.mu.
-func (g *Gateway) serviceQueues(service string) *queues {
-	q, ok := g.queues[service]
-	if !ok {
-		q = newQueues()
-		g.queues[service] = q
-		g.registerServiceGauges(service, q)
-	}
-	return q
-}
-
 // pollQueues places queued requests every queuePollInterval, while there are some, until ctx ends.
 func (g *Gateway) pollQueues(ctx context.Context) {
 	for {
@@ -338,104 +226,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.placeQueued(g.clock.Now())
-	for _, q := range g.queues {
-		if q.short.Len()+q.long.Len() > 0 {
-			return true
-		}
-	}
-	return false
+	return g.waiting.Waiting() > 0
 }
 
 // placeQueued places the queued requests for which endpoints are available. The caller
 // holds g.mu.
-func (g *Gateway) placeQueued(now time.Time) {
-	for service, q := range g.queues {
-		g.placeFromQueues(now, service, q)
-	}
-}
-
-// placeFromQueues refuses the expired requests of one service and places those that fit. The
-// caller holds g.mu.
-func (g *Gateway) placeFromQueues(now time.Time, service string, q *queues) {
-	g.expireQueued(now, q.short)
-	g.expireQueued(now, q.long)
-	g.rescheduleLong(now, q.long)
-	for placed := true; placed; {
-		first, second := q.short, q.long
-		// Where endpoints name limits, both classes use the same few requests.
-		if q.longGoesFirst(now) && g.fleet.NamesLimits(service) {
-			first, second = second, first
-		}
-		placed = g.placeNext(now, first) || g.placeNext(now, second)
-	}
-}
-
-// rescheduleLong computes anew when the long prompts of a queue have to start, by the number of endpoints
-// that read long prompts now. A forecast with more endpoints would serve prompts that are certain to be late
-// before those that can be in time. The caller holds g.mu.
-func (g *Gateway) rescheduleLong(now time.Time, q *queue.EDF) {
-	next, ok := q.Next(now)
-	if !ok {
-		return
-	}
-	readers := g.fleet.Readers(now, next.Value.(*waiter).request)
-	q.Reschedule(func(i *queue.Item) time.Time {
-		w := i.Value.(*waiter)
-		if w.request.Due.IsZero() {
-			return w.startBy
-		}
-		return w.request.StartBy(readers)
-	})
-}
-
-// longGoesFirst reports whether the next long prompt is to be served before the next short one.
-func (q *queues) longGoesFirst(now time.Time) bool {
-	long, ok := q.long.Next(now)
-	short, both := q.short.Next(now)
-	return ok && both && long.Before(now, &short)
-}
-
-// expireQueued refuses the expired requests of one queue. The caller holds g.mu.
-func (g *Gateway) expireQueued(now time.Time, q *queue.EDF) {
-	for _, dropped := range q.Expire(now, nil) {
-		w := dropped.Item.Value.(*waiter)
-		var err error = dropped.Refusal
-		if wait := g.fleet.LimitWait(now, w.request, q.Len()); wait > 0 {
-			err = refuseLimited(w.request, wait)
-		}
-		w.result <- placeResult{err: err}
-	}
-}
-
-// placeNext places the next request of one queue that fits, and reports whether there was one.
-// The caller holds g.mu.
-func (g *Gateway) placeNext(now time.Time, q *queue.EDF) bool {
-	if q.Len() == 0 {
-		return false
-	}
-	var a *assign.Assignment
-	var holdback assign.Holdback
-	item, ok := q.Pop(now, func(i *queue.Item) bool {
-		var err error
-		w := i.Value.(*waiter)
-		if !holdback.Allows(w.request) {
-			return false
-		}
-		w.request.Waited, w.request.Alone = now.Sub(w.arrived), q.Len() == 1
-		a, err = g.fleet.Choose(now, w.request)
-		if err != nil {
-			holdback.Missed(now, w.request, i.StartBy)
-		}
-		return err == nil
-	})
-	if !ok {
-		return false
-	}
-	w := item.Value.(*waiter)
-	g.fleet.Place(now, w.owner, w.bookingID, &a.Booking)
-	w.result <- placeResult{assignment: a}
-	return true
-}
+func (g *Gateway) placeQueued(now time.Time) { g.deliver(g.waiting.Poll(now)) }
 
 // release ends the booking. The argument unprefilled is set when the prompt was not
 // prefilled.
--- a/queue/edf.go
+++ b/queue/edf.go
@@ -117,6 +117,15 @@
 	q.items = slices.Delete(q.items, at, at+1)
 }
 
+// RemoveIf removes the requests for which drop returns true.
+func (q *EDF) RemoveIf(drop func(*Item) bool) {
+	for _, n := range slices.Clone(q.items) {
+		if drop(&n.item) {
+			q.remove(n)
+		}
+	}
+}
+
 // Expire implements Queue.
 func (q *EDF) Expire(now time.Time, buf []Dropped) []Dropped {
 	for n := q.index.nextExpired(now); n != nil; n = q.index.nextExpired(now) {
