--- a/control/command/duty.go
+++ b/control/command/duty.go
@@ -75,6 +75,16 @@
 	Counts map[string]uint64 `cbor:"2,keyasint"`
 }
 
+// UsageState lists the usage windows that are not reported yet.
+type UsageState struct {
+	// OldestOpen is the oldest window that may still get counts.
+	OldestOpen uint64
+	// Open are the open windows that have counts, oldest first.
+	Open []uint64
+	// Closed are the closed windows, oldest first.
+	Closed []ClosedWindow
+}
+
 // ReportedWindow says that the platform has accepted the counts of a window, or never will. Number is
 // that of the sender's grant of DutyUsage.
 type ReportedWindow struct {
--- a/control/commands.go
+++ b/control/commands.go
@@ -32,8 +32,8 @@
 	membership bool
 	// local is set for commands that any replica answers about itself.
 	local bool
-	// frequent is set for commands that are sent for each request. They are logged only if
-	// they are refused.
+	// frequent is set for commands that are sent for each request or several times a minute. They
+	// are logged only if they are refused.
 	frequent bool
 }
 
@@ -52,6 +52,14 @@
 	command.NameView:    {roles: []wire.Role{wire.RoleOperator}},
 	command.NameHistory: {roles: []wire.Role{wire.RoleOperator}},
 	command.NameInForce: {roles: []wire.Role{wire.RoleOperator}},
+	command.NameDuty:    {roles: []wire.Role{wire.RoleControl}, propose: true, frequent: true},
+	command.NameUsage:   {roles: []wire.Role{wire.RoleEntry}, propose: true, frequent: true},
+	command.NameCloseWindow: {
+		roles: []wire.Role{wire.RoleControl}, propose: true, frequent: true,
+	},
+	command.NameReportedWindow: {
+		roles: []wire.Role{wire.RoleControl}, propose: true, frequent: true,
+	},
 	command.NameReplicaInfo: {
 		roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar, wire.RoleOperator, wire.RoleControl}, local: true,
 	},
--- a/control/publish.go
+++ b/control/publish.go
@@ -86,16 +86,22 @@
 // submit has the leader execute a command and retries until ctx ends. The command must be
 // idempotent, since an attempt whose answer is lost may have taken effect.
 func (s *Server) submit(ctx context.Context, name string, body any) error {
+	return s.submitCommand(ctx, session.NewID(), name, body, nil)
+}
+
+// submitCommand is like submit, with the identifier id of the command, and decodes the answer into
+// out unless that is nil. The identifier may be empty if the command is idempotent in itself.
+func (s *Server) submitCommand(ctx context.Context, id, name string, body, out any) error {
 	raw, err := wire.Marshal(body)
 	if err != nil {
 		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err)
 	}
-	c := &wire.Command{ID: session.NewID(), Name: name, Body: raw}
+	c := &wire.Command{ID: id, Name: name, Body: raw}
 	var last *verdict.Refusal
 	for {
 		answer := s.trySubmit(ctx, c)
 		if answer.Refused == nil {
-			return nil
+			return decodeBody(answer, out)
 		}
 		last = answer.Refused.Refusal()
 		if last.Reason != verdict.ReasonNoQuorum && last.Reason != verdict.ReasonOverloaded {
@@ -109,6 +115,17 @@
 	}
 }
 
+// decodeBody decodes the body of an answer into out unless that is nil.
+func decodeBody(answer *wire.Answer, out any) error {
+	if out == nil {
+		return nil
+	}
+	if err := wire.Unmarshal(answer.Body, out); err != nil {
+		return verdict.Uncertain(verdict.ReasonInternal, 0, "%v", err)
+	}
+	return nil
+}
+
 // trySubmit executes the command on this replica if it is the leader, and otherwise sends it
 // to the leader once.
 func (s *Server) trySubmit(ctx context.Context, c *wire.Command) *wire.Answer {
--- a/control/server.go
+++ b/control/server.go
@@ -41,6 +41,8 @@
 	catchUp time.Duration
 	// seeds are the addresses from Plugin.Seeds.
 	seeds atomic.Pointer[[]string]
+	// usageDropped is the result of the last call of logDroppedUsage, its only user.
+	usageDropped state.DroppedUsage
 	// bootstrap is the initial configuration, or nil.
 	bootstrap *config.Document
 }
@@ -65,8 +67,9 @@
 	}
 }
 
-// runSweeps removes silent endpoints and sessions at sweepInterval until ctx ends. Before
-// each check, it proposes the initial configuration if the state is empty.
+// runSweeps removes silent endpoints and sessions, and logs usage that was dropped, at
+// sweepInterval until ctx ends. Before each check, it proposes the initial configuration if the
+// state is empty.
 func (s *Server) runSweeps(ctx context.Context) {
 	for {
 		s.proposeBootstrap(ctx)
@@ -78,6 +81,7 @@
 		for _, name := range s.table.sweep(s.clock.Now()) {
 			s.log.Warn("endpoint removed", "endpoint", name, "reason", "silent")
 		}
+		s.logDroppedUsage()
 	}
 }
 
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -36,6 +36,7 @@
 	Claims          once.Image                `cbor:"10,keyasint"`
 	Suspects        quarantine.Image          `cbor:"11,keyasint"`
 	SuspectsVersion uint64                    `cbor:"12,keyasint"`
+	Duties          dutiesImage               `cbor:"13,keyasint"`
 }
 
 // Snapshot returns the complete state in CBOR.
@@ -56,6 +57,7 @@
 		Claims:          claims,
 		Suspects:        m.suspects.list.Image(),
 		SuspectsVersion: m.suspects.version,
+		Duties:          m.duties.image(),
 	}
 	for _, id := range m.answers.insertionOrder {
 		img.Answers = append(img.Answers, m.answers.byKey[id])
@@ -96,6 +98,7 @@
 	restored.orders.version = img.OrdersVersion
 	restored.suspects.version = img.SuspectsVersion
 	restored.suspects.list = list
+	restored.duties = restoreDuties(img.Duties)
 	if img.Endpoints != nil {
 		restored.orders.endpoints = img.Endpoints
 	}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -1,6 +1,7 @@
 // Package state implements the state machine that control replicates. The state consists of the
 // configuration with its audit log, the fencing numbers with the orders in force, the claims of
-// calls that run at most once, and the requests suspected of crashing endpoints.
+// calls that run at most once, the requests suspected of crashing endpoints, and the rights to
+// duties with the usage that their holders report.
 //
 // The state machine is deterministic and does no I/O, reads no clock and starts no goroutine:
 // the leader adds its time to each command, and every replica applies the same commands in the
@@ -58,6 +59,8 @@
 	claims        *once.Ledger
 	// suspects holds the requests that may crash endpoints.
 	suspects *suspects
+	// duties holds the rights to duties and the usage that their holders report.
+	duties *duties
 	// now is the highest Entry.At so far, in nanoseconds since 1970.
 	now int64
 }
@@ -70,6 +73,7 @@
 		orders:   newOrders(),
 		claims:   once.NewLedger(once.DefaultLimits(), time.Time{}),
 		suspects: newSuspects(),
+		duties:   newDuties(),
 	}
 }
 
@@ -87,7 +91,7 @@
 	if e.Name == command.NameClaim || e.Name == command.NameSettle {
 		return encodeAnswer(m.apply(&e))
 	}
-	if e.ID == "" {
+	if e.ID == "" || isDutyCommand(e.Name) {
 		return encodeAnswer(m.apply(&e))
 	}
 	if stored, ok := m.answers.get(e.answerKey()); ok {
@@ -126,6 +130,9 @@
 	case command.NameEnded:
 		return m.endPermit(e)
 	}
+	if isDutyCommand(e.Name) {
+		return m.applyDuty(e)
+	}
 	return refused(internalError(errors.Errorf("unknown command %q", e.Name)))
 }
 
--- a/lease/table.go
+++ b/lease/table.go
@@ -1,6 +1,11 @@
 package lease
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 // Grant is the exclusive right to a name until it expires.
 type Grant struct {
@@ -83,6 +88,12 @@
 // LastNumber returns the highest fencing number granted so far. Restore continues from it.
 func (t *Table) LastNumber() uint64 { return t.lastNumber }
 
+// Grants returns all grants in the order of their names, including expired ones that Expire has not
+// removed.
+func (t *Table) Grants() []Grant {
+	return slices.SortedFunc(maps.Values(t.grants), func(a, b Grant) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Restore returns a table with the given grants and highest fencing number.
 func Restore(lastNumber uint64, grants []Grant) *Table {
 	t := NewTable()
