--- a/control/deploy_test.go
+++ b/control/deploy_test.go
@@ -46,6 +46,8 @@
 	addrs []string
 	// stops holds the functions that stop the replicas, by index.
 	stops map[int]func()
+	// plugins holds the replicas by name.
+	plugins map[string]*control.Plugin
 	// intervals are the lease, grace and tick settings of every replica, as JSON fields.
 	intervals string
 }
@@ -68,7 +70,7 @@
 	is.NoErr(err)
 	d := &deployment{
 		t: t, ca: ca, dir: dir, bootstrap: filepath.Join(dir, "bootstrap.json"),
-		stops: map[int]func(){}, intervals: intervals,
+		stops: map[int]func(){}, plugins: map[string]*control.Plugin{}, intervals: intervals,
 	}
 	is.NoErr(os.WriteFile(d.bootstrap, []byte(bootstrapJSON), 0o600))
 	d.addrs, err = loopback.Addrs(size)
@@ -122,10 +124,11 @@
 	is := is.New(d.t)
 	files, err := d.ca.Issue(d.dir, name, wire.RoleControl)
 	is.NoErr(err)
-	h := kernel.NewHost(&settings.File{TLS: files}, hclog.NewNullLogger())
+	h := kernel.NewHost(&settings.File{TLS: files, Node: settings.Node{Name: name}}, hclog.NewNullLogger())
 	loaded, err := h.Load("control", json.RawMessage(raw))
 	is.NoErr(err)
-	return d.background(loaded.(*control.Plugin).Run)
+	d.plugins[name] = loaded.(*control.Plugin)
+	return d.background(d.plugins[name].Run)
 }
 
 // stop stops replica i and waits until it has stopped.
