gateway: entries count runs of requests and report them to control

A stream is counted at its first event, and another request at the header of an answer that does not say that it was not run. Without Settings.UsageWindow nothing runs.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,6 +46,8 @@
 	// begun is set once an event or a complete answer has come from the endpoint, and ran once
 	// the endpoint may have executed the request.
 	begun, ran bool
+	// counted is set once the attempt is part of its client account's usage.
+	counted bool
 	// complete is set once all of the answer has been read.
 	complete bool
 	// immediate is set if the attempt is to be refused instead of waiting for endpoints.
@@ -377,6 +379,9 @@
 	if res.StatusCode < http.StatusMultipleChoices && a.c.route.Stream {
 		return nil, a.readStream(res)
 	}
+	if !a.c.route.Stream { // a stream begins to run with its first event
+		a.countRun()
+	}
 	return a.readComplete(res)
 }
 
@@ -456,6 +461,7 @@
 			return a.handleBrokenAnswer(err)
 		case ev.hasData:
 			a.begun = true
+			a.countRun()
 			a.timer.hold() // a slow caller is no silence of the endpoint
 			a.markAlive()
 			if now := a.c.g.clock.Now(); firstEvent.IsZero() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,9 @@
 	TicketTTL time.Duration
 	// Retries limits repeated dispatches to endpoints, over all entries together.
 	Retries RetryLimits
+	// UsageWindow is the length of the windows in which requests are counted for the usage of client
+	// accounts. Zero means that they are not counted.
+	UsageWindow time.Duration
 }
 
 // controlClient is the part of the session with control that the gateway uses.
@@ -116,6 +119,8 @@
 	http    *http.Transport
 	retries *retryBudget
 	metrics *gatewayMetrics
+	// usage is nil if requests are not counted.
+	usage *usageCounts
 	// heldBytes accounts for the answers that are held in memory.
 	heldBytes *stream.Budget
 	// suspects holds the requests that are suspected of crashing endpoints. lossesPending wakes
@@ -212,6 +217,7 @@
 	g.background, g.stopBackground = context.WithCancel(context.Background())
 	g.retries = newRetryBudget(g.Retries, h.Clock.Now())
 	g.metrics = newMetrics(h.Metrics)
+	g.usage = newUsageCounts(g.UsageWindow, h.Clock, kernel.Suspended)
 	g.http = NewTransport()
 	g.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
 	g.client, err = session.New(session.Options{
@@ -399,6 +405,7 @@
 	tasks.Go(func() { g.pollQueues(g.background) })
 	tasks.Go(func() { g.checkSlowdowns(g.background) })
 	tasks.Go(func() { g.reportLosses(g.background) })
+	endUsageReports := g.startUsageReports()
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	tasks.Go(func() {
 		defer close(g.acceptEnded)
@@ -423,6 +430,7 @@
 	}
 	_ = ready.Close()
 	g.awaitHandlers()
+	endUsageReports()
 	g.stopBackground()
 	tasks.Wait()
 	g.peerTasks.Wait()
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -17,6 +17,7 @@
 	"gateway.bookings",
 	"gateway.placer",
 	"gateway.placing",
+	"gateway.usage",
 	"session.Suspects",
 	"entry.watch",
 	"sidecar.orders",
