--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -7,6 +7,7 @@
 	"control.table",
 	"control.store",
 	"control.relay",
+	"control.DutyHolder",
 	"session.Client",
 	"session.Limits",
 	"session.Dialer",
