--- a/duty/windows.go
+++ b/duty/windows.go
@@ -129,7 +129,7 @@
 	}
 	w := &c.windows
 	before := w.closed
-	w.loaded, w.oldestOpen, w.open = true, ev.OldestOpen, ev.Open
+	w.loaded, w.oldestOpen, w.open = true, max(w.oldestOpen, ev.OldestOpen), ev.Open
 	w.closed = make(map[uint64]*closedWindow, len(ev.Closed))
 	for k, counts := range ev.Closed {
 		w.closed[k] = &closedWindow{counts: counts, done: before[k] != nil && before[k].done}
@@ -137,8 +137,8 @@
 }
 
 func (c *Core) windowClosed(now time.Time, ev WindowClosed) {
-	if !c.answeredCommand(now, ev.Number, ev.Failed) {
-		return
+	if !c.answeredCommand(now, ev.Number, ev.Failed) || !c.windows.loaded {
+		return // without the state, a read follows that includes this window
 	}
 	w := &c.windows
 	if ev.Window != w.oldestOpen {
