duty: a holder without responses does not renew its grant

Cause: a holder that cannot reach the platform gave up after 3 s with a grant that was renewed just before. A window was then closed 3 s after its end, given up 3 s later and free another 3 s later: half a second was left of the 10 s. Change: after 1 s without a response the grant is not renewed until there is one.

--- a/duty/core.go
+++ b/duty/core.go
@@ -24,6 +24,10 @@
 	// answerWithin is the time without a response after which the holder gives up: three calls of a
 	// second at most.
 	answerWithin = 3 * time.Second
+	// renewWithin is the time without a response after which the holder renews no longer. Its grant then
+	// expires about when it gives up, and not a lease later, which would leave the next holder half a
+	// second of the 10 s in which a window is to be reported.
+	renewWithin = time.Second
 	// minBackoff and maxBackoff bound the pause after a call or a command without an answer.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 2 * time.Second
--- a/duty/right.go
+++ b/duty/right.go
@@ -33,12 +33,21 @@
 	return max(0, r.until.Sub(now))
 }
 
+// silent reports whether the calls of a holder have had no response for so long that it does not renew.
+func (r *right) silent(now time.Time) bool {
+	return r.number != 0 && r.backoff > 0 && now.Sub(r.unansweredSince) >= renewWithin
+}
+
 // expire ends the grants whose lease has passed.
 func (c *Core) expire(now time.Time) {
 	for _, r := range c.rights {
 		if r.number == 0 || r.left(now) > 0 {
 			continue
 		}
+		if r.backoff > 0 {
+			c.giveUp(now, r, ReasonSilent) // it was not renewed for this reason
+			continue
+		}
 		c.lose(now, r, ReasonExpired)
 	}
 }
@@ -79,7 +88,7 @@
 // leader leaves unused: it cannot reach the platform.
 func (c *Core) acquire(now time.Time) {
 	for _, r := range c.rights {
-		if r.acquiring || now.Before(r.quietUntil) {
+		if r.acquiring || now.Before(r.quietUntil) || r.silent(now) {
 			continue
 		}
 		at := r.standbyAt
