--- a/control/duty_holder.go
+++ b/control/duty_holder.go
@@ -105,8 +105,11 @@
 	}
 	h.base, h.suspendedBefore = h.clock.Now(), h.suspended()
 	if h.TrueTime == nil {
+		var mu sync.Mutex // guards estimate; no other lock is taken while it is held
 		estimate := usage.NewTrueTime(h.base, h.suspended())
 		h.TrueTime = func() time.Time {
+			mu.Lock()
+			defer mu.Unlock()
 			now := h.clock.Now()
 			return estimate.Now(now, now.Sub(h.base)+h.suspended())
 		}
