control, gateway: load of services with automatic scaling

Control holds only the bytes of a publication and did not know how busy endpoints are. Entries now measure slots in use, waiting requests and refusals for lack of capacity ten times a second and send them each second with the command load, if the publication has a service with Autoscale. The leader answers it from memory, adds the reports up, and decides the counts with package autoscale. Tests of the new files pass with -race.

--- a/control/commands.go
+++ b/control/commands.go
@@ -23,7 +23,7 @@
 )
 
 // commandSpec says which roles may send a command and how a replica executes it. A command
-// with none of propose, membership and local is a linearizable read at the leader.
+// with none of propose, membership, local and unreplicated is a linearizable read at the leader.
 type commandSpec struct {
 	roles []wire.Role
 	// propose is set for commands that the state machine applies after they are committed.
@@ -32,6 +32,8 @@
 	membership bool
 	// local is set for commands that any replica answers about itself.
 	local bool
+	// unreplicated is set for commands that the leader answers from its memory, neither replicated nor after a barrier.
+	unreplicated bool
 	// frequent is set for commands that are sent for each request. They are logged only if
 	// they are refused.
 	frequent bool
@@ -52,6 +54,7 @@
 	command.NameView:    {roles: []wire.Role{wire.RoleOperator}},
 	command.NameHistory: {roles: []wire.Role{wire.RoleOperator}},
 	command.NameInForce: {roles: []wire.Role{wire.RoleOperator}},
+	command.NameLoad:    {roles: []wire.Role{wire.RoleEntry}, unreplicated: true, frequent: true},
 	command.NameReplicaInfo: {
 		roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar, wire.RoleOperator, wire.RoleControl}, local: true,
 	},
@@ -125,6 +128,8 @@
 		return s.propose(ctx, peer, c)
 	case spec.membership:
 		return s.changeMembers(ctx, c)
+	case spec.unreplicated:
+		return s.recordLoad(peer, c)
 	}
 	return s.readCommand(ctx, c)
 }
@@ -266,7 +271,7 @@
 // are logged only if they are refused.
 func (s *Server) logCommand(peer wire.Peer, c *wire.Command, a *wire.Answer) {
 	spec := commands[c.Name]
-	if !spec.propose && !spec.membership || a.Refused == nil && spec.frequent {
+	if !spec.propose && !spec.membership && !spec.unreplicated || a.Refused == nil && spec.frequent {
 		return
 	}
 	if a.Refused == nil {
--- a/control/control.go
+++ b/control/control.go
@@ -84,6 +84,9 @@
 	// Tick is the time unit of leader elections. The minimum election timeout is ten ticks.
 	Tick settings.Duration `json:"tick"`
 
+	// decodeLimits is set by SetLimitsDecoder.
+	decodeLimits LimitsDecoder
+
 	server   *Server
 	replica  *replica.Replica
 	disk     *replica.OSDisk
@@ -157,6 +160,7 @@
 		catchUp:        p.CatchUp.Std(),
 		bootstrap:      bootstrap,
 		table:          newTable(h.Clock.Now(), p.Grace.Std()),
+		demand:         newDemand(p.decodeLimits),
 		shareAllocator: &shareAllocator{leaseDuration: p.Lease.Std()},
 		transport:      newTransport(p.dialer, h.Clock, h.Log, addrs),
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -29,6 +29,7 @@
 	table          *table
 	barriers       *barriers
 	shareAllocator *shareAllocator
+	demand         *demand
 	clock          kernel.Clock
 	log            hclog.Logger
 	// name is the name of this process.
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -81,12 +81,21 @@
 	// from all entries together, so that an endpoint that has not warmed up is not
 	// overloaded. Zero means no limit.
 	ColdRateLimit float64
+	// Autoscale is nil for a service whose number of endpoints this deployment does not order.
+	Autoscale *Autoscale
 
 	// minEventGapTarget is the smallest EventGapTarget among the routes to the service;
 	// zero when no route has one.
 	minEventGapTarget time.Duration
 }
 
+// Autoscale bounds the number of endpoints of a service in each availability zone. BootTime is the time until
+// a new endpoint serves.
+type Autoscale struct {
+	Min, Max int
+	BootTime time.Duration
+}
+
 // noteEventGapTarget lowers minEventGapTarget to the target of a route; zero means that
 // the route has none.
 func (s *Service) noteEventGapTarget(target time.Duration) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,6 +151,8 @@
 	permitSeq atomic.Uint64
 	// ticketTTL is the current TicketTTL in nanoseconds; Reconfigure may change it.
 	ticketTTL atomic.Int64
+	// load measures the load of services with automatic scaling.
+	load loadMeter
 	// bookings holds the placements of this entry, which are sent to the other entries.
 	// peers accepts the streams from the other entries.
 	bookings *bookings
@@ -399,6 +401,7 @@
 	tasks.Go(func() { g.pollQueues(g.background) })
 	tasks.Go(func() { g.checkSlowdowns(g.background) })
 	tasks.Go(func() { g.reportLosses(g.background) })
+	tasks.Go(func() { g.reportLoads(g.background) })
 	ready := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
 	tasks.Go(func() {
 		defer close(g.acceptEnded)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -300,6 +300,7 @@
 	}
 	r := verdict.From(err)
 	c.recordEnd(string(r.Reason), took)
+	c.recordRefusal(r)
 	c.log().Info("request refused", "took", took, "verdict", r.Verdict.String(), "reason", string(r.Reason),
 		"retry_after", r.RetryAfter, "detail", r.Detail, "committed", c.committed, "events", c.delivered)
 	if c.committed {
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -6,6 +6,7 @@
 var LockOrder = []string{
 	"control.table",
 	"control.store",
+	"control.demand",
 	"control.relay",
 	"session.Client",
 	"session.Limits",
@@ -15,6 +16,7 @@
 	"gateway.fleet",
 	"gateway.retries",
 	"gateway.bookings",
+	"gateway.load",
 	"gateway.placer",
 	"gateway.placing",
 	"session.Suspects",
