--- a/autoscale/replay_test.go
+++ b/autoscale/replay_test.go
@@ -225,6 +225,10 @@
 	observe(map[string]Zone{"a": {Demand: Demand{Waiting: 1}}})
 	is.Equal(s.Orders(now), []ScaleOrder{{Service: "scribe", Zone: "a", Count: 1}})
 
+	observe(map[string]Zone{"a": {Demand: Demand{Waiting: 1}}, "b": {Serving: 1, Slots: slotsPerEndpoint}})
+	observe(map[string]Zone{"a": {Demand: Demand{Waiting: 20}}, "b": {Serving: 1, Slots: slotsPerEndpoint}})
+	is.Equal(s.Orders(now), []ScaleOrder{{Service: "scribe", Zone: "a", Count: 4}}) // what was ordered there still starts
+
 	s = NewScaler()
 	observe(map[string]Zone{"a": {Demand: Demand{Waiting: 20}}, "b": {Serving: 1, Slots: slotsPerEndpoint}})
 	is.Equal(s.Orders(now), []ScaleOrder{{Service: "scribe", Zone: "b", Count: 4}})
--- a/autoscale/scaler.go
+++ b/autoscale/scaler.go
@@ -56,7 +56,7 @@
 // zone is the history of a service in an availability zone.
 type zone struct {
 	Zone
-	// hosts is set once an endpoint has been registered in the zone.
+	// hosts is set once an endpoint has been registered or ordered in the zone.
 	hosts  bool
 	demand []Demand
 	// required holds Decision.Required of the last HoldTime.
@@ -155,7 +155,7 @@
 		if d.Count < z.count {
 			z.loweredAt = now
 		}
-		z.count, z.ordered = d.Count, true
+		z.count, z.ordered, z.hosts = d.Count, true, true
 	}
 	return changes
 }
@@ -169,8 +169,8 @@
 	return age
 }
 
-// subjects returns the zones that endpoints may be ordered in, sorted: those that have had any, or, if none
-// is known, those in which requests arrive.
+// subjects returns the zones that endpoints may be ordered in, sorted: those for which any have been registered or
+// ordered, or, if there are none, those in which requests arrive.
 func (v *service) subjects() []string {
 	all := slices.Sorted(maps.Keys(v.zones))
 	hosts := slices.DeleteFunc(slices.Clone(all), func(at string) bool { return !v.zones[at].hosts })
