--- a/control/duty_holder.go
+++ b/control/duty_holder.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/rosemaryproxy/rosemaryproxy/autoscale"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/duty"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
@@ -58,13 +59,13 @@
 // one it returns an error, which is ErrDutyNotSent if nothing was written.
 type DutyPlatform interface {
 	ReportUsage(ctx context.Context, c DutyCall, window uint64, counts map[string]uint64) (status int, err error)
-	Scale(ctx context.Context, c DutyCall, order duty.ScaleOrder) (status int, err error)
+	Scale(ctx context.Context, c DutyCall, order autoscale.ScaleOrder) (status int, err error)
 }
 
 // scaler decides how many endpoints there should be. Orders returns the same subjects in the same order
 // while the configuration is the same.
 type scaler interface {
-	Orders(now time.Time) []duty.ScaleOrder
+	Orders(now time.Time) []autoscale.ScaleOrder
 }
 
 // DutyHolder runs a duty.Core: it passes the time and answers to it and carries out its effects.
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -5,7 +5,11 @@
 // out. It does no I/O, reads no clock and starts no goroutine; the caller serialises the calls.
 package duty
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/autoscale"
+)
 
 // Usage is the duty to report the usage of client accounts, and Scaling the duty to order the number of
 // endpoints.
@@ -29,12 +33,6 @@
 	PerSecond float64
 }
 
-// ScaleOrder is the number of endpoints that a service should have in an availability zone.
-type ScaleOrder struct {
-	Service, Zone string
-	Count         int
-}
-
 // Event is something that a Core is told.
 type Event interface{ event() }
 
@@ -46,7 +44,7 @@
 	Wall time.Time
 	// Orders are the numbers of endpoints that are wanted now. They are used only while this process
 	// holds the duty Scaling.
-	Orders []ScaleOrder
+	Orders []autoscale.ScaleOrder
 }
 
 // Acquired is the answer to Acquire.
@@ -129,7 +127,7 @@
 	Number uint64
 	Window uint64
 	Counts map[string]uint64
-	Order  ScaleOrder
+	Order  autoscale.ScaleOrder
 }
 
 // Held tells that this process holds a duty from now on.
--- a/duty/orders.go
+++ b/duty/orders.go
@@ -1,6 +1,10 @@
 package duty
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/autoscale"
+)
 
 // lateCall is the longest time after which a call without a response is expected to be executed. The
 // platform says "seconds".
@@ -21,7 +25,7 @@
 
 // orders is what the holder knows of the numbers of endpoints.
 type orders struct {
-	wanted  []ScaleOrder
+	wanted  []autoscale.ScaleOrder
 	ordered map[subject]*ordered
 	// last is the subject of the last call.
 	last subject
--- a/duty/right.go
+++ b/duty/right.go
@@ -91,6 +91,9 @@
 		if r.acquiring || now.Before(r.quietUntil) || r.silent(now) {
 			continue
 		}
+		if r.duty == Scaling && !c.leader {
+			continue // only the leader of control has the load from which orders follow
+		}
 		at := r.standbyAt
 		if r.number != 0 {
 			at = r.renewAt
--- a/kernel/locks.go
+++ b/kernel/locks.go
@@ -6,6 +6,7 @@
 var LockOrder = []string{
 	"control.table",
 	"control.store",
+	"control.demand",
 	"control.relay",
 	"control.DutyHolder",
 	"session.Client",
@@ -16,6 +17,7 @@
 	"gateway.fleet",
 	"gateway.retries",
 	"gateway.bookings",
+	"gateway.load",
 	"gateway.placer",
 	"gateway.placing",
 	"gateway.usage",
