Responses that a reset may have truncated, or with an invalid status, are broken ones

Cause: net/http takes the end of a connection for the end of a response without a length. An endpoint that resets the connection while the request is still being written has the reset reported once, to the writer; the reader then sees an orderly end. Statuses are not checked by net/http: one under 100 makes the server of the entry panic and close the caller's connection, 600 to 999 are passed on.

Change: framing.Transport observes its connections. It follows the requests that are written with the scanner that the package has for the other side. The end of a connection is io.EOF only if all requests had been written whole and no read or write has failed, else an error; it waits up to 1 s for a write that is in progress, which may be that of the last bytes or the one that takes the report of the reset. A status outside 100 to 599 is an error. gateway.NewTransport, which platform/engines.go uses for orders, reports and health checks, and the client of the sidecar use it; both had the fault. The processes speak QUIC to each other, and entry and quarantine read no HTTP responses.

TestConnectionsToEndpointsAreProbed looks at the connection under the observed one; what it requires is unchanged.

--- a/framing/framing.go
+++ b/framing/framing.go
@@ -3,6 +3,9 @@
 // and removes the Content-Length before a handler sees it. A process behind the proxy that
 // relied on the length would read the rest of the body as another request. The package
 // therefore parses the framing of each HTTP/1.1 connection itself.
+//
+// Its Transport uses the same parser on the client side, to tell a complete response from one that a
+// reset has truncated while its request was being written.
 package framing
 
 import (
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,7 +113,7 @@
 	node    settings.Node
 	client  controlClient
 	dialer  dialer
-	http    *http.Transport
+	http    http.RoundTripper
 	retries *retryBudget
 	metrics *gatewayMetrics
 	// heldBytes accounts for the answers that are held in memory.
@@ -265,12 +265,13 @@
 
 // NewTransport returns the HTTP transport for endpoints. Each request uses a new
 // connection, so that a late answer to an earlier request cannot be taken for its own,
-// and no request is sent on an idle connection that has silently died.
-func NewTransport() *http.Transport {
+// and no request is sent on an idle connection that has silently died. Responses that may be
+// truncated, or whose status is invalid, are errors.
+func NewTransport() *framing.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxKeepAliveProbes,
 	}}
-	return &http.Transport{
+	return framing.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -287,7 +288,7 @@
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-	}
+	})
 }
 
 // dialError marks a failure to connect, which proves that nothing was sent.
--- a/gateway/send_test.go
+++ b/gateway/send_test.go
@@ -88,7 +88,7 @@
 	conn, err := NewTransport().DialContext(context.Background(), "tcp", l.Addr().String())
 	is.NoErr(err)
 	defer func() { _ = conn.Close() }()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.(interface{ NetConn() net.Conn }).NetConn().(*net.TCPConn).SyscallConn()
 	is.NoErr(err)
 	options := map[int]int{}
 	err = raw.Control(func(fd uintptr) {
--- a/sidecar/contract_test.go
+++ b/sidecar/contract_test.go
@@ -174,6 +174,15 @@
 			hijack(w, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
 		}, false, verdict.ReasonEndpointLost},
 	}
+	for _, status := range []string{"000", "042", "099", "600", "999"} {
+		tests["invalid status "+status] = struct {
+			handler  http.HandlerFunc
+			complete bool
+			reason   verdict.Reason
+		}{func(w http.ResponseWriter, _ *http.Request) {
+			hijack(w, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 2\r\n\r\n{}")
+		}, false, verdict.ReasonEndpointLost}
+	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -198,6 +207,42 @@
 	}
 }
 
+// An answer without a length whose engine reset the connection while the request was still being written counted as
+// complete.
+func TestResetUnderTheRequestIsNoCompleteAnswer(t *testing.T) {
+	const runs = 24
+	complete := 0
+	for i := range runs {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodDelete {
+				return
+			}
+			conn, buf, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{}")
+			_ = buf.Flush()
+			time.Sleep(time.Duration(1+i%8*4) * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}))
+		d := dispatch()
+		d.BodyBytes = 6 << 20
+		ctx, cancel := context.WithCancel(context.Background())
+		st := &fakeStream{ctx: ctx, in: make(chan wire.Message, 1)}
+		st.in <- &wire.Body{Data: make([]byte, d.BodyBytes), Last: true}
+		newSidecar(t, srv.URL, false).run(st, d)
+		if _, ok := last(t, st.sent).(*wire.End); ok {
+			complete++
+		}
+		cancel()
+		srv.Close()
+	}
+	t.Logf("%d of %d answers complete", complete, runs)
+	is.New(t).Equal(complete, 0)
+}
+
 // TestEngineMayAnswerBeforeItHasTheWholeBody checks that the rest of the body still reaches
 // an engine that starts to answer before it has read the complete body.
 func TestEngineMayAnswerBeforeItHasTheWholeBody(t *testing.T) {
--- a/sidecar/engine.go
+++ b/sidecar/engine.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rosemaryproxy/rosemaryproxy/engine"
+	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -42,15 +43,15 @@
 func newEngineClient(base string) *engineClient {
 	return &engineClient{
 		base: strings.TrimSuffix(base, "/"),
-		pooled: &http.Client{Transport: &http.Transport{
+		pooled: &http.Client{Transport: framing.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
-		}, CheckRedirect: returnRedirect},
-		unpooled: &http.Client{Transport: &http.Transport{
+		}), CheckRedirect: returnRedirect},
+		unpooled: &http.Client{Transport: framing.NewTransport(&http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
-		}, CheckRedirect: returnRedirect},
+		}), CheckRedirect: returnRedirect},
 	}
 }
 
