--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -116,6 +116,7 @@
 		taken: make(chan struct{}, 1), done: make(chan struct{}), released: make(chan struct{}),
 	}
 	a.request.Tried = slices.Clone(c.placementRequest.Tried)
+	a.request.Kept = c.keptTokens()
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.sendCtx, a.giveUp = context.WithCancelCause(a.ctx)
 	a.timer = newSilenceTimer(a)
@@ -427,6 +428,7 @@
 	}
 	a.begun = true
 	a.markAlive()
+	a.recordPrefix()
 	if !a.tell(message{ended: true, head: res, body: body}) {
 		return nil, context.Cause(a.ctx)
 	}
@@ -460,6 +462,7 @@
 			a.markAlive()
 			if now := a.c.g.clock.Now(); firstEvent.IsZero() {
 				firstEvent = now
+				a.recordPrefix()
 			} else if !pastBeginning && now.Sub(firstEvent) > beginningTime {
 				pastBeginning = true
 				a.c.recordPartCompletions()
--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rosemaryproxy/rosemaryproxy/costmodel"
+	"github.com/rosemaryproxy/rosemaryproxy/prefix"
 )
 
 // Kind states whether a request may be executed more than once.
@@ -81,6 +82,8 @@
 	// from all entries together, so that an endpoint that has not warmed up is not
 	// overloaded. Zero means no limit.
 	ColdRateLimit float64
+	// Prefix describes the prefix caches of the engines; nil if they keep no prompt after its request.
+	Prefix *prefix.Policy
 
 	// minEventGapTarget is the smallest EventGapTarget among the routes to the service;
 	// zero when no route has one.
@@ -182,6 +185,8 @@
 	// Parts are the IDs of the parts of the prompt, but for the last, which belongs to the request
 	// or its session. Requests with the same ID have the same text there.
 	Parts []string
+	// Segments are all parts of the prompt in order, with their tokens.
+	Segments []prefix.Segment
 }
 
 // Dispatch holds what the gateway adds to the caller's request for the endpoint.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/drain"
 	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/prefix"
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 	"github.com/rosemaryproxy/rosemaryproxy/stream"
@@ -169,6 +170,8 @@
 	// mu guards the fields below. It is "gateway.fleet" of kernel.LockOrder.
 	mu    sync.Mutex
 	fleet *assign.Fleet
+	// prefixes records which endpoints have read which prefixes of prompts.
+	prefixes *prefix.Record
 	// losses finds out under which requests endpoints ended.
 	losses *quarantine.Tracker
 	// queues holds the requests that wait for an endpoint, by service.
@@ -193,7 +196,7 @@
 	g := &Gateway{
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1), queued: make(chan struct{}, 1),
-		fleet: assign.NewFleet(), bookings: newBookings(), placing: newPlacing(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
+		fleet: assign.NewFleet(), prefixes: prefix.New(), bookings: newBookings(), placing: newPlacing(), placer: &placer{}, queues: map[string]*queues{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
 		leftEntries: map[string]string{}, slowSuspects: map[string]bool{}, stop: stop{began: make(chan struct{})},
 	}
 	g.ticketTTL.Store(int64(s.TicketTTL))
