--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/drain"
 	"github.com/rosemaryproxy/rosemaryproxy/framing"
 	"github.com/rosemaryproxy/rosemaryproxy/kernel"
+	"github.com/rosemaryproxy/rosemaryproxy/prefix"
 	"github.com/rosemaryproxy/rosemaryproxy/quarantine"
 	"github.com/rosemaryproxy/rosemaryproxy/schedule"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
@@ -117,7 +118,7 @@
 	node    settings.Node
 	client  controlClient
 	dialer  dialer
-	http    *http.Transport
+	http    http.RoundTripper
 	retries *retryBudget
 	metrics *gatewayMetrics
 	// usage is nil if requests are not counted.
@@ -177,6 +178,8 @@
 	// mu guards the fields below. It is "gateway.fleet" of kernel.LockOrder.
 	mu    sync.Mutex
 	fleet *assign.Fleet
+	// prefixes records which endpoints have read which prefixes of prompts.
+	prefixes *prefix.Record
 	// losses finds out under which requests endpoints ended.
 	losses *quarantine.Tracker
 	// waiting holds the requests that wait for endpoints, and gauged the services that have gauges.
@@ -202,7 +205,7 @@
 	g := &Gateway{
 		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1), queued: make(chan struct{}, 1),
-		fleet: assign.NewFleet(), bookings: newBookings(), placing: newPlacing(), placer: &placer{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
+		fleet: assign.NewFleet(), prefixes: prefix.New(), bookings: newBookings(), placing: newPlacing(), placer: &placer{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
 		leftEntries: map[string]string{}, slowSuspects: map[string]bool{}, stop: stop{began: make(chan struct{})},
 	}
 	g.waiting, g.gauged = schedule.New(g.fleet), map[string]bool{}
@@ -276,12 +279,13 @@
 
 // NewTransport returns the HTTP transport for endpoints. Each request uses a new
 // connection, so that a late answer to an earlier request cannot be taken for its own,
-// and no request is sent on an idle connection that has silently died.
-func NewTransport() *http.Transport {
+// and no request is sent on an idle connection that has silently died. Responses that may be
+// truncated, or whose status is invalid, are errors.
+func NewTransport() *framing.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxKeepAliveProbes,
 	}}
-	return &http.Transport{
+	return framing.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
@@ -298,7 +302,7 @@
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-	}
+	})
 }
 
 // dialError marks a failure to connect, which proves that nothing was sent.
