--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -136,6 +136,14 @@
 	}
 	g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_waiting{service=%q,class=%q}", name, "short"), waiting(func(short, _ int) int { return short }))
 	g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_waiting{service=%q,class=%q}", name, "long"), waiting(func(_, long int) int { return long }))
+	g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_overloaded{service=%q}", name), func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.waiting.Overloaded(g.clock.Now(), name) {
+			return 1
+		}
+		return 0
+	})
 	g.metrics.set.GetOrCreateGauge(fmt.Sprintf("rosemary_gateway_retries_left{service=%q}", name), func() float64 {
 		return g.retries.remaining(g.clock.Now(), name, g.retrySharing())
 	})
--- a/schedule/overload.go
+++ b/schedule/overload.go
@@ -51,6 +51,12 @@
 // lasts reports whether there is an overload at now.
 func (o *overload) lasts(now time.Time) bool { return now.Before(o.until) }
 
+// Overloaded reports whether a service gets more short prompts than fit.
+func (s *Scheduler) Overloaded(now time.Time, service string) bool {
+	q, ok := s.services[service]
+	return ok && q.overload.lasts(now)
+}
+
 // contended reports whether other entries are likely to want the same slots as a request. All entries know
 // the bookings of one another, and so find the endpoints nearly full at the same time.
 func (s *Scheduler) contended(now time.Time, r *Request) bool {
