control/state: a source with a clock ahead made all later counts be dropped

256 open windows in the far future filled the bound, so that each window that the holder closed was dropped at once, and without closed windows oldestOpen jumped into the future. At most 64 windows lie more than 256 after the oldest open one now; beyond that the newest is dropped. TestSourceWithAClockAheadDisplacesNoCounts: without the change, window 1063 is lost after 256 windows in the future; with it, 256 of 256 present windows are closed with their counts.

--- a/control/state/duty.go
+++ b/control/state/duty.go
@@ -15,6 +15,10 @@
 	// maxWindows is the largest number of usage windows that are stored, open or closed. With windows
 	// of 5 s, it covers an outage of the receiver of 21 minutes.
 	maxWindows = 256
+	// maxFutureWindows is the largest number of open windows that begin more than maxWindows after the oldest
+	// one. They come from a source whose clock is ahead, or follow an outage in which nothing was closed:
+	// entries then report the 32 windows that they keep.
+	maxFutureWindows = 64
 	// maxWindowAccounts is the largest number of client accounts with counts in a window. The largest
 	// deployment has 3,100.
 	maxWindowAccounts = 4096
@@ -258,9 +262,12 @@
 	d.enforceBound()
 }
 
-// enforceBound drops the oldest window while there are more than maxWindows. Closed windows are older than
-// all open ones. An open window that is dropped does not open again.
+// enforceBound drops the newest window while there are more than maxFutureWindows, and then the oldest window
+// while there are more than maxWindows. A source whose clock is ahead would otherwise displace the counts of
+// all others. Closed windows are older than all open ones. An open window that is dropped as the oldest does
+// not open again.
 func (d *duties) enforceBound() {
+	d.boundFuture()
 	for len(d.open)+len(d.closed) > maxWindows {
 		var oldest uint64
 		if len(d.closed) > 0 {
@@ -276,6 +283,28 @@
 	}
 }
 
+// boundFuture drops the newest window while there are more than maxFutureWindows.
+func (d *duties) boundFuture() {
+	if len(d.open) <= maxFutureWindows {
+		return
+	}
+	windows := slices.Sorted(maps.Keys(d.open))
+	first := d.oldestOpen
+	if first == 0 {
+		first = windows[0] // nothing was closed yet
+	}
+	future := windows
+	for len(future) > 0 && future[0]-first <= maxWindows {
+		future = future[1:]
+	}
+	for ; len(future) > maxFutureWindows; future = future[:len(future)-1] {
+		newest := future[len(future)-1]
+		delete(d.open, newest)
+		d.dropped.Windows++
+		d.dropped.LastWindow = newest
+	}
+}
+
 // reportedWindow carries out a command.ReportedWindow. A repeat has no effect.
 func (m *Machine) reportedWindow(e *Entry) *wire.Answer {
 	var c command.ReportedWindow
--- a/control/state/duty_test.go
+++ b/control/state/duty_test.go
@@ -287,6 +287,26 @@
 	is.Equal(l.closeWindow(number, 901).Counts, counts{"x": maxWindowSources})
 }
 
+// TestSourceWithAClockAheadDisplacesNoCounts guards against a source whose windows lie in the far future and
+// fill the bound, so that the counts of all other sources are dropped.
+func TestSourceWithAClockAheadDisplacesNoCounts(t *testing.T) {
+	is := is.New(t)
+	l := newLog(t)
+	number := l.acquire("one").Number
+	const present, ahead = 1000, 1 << 40
+	l.count("a/1", present, counts{"x": 1})
+	for i := range uint64(maxWindows) {
+		for j := range uint64(4) {
+			l.count("ahead/1", ahead+4*i+j, counts{"x": 1})
+		}
+		l.count("a/1", present+i, counts{"x": 1})
+		is.Equal(l.closeWindow(number, present+i).Counts, counts{"x": 1})
+		l.mustApply(command.NameReportedWindow, "", command.ReportedWindow{Number: number, Window: present + i})
+	}
+	is.Equal(l.m.Usage().OldestOpen, uint64(present+maxWindows))
+	is.Equal(len(l.m.Usage().Open), maxFutureWindows)
+}
+
 // TestSnapshotKeepsDuties guards against grants and counts that a replica loses when it restores a
 // snapshot, and against snapshots of an older version that cannot be read.
 func TestSnapshotKeepsDuties(t *testing.T) {
