control: the scaler took all load reports as outdated after a suspension

Orders got the holder's time, which includes suspensions, and load reports are dated by the clock of the process. After 3 s of suspensions in total, each sample deleted all reports, and no number of endpoints changed until a restart. Orders gets the time of the clock now. TestScalerHasTheTimeOfLoadReports fails before and passes after.

--- a/control/duty_holder.go
+++ b/control/duty_holder.go
@@ -63,7 +63,8 @@
 }
 
 // scaler decides how many endpoints there should be. Orders returns the same subjects in the same order
-// while the configuration is the same.
+// while the configuration is the same. Its time is that of the process's clock, by which load reports are
+// dated; DutyHolder.now is ahead of it by the time of suspensions.
 type scaler interface {
 	Orders(now time.Time) []autoscale.ScaleOrder
 }
@@ -163,7 +164,7 @@
 func (h *DutyHolder) tick(ctx context.Context) {
 	t := duty.Tick{Leader: h.Replica.Leader(), Wall: h.TrueTime()}
 	if h.Scaler != nil && h.holds(duty.Scaling) {
-		t.Orders = h.Scaler.Orders(h.now())
+		t.Orders = h.Scaler.Orders(h.clock.Now())
 	}
 	h.step(ctx, t)
 }
--- a/control/duty_holder_test.go
+++ b/control/duty_holder_test.go
@@ -31,6 +31,8 @@
 	// atCall runs when the platform is called, before MayWrite is asked.
 	atCall  func()
 	notSent int
+	// askedAt is the last time that was passed to Orders.
+	askedAt time.Time
 }
 
 func (f *dutyFake) Now() time.Time {
@@ -109,7 +111,10 @@
 	return 200, nil
 }
 
-func (f *dutyFake) Orders(time.Time) []autoscale.ScaleOrder {
+func (f *dutyFake) Orders(now time.Time) []autoscale.ScaleOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.askedAt = now
 	return []autoscale.ScaleOrder{{Service: "huvo", Zone: "hall", Count: 6}}
 }
 
@@ -180,3 +185,22 @@
 	})
 	is.True(f.notSent >= 1)
 }
+
+// TestScalerHasTheTimeOfLoadReports guards against a scaler whose time is ahead of that of load reports by the
+// time of suspensions: after 3 s of these, each report is taken as outdated and no number of endpoints changes.
+func TestScalerHasTheTimeOfLoadReports(t *testing.T) {
+	is := is.New(t)
+	f := &dutyFake{now: time.Unix(1_765_000_000, 0)}
+	f.atCall = sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.suspended += time.Minute
+		f.askedAt = time.Time{}
+	})
+	runHolder(t, f, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.suspended > 0 && !f.askedAt.IsZero()
+	})
+	is.True(!f.askedAt.After(f.now))
+}
