control: a leader whose clock was ahead blocked all grants after it

The time of the state machine is the highest wall clock of any leader. After a leader whose clock is an hour ahead it stood still for an hour under the next one, and no grant expired; a step of the wall clock of a leader ended grants at once. A leader now counts the time of commands from the highest that it has applied, with the monotonic clock and the time of suspensions. A step of the wall clock after the start of a process has no effect.

--- a/control/commands.go
+++ b/control/commands.go
@@ -174,7 +174,7 @@
 // propose replicates a command and returns the answer of the state machine.
 func (s *Server) propose(ctx context.Context, peer wire.Peer, c *wire.Command) *wire.Answer {
 	raw, err := wire.Marshal(&state.Entry{
-		ID: c.ID, Name: c.Name, Who: peer.Name, At: s.clock.Now().UnixNano(), Body: c.Body,
+		ID: c.ID, Name: c.Name, Who: peer.Name, At: s.store.commandTime().UnixNano(), Body: c.Body,
 	})
 	if err != nil {
 		return refused(verdict.From(err))
--- a/control/state/change.go
+++ b/control/state/change.go
@@ -120,3 +120,6 @@
 
 // time returns the time of the newest command.
 func (m *Machine) time() time.Time { return time.Unix(0, m.now).UTC() }
+
+// Time returns the highest time of a command so far.
+func (m *Machine) Time() time.Time { return m.time() }
--- a/control/store.go
+++ b/control/store.go
@@ -13,13 +13,18 @@
 // store shares the state machine between the replica, which writes it, and the sessions and
 // commands, which read it.
 type store struct {
-	// mu is "control.store" of kernel.LockOrder. It guards machine and applied.
+	// mu is "control.store" of kernel.LockOrder. It guards machine, ahead and applied.
 	mu      sync.RWMutex
 	machine *state.Machine
 	// onChange is called after a change that sessions get in an update. The caller does not
 	// hold mu.
 	onChange func()
 	clock    kernel.Clock
+	// started is the wall clock at the start, when the VM had been suspended for suspendedBefore.
+	started         time.Time
+	suspendedBefore time.Duration
+	// ahead is how far the time of the state machine is ahead of localTime, or zero.
+	ahead time.Duration
 	// applied holds the newest revisions with the time they were applied here, oldest first.
 	applied []appliedRevision
 }
@@ -36,7 +41,27 @@
 var _ replica.StateMachine = (*store)(nil)
 
 func newStore(clock kernel.Clock, onChange func()) *store {
-	return &store{machine: state.New(), clock: clock, onChange: onChange}
+	return &store{
+		machine: state.New(), clock: clock, onChange: onChange, started: clock.Now(), suspendedBefore: kernel.Suspended(),
+	}
+}
+
+// localTime returns the wall clock at the start plus the time since then, also that of suspensions. A step of
+// the wall clock does not change it, since a step ahead would end grants before their holders expect it.
+func (s *store) localTime() time.Time {
+	return s.started.Add(s.clock.Now().Sub(s.started) + kernel.Suspended() - s.suspendedBefore)
+}
+
+// recordAhead compares the clocks after the time of the state machine may have changed. The caller holds mu.
+func (s *store) recordAhead() { s.ahead = max(s.ahead, s.machine.Time().Sub(s.localTime())) }
+
+// commandTime returns the time of a command that is proposed now. It continues from the time of the state
+// machine, because the time there would stand still, and no grant would expire, while a leader's clock is
+// behind that of an earlier leader.
+func (s *store) commandTime() time.Time {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.localTime().Add(s.ahead)
 }
 
 // Apply implements replica.StateMachine.
@@ -44,6 +69,7 @@
 	s.mu.Lock()
 	before := s.machine.SessionDataVersion()
 	result := s.machine.Apply(index, command)
+	s.recordAhead()
 	changed := s.machine.SessionDataVersion() != before
 	s.recordRevision()
 	s.mu.Unlock()
@@ -90,6 +116,7 @@
 func (s *store) Restore(snapshot []byte) error {
 	s.mu.Lock()
 	err := s.machine.Restore(snapshot)
+	s.recordAhead()
 	s.recordRevision()
 	s.mu.Unlock()
 	s.onChange()
