--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -197,7 +197,6 @@
 	// slowSuspects are the engines to ask for their speed; true for those that this entry has found
 	// slow, which it asks until they are sound again.
 	slowSuspects map[string]bool
-	lastQueueID  uint64
 }
 
 // New returns a gateway that uses the dialect d and reaches engines through e.
