schedule: short prompts that wait for something else than a slot are not refused as in an overload

Cause: requests that wait for the end of a long prefill were refused after 40 ms once some had waited for their target, though a wait serves them. Only where slots lack does a wait serve no more. Change: an overload begins and refuses only while the endpoints are nearly full.

--- a/schedule/overload.go
+++ b/schedule/overload.go
@@ -70,7 +70,7 @@
 }
 
 // refuseLate refuses the waiting requests with short prompts that will not be served, in an overload:
-// requests have waited without a break for the time in which their callers want an answer. What is served
+// requests have waited for slots without a break for the time in which their callers want an answer. What is served
 // late takes a slot that a request in time needs, here or at another entry, so that soon all are
 // late, and the queue stands at the longest wait that callers bear. After a shorter disturbance the queue
 // empties by itself, and late requests are served.
@@ -78,7 +78,8 @@
 // Load pattern: short prompts at up to 2.5 times what fits while an availability zone is out.
 func (s *Scheduler) refuseLate(now time.Time, q *queues) {
 	first, ok := q.short.Next(now)
-	if !ok {
+	if !ok || !s.fleet.NearlyFull(now, requestOf(&first).Request) {
+		// Requests that wait for something else than a slot, such as the end of a long prefill, may be served soon.
 		q.overload.observe(now, 0, 0)
 		return
 	}
