gateway: requests were counted in the usage window of their answer, not of their run

Cause: a request that is no stream was counted when its response header came. The logs show five calls sent 16 to 56 ms before the end of a window and answered 3 ms after it; where an endpoint takes long, all of its last calls move. Measured: the new test failed before (window k+1 instead of k).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -380,8 +380,8 @@
 	if res.StatusCode < http.StatusMultipleChoices && a.c.route.Stream {
 		return nil, a.readStream(res)
 	}
-	if !a.c.route.Stream { // a stream begins to run with its first event
-		a.countRun()
+	if !a.c.route.Stream { // a stream begins to run with its first event, another request as it arrives
+		a.countRun(a.c.g.clock.Now().Sub(a.sentAt))
 	}
 	return a.readComplete(res)
 }
@@ -463,7 +463,7 @@
 			return a.handleBrokenAnswer(err)
 		case ev.hasData:
 			a.begun = true
-			a.countRun()
+			a.countRun(0)
 			a.timer.hold() // a slow caller is no silence of the endpoint
 			a.markAlive()
 			if now := a.c.g.clock.Now(); firstEvent.IsZero() {
--- a/gateway/cells.go
+++ b/gateway/cells.go
@@ -138,7 +138,7 @@
 		if p != nil || ctx.Err() != nil || !g.clock.Now().Before(w.GiveUpAt) || !mayFitElsewhere(err) {
 			return p, err
 		}
-		// A refusal before yieldAt is final: waiting would not have helped.
+		// A refusal before YieldAt is final: waiting would not have helped.
 		if g.clock.Now().Before(w.YieldAt) && !verdict.IsReason(err, verdict.ReasonUnreachable) {
 			return p, err
 		}
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -60,11 +60,11 @@
 	return u.trueTime.Now(now, now.Sub(u.started)+u.suspended())
 }
 
-// began counts a request of a client account that an endpoint has begun to run.
-func (u *usageCounts) began(account string) {
+// began counts a request of a client account that an endpoint began to run this long ago.
+func (u *usageCounts) began(account string, ago time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.counter.Began(u.now(), account)
+	u.counter.Began(u.now().Add(-ago), account)
 }
 
 // report returns the counts that are to be sent. It also follows the wall clock, which has to be read while
@@ -97,15 +97,15 @@
 	return u.counter.Pending()
 }
 
-// countRun counts the attempt for the usage of its client account, once, when its endpoint has begun to run
-// the request. Requests without a client account are not counted.
-func (a *attempt) countRun() {
+// countRun counts the attempt for the usage of its client account, once, as one that its endpoint began to run this
+// long ago. Requests without a client account are not counted.
+func (a *attempt) countRun(ago time.Duration) {
 	u := a.c.g.usage
 	if u == nil || a.counted || a.c.account == "" {
 		return
 	}
 	a.counted = true
-	u.began(a.c.account)
+	u.began(a.c.account, ago)
 }
 
 // startUsageReports starts the reports of usage to control. The returned function ends them with the last
--- a/gateway/usage_test.go
+++ b/gateway/usage_test.go
@@ -143,6 +143,26 @@
 	}
 }
 
+// A request that an endpoint began to run shortly before the end of a window was counted in the next one, in which
+// its answer came.
+func TestRequestCountsInTheWindowInWhichItsRunBegan(t *testing.T) {
+	const window = 500 * time.Millisecond
+	is := is.New(t)
+	nextWindow := func() time.Duration { return window - time.Duration(time.Now().UnixNano()%int64(window)) }
+	w := newTestGateway(t, func(rw http.ResponseWriter, r *http.Request) {
+		time.Sleep(nextWindow() + window/10)
+		answering(http.StatusOK, "good")(rw, r)
+	})
+	c := newUsageControl(w)
+	w.g.client, w.g.usage = c, newUsageCounts(window, kernel.SystemClock{}, noSuspension)
+	time.Sleep(nextWindow() + window/5) // so that the run begins well within a window
+	number := uint64(time.Now().UnixNano() / int64(window))
+	is.Equal(w.post("/seal/1", nil).status, http.StatusOK)
+	_, err := w.g.sendUsage(context.Background())
+	is.NoErr(err)
+	is.Equal(c.windows, map[uint64]map[string]uint64{number: {"parish": 1}})
+}
+
 // A stream that had begun was counted only at its end.
 func TestStreamCountsAtItsFirstEvent(t *testing.T) {
 	is := is.New(t)
@@ -203,7 +223,7 @@
 	c.failures = 2
 	var lines bytes.Buffer
 	w.g.log = hclog.New(&hclog.LoggerOptions{Output: &lines})
-	w.g.usage.began("parish")
+	w.g.usage.began("parish", 0)
 	end := w.g.startUsageReports()
 	for w.g.usage.pending() > 0 {
 		time.Sleep(time.Millisecond)
@@ -224,7 +244,7 @@
 	c.failures = 1 << 30
 	var lines bytes.Buffer
 	w.g.log = hclog.New(&hclog.LoggerOptions{Output: &lines})
-	w.g.usage.began("parish")
+	w.g.usage.began("parish", 0)
 	w.g.stop.begin(time.Now(), time.Now())
 	w.g.startUsageReports()()
 	is.True(strings.Contains(lines.String(), "usage lost at the end of the process: pending=1"))
@@ -238,8 +258,8 @@
 	c.oldestOpen = 1 << 60
 	var lines bytes.Buffer
 	w.g.log = hclog.New(&hclog.LoggerOptions{Output: &lines})
-	w.g.usage.began("parish")
-	w.g.usage.began("parish")
+	w.g.usage.began("parish", 0)
+	w.g.usage.began("parish", 0)
 	window := w.g.usage.report()[0].Window
 	_, err := w.g.sendUsage(context.Background())
 	is.NoErr(err)
