--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -95,6 +95,9 @@
 	}
 	sleep(ctx, time.Second)
 	leaving.drain()
+	if err := leaving.checkAcked(0); err != nil {
+		return "", err
+	}
 	// It serves for DrainMs and a little longer, at times many seconds.
 	sleep(ctx, drainBound+6*time.Second)
 	stop()
@@ -262,6 +265,9 @@
 		if i%3 == 0 && left < leaving {
 			sleep(ctx, leaveGap)
 			w.depart()
+			if err := w.checkAcked(0); err != nil {
+				return "", err
+			}
 			left++
 		}
 	}
--- a/review/lab-2/links.go
+++ b/review/lab-2/links.go
@@ -46,6 +46,9 @@
 	inTouch := time.Now()
 	leaving := workers[from] // its heartbeats go to this control
 	leaving.drain()
+	if err := leaving.checkAcked(from); err != nil {
+		return "", err
+	}
 	// It serves for DrainMs and a little longer, at times many seconds.
 	sleep(ctx, drainBound+5*time.Second)
 	stop()
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -32,6 +32,7 @@
 	"far-behind-routes": farBehindRoutes,
 	"lost-departure":    lostDeparture,
 	"many-changes":      manyChanges,
+	"core-back":         coreBack,
 	"silent-links":      silentLinks,
 	"large-bodies":      largeBodies,
 }
--- a/review/lab-2/worker.go
+++ b/review/lab-2/worker.go
@@ -40,8 +40,9 @@
 	sequence uint64
 	state    string
 	silent   bool
-	// ackedAt is when its leave was acknowledged.
+	// ackedAt is when its leave was acknowledged, and ackedBy the index of the node that did.
 	ackedAt time.Time
+	ackedBy int
 }
 
 // runs collects what the workers ran.
@@ -196,7 +197,7 @@
 func (w *worker) leave(method string, body any) {
 	at, node := w.callControl(method, body)
 	w.mu.Lock()
-	w.ackedAt = at
+	w.ackedAt, w.ackedBy = at, node
 	w.mu.Unlock()
 	w.d.linef("%s of %s acknowledged by control of edge-%d", method, w.id, node+1)
 }
@@ -208,6 +209,16 @@
 	return w.ackedAt
 }
 
+// checkAcked returns an error unless the leave of the worker was acknowledged by a node.
+func (w *worker) checkAcked(node int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ackedAt.IsZero() || w.ackedBy != node {
+		return fmt.Errorf("the leave of %s was not acknowledged by control of edge-%d", w.id, node+1)
+	}
+	return nil
+}
+
 // sleep waits until d has passed or ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
