--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -105,6 +105,9 @@
 	for _, m := range d.machines {
 		d.linef("%s: sessions with control ended %d", m.name, m.entry.logHas("session with control ended"))
 	}
+	if err := c.checkServed(); err != nil {
+		return "", err
+	}
 	late, example := lateRuns(d, c, r, time.Time{})
 	d.linef("requests that reached the worker over %v after the acknowledgement: %d", drainBound, late)
 	if late == 0 {
@@ -147,15 +150,9 @@
 		return "", err
 	}
 	behind := d.machines[len(d.machines)-1]
-	load, stop := context.WithCancel(ctx)
-	defer stop()
-	var running sync.WaitGroup
-	for _, path := range []string{pathOpen, pathKeyed} {
-		for range 2 {
-			running.Go(func() { c.run(load, behind, path, 50*time.Millisecond) })
-		}
-	}
-	sleep(ctx, settleTime)
+	keepers := []*keeper{newKeeper(pathOpen), newKeeper(pathOpen), newKeeper(pathKeyed), newKeeper(pathKeyed)}
+	// The clients rest during the freeze, for less than four fifths of IdleTimeoutMs, and keep their connections.
+	h.load(ctx, c, keepers, behind, settleTime)
 	begun := time.Now()
 	if d.trouble {
 		behind.entry.signal(syscall.SIGSTOP)
@@ -185,13 +182,11 @@
 		inTouch = time.Now().Add(contact)
 	}
 	const observed = 20 * time.Second
-	sleep(ctx, time.Until(inTouch.Add(observed)))
-	stop()
-	running.Wait()
+	h.load(ctx, c, keepers, behind, time.Until(inTouch.Add(observed)))
 	old, fresh := 0, 0
 	byID := r.byID()
 	for _, s := range c.ended() {
-		if s.path != pathOpen || s.at.Before(inTouch) || s.at.Before(ackedAt.Add(configApply)) {
+		if s.path != pathOpen || s.at.Before(inTouch) || s.at.Before(ackedAt.Add(configApply)) || s.dialed.IsZero() || s.dialed.After(begun) {
 			continue
 		}
 		for _, a := range byID[s.id] {
@@ -204,13 +199,13 @@
 	}
 	keyed, refused := 0, 0
 	for _, s := range c.ended() {
-		if s.path == pathKeyed && !s.at.Before(inTouch) {
+		if s.path == pathKeyed && !s.at.Before(inTouch) && s.dialed.Before(begun) {
 			if keyed++; s.status != http.StatusOK {
 				refused++
 			}
 		}
 	}
-	d.linef("from %s on, %s had requests run by the old service: %d, by the new one: %d; requests with a key not served: %d of %d",
+	d.linef("from %s on, over connections opened before the freeze, %s had requests run by the old service: %d, by the new one: %d; requests with a key not served: %d of %d",
 		d.at(inTouch), behind.name, old, fresh, refused, keyed)
 	switch {
 	case old > 0:
@@ -221,6 +216,17 @@
 	return "", nil
 }
 
+// load has the keepers send requests to a machine for a time.
+func (h changes) load(ctx context.Context, c *clients, keepers []*keeper, m *machine, span time.Duration) {
+	load, stop := context.WithTimeout(ctx, span)
+	defer stop()
+	var running sync.WaitGroup
+	for _, k := range keepers {
+		running.Go(func() { c.keep(load, k, m, 50*time.Millisecond) })
+	}
+	running.Wait()
+}
+
 // idleRouteList returns routes that nobody uses.
 func idleRouteList(n int) []map[string]any {
 	var out []map[string]any
--- a/review/lab-2/links.go
+++ b/review/lab-2/links.go
@@ -53,6 +53,9 @@
 	sleep(ctx, drainBound+5*time.Second)
 	stop()
 	running.Wait()
+	if err := c.checkServed(); err != nil {
+		return "", err
+	}
 	late, example := lateRuns(d, c, r, inTouch)
 	d.linef("requests that reached the worker over %v after the acknowledgement: %d", drainBound, late)
 	if late == 0 {
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -65,6 +65,9 @@
 	case err != nil:
 		record.linef("could not run: %v", err)
 		return exitNotRun
+	case broken == "" && ctx.Err() != nil:
+		record.linef("could not run: the time of the run or a signal ended it")
+		return exitNotRun
 	case broken != "":
 		record.linef("rule broken: %s", broken)
 		return exitBroken
--- a/review/lab-2/operator.go
+++ b/review/lab-2/operator.go
@@ -34,6 +34,7 @@
 		return 0, nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	defer func() { d.linef("called %s %s at %s, answered with %d, error %v", method, path, addr, status, err) }()
 	res, err := controlClient.Do(req)
 	if err != nil {
 		return 0, nil, err
