deploy: settings were no JSON where a template is rendered without conditional sections

Their renderer of the templates knows {{name}} and {{name|json}} only. Since control.json and entry.json have sections {{#CloudApi.Address}}, so the settings held the sections themselves.

Cause: the templates were valid only for a renderer that has sections, and the test rendered them with one.

An object of settings whose address is an empty string is left out, with all that stands beside it (settings, tag enables); lists of names may be written as a string with commas.

--- a/cli/check.go
+++ b/cli/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -39,10 +40,12 @@
 started. The exit code is 0 when the settings are good and 2 when they are not.`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if _, err := readSettings(*file); err != nil {
+			f, err := readSettings(*file)
+			if err != nil {
 				return err
 			}
-			_, err := fmt.Fprintln(c.OutOrStdout(), "settings are good")
+			lines := append([]string{"settings are good"}, kernel.Notes(f)...)
+			_, err = fmt.Fprintln(c.OutOrStdout(), strings.Join(lines, "\n"))
 			return err
 		},
 	}
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -77,6 +77,22 @@
 	return nil
 }
 
+// Notes returns what the settings of the plug-ins of f leave out, with JSON paths. It leaves out settings with faults.
+func Notes(f *settings.File) []string {
+	var out []string
+	for _, id := range sortedIDs(f) {
+		plugin, err := decode(id, f.Plugins[id])
+		noter, ok := plugin.(settings.Noter)
+		if err != nil || !ok {
+			continue
+		}
+		for _, note := range noter.Notes() {
+			out = append(out, "plugins."+id+"."+note)
+		}
+	}
+	return out
+}
+
 // sortedIDs returns the identifiers of the plug-ins of f, sorted.
 func sortedIDs(f *settings.File) []string {
 	ids := make([]string, 0, len(f.Plugins))
--- a/settings/check.go
+++ b/settings/check.go
@@ -15,6 +15,12 @@
 	CheckSettings() Faults
 }
 
+// Noter is implemented by settings that leave something out which an operator may expect.
+type Noter interface {
+	// Notes returns a line for each, with a path relative to the value.
+	Notes() []string
+}
+
 // Decode decodes raw into dst, a pointer to a struct, and checks it. Its error is Faults and
 // lists all faults, with JSON paths below path. Fields of dst that raw does not set keep
 // their values, so the caller sets defaults beforehand. When there are faults, dst holds
--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -30,6 +30,13 @@
 	Each    []limits          `json:"each" validate:"dive"`
 	ByName  map[string]limits `json:"by_name" validate:"dive"`
 	Pointer *limits           `json:"pointer"`
+	Report  *report           `json:"report"`
+}
+
+type report struct {
+	To    Addr     `json:"to" settings:"enables" validate:"required"`
+	Every Duration `json:"every" validate:"required"`
+	Names Names    `json:"names" validate:"required,min=1,dive,oneof=a b"`
 }
 
 func newSample() *sample {
@@ -64,6 +71,15 @@
 		{"null", `{"limits":{"count":null}}`, Faults{{"p.limits.count", "want a whole number, got null"}}},
 		{"null pointer", `{"pointer":null}`, nil},
 		{"below a pointer", `{"pointer":{"count":0}}`, Faults{{"p.pointer.count", "want at least 1, got 0"}}},
+		{"left out", `{"report":{"to":"","every":"ms","names":""}}`, nil},
+		{"names in a string", `{"report":{"to":"127.0.0.1:1","every":"1s","names":"a,b"}}`, nil},
+		{"names in a list", `{"report":{"to":"127.0.0.1:1","every":"1s","names":["b"]}}`, nil},
+		{"no names", `{"report":{"to":"127.0.0.1:1","every":"1s","names":""}}`, Faults{{"p.report.names", "must not be empty"}}},
+		{"number for names", `{"report":{"to":"127.0.0.1:1","every":"1s","names":1}}`, Faults{{"p.report.names", `want a list of names, or a string such as "first,second"`}}},
+		{"unknown name", `{"report":{"to":"127.0.0.1:1","every":"1s","names":"a,c"}}`, Faults{{"p.report.names[1]", `want one of a, b, got "c"`}}},
+		{"not left out", `{"report":{"every":"ms"}}`, Faults{
+			{"p.report.every", `want a duration such as "250ms", got "ms"`}, {"p.report.to", "is missing"}, {"p.report.names", "is missing"},
+		}},
 		{"below a list", `{"each":[{"count":1},{"count":0}]}`, Faults{{"p.each[1].count", "want at least 1, got 0"}}},
 		{"below a map", `{"by_name":{"big one":{"count":0}}}`, Faults{{"p.by_name.big one.count", "want at least 1, got 0"}}},
 		{"missing in a list", `{"each":[{}]}`, Faults{{"p.each[0].count", "want at least 1, got 0"}}},
--- a/settings/types.go
+++ b/settings/types.go
@@ -67,6 +67,27 @@
 	return nil
 }
 
+// Names is a list of names. It may be written as a string with commas between them, as templates do.
+type Names []string
+
+// UnmarshalJSON parses a list of strings, or a string that holds them. An empty string holds none.
+func (n *Names) UnmarshalJSON(b []byte) error {
+	var list []string
+	if json.Unmarshal(b, &list) == nil {
+		*n = list
+		return nil
+	}
+	var text string
+	if err := json.Unmarshal(b, &text); err != nil {
+		return errors.New(`want a list of names, or a string such as "first,second"`)
+	}
+	*n = nil
+	if text != "" {
+		*n = strings.Split(text, ",")
+	}
+	return nil
+}
+
 // Addr is an IP address and port. Host names are refused, because processes address each
 // other by IP address only.
 type Addr string
--- a/settings/walk.go
+++ b/settings/walk.go
@@ -44,7 +44,7 @@
 }
 
 func (w *walker) pointer(path string, raw json.RawMessage, dst reflect.Value) {
-	if kindOf(raw) == "null" {
+	if kindOf(raw) == "null" || leftOut(raw, dst.Type().Elem()) {
 		dst.SetZero()
 		return
 	}
@@ -54,6 +54,27 @@
 	w.value(path, raw, dst.Elem())
 }
 
+// leftOut reports whether raw is an object for the struct type t that does not apply: a field of t has the
+// tag `settings:"enables"`, and its value in raw is an empty string. Templates without conditional sections
+// write such an object when they have no values for it.
+func leftOut(raw json.RawMessage, t reflect.Type) bool {
+	if t.Kind() != reflect.Struct || kindOf(raw) != "an object" {
+		return false
+	}
+	for _, f := range reflect.VisibleFields(t) {
+		if f.Tag.Get("settings") != "enables" {
+			continue
+		}
+		name, _ := jsonName(f)
+		for _, m := range members(raw) {
+			if m.key == name && string(m.value) == `""` {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (w *walker) unmarshaler(path string, raw json.RawMessage, dst reflect.Value) {
 	u := dst.Addr().Interface().(json.Unmarshaler)
 	if err := u.UnmarshalJSON(raw); err != nil {
