deploy: settings were not valid where a template writes null for a missing value

Its renderer removes conditional sections, but writes null for a value that is missing: the address of the duties was "null".

Change: an object of settings is left out if its address is "" or "null", the two forms in which a template without conditional sections writes a value that it does not have.

--- a/settings/check_test.go
+++ b/settings/check_test.go
@@ -72,6 +72,7 @@
 		{"null pointer", `{"pointer":null}`, nil},
 		{"below a pointer", `{"pointer":{"count":0}}`, Faults{{"p.pointer.count", "want at least 1, got 0"}}},
 		{"left out", `{"report":{"to":"","every":"ms","names":""}}`, nil},
+		{"left out by a template that writes null", `{"report":{"to":"null","every":"nullms","names":"null"}}`, nil},
 		{"names in a string", `{"report":{"to":"127.0.0.1:1","every":"1s","names":"a,b"}}`, nil},
 		{"names in a list", `{"report":{"to":"127.0.0.1:1","every":"1s","names":["b"]}}`, nil},
 		{"no names", `{"report":{"to":"127.0.0.1:1","every":"1s","names":""}}`, Faults{{"p.report.names", "must not be empty"}}},
--- a/settings/walk.go
+++ b/settings/walk.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 )
 
@@ -54,9 +55,12 @@
 	w.value(path, raw, dst.Elem())
 }
 
+// noValue are the strings that templates without conditional sections write between quotes for a value that they do
+// not have.
+var noValue = []string{`""`, `"null"`}
+
 // leftOut reports whether raw is an object for the struct type t that does not apply: a field of t has the
-// tag `settings:"enables"`, and its value in raw is an empty string. Templates without conditional sections
-// write such an object when they have no values for it.
+// tag `settings:"enables"`, and raw has no value for it.
 func leftOut(raw json.RawMessage, t reflect.Type) bool {
 	if t.Kind() != reflect.Struct || kindOf(raw) != "an object" {
 		return false
@@ -67,7 +71,7 @@
 		}
 		name, _ := jsonName(f)
 		for _, m := range members(raw) {
-			if m.key == name && string(m.value) == `""` {
+			if m.key == name && slices.Contains(noValue, string(m.value)) {
 				return true
 			}
 		}
