control: an endpoint ID that is not UTF-8 cut its replica off from all others

Cause: wire.Marshal encodes a text that wire.Unmarshal refuses, so that one record ended each stream of reports and each session that had it, again and again, until it expired. No line named it.

Change: such an ID is refused with 400, in announcements and departures; CheckDirect holds for all ways into the list. Messages between processes may carry any text, as callers' paths and headers may; what is replicated or stored stays strict, because replicas of two versions have to agree on it, and Marshal refuses what Unmarshal refuses. A report leaves out the one record that cannot be encoded or is too large, with a line, and is sent in parts if it does not fit into one message. An idempotency key that is not UTF-8 is refused with 400.

--- a/control/links.go
+++ b/control/links.go
@@ -46,6 +46,8 @@
 	from   replica.ID
 	// remote is nil until the first report arrives on the stream.
 	remote *remote
+	// parts holds what has arrived of a report that is sent in several messages, else nil.
+	parts *report
 }
 
 // next returns the next message of the stream.
@@ -69,27 +71,40 @@
 	case groupConsensus:
 		return l.handleConsensus(m.Data)
 	case groupReport:
-		var r report
-		if err := wire.Unmarshal(m.Data, &r); err != nil {
-			return err
-		}
-		if l.remote == nil {
-			l.remote = newRemote(l.from, l.stream)
-			s.table.addRemote(l.remote)
-			s.running.Go(l.remote.send)
-		}
-		if err := l.stream.SetDeadline(s.clock.Now().Add(peerSilence)); err != nil {
-			return err
-		}
-		s.table.report(s.clock.Now(), l.remote, &r)
-		if len(r.Demands) > 0 {
-			s.barriers.notify()
-		}
-		return nil
+		return l.handleReport(m.Data)
 	}
 	return errors.Errorf("unknown message group %q from a replica", m.Group)
 }
 
+// handleReport processes a report, or keeps it until the rest has arrived.
+func (l *inbound) handleReport(data []byte) error {
+	s := l.server
+	r := &report{}
+	// A replica of an earlier version may report names that are not UTF-8.
+	if err := wire.UnmarshalAnyText(data, r); err != nil {
+		s.log.Warn("report of replica not readable", "replica", l.from, "bytes", len(data), "error", err)
+		return err
+	}
+	if l.remote == nil {
+		l.remote = newRemote(l.from, l.stream)
+		s.table.addRemote(l.remote)
+		s.running.Go(l.remote.send)
+	}
+	if err := l.stream.SetDeadline(s.clock.Now().Add(peerSilence)); err != nil {
+		return err
+	}
+	l.parts = joinParts(l.parts, r)
+	if l.parts.More {
+		return nil
+	}
+	r, l.parts = l.parts, nil
+	s.table.report(s.clock.Now(), l.remote, r)
+	if len(r.Demands) > 0 {
+		s.barriers.notify()
+	}
+	return nil
+}
+
 func (l *inbound) handleConsensus(data []byte) error {
 	r, ok := l.server.node.(receiver)
 	if !ok {
--- a/control/report.go
+++ b/control/report.go
@@ -36,6 +36,8 @@
 	// Departed are the departures that the stream has not reported yet. Replicas of earlier versions learn of
 	// them only from the registrations in Sessions.
 	Departed []departureReport `cbor:"5,keyasint,omitempty"`
+	// More is set if the rest of the report follows in the next message.
+	More bool `cbor:"6,keyasint,omitempty"`
 }
 
 // sessionReport describes one session, or one registration with the role roleEndpoint.
@@ -320,7 +322,10 @@
 	s.running.Go(func() { s.receiveShares(stream) })
 	sent := &reportState{}
 	for {
-		data, err := wire.Marshal(s.table.compose(s.clock.Now(), sent, s.node.Status().Leader == to))
+		m := s.table.compose(s.clock.Now(), sent, s.node.Status().Leader == to)
+		parts, err := m.encode(func(record string, err error) {
+			s.log.Warn("record left out of report", "replica", to, "record", record, "error", err)
+		})
 		if err != nil {
 			return err
 		}
@@ -329,8 +334,10 @@
 		if err := stream.SetDeadline(s.clock.Now().Add(peerSilence)); err != nil {
 			return err
 		}
-		if err := stream.Send(&wire.ReplicaMessage{Group: groupReport, Data: data}); err != nil {
-			return err
+		for _, data := range parts {
+			if err := stream.Send(&wire.ReplicaMessage{Group: groupReport, Data: data}); err != nil {
+				return err
+			}
 		}
 		select {
 		case <-stream.Context().Done():
--- a/entry/contract_test.go
+++ b/entry/contract_test.go
@@ -181,6 +181,7 @@
 		"prompt too long":    {"POST", "/v1/completions", `{"model":"scribe","prompt":"a","max_tokens":90000}`, withKey(), 413, verdict.ReasonPromptTooLong},
 		"seal without a key": {"POST", "/services/desk/seal", "{}", withKey(), 400, verdict.ReasonBadRequest},
 		"seal, no quorum":    {"POST", "/services/desk/seal", "{}", withKey(HeaderIdempotencyKey, "k"), 503, verdict.ReasonNoQuorum},
+		"key not UTF-8":      {"POST", "/services/desk/seal", "{}", withKey(HeaderIdempotencyKey, "k\xff"), 400, verdict.ReasonBadRequest},
 		"no such path":       {"GET", "/v2", "", withKey(), 400, verdict.ReasonBadRequest},
 	}
 	for name, tc := range tests {
--- a/entry/parse.go
+++ b/entry/parse.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -160,6 +161,10 @@
 	if c.atMostOnce && c.idempotencyKey == "" {
 		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%s %s runs at most once and wants a header %s", c.method, path, HeaderIdempotencyKey)
 	}
+	if !utf8.ValidString(c.idempotencyKey) {
+		// Control stores the key as text.
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "header %s has the value %.80q, which is not UTF-8", HeaderIdempotencyKey, c.idempotencyKey)
+	}
 	c.digest = xxhash.Sum64String(strings.Join([]string{c.method, c.path, string(c.body)}, "\x00"))
 	c.routing = route.Request{Target: c.route.Target, Zone: e.node.Zone, Deadline: c.deadline}
 	return nil
--- a/wire/endpoint.go
+++ b/wire/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 )
@@ -31,6 +32,8 @@
 		return errors.Errorf("endpoint %q has started at %d, after %d", e.Name, e.Incarnation, uint64(MaxIncarnation))
 	case e.Name == "" || len(e.Name) > maxNameBytes || len(e.Target) > maxNameBytes || len(e.Zone) > maxNameBytes:
 		return errors.Errorf("endpoint %.40q, its service or its availability zone has no name or one over %d bytes", e.Name, maxNameBytes)
+	case !utf8.ValidString(e.Name) || !utf8.ValidString(e.Target) || !utf8.ValidString(e.Zone):
+		return errors.Errorf("endpoint %q, its service %q or its availability zone %q has a name that is not UTF-8", e.Name, e.Target, e.Zone)
 	}
 	return nil
 }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -25,35 +25,48 @@
 	headerBytes = lengthBytes + 1
 )
 
-// decMode decodes messages of peers and bounds their numbers of array elements, map pairs
-// and nesting levels.
-var decMode = newDecMode()
+// strictText decodes what is replicated or stored, and anyText messages between two processes. Both bound
+// the numbers of array elements, map pairs and nesting levels. anyText takes text that is not UTF-8, which callers
+// and endpoints may use in names, paths and headers: one such text must not end a stream that others share. A
+// replica that took it in a command would differ from one of an earlier version, which refuses the command.
+var (
+	strictText = newDecMode(cbor.UTF8RejectInvalid)
+	anyText    = newDecMode(cbor.UTF8DecodeInvalid)
+)
 
-func newDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 16}.DecMode()
+func newDecMode(text cbor.UTF8Mode) cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 16, UTF8: text}.DecMode()
 	if err != nil {
 		panic(err)
 	}
 	return mode
 }
 
-// Marshal encodes v in CBOR.
+// Marshal encodes v in CBOR for Unmarshal. It returns an error for a text that Unmarshal refuses.
 func Marshal(v any) ([]byte, error) {
 	b, err := cbor.Marshal(v)
+	if err == nil {
+		err = checkText(b)
+	}
 	return b, errors.Wrapf(err, "encode %T", v)
 }
 
 // Unmarshal decodes CBOR into v. It returns an error if the limits on the number of
-// elements and on nesting are exceeded.
+// elements and on nesting are exceeded, and for text that is not UTF-8.
 func Unmarshal(b []byte, v any) error {
-	return errors.Wrapf(decMode.Unmarshal(b, v), "decode %T", v)
+	return errors.Wrapf(strictText.Unmarshal(b, v), "decode %T", v)
+}
+
+// UnmarshalAnyText is like Unmarshal, but takes text that is not UTF-8. It is for what is neither replicated nor stored.
+func UnmarshalAnyText(b []byte, v any) error {
+	return errors.Wrapf(anyText.Unmarshal(b, v), "decode %T", v)
 }
 
 // WriteMessage writes m as one frame and returns the number of bytes written.
 func WriteMessage(w io.Writer, m Message) (int, error) {
-	body, err := Marshal(m)
+	body, err := cbor.Marshal(m)
 	if err != nil {
-		return 0, err
+		return 0, errors.Wrapf(err, "encode %T", m)
 	}
 	if len(body)+1 > MaxFrameBytes {
 		return 0, errors.Errorf("message of %d bytes is over the limit of %d", len(body), MaxFrameBytes)
@@ -87,7 +100,7 @@
 		}
 		return nil, 0, err
 	}
-	if err := Unmarshal(body, m); err != nil {
+	if err := UnmarshalAnyText(body, m); err != nil {
 		return nil, 0, err
 	}
 	return m, headerBytes + len(body), nil
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 
+	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/settings"
 )
 
@@ -62,6 +65,31 @@
 	is.NoErr(<-served)
 }
 
+// A text that is not UTF-8 was encoded, and the stream on which it was sent ended at the receiver.
+func TestForeignTextEndsAStream(t *testing.T) {
+	texts := []string{"", "hall", "é", "i-\xff\xfe", "a\xc3(", strings.Repeat("a", 30), strings.Repeat("a", 300) + "\xff", strings.Repeat("a", 70_000), "\x80"}
+	for _, text := range texts {
+		is := is.New(t)
+		sent := &Update{
+			Leader: "1", Endpoints: []Endpoint{{Name: text, Load: Load{PrefillRate: 1.5, FreeTokens: 1 << 40, RampTokens: -1}, Direct: true}},
+			Removed: []string{"x", text}, Snapshot: &config.Document{Publication: &config.Publication{Content: []byte("\xff\x7f")}},
+		}
+		var frame bytes.Buffer
+		_, err := WriteMessage(&frame, sent)
+		is.NoErr(err)
+		got, _, err := ReadMessage(&frame)
+		is.NoErr(err)
+		is.Equal(got.(*Update).Removed, sent.Removed)
+		is.Equal(got.(*Update).Endpoints, sent.Endpoints)
+
+		raw, err := Marshal(sent)
+		is.Equal(err == nil, utf8.ValidString(text)) // what is replicated or stored can be decoded
+		if err == nil {
+			is.NoErr(Unmarshal(raw, &Update{}))
+		}
+	}
+}
+
 // TestIdentityReloadsRotatedKeys checks that an identity uses replaced files for the next
 // connection, without a restart, and keeps the old ones while the new ones cannot be
 // read.
