gateway: memory of a request was renewed without a sign that anybody uses it

Change: where the holders do not say, the primary endpoint's numbers of running and waiting requests decide; where these do not either, the memory is renewed while the silence is expected, by the limits after which the endpoint is checked anyway. Memory that was not renewed for its TTL is released once and not set aside anew, for engines that do not end it by themselves.

TestSilentWorkKeepsItsReservations passes: silent work keeps its memory.

--- a/gateway/deployment.go
+++ b/gateway/deployment.go
@@ -283,8 +283,9 @@
 	// TicketUsed reports whether a request uses the memory of a ticket at the engine at addr, as the engine
 	// says, some hundred ms late. An error means that it does not say.
 	TicketUsed(addr, ticket string) (bool, error)
-	// Queued returns the number of requests that wait at the engine at addr, as the engine says.
-	Queued(addr string) (int, error)
+	// Requests returns the numbers of requests that run and that wait at the engine at addr, as the engine
+	// says, some hundred ms late. An error means that it does not say; running is -1 if it says only how many wait.
+	Requests(addr string) (running, waiting int, err error)
 	// Reserve reserves KV memory for the given number of tokens until ttl has passed.
 	// The ticket identifies the reservation; another call with the same ticket renews
 	// it.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -125,7 +125,7 @@
 
 func (e *fakeEngines) TicketUsed(string, string) (bool, error) { return true, nil }
 
-func (e *fakeEngines) Queued(string) (int, error) { return 0, nil }
+func (e *fakeEngines) Requests(string) (running, waiting int, err error) { return 0, 0, nil }
 
 func (e *fakeEngines) Alive(string, uint64) bool { return !e.dead.Load() }
 
--- a/gateway/lost_answer_test.go
+++ b/gateway/lost_answer_test.go
@@ -14,24 +14,39 @@
 // countingEngines count the renewals of reservations, and how often a holder of memory is asked.
 type countingEngines struct {
 	*fakeEngines
-	// used and queued are what the engines say of the memory and of waiting requests.
+	// used and queued are what the engines say of the memory and of waiting requests. running is how many requests
+	// they say to run, and late how long they take to say anything.
 	used, queued func() (bool, error)
+	running      int
+	late         time.Duration
 	asked        atomic.Int64
 	mu           sync.Mutex
 	reserved     map[string][]time.Time
+	released     map[string]time.Time // the first release of each ticket
+}
+
+func (e *countingEngines) Release(addr, ticket string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.released[ticket]; !ok {
+		e.released[ticket] = time.Now()
+	}
+	return e.fakeEngines.Release(addr, ticket)
 }
 
 func (e *countingEngines) TicketUsed(string, string) (bool, error) {
 	e.asked.Add(1)
+	time.Sleep(e.late)
 	return e.used()
 }
 
-func (e *countingEngines) Queued(string) (int, error) {
+func (e *countingEngines) Requests(string) (running, waiting int, err error) {
+	time.Sleep(e.late)
 	queued, err := e.queued()
 	if queued {
-		return 1, err
+		return e.running, 1, err
 	}
-	return 0, err
+	return e.running, 0, err
 }
 
 func (e *countingEngines) Reserve(addr, ticket string, tokens int64, ttl time.Duration) error {
@@ -63,8 +78,15 @@
 	testTicketTTL = 1500 * time.Millisecond
 )
 
+// slowPrefill and fastPrefill are rates, in tokens per second, at which the first event of the prompt is due long
+// after the endpoint is quiet, and long before.
+const (
+	slowPrefill = 300
+	fastPrefill = 5000
+)
+
 // postQuiet sends a long prompt to an endpoint that sends nothing for a while, and returns when that began.
-func postQuiet(t *testing.T, path string, e *countingEngines) (w *testGateway, sent time.Time, got reply) {
+func postQuiet(t *testing.T, path string, e *countingEngines, prefill float64) (w *testGateway, sent time.Time, got reply) {
 	t.Helper()
 	var first atomic.Bool
 	var at atomic.Int64
@@ -80,12 +102,11 @@
 		streaming(3, 3, nil)(rw, r)
 	}
 	w = newTestGateway(t, endpoint, endpoint)
-	e.fakeEngines, e.reserved = w.engines, map[string][]time.Time{}
+	e.fakeEngines, e.reserved, e.released = w.engines, map[string][]time.Time{}, map[string]time.Time{}
 	w.g.engines = e
 	w.g.ticketTTL.Store(int64(testTicketTTL))
 	d := *w.g.deployment.Load()
-	// The prefill of the prompt is predicted to take longer than the endpoint is quiet.
-	d.Services["scribe"].Engine.PrefillTokensPerSecond = 300
+	d.Services["scribe"].Engine.PrefillTokensPerSecond = prefill
 	d.Services["scribe"].Engine.MemoryTokens = 10_000
 	for i := range d.Routes {
 		d.Routes[i].Timeout = 20 * time.Second
@@ -124,7 +145,7 @@
 			t.Parallel()
 			is := is.New(t)
 			e := &countingEngines{used: test.used, queued: says(false)}
-			w, sent, got := postQuiet(t, test.path, e)
+			w, sent, got := postQuiet(t, test.path, e, slowPrefill)
 			is.Equal(got.status, http.StatusOK)
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -146,7 +167,8 @@
 	tests := map[string]*countingEngines{
 		"used":                       {used: says(true), queued: says(false)},
 		"queued":                     {used: says(false), queued: says(true)},
-		"holders do not say":         {used: saysNothing, queued: says(false)},
+		"holders do not say":         {used: saysNothing, queued: says(false), running: 3},
+		"holders do not say, queued": {used: saysNothing, queued: says(true)},
 		"the primary does not say":   {used: says(false), queued: saysNothing},
 		"nobody says anything of it": {used: saysNothing, queued: saysNothing},
 	}
@@ -155,8 +177,8 @@
 			t.Run(name+" "+path, func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				e := &countingEngines{used: e.used, queued: e.queued}
-				w, sent, got := postQuiet(t, path, e)
+				e := &countingEngines{used: e.used, queued: e.queued, running: e.running}
+				w, sent, got := postQuiet(t, path, e, slowPrefill)
 				is.Equal(got.status, http.StatusOK)
 				last, expired := e.lastReserve(testTicketTTL)
 				is.True(!expired)
@@ -168,12 +190,46 @@
 	}
 }
 
+// Entries renewed the memory reservations of a request that its endpoint had finished, as long as no engine said that
+// nobody uses them.
+func TestReservationsAreRenewedWithoutASignOfUse(t *testing.T) {
+	tests := map[string]*countingEngines{
+		"nothing runs at the primary":     {used: saysNothing, queued: says(false)},
+		"others run at the primary":       {used: saysNothing, queued: says(false), running: 3},
+		"only waiting requests are told":  {used: saysNothing, queued: says(false), running: -1},
+		"nobody says anything":            {used: saysNothing, queued: saysNothing},
+		"nobody says anything in time":    {used: saysNothing, queued: saysNothing, late: 300 * time.Millisecond},
+		"held, and the primary is silent": {used: says(false), queued: saysNothing},
+	}
+	for name, test := range tests {
+		for _, path := range []string{"/read/1", "/tell/1"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				e := &countingEngines{used: test.used, queued: test.queued, running: test.running, late: test.late}
+				_, sent, _ := postQuiet(t, path, e, fastPrefill)
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				first := 0
+				for ticket, times := range e.reserved {
+					if times[0].Before(sent) {
+						first++
+						is.True(times[len(times)-1].Sub(sent) < quiet/2)
+						is.True(e.released[ticket].Sub(sent) < quiet*9/10) // also at an engine that does not count the TTL
+					}
+				}
+				is.True(first > 0)
+			})
+		}
+	}
+}
+
 // An endpoint whose events keep coming is not asked about memory: each question is priced.
 func TestHoldersAreNotAskedWhileEventsCome(t *testing.T) {
 	is := is.New(t)
 	endpoint := paced("id: 1\ndata: x\n\n", "id: 2\ndata: x\n\n", 100*time.Millisecond, 20)
 	w := newTestGateway(t, endpoint, endpoint)
-	e := &countingEngines{fakeEngines: w.engines, used: says(false), queued: says(false), reserved: map[string][]time.Time{}}
+	e := &countingEngines{fakeEngines: w.engines, used: says(false), queued: says(false), reserved: map[string][]time.Time{}, released: map[string]time.Time{}}
 	w.g.engines = e
 	w.g.deployment.Load().Services["scribe"].Engine.PrefillTokensPerSecond = 5000
 	is.Equal(w.post("/read/1", func(r *http.Request) { r.Header.Set("Tokens", "1500") }).status, http.StatusOK)
--- a/gateway/silence_timer.go
+++ b/gateway/silence_timer.go
@@ -34,6 +34,8 @@
 	MaxSignOfLifeAge = healthCheckInterval
 	// maxPause is how long a sound endpoint may send nothing after it was found to be silent.
 	maxPause = 3 * time.Second
+	// progressSent is silenceTimer.progress of a request that has been sent, and nothing of whose answer has come.
+	progressSent = 1
 	// progressBytes is how many bytes of an answer count as a sign of progress.
 	progressBytes = 16 << 10
 )
@@ -53,7 +55,7 @@
 	case route.Kind == AtMostOnce:
 		return 0
 	case route.Stream:
-		return max(prefillTimeoutFactor*a.placed.PredictedPrefill, minFirstEventTimeout)
+		return a.maxFirstEventWait()
 	default:
 		return latencyTimeoutFactor * route.LatencyTarget
 	}
@@ -65,6 +67,16 @@
 	if a.c.route.Kind == AtMostOnce {
 		return 0
 	}
+	return a.maxEventGap()
+}
+
+// maxFirstEventWait is the longest time that a sound endpoint should need for the first event of a stream.
+func (a *attempt) maxFirstEventWait() time.Duration {
+	return max(prefillTimeoutFactor*a.placed.PredictedPrefill, minFirstEventTimeout)
+}
+
+// maxEventGap is the longest pause between two events of a stream from a sound endpoint.
+func (a *attempt) maxEventGap() time.Duration {
 	return max(eventGapTimeoutFactor*a.c.route.EventGapTarget, minEventGapTimeout)
 }
 
--- a/gateway/tickets.go
+++ b/gateway/tickets.go
@@ -115,11 +115,12 @@
 
 // renew renews the reservations until ctx ends. They are not renewed, and the call is told of the
 // silence, while the primary endpoint, without which they serve nothing, answers no health checks, unless
-// the request must not be sent to another endpoint, and while no request uses them.
+// the request must not be sent to another endpoint, and while no request uses them. Reservations that were not renewed
+// for their TTL have ended, and are not made anew.
 func (a *attempt) renew(ctx context.Context, reserved []ticket) {
 	g := a.c.g
 	wait := func() time.Duration { return time.Duration(renewAfterFraction * float64(g.currentTicketTTL())) }
-	due := reserved
+	due, ends := reserved, a.reservationEnd()
 	for next := wait(); ; {
 		select {
 		case <-ctx.Done():
@@ -127,6 +128,10 @@
 		case <-g.clock.After(next):
 		}
 		progress := a.timer.progress()
+		if len(reserved) > 0 && g.clock.Now().After(ends) {
+			a.releaseEnded(reserved)
+			reserved, due = nil, nil
+		}
 		if a.c.route.Kind == Repeatable && !g.engineAlive(a.placed.Primary) {
 			a.timer.declareSilent(progress)
 			next = renewRetryInterval
@@ -137,6 +142,7 @@
 			next = healthCheckInterval
 			continue
 		}
+		ends = a.reservationEnd()
 		if due = a.renewOnce(ctx, due); len(due) > 0 {
 			next = renewRetryInterval
 			continue
@@ -145,6 +151,25 @@
 	}
 }
 
+// reservationEnd returns when reservations end that are made or renewed now.
+func (a *attempt) reservationEnd() time.Time {
+	return a.c.g.clock.Now().Add(a.c.g.currentTicketTTL())
+}
+
+// releaseEnded releases reservations whose TTL has passed, for an engine that has not ended them by itself.
+func (a *attempt) releaseEnded(reserved []ticket) {
+	a.log().Info("memory reservation ended without a renewal", "tickets", len(reserved), "quiet", a.quiet())
+	var orders sync.WaitGroup
+	for _, t := range reserved {
+		orders.Go(func() {
+			if err := a.c.g.engines.Release(t.Addr, t.Ticket); err != nil {
+				a.log().Warn("memory reservation not released", "ticket", t.Ticket, "addr", t.Addr, "try", 0, "error", err)
+			}
+		})
+	}
+	orders.Wait()
+}
+
 // renewOnce renews reservations at the same time and returns those for which that failed.
 func (a *attempt) renewOnce(ctx context.Context, due []ticket) (failed []ticket) {
 	failures := make(chan ticket, len(due))
