control: a silent connection to another replica kept its reports away for up to 30 s

Cause: reports are not answered, and their QUIC connection ended only after the default idle time of 30 s. The limit of 2 s between messages of replicas held for the receiver alone.

Change: connections to replicas end after peerSilence, 2 s, without a packet; reports every 200 ms keep them in use. An interruption of reports is logged once, as a warning. The soak has silent connections of a replica as a kind of fault.

--- a/control/control.go
+++ b/control/control.go
@@ -150,7 +150,8 @@
 
 // newServer returns a server without its replica, which openReplica adds.
 func (p *Plugin) newServer(h *kernel.Host, id *wire.Identity, bootstrap *config.Document, addrs map[replica.ID]string) *Server {
-	p.dialer = session.NewDialer(id, wire.PoolOptions{}, &wire.Traffic{})
+	// Reports keep the connections to the other replicas in use.
+	p.dialer = session.NewDialer(id, wire.PoolOptions{IdleTimeout: peerSilence}, &wire.Traffic{})
 	s := &Server{
 		barriers:       newBarriers(),
 		clock:          h.Clock,
--- a/control/report.go
+++ b/control/report.go
@@ -298,8 +298,12 @@
 // runReporter sends reports to one replica, on a new stream after each failure, until ctx ends.
 func (s *Server) runReporter(ctx context.Context, to replica.ID) {
 	for ctx.Err() == nil {
-		if err := s.reportTo(ctx, to); err != nil {
-			s.log.Debug("reports to replica ended", "replica", to, "error", err)
+		switch sent, err := s.reportTo(ctx, to); {
+		case err == nil || ctx.Err() != nil:
+		case sent:
+			s.log.Warn("reports to replica interrupted", "replica", to, "error", err)
+		default:
+			s.log.Debug("replica gets no reports", "replica", to, "error", err)
 		}
 		select {
 		case <-ctx.Done():
@@ -309,39 +313,40 @@
 }
 
 // reportTo opens a stream to a replica and sends reports on it until the stream fails or ctx
-// ends.
-func (s *Server) reportTo(ctx context.Context, to replica.ID) error {
+// ends. sent is set if it sent any.
+func (s *Server) reportTo(ctx context.Context, to replica.ID) (sent bool, err error) {
 	bounded, cancel := context.WithTimeout(ctx, peerOpenTimeout)
 	stream, err := s.transport.dial(bounded, to)
 	cancel()
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer stream.Abort()
 	defer context.AfterFunc(ctx, stream.Abort)()
 	s.running.Go(func() { s.receiveShares(stream) })
-	sent := &reportState{}
+	state := &reportState{}
 	for {
-		m := s.table.compose(s.clock.Now(), sent, s.node.Status().Leader == to)
+		m := s.table.compose(s.clock.Now(), state, s.node.Status().Leader == to)
 		parts, err := m.encode(func(record string, err error) {
 			s.log.Warn("record left out of report", "replica", to, "record", record, "error", err)
 		})
 		if err != nil {
-			return err
+			return sent, err
 		}
 		// The deadline also applies to receiving shares. Each report extends it, so
 		// that receiving continues while reports can be sent.
 		if err := stream.SetDeadline(s.clock.Now().Add(peerSilence)); err != nil {
-			return err
+			return sent, err
 		}
 		for _, data := range parts {
 			if err := stream.Send(&wire.ReplicaMessage{Group: groupReport, Data: data}); err != nil {
-				return err
+				return sent, err
 			}
 		}
+		sent = true
 		select {
 		case <-stream.Context().Done():
-			return errors.New("stream was closed")
+			return sent, errors.New("stream was closed")
 		case <-s.clock.After(reportInterval):
 		}
 	}
--- a/control/transport.go
+++ b/control/transport.go
@@ -30,8 +30,8 @@
 	peerOpenTimeout = time.Second
 	// peerRetryInterval is the delay before the next attempt to reach a replica.
 	peerRetryInterval = 100 * time.Millisecond
-	// peerSilence is the time without a message from a replica after which the connection to
-	// it is replaced, because the replica may have been restarted.
+	// peerSilence is the time without a message from a replica, or a packet on a connection to it, after which
+	// the connection is replaced: the replica may have been restarted, or the connection has gone silent for good.
 	peerSilence = 2 * time.Second
 )
 
--- a/soak/packets.go
+++ b/soak/packets.go
@@ -54,8 +54,10 @@
 
 	mu     sync.Mutex
 	closed bool
-	// flows are the sockets towards the target, by the source of the datagrams.
-	flows map[netip.AddrPort]*net.UDPConn
+	// flows are the sockets towards the target, by the source of the datagrams, and silent the sources whose
+	// datagrams are dropped for good.
+	flows  map[netip.AddrPort]*net.UDPConn
+	silent map[netip.AddrPort]bool
 }
 
 // NewPacketProxy listens on addr and forwards datagrams to target, unless they are cut.
@@ -64,11 +66,29 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on packet proxy address for target %s", target)
 	}
-	p := &PacketProxy{cuts: cuts, target: target, conn: conn, flows: map[netip.AddrPort]*net.UDPConn{}}
+	p := &PacketProxy{cuts: cuts, target: target, conn: conn, flows: map[netip.AddrPort]*net.UDPConn{}, silent: map[netip.AddrPort]bool{}}
 	go p.run()
 	return p, nil
 }
 
+// Silence drops from now on what the open sockets of the VM from exchange with the target. Sockets that it opens later work.
+func (p *PacketProxy) Silence(from netip.Addr) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for source := range p.flows {
+		if source.Addr().Unmap() == from {
+			p.silent[source] = true
+		}
+	}
+}
+
+// isSilent reports whether the datagrams of a source are dropped for good.
+func (p *PacketProxy) isSilent(source netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[source]
+}
+
 // Close closes all sockets.
 func (p *PacketProxy) Close() {
 	p.mu.Lock()
@@ -88,7 +108,7 @@
 		if err != nil {
 			return
 		}
-		if !p.cuts.forwards(source.Addr().Unmap(), p.target.Addr()) {
+		if p.isSilent(source) || !p.cuts.forwards(source.Addr().Unmap(), p.target.Addr()) {
 			continue
 		}
 		if flow := p.flow(source); flow != nil {
@@ -123,7 +143,7 @@
 			return
 		}
 		// While the target does not run, its port refuses datagrams.
-		if err != nil || !p.cuts.forwards(p.target.Addr(), source.Addr().Unmap()) {
+		if err != nil || p.isSilent(source) || !p.cuts.forwards(p.target.Addr(), source.Addr().Unmap()) {
 			continue
 		}
 		_, _ = p.conn.WriteToUDPAddrPort(buf[:n], source)
