control: an entry that lacked more changes than fit into a message got no update any more

Cause: changes for sessions that catch up were kept by number, 512, whatever their size. An update with all that a session lacked was over wire.MaxFrameBytes, ended the session, and was made again in the next one.

Change: the kept changes are bounded by 2 MiB, too. A session that lacks more gets the complete document, which has only the last publication. A command of over 3 MiB, whose change no session could get in a message, is refused with a clear error; it was sent to the leader in vain before.

--- a/config/change.go
+++ b/config/change.go
@@ -37,6 +37,24 @@
 	Changes  []Change `json:"changes" cbor:"2,keyasint"`
 }
 
+// smallChangeBytes is the size that a change without a publication counts for; it has a few names and numbers.
+const smallChangeBytes = 1 << 10
+
+// Size returns the approximate size of the changes in bytes.
+func (r ChangeSet) Size() int {
+	size := 0
+	for _, c := range r.Changes {
+		size += smallChangeBytes
+		if c.Publication != nil {
+			size += len(c.Publication.Content)
+		}
+		if c.Account != nil {
+			size += len(c.Account.KeyHashes) * keyHashBytes * 2
+		}
+	}
+	return size
+}
+
 // ChangesZone reports whether one of the changes is to the availability zone of that name.
 func (r ChangeSet) ChangesZone(name string) bool {
 	return slices.ContainsFunc(r.Changes, func(c Change) bool { return c.Zone != nil && c.Zone.Name == name })
--- a/control/partition_test.go
+++ b/control/partition_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
@@ -126,3 +127,26 @@
 		})
 	}
 }
+
+// An entry that was cut off while more was published than fits into one message got no update any more: each was over
+// the limit, and ended the session.
+func TestLargePublicationsCutAnEntryOff(t *testing.T) {
+	const size, publications = 700 << 10, 10
+	is := is.New(t)
+	d := deploy(t, 1, longGrace)
+	operator := d.client("operator-1", wire.RoleOperator, nil)
+	d.leader(operator)
+	network := &partitionable{Opener: d.dialer("entry-1", wire.RoleEntry, &wire.Traffic{})}
+	entry := d.client("entry-1", wire.RoleEntry, func(o *session.Options) { o.Opener = network })
+	d.background(entry.Run)
+	eventually(t, "entry has a permission", func() bool { return entry.Fresh() && entry.View().Revision() == 1 })
+	network.partitioned.Store(true)
+	for version := range uint64(publications) {
+		p := config.Publication{Version: version + 1, Content: make([]byte, size)}
+		is.NoErr(operator.Do(timeoutContext(t), command.NamePublish, "", &command.Publish{Publication: p}, nil))
+	}
+	network.partitioned.Store(false)
+	eventually(t, "entry has the newest publication and a permission", func() bool {
+		return entry.Fresh() && entry.View().Load().PublishedVersion() == publications
+	})
+}
--- a/control/publish.go
+++ b/control/publish.go
@@ -16,6 +16,8 @@
 	forwardTimeout = 500 * time.Millisecond
 	// forwardRetryInterval is the delay before the next attempt.
 	forwardRetryInterval = 50 * time.Millisecond
+	// maxCommandBytes bounds a command. Sessions get its change in one message, beside the endpoints and entries.
+	maxCommandBytes = wire.MaxFrameBytes * 3 / 4
 )
 
 // Publish applies a publication and returns nil once it is certainly applied. After an error
@@ -61,6 +63,9 @@
 	if err != nil {
 		return verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err)
 	}
+	if len(raw) > maxCommandBytes {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "command %s of %d bytes is over the limit of %d", name, len(raw), maxCommandBytes)
+	}
 	c := &wire.Command{ID: id, Name: name, Body: raw}
 	var last *verdict.Refusal
 	for {
--- a/control/state/change.go
+++ b/control/state/change.go
@@ -99,9 +99,22 @@
 	return verdict.Refuse(verdict.ReasonBadRequest, 0, "%v", err)
 }
 
-// recordChange stores a change for sessions that catch up.
+// recordChange stores a change for sessions that catch up. The newest change stays, whatever its size.
 func (m *Machine) recordChange(r config.ChangeSet) {
-	m.recentChanges = appendBounded(m.recentChanges, r, maxRecentChanges)
+	if len(m.recentChanges) == maxRecentChanges {
+		m.dropOldestChange()
+	}
+	m.recentChanges = append(m.recentChanges, r)
+	m.recentBytes += r.Size()
+	for m.recentBytes > maxRecentChangeBytes && len(m.recentChanges) > 1 {
+		m.dropOldestChange()
+	}
+}
+
+// dropOldestChange drops the oldest of recentChanges. Readers with an earlier slice of the list still see it there.
+func (m *Machine) dropOldestChange() {
+	m.recentBytes -= m.recentChanges[0].Size()
+	m.recentChanges = m.recentChanges[1:]
 }
 
 // recordAudit appends an entry to the audit log.
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -89,7 +89,10 @@
 	if img.Document != nil {
 		restored.doc = img.Document.Clone()
 	}
-	restored.recentChanges = img.ChangeSet
+	// The snapshot may be of an earlier version, which kept more.
+	for _, r := range img.ChangeSet {
+		restored.recordChange(r)
+	}
 	restored.audit = img.Audit
 	for i, id := range img.AnswerIDs {
 		restored.answers.put(id, img.Answers[i])
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -23,6 +23,9 @@
 	// maxRecentChanges is the number of changes that are stored for sessions that catch up.
 	// A session that is further behind gets the complete document.
 	maxRecentChanges = 512
+	// maxRecentChangeBytes bounds their size. A session that lacks more gets the complete document, which is then
+	// smaller: of the publications it has the last one only.
+	maxRecentChangeBytes = 2 << 20
 	// maxAuditEntries is the largest number of entries in the audit log.
 	maxAuditEntries = 10000
 	// maxAnswers is the largest number of answers that are stored for repeated commands.
@@ -53,10 +56,12 @@
 type Machine struct {
 	doc           *config.Document
 	recentChanges []config.ChangeSet
-	audit         []command.AuditEntry
-	answers       *answers
-	orders        *orders
-	claims        *once.Ledger
+	// recentBytes is the size of recentChanges.
+	recentBytes int
+	audit       []command.AuditEntry
+	answers     *answers
+	orders      *orders
+	claims      *once.Ledger
 	// suspects holds the requests that may crash endpoints.
 	suspects *suspects
 	// duties holds the rights to duties and the usage that their holders report.
--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -387,3 +387,37 @@
 		}
 	}
 }
+
+// Changes were kept by number, whatever their size: control ran out of memory, and an update with the changes that a
+// session lacked was over the limit of a message, again and again.
+func TestLargeChangesAreKeptByNumberOnly(t *testing.T) {
+	const content = 300 << 10
+	is := is.New(t)
+	l := newLog(t)
+	behind := l.m.Document().Revision
+	for version := range uint64(40) {
+		p := config.Publication{Version: version + 1, Content: make([]byte, content)}
+		l.mustApply(command.NamePublish, fmt.Sprint(version), command.Publish{Publication: p})
+		size := 0
+		for _, r := range l.m.recentChanges {
+			size += r.Size()
+		}
+		is.Equal(size, l.m.recentBytes)
+		is.True(size <= maxRecentChangeBytes)
+	}
+	_, ok := l.m.ChangesSince(behind)
+	is.True(!ok) // sessions get the complete document
+	changes, ok := l.m.ChangesSince(l.m.Document().Revision - 5)
+	is.True(ok && len(changes) == 5)
+	snapshot, err := l.m.Snapshot()
+	is.NoErr(err)
+	is.True(len(snapshot) < 2*maxRecentChangeBytes)
+	restarted := New()
+	is.NoErr(restarted.Restore(snapshot))
+	is.Equal(restarted.recentBytes, l.m.recentBytes)
+
+	huge := config.Publication{Version: 100, Content: make([]byte, 2*maxRecentChangeBytes)}
+	l.mustApply(command.NamePublish, "huge", command.Publish{Publication: huge})
+	_, ok = l.m.ChangesSince(l.m.Document().Revision - 1)
+	is.True(ok) // the newest change is kept
+}
--- a/control/zone_test.go
+++ b/control/zone_test.go
@@ -137,3 +137,10 @@
 	}
 	is.Equal(state(), config.Out)
 }
+
+// TestPublicationOverTheLimitOfAMessageIsAccepted guards against one that replicas can't send to each other or to sessions.
+func TestPublicationOverTheLimitOfAMessageIsAccepted(t *testing.T) {
+	replicas, _ := pair(t)
+	err := replicas[0].Publish(timeoutContext(t), config.Publication{Version: 1, Content: make([]byte, wire.MaxFrameBytes)})
+	is.New(t).True(verdict.IsReason(err, verdict.ReasonBadRequest))
+}
