--- a/replica/compaction.go
+++ b/replica/compaction.go
@@ -4,8 +4,10 @@
 
 const (
 	// maxLogBytes is the size of applied entries from which a snapshot is taken before
-	// Options.SnapshotEvery is reached.
-	maxLogBytes = 64 << 20
+	// Options.SnapshotEvery is reached. The log is held in memory and on disk, where it must leave room for snapshots.
+	maxLogBytes = 8 << 20
+	// maxKeptBytes bounds the entries before a snapshot that stay for followers which lag a little.
+	maxKeptBytes = 4 << 20
 	// streamingFactor multiplies both thresholds while a snapshot is being streamed to a
 	// follower.
 	streamingFactor = 4
@@ -59,8 +61,8 @@
 }
 
 // pollSnapshot compacts the log once the snapshot of the current job is on disk. The last
-// SnapshotEvery/2 entries before the snapshot stay, so that a follower that lags a little
-// can catch up without a snapshot.
+// SnapshotEvery/2 entries before the snapshot stay, up to maxKeptBytes, so that a follower
+// that lags a little can catch up without a snapshot.
 func (r *Replica) pollSnapshot() error {
 	var err error
 	select {
@@ -80,7 +82,7 @@
 	if meta.Index <= r.core.snap.Index || r.core.pendingSnap != nil {
 		return nil // a later snapshot from the leader has replaced the log
 	}
-	keep := meta.Index - min(meta.Index, r.opts.SnapshotEvery/2)
+	keep := r.core.log.keepFrom(meta.Index, r.opts.SnapshotEvery/2, maxKeptBytes)
 	r.core.compacted(meta, keep)
 	r.log.Info("snapshot", "id", uint64(r.founding.ID), "index", meta.Index, "bytes", meta.Size)
 	if err := r.store.removeSnapshotsBefore(meta.Index); err != nil {
--- a/replica/files_test.go
+++ b/replica/files_test.go
@@ -310,3 +310,32 @@
 		newCore(opts, restored{}).step(&second)
 	})
 }
+
+// The log was kept by the number of entries, whatever their size, in memory and on disk.
+func TestLargeEntriesAreKeptByNumberOnly(t *testing.T) {
+	tests := map[string]struct {
+		size, entries int
+		maxEntries    uint64
+		want          uint64 // the entries that stay
+	}{
+		"small ones by number": {10, 100, 30, 30},
+		"large ones by size":   {1000 - entryOverhead, 100, 50, 10},
+		"one too large":        {20_000, 3, 50, 0},
+		"fewer than the limit": {10, 5, 50, 5},
+		"none":                 {10, 0, 50, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := &entryLog{base: 7}
+			for i := range test.entries {
+				l.entries = append(l.entries, Entry{Index: 8 + uint64(i), Term: 1, Data: make([]byte, test.size)})
+			}
+			l.applied, l.committed, l.stable = l.last(), l.last(), l.last()
+			from := l.keepFrom(l.last(), test.maxEntries, 10_000)
+			is.Equal(l.last()-from, test.want)
+			l.compact(from)
+			is.Equal(uint64(len(l.entries)), test.want)
+		})
+	}
+}
--- a/replica/log.go
+++ b/replica/log.go
@@ -146,6 +146,18 @@
 	return l.slice(max(l.stable, l.base)+1, int(^uint(0)>>1))
 }
 
+// keepFrom returns the index up to which compact may drop entries so that the last entries up to index stay: at most
+// maxEntries of at most maxBytes together.
+func (l *entryLog) keepFrom(index, maxEntries uint64, maxBytes int) uint64 {
+	from := index
+	for size := 0; from > l.base && from <= l.last() && index-from < maxEntries; from-- {
+		if size += l.entries[from-l.base-1].size(); size > maxBytes {
+			break
+		}
+	}
+	return from
+}
+
 // compact drops the entries up to index, which have been applied.
 func (l *entryLog) compact(index uint64) {
 	term, ok := l.term(index)
