--- a/gateway/late_requests_test.go
+++ b/gateway/late_requests_test.go
@@ -62,7 +62,7 @@
 	for _, path := range paths {
 		for range short {
 			if got := s.post(path, nil); got.status != http.StatusOK {
-				t.Fatalf("%s: status %d", path, got.status)
+				t.Fatalf("%s: status %d: %s", path, got.status, got.body)
 			}
 		}
 	}
