--- /dev/null
+++ b/review/lab-3/beat.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// beatCase: a heartbeat of another writer, from which a field is missing, names a worker that then reports that it
+// drains. The worker calls machine 1 for as long as that acknowledges its calls.
+func beatCase(l *lab) (bool, error) {
+	const entries = 3
+	if _, _, err := l.startAll(entries); err != nil {
+		return false, err
+	}
+	if err := l.publish(configuration(7, 0, bothRoutes()...)); err != nil {
+		return false, err
+	}
+	var workers []*worker
+	for i := range 3 {
+		w, err := l.newWorkerAt(i, 0, true)
+		if err != nil {
+			return false, err
+		}
+		workers = append(workers, w)
+	}
+	if !await(20*time.Second, func() bool { return l.ready(0) && l.ready(1) && l.ready(2) }) {
+		return false, errors.New("not all machines became ready")
+	}
+	c := l.newClients()
+	stop, wg := make(chan struct{}), &sync.WaitGroup{}
+	for host := range entries {
+		c.runBoth(host, stop, wg)
+	}
+	time.Sleep(settle)
+	leaving := workers[0]
+	if l.trouble {
+		odd := leaving.announcement("ready")
+		delete(odd, "Slots")
+		odd["Sequence"] = 4096
+		status, _ := callControl(http.MethodPut, l.addr(1, 0, portOperators), "/api/instances/"+leaving.id, odd)
+		l.note("heartbeat of another writer for worker %s, with Sequence 4096 and without Slots, sent to machine 1: status %d", leaving.id, status)
+	}
+	time.Sleep(time.Second)
+	leaving.state.Store("draining")
+	var acknowledged time.Time
+	for turn := 0; acknowledged.IsZero(); turn++ {
+		machine, ok := leaving.announce("draining", turn)
+		if ok {
+			acknowledged = time.Now()
+			l.note("worker %s reports draining with Sequence %d, acknowledged by machine %d", leaving.id, leaving.sequence.Load(), machine+1)
+		}
+	}
+	time.Sleep(time.Until(acknowledged.Add(drainBound + lingerAfterDrain)))
+	callControl(http.MethodDelete, l.addr(1, 0, portOperators), "/api/instances/"+leaving.id, nil)
+	leaving.exit()
+	l.note("worker %s sends DELETE and exits; last Sequence %d", leaving.id, leaving.sequence.Load())
+	close(stop)
+	wg.Wait()
+	return l.judgeDrain(c, leaving, acknowledged, acknowledged) > 0, nil
+}
--- /dev/null
+++ b/review/lab-3/cold.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"errors"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rosemaryproxy/rosemaryproxy/soak"
+)
+
+const (
+	// coldPerS, coldFor, overshoot and slack are those of the sheet of kerlouan-capsules.
+	coldPerS  = 36.0
+	coldFor   = 3 * time.Second
+	overshoot = 1.5
+	slack     = 5.0
+	// cutFor is how long the machine is cut off.
+	cutFor = 5500 * time.Millisecond
+)
+
+// coldCase: a worker comes back cold while a machine without a disk is cut off from the others.
+func coldCase(l *lab) (bool, error) {
+	const entries, cutOff = 6, 5
+	l.cuts = soak.NewCuts()
+	if _, _, err := l.startAll(entries); err != nil {
+		return false, err
+	}
+	if err := l.publish(configuration(7, coldPerS, route("r-status", "/status/", "idempotent"))); err != nil {
+		return false, err
+	}
+	first, err := l.newWorker(0, 0)
+	if err != nil {
+		return false, err
+	}
+	if !await(20*time.Second, func() bool {
+		for host := range entries {
+			if !l.ready(host) {
+				return false
+			}
+		}
+		return true
+	}) {
+		return false, errors.New("not all machines became ready")
+	}
+	c := l.newClients()
+	stop, wg := make(chan struct{}), &sync.WaitGroup{}
+	for host := range entries {
+		rate := 10
+		if host == cutOff {
+			rate = 50
+		}
+		for range rate / 10 {
+			c.run(host, http.MethodGet, "/status/2f", 40*time.Millisecond, stop, wg)
+		}
+	}
+	time.Sleep(settle)
+	first.exit()
+	l.note("worker %s crashes", first.id)
+	time.Sleep(time.Second)
+	w, err := l.newWorker(0, coldFor)
+	if err != nil {
+		return false, err
+	}
+	l.note("worker %s starts at the same address, cold for %v", w.id, coldFor)
+	time.Sleep(200 * time.Millisecond)
+	if l.trouble {
+		l.cut(cutOff, entries, false)
+		l.note("machine %d cut off from the others", cutOff+1)
+	}
+	time.Sleep(cutFor)
+	if l.trouble {
+		l.cut(cutOff, entries, true)
+		l.note("machine %d joined again", cutOff+1)
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	wg.Wait()
+	limit := int(coldPerS*overshoot + slack)
+	var times []time.Time
+	by := map[int]int{}
+	for _, a := range w.ran() {
+		if _, host := c.sentAt(a.id); a.at.Before(w.coldUntil) {
+			times = append(times, a.at)
+			by[host]++
+		}
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
+	most, at := 0, time.Time{}
+	for i := range times {
+		n := sort.Search(len(times), func(j int) bool { return !times[j].Before(times[i].Add(time.Second)) }) - i
+		if n > most {
+			most, at = n, times[i]
+		}
+	}
+	l.note("requests at the cold worker: %d, by machine %v", len(times), by)
+	l.note("the most in one second: %d, from %.3f on; the limit is %v x %v + %v = %d", most, at.Sub(l.started).Seconds(), coldPerS, overshoot, slack, limit)
+	return most > limit, nil
+}
--- /dev/null
+++ b/review/lab-3/worker.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// arrival is a request that a worker began to run.
+type arrival struct {
+	worker, id, method, line, tenant string
+	at                               time.Time
+}
+
+// worker is a stand-in of a worker of a plain service.
+type worker struct {
+	l      *lab
+	id     string
+	addr   string
+	zone   string
+	born   int64
+	server *http.Server
+	// workTime is how long a request takes.
+	workTime time.Duration
+	// coldUntil is when a worker that came back cold is warm.
+	coldUntil time.Time
+	// faithful workers call machine 1 as long as it acknowledges their calls; others call all machines in turn.
+	faithful bool
+	// state is what the worker says of itself.
+	state    atomic.Value
+	sequence atomic.Uint64
+	silent   atomic.Bool
+	ended    chan struct{}
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+// newWorker starts a worker, which registers itself at a machine with control every heartbeat.
+func (l *lab) newWorker(host int, cold time.Duration) (*worker, error) {
+	return l.newWorkerAt(host, cold, false)
+}
+
+// newWorkerAt is newWorker; with faithful set the worker calls machine 1 as long as that acknowledges its calls.
+func (l *lab) newWorkerAt(host int, cold time.Duration, faithful bool) (*worker, error) {
+	w := &worker{
+		faithful:  faithful,
+		coldUntil: time.Now().Add(cold),
+		l:         l, id: fmt.Sprintf("i-%08x", time.Now().UnixNano()&0xffffffff), addr: l.addr(4, host, portWorker), zone: zones[host%len(zones)],
+		born: time.Now().UnixMilli(), workTime: 60 * time.Millisecond, ended: make(chan struct{}),
+	}
+	listener, err := net.Listen("tcp", w.addr)
+	if err != nil {
+		return nil, err
+	}
+	w.state.Store("ready")
+	w.server = &http.Server{Handler: w}
+	go func() { _ = w.server.Serve(listener) }()
+	l.atEnd(func() { w.server.Close(); w.silent.Store(true) })
+	go w.beat()
+	return w, nil
+}
+
+// announcement is what a worker says of itself.
+func (w *worker) announcement(state string) map[string]any {
+	return map[string]any{
+		"Service": "desk", "Address": w.addr, "Zone": w.zone, "Version": "v1", "Slots": 6, "State": state, "WarmupLeftMs": max(0, time.Until(w.coldUntil).Milliseconds()),
+		"Sequence": w.sequence.Add(1), "born": w.born,
+	}
+}
+
+// announce sends one heartbeat: to one machine after the other, until one acknowledges it within a second.
+func (w *worker) announce(state string, from int) (machine int, acknowledged bool) {
+	for i := range 3 {
+		machine = (from + i) % 3
+		if status, _ := callControl(http.MethodPut, w.l.addr(1, machine, portOperators), "/api/instances/"+w.id, w.announcement(state)); status/100 == 2 {
+			return machine, true
+		}
+	}
+	return 0, false
+}
+
+func (w *worker) beat() {
+	for turn := 0; !w.silent.Load(); turn++ {
+		if w.faithful {
+			turn = 0
+		}
+		w.announce(w.state.Load().(string), turn)
+		select {
+		case <-w.ended:
+			return
+		case <-time.After(heartbeat):
+		}
+	}
+}
+
+// exit ends the worker.
+func (w *worker) exit() {
+	w.silent.Store(true)
+	close(w.ended)
+	w.server.Close()
+}
+
+// ran returns the requests that ran.
+func (w *worker) ran() []arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]arrival(nil), w.arrivals...)
+}
+
+// ServeHTTP implements http.Handler.
+func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	at := time.Now()
+	if r.URL.Path == "/healthz" {
+		out.Header().Set("Rosemaryproxy-Instance-Id", w.id)
+		return
+	}
+	id := r.Header.Get("Rosemaryproxy-Attempt-Id")
+	out.Header().Set("Rosemaryproxy-Attempt-Id", id)
+	if expected := r.Header.Get("Rosemaryproxy-Expect-Instance"); expected != "" && expected != w.id {
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	w.arrivals = append(w.arrivals, arrival{worker: w.id, id: id, method: r.Method, line: r.RequestURI, tenant: r.Header.Get("Rosemaryproxy-Tenant"), at: at})
+	w.mu.Unlock()
+	time.Sleep(w.workTime)
+	out.Header().Set("Rosemaryproxy-Server-Seal", w.id+"."+id)
+	answer := fmt.Sprintf("%s %s %d", id, r.RequestURI, len(body))
+	out.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+	_, _ = io.WriteString(out, answer)
+}
