--- a/review/lab-3/beat.go
+++ b/review/lab-3/beat.go
@@ -39,7 +39,7 @@
 		odd := leaving.announcement("ready")
 		delete(odd, "Slots")
 		odd["Sequence"] = 4096
-		status, _ := callControl(http.MethodPut, l.addr(1, 0, portOperators), "/api/instances/"+leaving.id, odd)
+		status, _ := l.callControl(http.MethodPut, 0, "/api/instances/"+leaving.id, odd)
 		l.note("heartbeat of another writer for worker %s, with Sequence 4096 and without Slots, sent to machine 1: status %d", leaving.id, status)
 	}
 	time.Sleep(time.Second)
@@ -53,10 +53,11 @@
 		}
 	}
 	time.Sleep(time.Until(acknowledged.Add(drainBound + lingerAfterDrain)))
-	callControl(http.MethodDelete, l.addr(1, 0, portOperators), "/api/instances/"+leaving.id, nil)
+	l.callControl(http.MethodDelete, 0, "/api/instances/"+leaving.id, nil)
 	leaving.exit()
 	l.note("worker %s sends DELETE and exits; last Sequence %d", leaving.id, leaving.sequence.Load())
 	close(stop)
 	wg.Wait()
+	c.record(workers)
 	return l.judgeDrain(c, leaving, acknowledged, acknowledged) > 0, nil
 }
--- a/review/lab-3/client.go
+++ b/review/lab-3/client.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 // request is what a client knows of one request.
 type request struct {
 	id     string
+	method string
 	host   int
 	sent   time.Time
 	status int
@@ -40,8 +42,8 @@
 
 // send sends one request to a machine and returns what is known of it.
 func (c *clients) send(host int, method, path string, body io.Reader) *request {
-	r := &request{id: fmt.Sprintf("%016x", c.next.Add(1)), host: host}
-	req, err := http.NewRequest(method, "http://"+c.l.addr(1, host, portFrontend)+path, body)
+	r := &request{id: fmt.Sprintf("%016x", c.next.Add(1)), method: method, host: host}
+	req, err := http.NewRequest(method, "http://"+c.l.addr(1, host, portFrontend)+path+r.id, body)
 	if err != nil {
 		r.err = err
 		return r
@@ -98,8 +100,8 @@
 // runBoth sends lookups, which may be repeated, and orders, which may not, to a machine.
 func (c *clients) runBoth(host int, stop <-chan struct{}, wg *sync.WaitGroup) {
 	for range 2 {
-		c.run(host, http.MethodGet, "/status/2f", 20*time.Millisecond, stop, wg)
-		c.run(host, http.MethodPost, "/seal/2f", 20*time.Millisecond, stop, wg)
+		c.run(host, http.MethodGet, "/status/", 20*time.Millisecond, stop, wg)
+		c.run(host, http.MethodPost, "/seal/", 20*time.Millisecond, stop, wg)
 	}
 }
 
@@ -116,3 +118,23 @@
 	}
 	return http.StatusText(r.status)
 }
+
+// record writes a line for each request: what was sent, how it ended, and where and when it ran.
+func (c *clients) record(workers []*worker) {
+	runs := map[string][]string{}
+	for _, w := range workers {
+		for _, a := range w.ran() {
+			runs[a.id] = append(runs[a.id], fmt.Sprintf("%s at %.3f tenant %q", a.worker, a.at.Sub(c.l.started).Seconds(), a.tenant))
+		}
+	}
+	c.mu.Lock()
+	all := make([]*request, 0, len(c.requests))
+	for _, r := range c.requests {
+		all = append(all, r)
+	}
+	c.mu.Unlock()
+	slices.SortFunc(all, func(a, b *request) int { return a.sent.Compare(b.sent) })
+	for _, r := range all {
+		c.l.note("sent %.3f %s %s machine %d, %s, ran %v", r.sent.Sub(c.l.started).Seconds(), r.method, r.id, r.host+1, c.result(r.id), runs[r.id])
+	}
+}
--- a/review/lab-3/cold.go
+++ b/review/lab-3/cold.go
@@ -16,6 +16,8 @@
 	coldFor   = 3 * time.Second
 	overshoot = 1.5
 	slack     = 5.0
+	// crashPerS is the rate, well above coldPerS, at which a cold worker crashes.
+	crashPerS = 2 * coldPerS
 	// cutFor is how long the machine is cut off.
 	cutFor = 5500 * time.Millisecond
 )
@@ -27,7 +29,7 @@
 	if _, _, err := l.startAll(entries); err != nil {
 		return false, err
 	}
-	if err := l.publish(configuration(7, coldPerS, route("r-status", "/status/", "idempotent"))); err != nil {
+	if err := l.publish(configuration(7, coldPerS, bothRoutes()...)); err != nil {
 		return false, err
 	}
 	first, err := l.newWorker(0, 0)
@@ -47,12 +49,13 @@
 	c := l.newClients()
 	stop, wg := make(chan struct{}), &sync.WaitGroup{}
 	for host := range entries {
-		rate := 10
+		callers := 1
 		if host == cutOff {
-			rate = 50
+			callers = 5
 		}
-		for range rate / 10 {
-			c.run(host, http.MethodGet, "/status/2f", 40*time.Millisecond, stop, wg)
+		for range callers {
+			c.run(host, http.MethodGet, "/status/", 40*time.Millisecond, stop, wg)
+			c.run(host, http.MethodPost, "/seal/", 40*time.Millisecond, stop, wg)
 		}
 	}
 	time.Sleep(settle)
@@ -63,6 +66,7 @@
 	if err != nil {
 		return false, err
 	}
+	w.crashPerS.Store(int64(crashPerS))
 	l.note("worker %s starts at the same address, cold for %v", w.id, coldFor)
 	time.Sleep(200 * time.Millisecond)
 	if l.trouble {
@@ -77,6 +81,8 @@
 	time.Sleep(time.Second)
 	close(stop)
 	wg.Wait()
+	c.record([]*worker{first, w})
+	l.noteCut(c, w, w.coldUntil.Add(-coldFor))
 	limit := int(coldPerS*overshoot + slack)
 	var times []time.Time
 	by := map[int]int{}
--- a/review/lab-3/drain.go
+++ b/review/lab-3/drain.go
@@ -57,7 +57,7 @@
 	leaving := workers[0]
 	leaving.silent.Store(true)
 	time.Sleep(heartbeat) // a heartbeat in progress ends
-	status, _ := callControl(http.MethodDelete, l.addr(1, 0, portOperators), "/api/instances/"+leaving.id, nil)
+	status, _ := l.callControl(http.MethodDelete, 0, "/api/instances/"+leaving.id, nil)
 	acknowledged := time.Now()
 	if status/100 != 2 {
 		return false, errors.New("the departure was not acknowledged")
@@ -78,6 +78,7 @@
 	l.note("worker %s exits", leaving.id)
 	close(stop)
 	wg.Wait()
+	c.record(workers)
 	return l.judgeDrain(c, leaving, acknowledged, steady) > 0, nil
 }
 
@@ -116,7 +117,7 @@
 			l.note("order %s, not to be repeated, ran at worker %s; its client got: %s", a.id, a.worker, result)
 		}
 	}
-	l.note("orders that ran at the leaving worker and got no success: %d", lost)
+	l.note("orders that ran at the worker and got no success: %d", lost)
 }
 
 // bothRoutes are a route for lookups, which may be repeated, and one for orders, which may not.
--- a/review/lab-3/herd.go
+++ b/review/lab-3/herd.go
@@ -46,7 +46,7 @@
 	leaving.silent.Store(true)
 	time.Sleep(heartbeat)
 	late := leaving.announcement("ready") // sent now, and held up on its way
-	status, _ := callControl(http.MethodDelete, l.addr(1, 0, portOperators), "/api/instances/"+leaving.id, nil)
+	status, _ := l.callControl(http.MethodDelete, 0, "/api/instances/"+leaving.id, nil)
 	acknowledged := time.Now()
 	if status/100 != 2 {
 		return false, errors.New("the departure was not acknowledged")
@@ -71,12 +71,13 @@
 		steady = time.Now().Add(contact)
 	}
 	time.Sleep(time.Until(acknowledged.Add(lateBeat)))
-	status, _ = callControl(http.MethodPut, l.addr(1, 1, portOperators), "/api/instances/"+leaving.id, late)
+	status, _ = l.callControl(http.MethodPut, 1, "/api/instances/"+leaving.id, late)
 	l.note("heartbeat of worker %s from before its DELETE arrives at machine 2: status %d", leaving.id, status)
 	time.Sleep(time.Until(acknowledged.Add(drainBound + lingerAfterHerd)))
 	leaving.exit()
 	l.note("worker %s exits", leaving.id)
 	close(stop)
 	wg.Wait()
+	c.record(workers)
 	return l.judgeDrain(c, leaving, acknowledged, steady) > 0, nil
 }
--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -309,8 +309,16 @@
 // controlClient makes one call a connection, as workers and the operator do, and follows two redirects.
 var controlClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// callControl makes one call to control and returns the status, 0 for none.
-func callControl(method, addr, path string, body any) (status int, content []byte) {
+// callControl makes one call to control of a machine, records it and returns the status, 0 for none.
+func (l *lab) callControl(method string, machine int, path string, body any) (status int, content []byte) {
+	sent := time.Now()
+	status, content = callAt(method, l.addr(1, machine, portOperators), path, body)
+	l.note("call %s %s to machine %d, %d ms: status %d", method, path, machine+1, time.Since(sent).Milliseconds(), status)
+	return status, content
+}
+
+// callAt makes one call to an address and returns the status, 0 for none.
+func callAt(method, addr, path string, body any) (status int, content []byte) {
 	var raw []byte
 	switch b := body.(type) {
 	case nil:
@@ -338,7 +346,7 @@
 // publish sends a configuration to the machines in turn until one acknowledges it.
 func (l *lab) publish(config map[string]any) error {
 	for try := range 60 {
-		status, answer := callControl(http.MethodPut, l.addr(1, try%3, portOperators), "/api/config", config)
+		status, answer := l.callControl(http.MethodPut, try%3, "/api/config", config)
 		if status == http.StatusOK {
 			l.note("configuration %v acknowledged by machine %d", config["Version"], try%3+1)
 			return nil
--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -28,6 +28,7 @@
 	"cold":   coldCase,
 	"herd":   herdCase,
 	"beat":   beatCase,
+	"back":   backCase,
 	"revoke": revokeCase,
 }
 
--- a/review/lab-3/revoke.go
+++ b/review/lab-3/revoke.go
@@ -65,7 +65,7 @@
 	stop, wg := make(chan struct{}), &sync.WaitGroup{}
 	for host := range entries {
 		for range 3 {
-			c.run(host, http.MethodPost, "/release/2f", 20*time.Millisecond, stop, wg)
+			c.run(host, http.MethodPost, "/release/", 20*time.Millisecond, stop, wg)
 		}
 	}
 	time.Sleep(settle)
@@ -85,6 +85,7 @@
 	time.Sleep(3 * time.Second)
 	close(stop)
 	wg.Wait()
+	c.record(workers)
 	late := 0
 	by := map[int]int{}
 	for _, w := range workers {
--- a/review/lab-3/worker.go
+++ b/review/lab-3/worker.go
@@ -18,12 +18,14 @@
 
 // worker is a stand-in of a worker of a plain service.
 type worker struct {
-	l      *lab
-	id     string
-	addr   string
-	zone   string
-	born   int64
-	server *http.Server
+	l  *lab
+	id string
+	// service is the name of the service.
+	service string
+	addr    string
+	zone    string
+	born    int64
+	server  *http.Server
 	// workTime is how long a request takes.
 	workTime time.Duration
 	// coldUntil is when a worker that came back cold is warm.
@@ -33,8 +35,11 @@
 	// state is what the worker says of itself.
 	state    atomic.Value
 	sequence atomic.Uint64
-	silent   atomic.Bool
-	ended    chan struct{}
+	// crashPerS is the number of requests in one second at which the worker crashes while it is cold; zero for none.
+	crashPerS atomic.Int64
+	silent    atomic.Bool
+	ended     chan struct{}
+	crash     sync.Once
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -47,8 +52,13 @@
 
 // newWorkerAt is newWorker; with faithful set the worker calls machine 1 as long as that acknowledges its calls.
 func (l *lab) newWorkerAt(host int, cold time.Duration, faithful bool) (*worker, error) {
+	return l.newWorkerFor("desk", host, cold, faithful)
+}
+
+// newWorkerFor is newWorkerAt for a worker of another service.
+func (l *lab) newWorkerFor(service string, host int, cold time.Duration, faithful bool) (*worker, error) {
 	w := &worker{
-		faithful:  faithful,
+		service: service, faithful: faithful,
 		coldUntil: time.Now().Add(cold),
 		l:         l, id: fmt.Sprintf("i-%08x", time.Now().UnixNano()&0xffffffff), addr: l.addr(4, host, portWorker), zone: zones[host%len(zones)],
 		born: time.Now().UnixMilli(), workTime: 60 * time.Millisecond, ended: make(chan struct{}),
@@ -68,7 +78,7 @@
 // announcement is what a worker says of itself.
 func (w *worker) announcement(state string) map[string]any {
 	return map[string]any{
-		"Service": "desk", "Address": w.addr, "Zone": w.zone, "Version": "v1", "Slots": 6, "State": state, "WarmupLeftMs": max(0, time.Until(w.coldUntil).Milliseconds()),
+		"Service": w.service, "Address": w.addr, "Zone": w.zone, "Version": "v1", "Slots": 6, "State": state, "WarmupLeftMs": max(0, time.Until(w.coldUntil).Milliseconds()),
 		"Sequence": w.sequence.Add(1), "born": w.born,
 	}
 }
@@ -77,7 +87,7 @@
 func (w *worker) announce(state string, from int) (machine int, acknowledged bool) {
 	for i := range 3 {
 		machine = (from + i) % 3
-		if status, _ := callControl(http.MethodPut, w.l.addr(1, machine, portOperators), "/api/instances/"+w.id, w.announcement(state)); status/100 == 2 {
+		if status, _ := w.l.callControl(http.MethodPut, machine, "/api/instances/"+w.id, w.announcement(state)); status/100 == 2 {
 			return machine, true
 		}
 	}
@@ -131,7 +141,17 @@
 	}
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, arrival{worker: w.id, id: id, method: r.Method, line: r.RequestURI, tenant: r.Header.Get("Rosemaryproxy-Tenant"), at: at})
+	recent := int64(0)
+	for i := len(w.arrivals) - 1; i >= 0 && at.Sub(w.arrivals[i].at) < time.Second; i-- {
+		recent++
+	}
 	w.mu.Unlock()
+	if limit := w.crashPerS.Load(); limit > 0 && recent > limit && at.Before(w.coldUntil) {
+		w.crash.Do(func() {
+			w.l.note("worker %s crashes under %d requests in one second", w.id, recent)
+			w.exit()
+		})
+	}
 	time.Sleep(w.workTime)
 	out.Header().Set("Rosemaryproxy-Server-Seal", w.id+"."+id)
 	answer := fmt.Sprintf("%s %s %d", id, r.RequestURI, len(body))
