--- a/review/lab-3/back.go
+++ b/review/lab-3/back.go
@@ -53,7 +53,7 @@
 	}
 	var workers []*worker
 	for i := range 4 {
-		w, err := l.newWorkerFor(services[i%2], i, 0, false)
+		w, err := l.newWorkerFor(services[i%2], i, 0)
 		if err != nil {
 			return false, err
 		}
@@ -105,7 +105,7 @@
 		if err := publish(round+2, service); err != nil {
 			return false, err
 		}
-		w, err := l.newWorkerFor(services[crashed%2], crashed, 0, false)
+		w, err := l.newWorkerFor(services[crashed%2], crashed, 0)
 		if err != nil {
 			return false, err
 		}
--- a/review/lab-3/beat.go
+++ b/review/lab-3/beat.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// beatCase: a heartbeat of another writer, from which a field is missing, names a worker that then reports that it
-// drains. The worker calls machine 1 for as long as that acknowledges its calls.
+// beatCase: heartbeats of another writer, from which a field is missing, one to each machine, name a worker that then
+// reports that it drains.
 func beatCase(l *lab) (bool, error) {
 	const entries = 3
 	if _, _, err := l.startAll(entries); err != nil {
@@ -19,7 +19,7 @@
 	}
 	var workers []*worker
 	for i := range 3 {
-		w, err := l.newWorkerAt(i, 0, true)
+		w, err := l.newWorker(i, 0)
 		if err != nil {
 			return false, err
 		}
@@ -39,8 +39,10 @@
 		odd := leaving.announcement("ready")
 		delete(odd, "Slots")
 		odd["Sequence"] = 4096
-		status, _ := l.callControl(http.MethodPut, 0, "/api/instances/"+leaving.id, odd)
-		l.note("heartbeat of another writer for worker %s, with Sequence 4096 and without Slots, sent to machine 1: status %d", leaving.id, status)
+		for machine := range entries {
+			status, _ := l.callControl(http.MethodPut, machine, "/api/instances/"+leaving.id, odd)
+			l.note("that was a heartbeat of another writer for worker %s, with Sequence 4096 and without Slots: status %d", leaving.id, status)
+		}
 	}
 	time.Sleep(time.Second)
 	leaving.state.Store("draining")
--- a/review/lab-3/worker.go
+++ b/review/lab-3/worker.go
@@ -30,8 +30,6 @@
 	workTime time.Duration
 	// coldUntil is when a worker that came back cold is warm.
 	coldUntil time.Time
-	// faithful workers call machine 1 as long as it acknowledges their calls; others call all machines in turn.
-	faithful bool
 	// state is what the worker says of itself.
 	state    atomic.Value
 	sequence atomic.Uint64
@@ -47,18 +45,13 @@
 
 // newWorker starts a worker, which registers itself at a machine with control every heartbeat.
 func (l *lab) newWorker(host int, cold time.Duration) (*worker, error) {
-	return l.newWorkerAt(host, cold, false)
+	return l.newWorkerFor("desk", host, cold)
 }
 
-// newWorkerAt is newWorker; with faithful set the worker calls machine 1 as long as that acknowledges its calls.
-func (l *lab) newWorkerAt(host int, cold time.Duration, faithful bool) (*worker, error) {
-	return l.newWorkerFor("desk", host, cold, faithful)
-}
-
-// newWorkerFor is newWorkerAt for a worker of another service.
-func (l *lab) newWorkerFor(service string, host int, cold time.Duration, faithful bool) (*worker, error) {
+// newWorkerFor is newWorker for a worker of another service.
+func (l *lab) newWorkerFor(service string, host int, cold time.Duration) (*worker, error) {
 	w := &worker{
-		service: service, faithful: faithful,
+		service:   service,
 		coldUntil: time.Now().Add(cold),
 		l:         l, id: fmt.Sprintf("i-%08x", time.Now().UnixNano()&0xffffffff), addr: l.addr(4, host, portWorker), zone: zones[host%len(zones)],
 		born: time.Now().UnixMilli(), workTime: 60 * time.Millisecond, ended: make(chan struct{}),
@@ -96,9 +89,6 @@
 
 func (w *worker) beat() {
 	for turn := 0; !w.silent.Load(); turn++ {
-		if w.faithful {
-			turn = 0
-		}
 		w.announce(w.state.Load().(string), turn)
 		select {
 		case <-w.ended:
