--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -193,10 +193,10 @@
 		return nil, err
 	}
 	defer func() { a.placed.release(!a.begun) }()
-	p, left := a.placed, a.c.deadline.Sub(a.c.g.clock.Now())
+	p, left, permission := a.placed, a.c.deadline.Sub(a.c.g.clock.Now()), a.c.g.client.Permission()
 	a.log().Info("request placed", "addr", p.Primary.Addr, "zone", p.Primary.Zone, "helpers", len(p.Helpers), "helper_names", helperNames(p.Assignment), "considered", p.Candidates,
 		"prompt_tokens", a.request.PromptTokens, "output_tokens", a.request.OutputTokens, "expected_tokens", a.c.ExpectedTokens, "predicted", p.PredictedPrefill, "left", left, "queued", a.c.g.clock.Now().Sub(a.c.started), "due_in", a.c.dueIn(),
-		"placer", p.placer, "placer_revision", p.revision, "revision", a.c.g.client.Permission().Revision)
+		"placer", p.placer, "placer_revision", p.revision, "revision", permission.Revision, "version", a.c.version, "permission_left", permission.Left)
 	return a.send()
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -59,8 +59,10 @@
 	account string
 	// accountPriority is the priority of the account, nil to use that of the route.
 	accountPriority *int
+	// version is that of the deployment by which the request is served.
+	version uint64
 	// needsPermission is set if the request is sent only while the configuration is known to be
-	// current. Anonymous requests, which need no key, are served without.
+	// current: it carries a key, which may have been revoked, or its route requires one.
 	needsPermission bool
 	body            []byte
 	// bodyComplete is set once the whole body has been read, and bodyFailed once a read of it
@@ -140,13 +142,13 @@
 	if d == nil {
 		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry has no configuration yet")
 	}
-	c.route = d.Route(hostOf(c.r.Host), c.r.URL.Path)
+	c.route, c.version = d.Route(hostOf(c.r.Host), c.r.URL.Path), d.Version
 	needsKey := len(d.Accounts) > 0 && (c.route == nil || !c.route.Anonymous)
-	c.needsPermission = needsKey
-	if needsKey && !fresh {
+	key := c.key()
+	c.needsPermission = needsKey || key != ""
+	if !fresh && (c.needsPermission || c.route == nil) {
 		return verdict.Refuse(verdict.ReasonStaleConfiguration, staleRetryAfter, "the entry's permission has lapsed at version %d", d.Version)
 	}
-	key, _ := strings.CutPrefix(c.r.Header.Get("Authorization"), bearer)
 	account := d.Account(key)
 	if needsKey && account == nil {
 		return verdict.Refuse(verdict.ReasonUnauthenticated, 0, "no client account has the key")
@@ -176,11 +178,17 @@
 	return c.readBody(d.MaxBodyBytes)
 }
 
+// key returns the API key that the request carries, "" if it carries none.
+func (c *call) key() string {
+	key, _ := strings.CutPrefix(c.r.Header.Get("Authorization"), bearer)
+	return key
+}
+
 // awaitDeployment returns the newest deployment and whether it is known to be current.
 // If it is not, awaitDeployment waits for up to maxStaleWait: after the loss of a
 // replica of control, the lease on the configuration is renewed before a refused caller
-// would retry. The wait ends while a part of the request's own time is left. Requests to
-// anonymous routes, which are served without a valid lease, do not wait.
+// would retry. The wait ends while a part of the request's own time is left. Requests without a
+// key to anonymous routes, which are served without a valid lease, do not wait.
 //
 // After a start of this process, awaitDeployment also waits for the other entries to tell it the
 // limits of endpoints, for as long as awaitsPeers says.
@@ -201,7 +209,7 @@
 		if fresh && !c.g.awaitsPeers() || waited > c.maxDeploymentWait(route) || c.r.Context().Err() != nil {
 			return d, fresh
 		}
-		if route != nil && route.Anonymous {
+		if route != nil && route.Anonymous && c.key() == "" {
 			return d, false
 		}
 		<-c.g.clock.After(stalePollInterval)
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -65,11 +65,16 @@
 }
 
 // call returns a call as the gateway has it before it looks for endpoints.
-func (w *testGateway) call(path string, tokens int) *call {
+func (w *testGateway) call(path string, tokens int) *call { return w.callWith(path, tokens, true) }
+
+// callWith is call, with or without the account's key.
+func (w *testGateway) callWith(path string, tokens int, key bool) *call {
 	w.t.Helper()
 	r := httptest.NewRequest(http.MethodPost, path, http.NoBody)
 	r.Host = "h"
-	r.Header.Set("Authorization", "Bearer key-1")
+	if key {
+		r.Header.Set("Authorization", "Bearer key-1")
+	}
 	r.Header.Set("Tokens", strconv.Itoa(tokens))
 	c := w.g.newCall(httptest.NewRecorder(), r)
 	// The recorder has no deadlines, so the body, which is empty, is not read.
--- a/gateway/send_test.go
+++ b/gateway/send_test.go
@@ -59,9 +59,11 @@
 	w := newTestGateway(t, answering(http.StatusOK, "good"))
 	for _, test := range []struct {
 		path string
+		key  bool
 		sent int
-	}{{"/status/1", 0}, {"/open/1", 1}} {
-		c := w.call(test.path, 0)
+	}{{"/status/1", true, 0}, {"/open/1", true, 0}, {"/open/1", false, 1}} {
+		arrived := w.arrivalCount()
+		c := w.callWith(test.path, 0, test.key)
 		a := c.newAttempt(context.Background())
 		is.NoErr(a.place())
 		w.session.expired.Store(true)
@@ -73,7 +75,7 @@
 		_, err := a.send()
 		w.session.expired.Store(false)
 		is.Equal(err == nil, test.sent == 1)
-		is.Equal(w.arrivalCount(), test.sent)
+		is.Equal(w.arrivalCount()-arrived, test.sent)
 		a.placed.release(true)
 		close(c.messages)
 	}
