--- a/control/session/client.go
+++ b/control/session/client.go
@@ -263,9 +263,9 @@
 	}
 }
 
-// Run keeps a session with control until ctx ends, and then returns nil. It starts with a
-// random replica, so that the processes distribute over the replicas, and changes to the next
-// replica when a session fails.
+// Run keeps a session with control until ctx ends, and then returns nil. It asks the replicas in
+// random order, so that the processes distribute over them, and changes to another replica when a
+// session fails.
 func (c *Client) Run(ctx context.Context) error {
 	var polling sync.WaitGroup
 	defer polling.Wait()
@@ -276,17 +276,19 @@
 		if len(order) == 0 {
 			order = c.shuffledReplicaAddrs()
 		}
-		addr := order[0]
-		order = order[1:]
+		addr := c.chooseReplica(ctx, order)
+		order = without(order, addr)
+		began := c.options.Clock.Now()
 		renewed, err := c.runSession(ctx, addr)
 		if ctx.Err() != nil {
 			return nil
 		}
-		c.options.Log.Warn("session with control ended", "replica", addr, "error", err)
+		c.options.Log.Warn("session with control ended", "replica", addr, "renewed", renewed, "lasted", c.options.Clock.Now().Sub(began),
+			"permission_left", c.Permission().Left, "error", err)
 		c.dropConnection(addr)
 		if renewed {
 			backoff = minBackoff
-			order = slices.DeleteFunc(c.shuffledReplicaAddrs(), func(a string) bool { return a == addr })
+			order = without(c.shuffledReplicaAddrs(), addr)
 		}
 		c.waitWithJitter(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
--- a/control/session/dialer.go
+++ b/control/session/dialer.go
@@ -34,7 +34,10 @@
 	closingPools sync.WaitGroup
 }
 
-var _ Dropper = (*Dialer)(nil)
+var (
+	_ Dropper = (*Dialer)(nil)
+	_ Renewer = (*Dialer)(nil)
+)
 
 // NewDialer returns a dialer without connections. Its connections authenticate with id, and
 // their bytes are counted in traffic.
@@ -80,6 +83,16 @@
 	}
 }
 
+// Renew implements Renewer.
+func (d *Dialer) Renew(addr string) {
+	d.mu.Lock()
+	pool := d.pools[addr]
+	d.mu.Unlock()
+	if pool != nil {
+		pool.Replace(addr)
+	}
+}
+
 // Close closes all connections and waits until they are closed. Open fails from then on.
 func (d *Dialer) Close() {
 	d.mu.Lock()
--- a/control/session/heartbeat.go
+++ b/control/session/heartbeat.go
@@ -28,7 +28,7 @@
 	done := make(chan struct{})
 	defer close(done)
 	go receiveUpdates(stream, updates, done)
-	return c.runHeartbeats(ctx, stream, updates)
+	return c.runHeartbeats(ctx, addr, stream, updates)
 }
 
 // openSession opens a stream to the replica at addr and sends the hello message.
@@ -84,12 +84,13 @@
 	}
 }
 
-// runHeartbeats sends heartbeats and applies updates until the stream fails or ctx ends. It
+// runHeartbeats sends heartbeats to the replica at addr and applies updates until the stream fails or ctx ends. It
 // also ends the session if the replica has not renewed the permission for RenewalTimeout,
 // because the replica may be disconnected from the others.
-func (c *Client) runHeartbeats(ctx context.Context, stream wire.Stream, updates <-chan receivedUpdate) (renewed bool, err error) {
+func (c *Client) runHeartbeats(ctx context.Context, addr string, stream wire.Stream, updates <-chan receivedUpdate) (renewed bool, err error) {
 	c.resetHeartbeats()
-	lastRenewal := c.options.Clock.Now()
+	began := c.options.Clock.Now()
+	lastRenewal := began
 	for {
 		if err := c.sendHeartbeat(stream); err != nil {
 			return renewed, err
@@ -110,8 +111,13 @@
 				if err := c.applyUpdate(r.update); err != nil {
 					return renewed, err
 				}
-				if r.update.Echo > 0 {
-					renewed, lastRenewal = true, c.options.Clock.Now()
+				if r.update.Echo == 0 {
+					continue
+				}
+				lastRenewal = c.options.Clock.Now()
+				if !renewed {
+					renewed = true
+					c.options.Log.Info("permission renewed by a new session", "replica", addr, "after", lastRenewal.Sub(began), "revision", r.update.Revision)
 				}
 			}
 		}
--- a/control/session/poll.go
+++ b/control/session/poll.go
@@ -138,7 +138,8 @@
 	c.permission.RenewFrom(since)
 }
 
-// requestReplicaInfo returns the ReplicaInfo of one replica, or nil if the request fails.
+// requestReplicaInfo returns the ReplicaInfo of one replica, or nil if the request fails. If no answer
+// arrives, the next stream uses a new connection, because the replica may have restarted.
 func (c *Client) requestReplicaInfo(ctx context.Context, addr string) *command.ReplicaInfo {
 	stream, err := c.options.Opener.Open(ctx, addr)
 	if err != nil {
@@ -148,10 +149,15 @@
 	defer context.AfterFunc(ctx, stream.Abort)()
 	answer, err := sendAndReceive(stream, &wire.Command{Name: command.NameReplicaInfo})
 	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.options.Log.Debug("replica does not answer", "replica", addr, "error", err)
+			c.renewConnection(addr)
+		}
 		return nil
 	}
 	info, err := DecodeReplicaInfo(answer)
 	if err != nil {
+		c.options.Log.Debug("replica information not read", "replica", addr, "error", err)
 		return nil
 	}
 	return info
--- a/control/session/silence_test.go
+++ b/control/session/silence_test.go
@@ -22,35 +22,39 @@
 // serve serves a session at the replica called name.
 func (p *pausingReplicas) serve(name string) func(*fakeStream) {
 	return func(s *fakeStream) {
-		if _, err := s.Recv(); err != nil {
+		if _, err := s.Recv(); err == nil {
+			p.echo(name, s)
+		}
+	}
+}
+
+// echo echoes the heartbeats of a session at the replica called name.
+func (p *pausingReplicas) echo(name string, s *fakeStream) {
+	for {
+		m, err := s.Recv()
+		if err != nil {
 			return
 		}
-		for {
-			m, err := s.Recv()
-			if err != nil {
-				return
-			}
-			heartbeat, ok := m.(*wire.Heartbeat)
-			if !ok {
-				return
-			}
-			p.mu.Lock()
-			paused := p.paused[name]
-			if paused == nil {
-				p.last = name
-			}
-			p.mu.Unlock()
-			if paused != nil {
-				select {
-				case <-paused:
-				case <-s.Context().Done():
-					return
-				}
-			}
-			if s.Send(&wire.Update{Snapshot: documentAt(1), Revision: 1, Echo: heartbeat.Seq}) != nil {
+		heartbeat, ok := m.(*wire.Heartbeat)
+		if !ok {
+			return
+		}
+		p.mu.Lock()
+		paused := p.paused[name]
+		if paused == nil {
+			p.last = name
+		}
+		p.mu.Unlock()
+		if paused != nil {
+			select {
+			case <-paused:
+			case <-s.Context().Done():
 				return
 			}
 		}
+		if s.Send(&wire.Update{Snapshot: documentAt(1), Revision: 1, Echo: heartbeat.Seq}) != nil {
+			return
+		}
 	}
 }
 
