wire: peers wait over connections that a restarted server does not know

Cause: a server without a stable key answers packets of unknown connections with nothing (RFC 9000, section 10.3).

Fix: a key for stateless resets that outlasts a restart and that nobody else has: derived from the private key, or from a secret in control's data folder where certificates are made at each start. It differs by address, so that no server resets the connections of another one. Entries on the users' platform have neither and send none.

Evidence: TestKilledServerEndsItsConnectionsAfterItsRestart fails without the key: the stream of before lasted longer than 15 s.

--- a/control/control.go
+++ b/control/control.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 	"time"
 
@@ -39,6 +40,9 @@
 // default tick at worst.
 const defaultCatchUp = 4 * time.Second
 
+// resetSecretName is the name of the file in Plugin.Data with the secret for stateless resets.
+const resetSecretName = "reset-secret"
+
 func init() {
 	kernel.Register(kernel.PluginInfo{ID: "control", RequiresTLS: true, New: func() any {
 		return &Plugin{
@@ -121,6 +125,9 @@
 	if err := p.openReplica(h, replicas); err != nil {
 		return err
 	}
+	if err := id.KeepResetSecret(filepath.Join(p.Data, resetSecretName)); err != nil {
+		h.Log.Warn("no stateless resets after a restart", "error", err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	if p.liveness, err = listenForLiveness(id, string(p.Listen)); err != nil {
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -142,8 +142,9 @@
 
 // Server accepts connections of other processes and passes their streams to a Handler.
 type Server struct {
-	listener *quic.Listener
-	packet   net.PacketConn
+	listener  *quic.Listener
+	transport *quic.Transport
+	packet    net.PacketConn
 	// host is the host of the address that the server was asked to listen on.
 	host    string
 	handler Handler
@@ -164,16 +165,21 @@
 	if err != nil {
 		return nil, err
 	}
+	resetKey, err := id.resetKey(addr)
+	if err != nil {
+		return nil, err
+	}
 	packet, err := net.ListenPacket("udp", bindAddr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peer connections")
 	}
-	listener, err := quic.Listen(packet, id.ServerConfig(), quicConfig(PoolOptions{StreamWindow: StreamWindowBytes}))
+	transport := &quic.Transport{Conn: packet, StatelessResetKey: resetKey}
+	listener, err := transport.Listen(id.ServerConfig(), quicConfig(PoolOptions{StreamWindow: StreamWindowBytes}))
 	if err != nil {
 		_ = packet.Close()
 		return nil, errors.Wrap(err, "listen for peer connections")
 	}
-	return &Server{listener: listener, packet: packet, host: host, handler: h, traffic: traffic, handlerEndTime: handlerEndTime}, nil
+	return &Server{listener: listener, transport: transport, packet: packet, host: host, handler: h, traffic: traffic, handlerEndTime: handlerEndTime}, nil
 }
 
 // Addr returns the address at which other processes reach the server.
@@ -203,6 +209,7 @@
 func (s *Server) close() {
 	_ = s.listener.Close()
 	s.conns.Wait()
+	_ = s.transport.Close()
 	_ = s.packet.Close()
 }
 
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -50,6 +50,8 @@
 	// bindIP replaces the host of listen addresses, and is the source of connections, unless it
 	// is empty.
 	bindIP string
+	// resetSecret is what resetKey is derived from. It is empty if the process keeps no secret.
+	resetSecret []byte
 
 	// mu guards the fields below.
 	mu          sync.Mutex
@@ -95,7 +97,11 @@
 		return nil, errors.New("no certificate, key and CA files are configured")
 	}
 	id := &Identity{files: files}
-	if err := id.reload(); err != nil {
+	err := id.reload()
+	if err == nil {
+		id.resetSecret, err = privateKeySecret(id.cert.PrivateKey)
+	}
+	if err != nil {
 		return nil, err
 	}
 	return id, nil
