--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -307,7 +308,7 @@
 	})
 	out := (&http.Request{
 		Method: c.r.Method, Host: c.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL:           &url.URL{Scheme: "http", Host: a.placed.Primary.Addr, Opaque: c.r.RequestURI},
+		URL:           targetURL(a.placed.Primary.Addr, c.r),
 		ContentLength: int64(len(c.body)),
 	}).WithContext(a.sendCtx)
 	if len(c.body) > 0 {
@@ -316,6 +317,24 @@
 	return out
 }
 
+// targetURL returns the URL with which net/http sends the request target of r to addr unchanged. For an
+// opaque part that begins with two slashes it would put the scheme before it.
+func targetURL(addr string, r *http.Request) *url.URL {
+	if !strings.HasPrefix(r.RequestURI, "//") {
+		return &url.URL{Scheme: "http", Host: addr, Opaque: r.RequestURI}
+	}
+	return &url.URL{Scheme: "http", Host: addr, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+}
+
+// checkTarget refuses a request whose target net/http would change, which happens to characters that a
+// path must not have, after two slashes at its beginning.
+func (c *call) checkTarget() error {
+	if targetURL("", c.r).RequestURI() != c.r.RequestURI {
+		return verdict.Refuse(verdict.ReasonBadRequest, 0, "request target %q cannot be forwarded unchanged", c.r.RequestURI)
+	}
+	return nil
+}
+
 // handleTransportError returns the refusal for an attempt that got no answer.
 func (a *attempt) handleTransportError(err error) error {
 	var dial *dialError
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -159,6 +159,9 @@
 	if c.route == nil {
 		return verdict.Refuse(verdict.ReasonUnknownRoute, 0, "no route for host %q and path %q in version %d", c.r.Host, c.r.URL.Path, d.Version)
 	}
+	if err := c.checkTarget(); err != nil {
+		return err
+	}
 	c.deadline = c.started.Add(c.timeout(c.route))
 	if !c.g.clock.Now().Before(c.deadline) {
 		return verdict.Refuse(verdict.ReasonDeadline, defaultRetryAfter, "the time is over before the request was read")
