--- a/control/registry.go
+++ b/control/registry.go
@@ -31,9 +31,13 @@
 	defer t.mu.Unlock()
 	old := t.registered[e.Name]
 	// An endpoint that numbers its announcements numbers all of them.
-	if old != nil && old.endpoint.Incarnation == e.Incarnation && old.sequence != 0 &&
-		(sequence <= old.sequence || sequence-old.sequence > maxSequenceStep) {
-		return false
+	if old != nil && old.endpoint.Incarnation == e.Incarnation && old.sequence != 0 {
+		switch {
+		case sequence == 0 || sequence > old.sequence && sequence-old.sequence > maxSequenceStep:
+			return false
+		case sequence <= old.sequence:
+			return t.registerLeaving(now, &e)
+		}
 	}
 	e, result := t.list.announceDirect(now, e)
 	switch result {
@@ -52,6 +56,22 @@
 	return true
 }
 
+// registerLeaving records that an incarnation leaves, by an announcement that seems to be older than a
+// recorded one. An incarnation that leaves never becomes available again, so this holds however late the
+// announcement is, and if another writer gave the recorded one a higher number. It returns false if the
+// announcement does not say so or cannot be the endpoint's own. The caller holds t.mu.
+func (t *table) registerLeaving(now time.Time, e *wire.Endpoint) bool {
+	if !e.Load.Leaving || e.CheckDirect() != nil || t.list.contradicts(e) {
+		return false
+	}
+	before := t.list.version
+	t.depart(now, incarnationOf(e))
+	if t.list.version != before {
+		t.notifyLocked()
+	}
+	return true
+}
+
 // deregister marks an endpoint as leaving instead of removing it. The endpoint may serve its
 // last requests for a while, and a delayed announcement must not list it as available again. It returns
 // false for an endpoint that is not known here; another replica may know it.
--- a/control/registry_test.go
+++ b/control/registry_test.go
@@ -71,6 +71,16 @@
 		"announcement without a sequence": {
 			[]step{{direct("i-1", a, 5, false), 7, true}, {direct("i-1", a, 5, true), 0, false}, {direct("i-1", a, 5, false), 8, true}}, map[string]bool{"i-1": false},
 		},
+		// Another writer numbered an announcement higher, and that the endpoint drains was ignored.
+		"draining with a lower number than another writer's": {
+			[]step{{direct("i-1", a, 5, false), 7, true}, {direct("i-1", a, 5, false), 4096, true}, {direct("i-1", a, 5, true), 8, true}}, map[string]bool{"i-1": true},
+		},
+		"draining with a lower number, delayed": {
+			[]step{{direct("i-1", a, 5, false), 7, true}, {direct("i-1", a, 5, true), 6, true}, {direct("i-1", a, 5, false), 8, true}}, map[string]bool{"i-1": true},
+		},
+		"draining with a lower number at another address": {
+			[]step{{direct("i-1", a, 5, false), 7, true}, {direct("i-1", b, 5, true), 6, false}}, map[string]bool{"i-1": false},
+		},
 		"two endpoints at two addresses": {
 			[]step{{direct("i-1", a, 5, false), 1, true}, {direct("i-2", b, 6, false), 1, true}}, map[string]bool{"i-1": false, "i-2": false},
 		},
