--- a/control/command/command.go
+++ b/control/command/command.go
@@ -43,6 +43,8 @@
 	NamePermit = "permit"
 	// NameEnded takes Ended and has an empty answer. Entries only.
 	NameEnded = "ended"
+	// NameDepart takes Depart and answers nothing.
+	NameDepart = "depart"
 	// NameReplicaInfo takes ReplicaInfoRequest or no body and answers ReplicaInfo. Every
 	// replica and relay answers for itself, without the leader.
 	NameReplicaInfo = "standing"
@@ -286,6 +288,17 @@
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
+// Depart records endpoints that leave or have left. A repeated departure changes nothing.
+type Depart struct {
+	Departures []Departure `cbor:"1,keyasint"`
+}
+
+// Departure is one start of an endpoint that leaves or has left for good.
+type Departure struct {
+	Endpoint    string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
 // Ended returns a permit after an attempt that did not crash the endpoint.
 type Ended struct {
 	Digest uint64 `cbor:"1,keyasint"`
--- a/control/commands.go
+++ b/control/commands.go
@@ -62,7 +62,8 @@
 	command.NameReportedWindow: {
 		roles: []wire.Role{wire.RoleControl}, propose: true, frequent: true,
 	},
-	command.NameLoad: {roles: []wire.Role{wire.RoleEntry}, unreplicated: true, frequent: true},
+	command.NameDepart: {roles: []wire.Role{wire.RoleControl}, propose: true},
+	command.NameLoad:   {roles: []wire.Role{wire.RoleEntry}, unreplicated: true, frequent: true},
 	command.NameReplicaInfo: {
 		roles: []wire.Role{wire.RoleEntry, wire.RoleSidecar, wire.RoleOperator, wire.RoleControl}, local: true,
 	},
--- a/control/control.go
+++ b/control/control.go
@@ -172,7 +172,7 @@
 		shareAllocator: &shareAllocator{leaseDuration: p.Lease.Std()},
 		transport:      newTransport(p.dialer, h.Clock, h.Log, addrs),
 	}
-	s.store = newStore(h.Clock, s.table.notifyAll)
+	s.store = newStore(h.Clock, s.followState)
 	return s
 }
 
--- a/control/departures.go
+++ b/control/departures.go
@@ -1,8 +1,13 @@
 package control
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/rosemaryproxy/rosemaryproxy/control/command"
+	"github.com/rosemaryproxy/rosemaryproxy/control/state"
 	"github.com/rosemaryproxy/rosemaryproxy/wire"
 )
 
@@ -58,14 +63,14 @@
 	delete(d.departed, oldest)
 }
 
-// hasDeparted reports whether an incarnation of an endpoint is known to have left.
-func (d *directory) hasDeparted(name string) bool {
+// departuresOf returns the incarnations of an endpoint that are known to leave or to have left.
+func (d *directory) departuresOf(name string) (left []incarnation) {
 	for i := range d.departed {
 		if i.name == name {
-			return true
+			left = append(left, i)
 		}
 	}
-	return false
+	return left
 }
 
 // keepLeaving returns e, with Leaving set if the incarnation is known to leave. A leaving endpoint becomes
@@ -106,6 +111,43 @@
 	}
 }
 
+// keepDepartures returns once the group certainly keeps that the incarnations leave, also through a restart of
+// all replicas. An endpoint that names no incarnation may become available again, so nothing is kept of it.
+func (s *Server) keepDepartures(ctx context.Context, left []incarnation) error {
+	var c command.Depart
+	s.store.read(func(m *state.Machine) {
+		for _, i := range left {
+			if d := (command.Departure{Endpoint: i.name, Incarnation: i.number}); i.number != 0 && !m.Departed(d) {
+				c.Departures = append(c.Departures, d)
+			}
+		}
+	})
+	if len(c.Departures) == 0 {
+		return nil
+	}
+	return errors.Wrap(s.submitCommand(ctx, "", command.NameDepart, &c, nil), "keep the departure")
+}
+
+// followState passes changes of the replicated state on to the endpoint list and to the sessions. The replica
+// calls it after each of them, one at a time.
+func (s *Server) followState() {
+	var left []command.Departure
+	s.store.read(func(m *state.Machine) { left, s.departuresFollowed = m.DeparturesSince(s.departuresFollowed) })
+	if len(left) > 0 {
+		s.table.departAll(s.clock.Now(), left)
+	}
+	s.table.notifyAll()
+}
+
+// departAll records departures that the group keeps.
+func (t *table) departAll(now time.Time, left []command.Departure) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, d := range left {
+		t.depart(now, incarnation{d.Endpoint, d.Incarnation})
+	}
+}
+
 // departureReports returns the departures that sent lacks, and records them there. The caller holds t.mu.
 func (t *table) departureReports(now time.Time, sent map[incarnation]bool) []departureReport {
 	for i := range sent {
--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -175,16 +175,22 @@
 	is := is.New(t)
 	g := newReplicaGroup(3)
 	g.tables[0].register(g.now, direct("i-1", addrOne, 5, false), 1)
-	is.True(!g.tables[1].deregister(g.now, "i-1", 0)) // before the first report
+	is.True(!g.deregisterAt(1)) // before the first report
 	g.report()
-	is.True(g.tables[1].deregister(g.now, "i-1", 0))
+	is.True(g.deregisterAt(1))
 	g.report()
 	g.restart(2)
-	is.True(!g.tables[2].deregister(g.now, "i-1", 0))
+	is.True(!g.deregisterAt(2))
 	g.pass(3 * testGrace)
-	for _, table := range g.tables {
+	for i, table := range g.tables {
 		_, ok := listed(table)["i-1"]
 		is.True(!ok)
-		is.True(table.deregister(g.now, "i-1", 0)) // sent again
+		is.True(g.deregisterAt(i)) // sent again
 	}
 }
+
+// deregisterAt deregisters i-1 at a replica and reports whether it knew the endpoint.
+func (g *replicaGroup) deregisterAt(i int) (known bool) {
+	_, known = g.tables[i].deregister(g.now, "i-1", 0)
+	return known
+}
--- a/control/deploy_test.go
+++ b/control/deploy_test.go
@@ -131,6 +131,9 @@
 	return d.background(d.plugins[name].Run)
 }
 
+// replica returns replica i.
+func (d *deployment) replica(i int) *control.Plugin { return d.plugins[fmt.Sprintf("control-%d", i+1)] }
+
 // stop stops replica i and waits until it has stopped.
 func (d *deployment) stop(i int) { d.stops[i]() }
 
--- a/control/publish.go
+++ b/control/publish.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rosemaryproxy/rosemaryproxy/config"
 	"github.com/rosemaryproxy/rosemaryproxy/control/command"
 	"github.com/rosemaryproxy/rosemaryproxy/control/session"
@@ -38,16 +40,27 @@
 // Register records the announcement of a direct endpoint, which has no sidecar. The sequence
 // number increases with each announcement of an incarnation, and is zero for endpoints that
 // do not number their announcements. Register returns false for an outdated announcement, which
-// it ignores.
-func (p *Plugin) Register(e wire.Endpoint, sequence uint64) bool {
-	return p.server.table.register(p.server.clock.Now(), e, sequence)
+// it ignores. If the endpoint leaves, that is certainly kept by the group once Register returns
+// without an error.
+func (p *Plugin) Register(ctx context.Context, e wire.Endpoint, sequence uint64) (current bool, err error) {
+	if !p.server.table.register(p.server.clock.Now(), e, sequence) {
+		return false, nil
+	}
+	if !e.Load.Leaving {
+		return true, nil
+	}
+	return true, p.server.keepDepartures(ctx, []incarnation{incarnationOf(&e)})
 }
 
 // Deregister marks a direct endpoint as leaving. Incarnation zero stands for any incarnation;
-// an incarnation older than the listed one is ignored. Deregister returns false if this replica does not
-// know the endpoint; another one may.
-func (p *Plugin) Deregister(name string, incarnation uint64) (known bool) {
-	return p.server.table.deregister(p.server.clock.Now(), name, incarnation)
+// an incarnation older than the listed one is ignored. Deregister returns an error if this replica does not
+// know the endpoint, while another one may, or if the group may lose the departure.
+func (p *Plugin) Deregister(ctx context.Context, name string, incarnation uint64) error {
+	left, known := p.server.table.deregister(p.server.clock.Now(), name, incarnation)
+	if !known {
+		return errors.Errorf("endpoint %s is not known here", name)
+	}
+	return p.server.keepDepartures(ctx, left)
 }
 
 // submit has the leader execute a command and retries until ctx ends. The command must be
--- a/control/registry.go
+++ b/control/registry.go
@@ -74,16 +74,18 @@
 
 // deregister marks an endpoint as leaving instead of removing it. The endpoint may serve its
 // last requests for a while, and a delayed announcement must not list it as available again. It returns
-// false for an endpoint that is not known here; another replica may know it.
-func (t *table) deregister(now time.Time, name string, incarnation uint64) (known bool) {
+// the incarnations that leave or have left, and false for an endpoint that is not known here; another replica
+// may know it.
+func (t *table) deregister(now time.Time, name string, number uint64) (left []incarnation, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	m, ok := t.list.members[name]
 	if !ok {
-		return t.list.hasDeparted(name)
+		left = t.list.departuresOf(name)
+		return left, len(left) > 0
 	}
-	if incarnation != 0 && incarnation < m.endpoint.Incarnation {
-		return true
+	if number != 0 && number < m.endpoint.Incarnation {
+		return nil, true
 	}
 	e := m.endpoint
 	e.Load.Leaving = true
@@ -94,7 +96,7 @@
 		t.notifyLocked()
 	}
 	t.registered[name] = &registration{endpoint: &e, seen: now}
-	return true
+	return []incarnation{incarnationOf(&e)}, true
 }
 
 // forgetRegistrations drops the registrations whose last announcement arrived before deadline.
--- a/control/server.go
+++ b/control/server.go
@@ -44,6 +44,8 @@
 	seeds atomic.Pointer[[]string]
 	// usageDropped is the result of the last call of logDroppedUsage, its only user.
 	usageDropped state.DroppedUsage
+	// departuresFollowed counts the departures that followState, its only user, has passed on.
+	departuresFollowed uint64
 	// bootstrap is the initial configuration, or nil.
 	bootstrap *config.Document
 }
--- a/control/state/snapshot.go
+++ b/control/state/snapshot.go
@@ -37,6 +37,8 @@
 	Suspects        quarantine.Image          `cbor:"11,keyasint"`
 	SuspectsVersion uint64                    `cbor:"12,keyasint"`
 	Duties          dutiesImage               `cbor:"13,keyasint"`
+	Departures      []command.Departure       `cbor:"14,keyasint,omitempty"`
+	DepartureCount  uint64                    `cbor:"15,keyasint,omitempty"`
 }
 
 // Snapshot returns the complete state in CBOR.
@@ -58,6 +60,8 @@
 		Suspects:        m.suspects.list.Image(),
 		SuspectsVersion: m.suspects.version,
 		Duties:          m.duties.image(),
+		Departures:      m.departures.list,
+		DepartureCount:  m.departures.total,
 	}
 	for _, id := range m.answers.insertionOrder {
 		img.Answers = append(img.Answers, m.answers.byKey[id])
@@ -102,6 +106,7 @@
 	restored.suspects.version = img.SuspectsVersion
 	restored.suspects.list = list
 	restored.duties = restoreDuties(img.Duties)
+	restored.departures = restoreDepartures(img.Departures, img.DepartureCount)
 	if img.Endpoints != nil {
 		restored.orders.endpoints = img.Endpoints
 	}
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -1,7 +1,7 @@
 // Package state implements the state machine that control replicates. The state consists of the
 // configuration with its audit log, the fencing numbers with the orders in force, the claims of
-// calls that run at most once, the requests suspected of crashing endpoints, and the rights to
-// duties with the usage that their holders report.
+// calls that run at most once, the requests suspected of crashing endpoints, the rights to duties
+// with the usage that their holders report, and the endpoints that leave or have left.
 //
 // The state machine is deterministic and does no I/O, reads no clock and starts no goroutine:
 // the leader adds its time to each command, and every replica applies the same commands in the
@@ -66,6 +66,8 @@
 	suspects *suspects
 	// duties holds the rights to duties and the usage that their holders report.
 	duties *duties
+	// departures holds the endpoints that leave or have left.
+	departures *departures
 	// now is the highest Entry.At so far, in nanoseconds since 1970.
 	now int64
 }
@@ -79,6 +81,8 @@
 		claims:   once.NewLedger(once.DefaultLimits(), time.Time{}),
 		suspects: newSuspects(),
 		duties:   newDuties(),
+
+		departures: newDepartures(),
 	}
 }
 
@@ -96,7 +100,7 @@
 	if e.Name == command.NameClaim || e.Name == command.NameSettle {
 		return encodeAnswer(m.apply(&e))
 	}
-	if e.ID == "" || isDutyCommand(e.Name) {
+	if e.ID == "" || isDutyCommand(e.Name) || e.Name == command.NameDepart {
 		return encodeAnswer(m.apply(&e))
 	}
 	if stored, ok := m.answers.get(e.answerKey()); ok {
@@ -134,6 +138,8 @@
 		return m.permit(e)
 	case command.NameEnded:
 		return m.endPermit(e)
+	case command.NameDepart:
+		return m.depart(e)
 	}
 	if isDutyCommand(e.Name) {
 		return m.applyDuty(e)
@@ -174,7 +180,7 @@
 }
 
 // SessionDataVersion returns a number that increases with each change of the data that sessions
-// send to processes: the configuration, the orders and the suspects.
+// send to processes: the configuration, the orders, the suspects and the departures.
 func (m *Machine) SessionDataVersion() uint64 {
-	return m.doc.Revision + m.orders.version + m.suspects.version
+	return m.doc.Revision + m.orders.version + m.suspects.version + m.departures.total
 }
