sidecar: a revoked key runs through an entry that is cut off from control

An entry that is cut off from control and reaches sidecars looked keys and routes up in its old configuration for as long as the cut lasted, and the sidecars ran the requests.

Cause: a sidecar held only its own permission against a dispatch. It proves that the sidecar's configuration is current, not that of the entry.

Evidence: the new case of TestGateRefusesBeforeTheEngine fails without the check.

Why it works: a dispatch names the entry's revision and what is left of its permission. If the permission has lapsed at a revision below the sidecar's, which is current, the attempt is refused as not run. At the same revision both have the same configuration, so that work goes on without a quorum as before.

--- a/sidecar/contract_test.go
+++ b/sidecar/contract_test.go
@@ -115,7 +115,7 @@
 	return &wire.Dispatch{
 		Attempt: wire.Attempt{Request: [16]byte{1}, Number: 1}, Endpoint: endpointName, Incarnation: 7,
 		Method: http.MethodPost, Path: engine.PathCompletions, PromptTokens: 10, OutputTokens: 10,
-		Deadline: 5 * time.Second, BodyBytes: 2,
+		Deadline: 5 * time.Second, BodyBytes: 2, Permission: wire.Permission{Revision: 3, Left: time.Second},
 	}
 }
 
@@ -308,6 +308,9 @@
 		"permission expired": {func(s *Sidecar, _ *wire.Dispatch) {
 			s.control.(*fakeControl).permission.Left = 0
 		}, verdict.ReasonStaleConfiguration},
+		"permission of the entry expired at an older revision": {func(_ *Sidecar, d *wire.Dispatch) {
+			d.Permission = wire.Permission{Revision: 2}
+		}, verdict.ReasonStaleConfiguration},
 		"permission expired, entry states a valid one": {func(s *Sidecar, d *wire.Dispatch) {
 			s.control.(*fakeControl).permission.Left = 0
 			d.Permission = wire.Permission{Revision: 9, Left: time.Minute}
@@ -340,6 +343,28 @@
 	}
 }
 
+// TestLapsedEntryMayNotUseAnOldConfiguration guards against a key that was revoked while an entry was cut off
+// from control and still reached sidecars.
+func TestLapsedEntryMayNotUseAnOldConfiguration(t *testing.T) {
+	own := wire.Permission{Revision: 3, Left: time.Second}
+	tests := map[string]struct {
+		entry   wire.Permission
+		refused bool
+	}{
+		"valid, same revision":   {wire.Permission{Revision: 3, Left: time.Second}, false},
+		"valid, older revision":  {wire.Permission{Revision: 2, Left: time.Second}, false},
+		"lapsed, same revision":  {wire.Permission{Revision: 3}, false},
+		"lapsed, newer revision": {wire.Permission{Revision: 4}, false},
+		"lapsed, older revision": {wire.Permission{Revision: 2}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := checkEntry(test.entry, own, "entry-1")
+			is.New(t).Equal(verdict.IsReason(err, verdict.ReasonStaleConfiguration), test.refused)
+		})
+	}
+}
+
 // breakingService answers the first call on each connection and closes the connection
 // after reading the second. arrived counts both.
 func breakingService(t *testing.T) (url string, arrived *atomic.Int64) {
--- a/sidecar/gate.go
+++ b/sidecar/gate.go
@@ -101,6 +101,17 @@
 	return nil
 }
 
+// checkEntry returns a refusal if the entry that sends an attempt may have looked the caller's key and route up
+// in a configuration that is no longer in force. The sidecar's own permission proves that its revision is
+// current, so an entry with the same revision needs none.
+func checkEntry(entry, own wire.Permission, name string) error {
+	if entry.Left > 0 || entry.Revision >= own.Revision {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonStaleConfiguration, time.Second,
+		"the permission of entry %s has lapsed at revision %d, and revision %d is in force", name, entry.Revision, own.Revision)
+}
+
 // admit decides on an attempt of the entry with the name owner, and reserves the engine's
 // resources for it. Its error is a *verdict.Refusal.
 func (g *gate) admit(now time.Time, d *wire.Dispatch, owner string) (*admission, error) {
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -63,8 +63,11 @@
 		return nil, verdict.Refuse(verdict.ReasonDeadline, 0, "the deadline has passed")
 	}
 	s.control.ReceivePermission(owner, d.Permission)
-	err := checkPermitted(s.control.Config(), s.control.Permission(), s.node.Name, s.node.Zone)
-	if err != nil {
+	own := s.control.Permission()
+	if err := checkPermitted(s.control.Config(), own, s.node.Name, s.node.Zone); err != nil {
+		return nil, err
+	}
+	if err := checkEntry(d.Permission, own, owner); err != nil {
 		return nil, err
 	}
 	return s.gate.admit(now, d, owner)
