--- a/gateway/body.go
+++ b/gateway/body.go
@@ -30,11 +30,19 @@
 	return nil
 }
 
+// releaseBody gives the memory of the body back.
+func (c *call) releaseBody() {
+	if c.heldBody != nil {
+		c.heldBody.Close()
+	}
+}
+
 // hasBody reports whether the request has a body.
 func (c *call) hasBody() bool { return c.r.Body != nil && c.r.Body != http.NoBody }
 
 // readLimited reads a body of up to limit bytes until the deadline of the call.
 func (c *call) readLimited(limit int64) ([]byte, error) {
+	limit = min(limit, maxAccountBodyBytes)
 	tooLarge := verdict.Refuse(verdict.ReasonTooLarge, 0, "the body is over %d bytes", limit)
 	if c.r.ContentLength > limit {
 		return nil, tooLarge
@@ -44,9 +52,12 @@
 		return nil, errors.Wrap(err, "set the read deadline of the body")
 	}
 	endWatch := c.shortenReadOnStop(control)
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	c.heldBody = c.g.bodyBytes.Account(c.account)
+	body, err := io.ReadAll(&bodyReader{r: io.LimitReader(c.r.Body, limit+1), held: c.heldBody})
 	endWatch()
 	switch {
+	case errors.Is(err, errHeldBytes):
+		return nil, verdict.Refuse(verdict.ReasonOverloaded, defaultRetryAfter, "the bodies of requests in progress hold too much memory")
 	case err != nil:
 		c.bodyFailed = true
 		if c.tooLateToSend() && errors.Is(err, os.ErrDeadlineExceeded) {
--- a/gateway/bounds.go
+++ b/gateway/bounds.go
@@ -24,13 +24,17 @@
 	// holds for one client account.
 	maxHeldBytes        = 32 << 20
 	maxAccountHeldBytes = maxHeldBytes / 2
+	// maxBodyBytes bounds what this process holds of the bodies of all requests, and maxAccountBodyBytes
+	// what it holds for one client account.
+	maxBodyBytes        = 64 << 20
+	maxAccountBodyBytes = maxBodyBytes / 2
 )
 
 var (
 	// errAnswerTooLong marks an answer over its own bound, which is the fault of its endpoint.
 	errAnswerTooLong = errors.New("the answer is too long")
 	// errHeldBytes marks an answer for which the process has no memory left.
-	errHeldBytes = errors.New("the answers in progress hold too much memory")
+	errHeldBytes = errors.New("requests in progress hold too much memory")
 )
 
 // newHeldBytes returns the budget for the answers in progress.
@@ -38,6 +42,11 @@
 	return stream.NewBudget(stream.Limits{Stream: maxAnswerBytes, Account: maxAccountHeldBytes, Process: maxHeldBytes})
 }
 
+// newBodyBytes returns the budget for the bodies of requests.
+func newBodyBytes() *stream.Budget {
+	return stream.NewBudget(stream.Limits{Stream: maxAccountBodyBytes, Account: maxAccountBodyBytes, Process: maxBodyBytes})
+}
+
 // heldAnswer is what an attempt holds of an answer in memory.
 type heldAnswer struct {
 	bytes *stream.Reservation
@@ -63,6 +72,20 @@
 	h.held = 0
 }
 
+// bodyReader accounts for the bytes of a body that are read.
+type bodyReader struct {
+	r    io.Reader
+	held *stream.Reservation
+}
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if n > 0 && !r.held.TryGrow(int64(n)) {
+		return 0, errHeldBytes
+	}
+	return n, err
+}
+
 // heldReader accounts for the bytes that are read.
 type heldReader struct {
 	r    io.Reader
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,6 +125,8 @@
 	usage *usageCounts
 	// heldBytes accounts for the answers that are held in memory.
 	heldBytes *stream.Budget
+	// bodyBytes accounts for the bodies of requests that are held in memory.
+	bodyBytes *stream.Budget
 	// suspects holds the requests that are suspected of crashing endpoints. lossesPending wakes
 	// the task that reports lost endpoints; it has a buffer of one.
 	suspects      *session.Suspects
@@ -202,7 +204,7 @@
 // New returns a gateway that uses the dialect d and reaches engines through e.
 func New(s Settings, d Dialect, e EngineClient) *Gateway {
 	g := &Gateway{
-		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(),
+		Settings: s, dialect: d, engines: e, startID: rand.Uint32(), heldBytes: newHeldBytes(), bodyBytes: newBodyBytes(),
 		losses: quarantine.NewTracker(), lossesPending: make(chan struct{}, 1), queued: make(chan struct{}, 1),
 		fleet: assign.NewFleet(), prefixes: prefix.New(), bookings: newBookings(), placing: newPlacing(), placer: &placer{}, bookingStreams: map[string]int{}, streamAddrs: map[string]string{},
 		leftEntries: map[string]string{}, slowSuspects: map[string]bool{}, stop: stop{began: make(chan struct{})},
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -18,6 +18,7 @@
 	"github.com/rosemaryproxy/rosemaryproxy/assign"
 	"github.com/rosemaryproxy/rosemaryproxy/drain"
 	"github.com/rosemaryproxy/rosemaryproxy/schedule"
+	"github.com/rosemaryproxy/rosemaryproxy/stream"
 	"github.com/rosemaryproxy/rosemaryproxy/verdict"
 )
 
@@ -65,6 +66,8 @@
 	// current: it carries a key, which may have been revoked, or its route requires one.
 	needsPermission bool
 	body            []byte
+	// heldBody accounts for body; nil if it is empty.
+	heldBody *stream.Reservation
 	// bodyComplete is set once the whole body has been read, and bodyFailed once a read of it
 	// has failed.
 	bodyComplete, bodyFailed bool
@@ -120,6 +123,7 @@
 	caller := &callerWriter{ResponseWriter: w, clock: g.clock, lastAnswer: g.stop.hasBegun}
 	c := g.newCall(caller, r)
 	defer c.logPanic()
+	defer c.releaseBody()
 	err := c.prepare()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
