--- a/control/session/choice.go
+++ b/control/session/choice.go
@@ -30,26 +30,28 @@
 	defer cancel()
 	choice := replicaChoice{order: order}
 	answers := make(chan pollResult, len(order))
-	for asked := 0; ; {
-		var hedge <-chan time.Time
-		if asked < len(order) {
-			go func(addr string) { answers <- c.askReplica(ctx, addr) }(order[asked])
-			asked++
-			hedge = c.options.Clock.After(hedgeDelay)
+	asked := 0
+	askNext := func() (hedge <-chan time.Time) {
+		addr := order[asked]
+		asked++
+		go func() { answers <- c.askReplica(ctx, addr) }()
+		return c.options.Clock.After(hedgeDelay)
+	}
+	hedge := askNext()
+	for {
+		select {
+		case answer := <-answers:
+			choice.add(answer)
+		case <-hedge:
 		}
-		for waiting := true; waiting; {
-			select {
-			case answer := <-answers:
-				choice.add(answer)
-				waiting = asked == len(order)
-			case <-hedge:
-				waiting = asked == len(order)
-			}
-			if addr, decided := choice.decide(); decided {
-				c.options.Log.Info("replica chosen", "replica", addr, "leader_known", choice.leaderKnown, "asked", asked,
-					"answered", choice.answered, "failed", choice.failed, "took", c.options.Clock.Now().Sub(started))
-				return addr
-			}
+		if addr, decided := choice.decide(); decided {
+			c.options.Log.Info("replica chosen", "replica", addr, "leader_known", choice.leader != "", "asked", asked,
+				"answered", choice.answered, "failed", choice.failed, "took", c.options.Clock.Now().Sub(started))
+			return addr
+		}
+		hedge = nil
+		if asked < len(order) {
+			hedge = askNext()
 		}
 	}
 }
@@ -70,10 +72,9 @@
 // replicaChoice chooses among the replicas in order by their answers. It does no I/O.
 type replicaChoice struct {
 	order []string
-	// leader is the first replica that answered and knows a leader, replica the first that answered,
-	// and relay the first relay.
+	// leader is the first replica that answered and knows a leader, replica the first that answered and
+	// knows none, and relay the first relay that answered.
 	leader, replica, relay string
-	leaderKnown            bool
 	answered, failed       int
 }
 
@@ -96,7 +97,6 @@
 // decide returns the choice, and whether there is one already.
 func (r *replicaChoice) decide() (addr string, decided bool) {
 	if r.leader != "" {
-		r.leaderKnown = true
 		return r.leader, true
 	}
 	if r.answered+r.failed < len(r.order) {
--- a/control/state/state.go
+++ b/control/state/state.go
@@ -75,13 +75,12 @@
 // New returns a machine with the empty state.
 func New() *Machine {
 	return &Machine{
-		doc:      config.NewDocument(),
-		answers:  newAnswers(maxAnswers),
-		orders:   newOrders(),
-		claims:   once.NewLedger(once.DefaultLimits(), time.Time{}),
-		suspects: newSuspects(),
-		duties:   newDuties(),
-
+		doc:        config.NewDocument(),
+		answers:    newAnswers(maxAnswers),
+		orders:     newOrders(),
+		claims:     once.NewLedger(once.DefaultLimits(), time.Time{}),
+		suspects:   newSuspects(),
+		duties:     newDuties(),
 		departures: newDepartures(),
 	}
 }
