--- a/control/state/state_test.go
+++ b/control/state/state_test.go
@@ -303,6 +303,7 @@
 		command.NameClaim:   command.Claim{Account: "parish", Key: key, Endpoint: "desk", Incarnation: n},
 		command.NameSettle:  command.Settle{Account: "parish", Key: key, Fence: n, Verdict: verdict.Ran, Result: &command.Result{Status: 200}},
 		command.NameSuspect: command.Suspect{Endpoint: id, Digests: []uint64{n}},
+		command.NameDepart:  command.Depart{Departures: []command.Departure{{Endpoint: id, Incarnation: n}, {Endpoint: key, Incarnation: n}}},
 		command.NameDuty:    command.AcquireDuty{Duty: command.DutyUsage, Holder: key, TTL: maxDutyTTL},
 		command.NameUsage: command.Usage{Source: id, Windows: []command.WindowCounts{
 			{Window: n, Counts: map[string]uint64{key: n, id: 1}}, {Window: n + 1, Counts: map[string]uint64{"x": n}},
@@ -312,7 +313,7 @@
 	}
 	name := rapid.SampledFrom([]string{
 		command.NameChange, command.NameOrder, command.NameFence, command.NameClaim, command.NameSettle, command.NameSuspect,
-		command.NameDuty, command.NameUsage, command.NameCloseWindow, command.NameReportedWindow,
+		command.NameDepart, command.NameDuty, command.NameUsage, command.NameCloseWindow, command.NameReportedWindow,
 	}).Draw(t, "name")
 	return encodeEntry(name, id, "x", now, bodies[name])
 }
