--- a/control/session/choice_test.go
+++ b/control/session/choice_test.go
@@ -20,15 +20,15 @@
 		addr    string
 		decided bool
 	}{
-		"none":                         {nil, "", false},
-		"first that knows a leader":    {[]pollResult{{addr: "b", info: follower}}, "b", true},
-		"one without a leader":         {[]pollResult{{addr: "a", info: undecided}}, "", false},
-		"leader after one without":     {[]pollResult{{addr: "a", info: undecided}, {addr: "c", info: follower}}, "c", true},
-		"relay, failure, no leader":    {[]pollResult{{addr: "a", info: relay}, {addr: "b"}, {addr: "c", info: undecided}}, "c", true},
-		"relay and failures":           {[]pollResult{{addr: "a"}, {addr: "b"}, {addr: "c", info: relay}}, "c", true},
-		"failures only":                {[]pollResult{{addr: "c"}, {addr: "b"}, {addr: "a"}}, "a", true},
-		"several without a leader":     {[]pollResult{{addr: "c", info: undecided}, {addr: "b", info: undecided}, {addr: "a"}}, "c", true},
-		"relays are no answer by half": {[]pollResult{{addr: "b", info: relay}, {addr: "c", info: relay}}, "", false},
+		"none":                        {nil, "", false},
+		"first that knows a leader":   {[]pollResult{{addr: "b", info: follower}}, "b", true},
+		"one without a leader":        {[]pollResult{{addr: "a", info: undecided}}, "", false},
+		"leader after one without":    {[]pollResult{{addr: "a", info: undecided}, {addr: "c", info: follower}}, "c", true},
+		"relay, failure, no leader":   {[]pollResult{{addr: "a", info: relay}, {addr: "b"}, {addr: "c", info: undecided}}, "c", true},
+		"relay and failures":          {[]pollResult{{addr: "a"}, {addr: "b"}, {addr: "c", info: relay}}, "c", true},
+		"failures only":               {[]pollResult{{addr: "c"}, {addr: "b"}, {addr: "a"}}, "a", true},
+		"several without a leader":    {[]pollResult{{addr: "c", info: undecided}, {addr: "b", info: undecided}, {addr: "a"}}, "c", true},
+		"two relays, one outstanding": {[]pollResult{{addr: "b", info: relay}, {addr: "c", info: relay}}, "", false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
